Read settings through a checked schema

Cause: a host needs its addresses and failure domain from a file whose mistakes are told at once. Change: YAML reader that collects every mistake with line, key and expectation; addresses move to the kernel.

--- /dev/null
+++ b/src/cli/settings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quincefall {
+
+/// A peer whose address is known before the host list is read.
+struct peer_setting
+{
+    std::string name;
+    host_address address;
+};
+
+/// Settings of one `quincefall serve` process, read from a YAML file.
+struct settings
+{
+    std::string hostName;
+    std::string region;
+    std::string failureDomain;
+
+    host_address callerListen;
+    host_address peerListen;
+    host_address operatorListen;
+
+    std::string fleetSecret; ///< Shared by all hosts; authenticates peers.
+    std::vector<peer_setting> peers;
+    std::string operatorKey; ///< Bearer key of the operator API.
+
+    host_address log;
+    host_address hostList;
+
+    std::string logTarget = "stderr"; ///< "stderr" or a file path.
+    std::string logLevel = "info";
+
+    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::uint32_t maxBodyBytes = 4 * 1024 * 1024;
+    std::uint32_t maxConnections = 4096;
+    milliseconds callerTimeout{10'000}; ///< For a request to arrive and for a write to progress.
+    milliseconds drainTimeout{60'000}; ///< Longest wait for running requests at a stop.
+};
+
+/// One mistake in a settings file.
+struct settings_mistake
+{
+    int line = 0; ///< Counts from 1; 0 when the whole file is meant.
+    std::string key; ///< Path such as "listen.caller".
+    std::string expected;
+};
+
+/// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
+struct settings_reading
+{
+    settings values;
+    std::vector<settings_mistake> mistakes;
+};
+
+/// Checks @p yaml against the schema and reports all mistakes at once.
+settings_reading readSettings(std::string_view yaml);
+
+/// Reads the file at @p path; an unreadable file is one mistake.
+settings_reading readSettingsFile(const std::string &path);
+
+/// One line for people: "file:line: key: expected ...".
+std::string describe(const settings_mistake &mistake, std::string_view file);
+
+} // namespace quincefall
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
 
@@ -14,15 +15,6 @@
 
 namespace quincefall {
 
-/// Address of a process: an IP number and a TCP port.
-struct host_address
-{
-    std::string ip;
-    std::uint16_t port = 0;
-
-    bool operator==(const host_address &) const = default;
-};
-
 /// Messages between the hosts of the fleet: calls with one request and one answer over HTTP/2
 /// streams, one connection for each pair of hosts and direction.
 class peer_mesh
