Add the configuration fold, HTTP server and client, log and host list clients

Cause: the thin path needs them. Change: resources are checked JSON objects; the configuration is a pure fold by offset with operation ids and compare-and-set versions; HTTP both ways by Beast with limits. Ruled out: reusing connections for appends, since a silent repeat would write twice. Not measured yet: no process runs them.

--- a/src/kernel/result.cpp
+++ b/src/kernel/result.cpp
@@ -53,6 +53,8 @@
                 "The answer ended before its end mark and could not be resumed."},
     result_info{result_code::streamMismatch, "stream-mismatch", 502,
                 "The upstream answered with another request's stream."},
+    result_info{result_code::upstreamUnreachable, "upstream-unreachable", 502,
+                "No connection to the upstream could be opened; nothing was sent."},
     result_info{result_code::logUnavailable, "log-unavailable", 503,
                 "The platform's log cannot be reached."},
     result_info{result_code::logTruncated, "log-truncated", 503,
--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -38,6 +38,7 @@
     upstreamTimeout = 403,
     streamIncomplete = 404,
     streamMismatch = 405,
+    upstreamUnreachable = 406,
 
     logUnavailable = 501,
     logTruncated = 502,
--- a/src/cli/settings.cpp
+++ b/src/operate/settings.cpp
@@ -1,4 +1,4 @@
-#include "cli/settings.h"
+#include "operate/settings.h"
 
 #include <yaml-cpp/yaml.h>
 
--- /dev/null
+++ b/src/platform/http_client.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/clock.h"
+#include "kernel/result.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace quincefall {
+
+using http_header = std::pair<std::string, std::string>;
+
+/// A request to an outside system.
+struct http_request
+{
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/// A whole answer.
+struct http_reply
+{
+    int status = 0;
+    std::vector<http_header> headers;
+    std::string body;
+
+    /// Value of the first header called @p name, in any case; empty when there is none.
+    std::string_view header(std::string_view name) const;
+};
+
+/// An answer whose body is read piece by piece.
+class http_stream
+{
+public:
+    ~http_stream();
+
+    int status() const;
+    std::string_view header(std::string_view name) const;
+
+    /// The next piece of the body; empty at its end. Fails with upstreamFailed when the connection
+    /// breaks before the end and upstreamTimeout after @p timeout of silence.
+    boost::asio::awaitable<result<std::string_view>> read(milliseconds timeout);
+
+    /// Closes the connection; a pending read fails.
+    void close();
+
+private:
+    friend class http_client;
+    struct state;
+    explicit http_stream(std::unique_ptr<state> owned);
+    std::unique_ptr<state> m_state;
+};
+
+/// HTTP/1.1 client that keeps connections open for reuse.
+class http_client
+{
+public:
+    /// Whether a call may use a connection left open by an earlier one.
+    enum class connection_use {
+        reuse, ///< Asked again on a new connection when the old one turns out to be closed.
+        fresh, ///< Exactly one try on a new connection, for calls that may not be repeated.
+    };
+
+    static std::unique_ptr<http_client> makeHttpClient(boost::asio::io_context &context);
+    ~http_client();
+
+    /// Sends @p request and reads the whole answer within @p timeout. Fails with
+    /// upstreamUnreachable when nothing was sent, and with upstreamFailed or upstreamTimeout when the
+    /// request may have arrived.
+    boost::asio::awaitable<result<http_reply>> send(host_address address, http_request request,
+                                                    milliseconds timeout,
+                                                    connection_use use = connection_use::reuse);
+
+    /// Sends @p request and reads the answer's header within @p timeout.
+    boost::asio::awaitable<result<std::unique_ptr<http_stream>>>
+    open(host_address address, http_request request, milliseconds timeout);
+
+private:
+    struct state;
+    explicit http_client(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- /dev/null
+++ b/src/platform/log_client.cpp
@@ -0,0 +1,100 @@
+#include "platform/log_client.h"
+
+#include "platform/http_client.h"
+
+#include "kernel/asio_headers.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr int recordsPerRead = 1000;
+constexpr milliseconds readMargin{2000};
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+
+result<log_page> decodePage(const http_reply &reply)
+{
+    log_page page;
+    try {
+        const json::value body = json::parse(reply.body);
+        page.first = body.at("first").to_number<std::uint64_t>();
+        page.next = body.at("next").to_number<std::uint64_t>();
+        page.isTruncated = reply.status == statusGone;
+        if (page.isTruncated)
+            return page;
+        for (const json::value &record : body.at("records").as_array()) {
+            page.records.push_back({record.at("offset").to_number<std::uint64_t>(),
+                                    std::string(record.at("data").as_string())});
+        }
+    } catch (const std::exception &failure) {
+        return makeError(result_code::logUnavailable, failure.what());
+    }
+    return page;
+}
+
+result<std::uint64_t> decodeOffset(const http_reply &reply)
+{
+    boost::system::error_code failure;
+    const json::value body = json::parse(reply.body, failure);
+    const json::object *object = body.if_object();
+    const json::value *offset = object == nullptr ? nullptr : object->if_contains("offset");
+    if (failure || offset == nullptr)
+        return makeError(result_code::appendUnknown, "the log's answer has no offset");
+    const auto number = offset->to_number<std::uint64_t>(failure);
+    if (failure)
+        return makeError(result_code::appendUnknown, "the log's answer has no offset");
+    return number;
+}
+
+} // namespace
+
+log_client::log_client(http_client &client, host_address address)
+    : m_client(client)
+    , m_address(std::move(address))
+{
+}
+
+asio::awaitable<result<std::uint64_t>> log_client::append(std::string stream,
+                                                          std::vector<std::string> records,
+                                                          milliseconds timeout) const
+{
+    json::array texts;
+    for (std::string &record : records)
+        texts.emplace_back(record);
+    http_request request;
+    request.method = "POST";
+    request.target = "/streams/" + stream + "/records";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = json::serialize(json::object{{"records", std::move(texts)}});
+    // A repeated append would be a second record, so the client may not ask again by itself.
+    const auto reply = co_await m_client.send(m_address, std::move(request), timeout,
+                                              http_client::connection_use::fresh);
+    if (!reply && reply.error().code == result_code::upstreamUnreachable)
+        co_return makeError(result_code::logUnavailable, reply.error().detail);
+    if (!reply)
+        co_return makeError(result_code::appendUnknown, reply.error().detail);
+    if (reply->status != statusOk)
+        co_return makeError(result_code::logUnavailable,
+                            "the log answered " + std::to_string(reply->status));
+    co_return decodeOffset(*reply);
+}
+
+asio::awaitable<result<log_page>> log_client::read(std::string stream, std::uint64_t from,
+                                                   milliseconds wait) const
+{
+    http_request request;
+    request.target = "/streams/" + stream + "/records?from=" + std::to_string(from)
+        + "&max=" + std::to_string(recordsPerRead) + "&wait_ms=" + std::to_string(wait.count());
+    const auto reply = co_await m_client.send(m_address, std::move(request), wait + readMargin);
+    if (!reply)
+        co_return makeError(result_code::logUnavailable, reply.error().detail);
+    if (reply->status != statusOk && reply->status != statusGone)
+        co_return makeError(result_code::logUnavailable,
+                            "the log answered " + std::to_string(reply->status));
+    co_return decodePage(*reply);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/http_server.cpp
@@ -0,0 +1,412 @@
+#include "serve/http_server.h"
+
+#include "kernel/asio_headers.h"
+#include "serve/problem.h"
+
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+#include <array>
+#include <set>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds acceptPause{20};
+constexpr std::size_t firstReadBytes = 4096;
+
+/// What the connections of one server share.
+struct server_core
+{
+    http_server::options settings;
+    http_server::handler function;
+    std::set<beast::tcp_stream *> idle;
+    std::set<beast::tcp_stream *> open;
+    std::size_t active = 0;
+    bool isClosing = false;
+    bool isStopped = false;
+};
+
+using core_ptr = std::shared_ptr<server_core>;
+
+result_code parseFailureCode(const boost::system::error_code &code)
+{
+    if (code == http::error::body_limit || code == http::error::header_limit)
+        return result_code::requestTooLarge;
+    if (code == beast::error::timeout)
+        return result_code::callerTimeout;
+    return result_code::malformedRequest;
+}
+
+http::response<http::string_body> problemResponse(const problem &value)
+{
+    http::response<http::string_body> answer(http::int_to_status(resultInfo(value.code).httpStatus),
+                                             11);
+    answer.set(http::field::content_type, "application/problem+json");
+    if (value.retryAfter)
+        answer.set(http::field::retry_after, retryAfterSeconds(*value.retryAfter));
+    answer.keep_alive(false);
+    answer.body() = encodeProblem(value);
+    answer.prepare_payload();
+    return answer;
+}
+
+bool isClosedByPeer(tcp::socket &socket)
+{
+    boost::system::error_code code;
+    std::array<char, 1> byte{};
+    socket.non_blocking(true, code);
+    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
+    return size == 0 && code != asio::error::would_block;
+}
+
+} // namespace
+
+struct http_exchange::state
+{
+    beast::tcp_stream &stream;
+    core_ptr core;
+    http::request<http::string_body> request;
+    std::function<void()> goneListener;
+    bool keepAlive = false;
+    bool hasBegun = false;
+    bool isGone = false;
+
+    void markGone()
+    {
+        if (isGone)
+            return;
+        isGone = true;
+        if (goneListener)
+            goneListener();
+    }
+
+    bool finishWrite(const boost::system::error_code &code)
+    {
+        if (code)
+            markGone();
+        return !code;
+    }
+
+    template <typename body_type>
+    void prepare(http::response<body_type> &answer, std::span<const answer_header> headers)
+    {
+        for (const answer_header &header : headers)
+            answer.set(header.name, header.value);
+        keepAlive = request.keep_alive() && !core->isClosing;
+        answer.keep_alive(keepAlive);
+        hasBegun = true;
+        stream.expires_after(core->settings.requestTimeout);
+    }
+};
+
+http_exchange::http_exchange(std::unique_ptr<state> owned)
+    : m_state(std::move(owned))
+{
+}
+
+http_exchange::~http_exchange() = default;
+
+std::string_view http_exchange::method() const
+{
+    return m_state->request.method_string();
+}
+
+std::string_view http_exchange::target() const
+{
+    return m_state->request.target();
+}
+
+std::string_view http_exchange::path() const
+{
+    const std::string_view whole = target();
+    return whole.substr(0, whole.find('?'));
+}
+
+std::string http_exchange::query(std::string_view name) const
+{
+    const auto url = boost::urls::parse_origin_form(target());
+    if (!url)
+        return {};
+    const auto parameters = url->params();
+    const auto entry = parameters.find(name);
+    return entry == parameters.end() ? std::string() : std::string((*entry).value);
+}
+
+std::string_view http_exchange::header(std::string_view name) const
+{
+    return m_state->request[name];
+}
+
+const std::string &http_exchange::body() const
+{
+    return m_state->request.body();
+}
+
+asio::awaitable<bool> http_exchange::respond(int status, std::span<const answer_header> headers,
+                                             std::string body)
+{
+    http::response<http::string_body> answer(http::int_to_status(unsigned(status)), 11);
+    m_state->prepare(answer, headers);
+    answer.body() = std::move(body);
+    answer.prepare_payload();
+    const auto [code, size] = co_await http::async_write(m_state->stream, answer, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+asio::awaitable<bool> http_exchange::beginStream(int status, std::span<const answer_header> headers)
+{
+    http::response<http::empty_body> answer(http::int_to_status(unsigned(status)), 11);
+    m_state->prepare(answer, headers);
+    answer.chunked(true);
+    http::response_serializer<http::empty_body> serializer(answer);
+    const auto [code, size]
+        = co_await http::async_write_header(m_state->stream, serializer, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+asio::awaitable<bool> http_exchange::write(std::string_view piece)
+{
+    if (m_state->isGone)
+        co_return false;
+    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
+    const auto chunk = http::make_chunk(asio::buffer(piece));
+    const auto [code, size] = co_await asio::async_write(m_state->stream, chunk, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+asio::awaitable<bool> http_exchange::endStream()
+{
+    if (m_state->isGone)
+        co_return false;
+    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
+    const auto last = http::make_chunk_last();
+    const auto [code, size] = co_await asio::async_write(m_state->stream, last, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+void http_exchange::abort()
+{
+    m_state->keepAlive = false;
+    boost::system::error_code ignored;
+    m_state->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_state->stream.close();
+    m_state->markGone();
+}
+
+bool http_exchange::hasBegun() const
+{
+    return m_state->hasBegun;
+}
+
+bool http_exchange::isGone() const
+{
+    return m_state->isGone;
+}
+
+void http_exchange::setGoneListener(std::function<void()> listener)
+{
+    m_state->goneListener = std::move(listener);
+}
+
+struct http_server::state
+{
+    state(asio::io_context &io, core_ptr shared)
+        : context(io)
+        , acceptor(io)
+        , core(std::move(shared))
+    {
+    }
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    core_ptr core;
+
+    static asio::awaitable<void> accept(std::shared_ptr<state> self);
+    static asio::awaitable<void> serve(core_ptr core, tcp::socket socket);
+    static asio::awaitable<bool> serveOne(core_ptr core, beast::tcp_stream &stream,
+                                          beast::flat_buffer &buffer);
+    static asio::awaitable<bool> readFirstBytes(core_ptr core, beast::tcp_stream &stream,
+                                                beast::flat_buffer &buffer);
+    static asio::awaitable<void> refuse(tcp::socket socket);
+    static asio::awaitable<void> watch(http_exchange::state &exchange,
+                                       std::shared_ptr<bool> isOver);
+};
+
+/// Tells the exchange when the caller closes its side while the handler runs.
+asio::awaitable<void> http_server::state::watch(http_exchange::state &exchange,
+                                                std::shared_ptr<bool> isOver)
+{
+    auto &socket = exchange.stream.socket();
+    const auto [code] = co_await socket.async_wait(tcp::socket::wait_read, asTuple);
+    if (*isOver || code == asio::error::operation_aborted)
+        co_return;
+    if (code || isClosedByPeer(socket))
+        exchange.markGone();
+}
+
+/// Waits on an idle connection for its next request to begin.
+asio::awaitable<bool> http_server::state::readFirstBytes(core_ptr core, beast::tcp_stream &stream,
+                                                         beast::flat_buffer &buffer)
+{
+    core->idle.insert(&stream);
+    stream.expires_after(core->settings.idleTimeout);
+    const auto space = buffer.prepare(firstReadBytes);
+    const auto [code, size] = co_await stream.async_read_some(space, asTuple);
+    core->idle.erase(&stream);
+    buffer.commit(size);
+    co_return !code && !core->isStopped;
+}
+
+/// Reads one request and answers it; false when the connection ends.
+asio::awaitable<bool> http_server::state::serveOne(core_ptr core, beast::tcp_stream &stream,
+                                                   beast::flat_buffer &buffer)
+{
+    if (buffer.size() == 0 && !co_await readFirstBytes(core, stream, buffer))
+        co_return false;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(core->settings.maxHeaderBytes);
+    parser.body_limit(core->settings.maxBodyBytes);
+    stream.expires_after(core->settings.requestTimeout);
+    const auto [code, size] = co_await http::async_read(stream, buffer, parser, asTuple);
+    if (code == http::error::end_of_stream || code == asio::error::connection_reset)
+        co_return false;
+    if (code) {
+        const auto answer = problemResponse({parseFailureCode(code), code.message(), {}, {}});
+        stream.expires_after(core->settings.requestTimeout);
+        co_await http::async_write(stream, answer, asTuple);
+        co_return false;
+    }
+    stream.expires_never();
+    http_exchange exchange(std::unique_ptr<http_exchange::state>(
+        new http_exchange::state{stream, core, parser.release(), {}}));
+    const auto isOver = std::make_shared<bool>(false);
+    asio::co_spawn(stream.get_executor(), watch(*exchange.m_state, isOver), asio::detached);
+    ++core->active;
+    co_await core->function(exchange);
+    --core->active;
+    *isOver = true;
+    boost::system::error_code ignored;
+    stream.socket().cancel(ignored);
+    co_return exchange.m_state->keepAlive && !exchange.isGone();
+}
+
+asio::awaitable<void> http_server::state::serve(core_ptr core, tcp::socket socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    core->open.insert(&stream);
+    beast::flat_buffer buffer;
+    bool isOpen = true;
+    while (isOpen && !core->isStopped)
+        isOpen = co_await serveOne(core, stream, buffer);
+    core->open.erase(&stream);
+    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+asio::awaitable<void> http_server::state::refuse(tcp::socket socket)
+{
+    beast::tcp_stream stream(std::move(socket));
+    stream.expires_after(seconds(1));
+    const auto answer = problemResponse(
+        {result_code::connectionLimit, "too many open connections", run_state::notRun, seconds(1)});
+    co_await http::async_write(stream, answer, asTuple);
+}
+
+asio::awaitable<void> http_server::state::accept(std::shared_ptr<state> self)
+{
+    while (self->acceptor.is_open()) {
+        auto [code, socket] = co_await self->acceptor.async_accept(asTuple);
+        if (code == asio::error::operation_aborted || !self->acceptor.is_open())
+            co_return;
+        if (code) {
+            // Out of descriptors: wait for connections to close instead of spinning.
+            asio::steady_timer pause(self->context, acceptPause);
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        if (self->core->open.size() >= self->core->settings.maxConnections)
+            asio::co_spawn(self->context, refuse(std::move(socket)), asio::detached);
+        else
+            asio::co_spawn(self->context, serve(self->core, std::move(socket)), asio::detached);
+    }
+}
+
+result<std::unique_ptr<http_server>>
+http_server::makeHttpServer(asio::io_context &context, options settings, handler function)
+{
+    auto core = std::make_shared<server_core>();
+    core->settings = settings;
+    core->function = std::move(function);
+    auto shared = std::make_shared<state>(context, std::move(core));
+    boost::system::error_code code;
+    const auto ip = asio::ip::make_address(settings.listen.ip, code);
+    const tcp::endpoint endpoint(ip, settings.listen.port);
+    if (!code)
+        shared->acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        shared->acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    if (!code)
+        shared->acceptor.bind(endpoint, code);
+    if (!code)
+        shared->acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return makeError(result_code::settingsInvalid,
+                         "cannot listen on " + toString(settings.listen) + ": " + code.message());
+    asio::co_spawn(context, state::accept(shared), asio::detached);
+    return std::unique_ptr<http_server>(new http_server(std::move(shared)));
+}
+
+http_server::http_server(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+std::uint16_t http_server::port() const
+{
+    boost::system::error_code ignored;
+    return m_state->acceptor.local_endpoint(ignored).port();
+}
+
+std::size_t http_server::activeExchanges() const
+{
+    return m_state->core->active;
+}
+
+void http_server::announceClose()
+{
+    m_state->core->isClosing = true;
+}
+
+void http_server::stopAccepting()
+{
+    announceClose();
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+    const auto idle = m_state->core->idle;
+    for (beast::tcp_stream *stream : idle)
+        stream->cancel();
+}
+
+void http_server::stop()
+{
+    m_state->core->isStopped = true;
+    stopAccepting();
+    const auto open = m_state->core->open;
+    for (beast::tcp_stream *stream : open)
+        stream->cancel();
+}
+
+} // namespace quincefall
