--- a/src/ledger/config_state.cpp
+++ b/src/ledger/config_state.cpp
@@ -68,9 +68,9 @@
     if (!change.expectedVersion || *change.expectedVersion == current)
         return {};
     const auto entry = state.resources.find(change.key);
-    const std::string winner
-        = entry == state.resources.end() ? "it does not exist" : "set by operation "
-            + entry->second.operation;
+    const std::string winner = entry == state.resources.end()
+        ? "it does not exist"
+        : "set by operation " + entry->second.operation;
     return makeError(result_code::versionConflict,
                      toString(change.key) + " is at version " + std::to_string(current) + " ("
                          + winner + "), expected " + std::to_string(*change.expectedVersion));
@@ -244,10 +244,11 @@
         for (const json::value &entry : parsed.at("resources").as_array())
             restoreResource(state, entry.as_object());
         for (const json::value &entry : parsed.at("outcomes").as_array()) {
-            remember(state, {std::string(entry.at("operation").as_string()),
-                             result_code(entry.at("code").to_number<int>()),
-                             entry.at("offset").to_number<std::uint64_t>(),
-                             std::string(entry.at("detail").as_string())});
+            remember(state,
+                     {std::string(entry.at("operation").as_string()),
+                      result_code(entry.at("code").to_number<int>()),
+                      entry.at("offset").to_number<std::uint64_t>(),
+                      std::string(entry.at("detail").as_string())});
         }
     } catch (const std::exception &failure) {
         return makeError(result_code::messageInvalid, failure.what());
--- a/src/ledger/resource.cpp
+++ b/src/ledger/resource.cpp
@@ -81,9 +81,8 @@
 upstream_pool readPool(field_reader &fields)
 {
     upstream_pool value;
-    fields.objects("upstreams", [&value](field_reader &item) {
-        value.upstreams.push_back(readUpstream(item));
-    });
+    fields.objects("upstreams",
+                   [&value](field_reader &item) { value.upstreams.push_back(readUpstream(item)); });
     std::set<std::string> names;
     for (const upstream &entry : value.upstreams)
         names.insert(entry.name);
--- a/src/ledger/resource.h
+++ b/src/ledger/resource.h
@@ -31,9 +31,9 @@
 result<resource_kind> parseResourceKind(std::string_view text);
 
 /// All kinds, in the order in which references allow them to be created.
-inline constexpr resource_kind allResourceKinds[] = {
-    resource_kind::serviceClass, resource_kind::organisation, resource_kind::pool,
-    resource_kind::model, resource_kind::service};
+inline constexpr resource_kind allResourceKinds[]
+    = {resource_kind::serviceClass, resource_kind::organisation, resource_kind::pool,
+       resource_kind::model, resource_kind::service};
 
 struct resource_key
 {
--- /dev/null
+++ b/src/operate/config_service.cpp
@@ -0,0 +1,218 @@
+#include "operate/config_service.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/timeline.h"
+
+#include <deque>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr const char *configStream = "config";
+constexpr milliseconds readWait{5000};
+constexpr milliseconds retryPause{200};
+constexpr milliseconds appendTimeout{1000};
+constexpr milliseconds outcomePoll{5};
+constexpr std::size_t recentRecordLimit = 4096;
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+struct config_service::state_data
+{
+    explicit state_data(dependencies wanted)
+        : needs(std::move(wanted))
+    {
+    }
+
+    dependencies needs;
+    config_state folded;
+    std::deque<log_record> recent;
+    std::vector<std::function<void()>> listeners;
+    bool isReady = false;
+    bool isLogReachable = false;
+    bool isStopped = false;
+
+    /// Folds in a record if it is the next one; false when it is not.
+    bool apply(const log_record &record)
+    {
+        if (record.offset != folded.next)
+            return false;
+        const config_effect effect = applyRecord(folded, record.offset, record.data);
+        recent.push_back(record);
+        if (recent.size() > recentRecordLimit)
+            recent.pop_front();
+        note(effect);
+        return true;
+    }
+
+    void note(const config_effect &effect)
+    {
+        if (!effect.outcome)
+            return;
+        const operation_outcome &outcome = *effect.outcome;
+        const std::string resource = effect.changed ? toString(*effect.changed) : "";
+        needs.events.record(effect.changed ? "config.applied" : "config.rejected", "", resource,
+                            {{"offset", std::to_string(outcome.offset)},
+                             {"operation", outcome.operation},
+                             {"code", std::string(resultInfo(outcome.code).name)},
+                             {"detail", outcome.detail}});
+    }
+
+    void notify()
+    {
+        for (const auto &listener : listeners)
+            listener();
+    }
+
+    void setReachable(bool isReachable)
+    {
+        if (isReachable == isLogReachable)
+            return;
+        isLogReachable = isReachable;
+        needs.events.record(isReachable ? "log.reachable" : "log.unreachable", "", configStream);
+    }
+
+    void setReady()
+    {
+        if (isReady)
+            return;
+        isReady = true;
+        needs.events.record("config.ready", "", configStream,
+                            {{"next", std::to_string(folded.next)}});
+    }
+
+    void take(const log_page &page)
+    {
+        bool hasChanged = false;
+        for (const log_record &record : page.records)
+            hasChanged |= apply(record);
+        const bool wasReady = isReady;
+        if (folded.next >= page.next)
+            setReady();
+        if (hasChanged || !wasReady)
+            notify();
+    }
+
+    static asio::awaitable<void> follow(std::shared_ptr<state_data> self)
+    {
+        asio::steady_timer pause(self->needs.context);
+        while (!self->isStopped) {
+            // The first read does not wait, so that a quiet log makes the host ready at once.
+            const milliseconds wait = self->isReady ? readWait : milliseconds(0);
+            const auto page = co_await self->needs.log.read(configStream, self->folded.next, wait);
+            if (self->isStopped)
+                co_return;
+            self->setReachable(page.has_value());
+            if (page && !page->isTruncated) {
+                self->take(*page);
+                continue;
+            }
+            pause.expires_after(retryPause);
+            co_await pause.async_wait(asTuple);
+        }
+    }
+};
+
+std::unique_ptr<config_service> config_service::makeConfigService(dependencies needs)
+{
+    return std::unique_ptr<config_service>(
+        new config_service(std::make_shared<state_data>(std::move(needs))));
+}
+
+config_service::config_service(std::shared_ptr<state_data> shared)
+    : m_state(std::move(shared))
+{
+}
+
+config_service::~config_service()
+{
+    stop();
+}
+
+void config_service::start()
+{
+    asio::co_spawn(m_state->needs.context, state_data::follow(m_state), asio::detached);
+}
+
+void config_service::stop()
+{
+    m_state->isStopped = true;
+    m_state->listeners.clear();
+}
+
+const config_state &config_service::state() const
+{
+    return m_state->folded;
+}
+
+bool config_service::isReady() const
+{
+    return m_state->isReady;
+}
+
+bool config_service::isLogReachable() const
+{
+    return m_state->isLogReachable;
+}
+
+void config_service::onChange(std::function<void()> listener)
+{
+    m_state->listeners.push_back(std::move(listener));
+}
+
+asio::awaitable<result<operation_outcome>> config_service::publish(config_change change,
+                                                                   milliseconds timeout)
+{
+    const auto self = m_state;
+    const std::string operation = change.operation;
+    const instant deadline = self->needs.clock.now() + timeout;
+    std::vector<std::string> records{encodeChange(change)};
+    const auto appended = co_await self->needs.log.append(configStream, std::move(records),
+                                                          std::min(timeout, appendTimeout));
+    if (!appended && appended.error().code == result_code::logUnavailable)
+        co_return tl::unexpected(appended.error());
+    asio::steady_timer pause(self->needs.context);
+    while (self->needs.clock.now() < deadline && !self->isStopped) {
+        if (const operation_outcome *outcome = findOutcome(self->folded, operation)) {
+            if (outcome->code != result_code::ok)
+                co_return makeError(outcome->code, outcome->detail);
+            co_return *outcome;
+        }
+        pause.expires_after(outcomePoll);
+        co_await pause.async_wait(asTuple);
+    }
+    co_return makeError(result_code::writeUnknown, "ask again by operation id " + operation);
+}
+
+void config_service::adoptRecords(const std::vector<log_record> &records)
+{
+    bool hasChanged = false;
+    for (const log_record &record : records)
+        hasChanged |= m_state->apply(record);
+    if (hasChanged)
+        m_state->notify();
+}
+
+void config_service::adoptState(config_state newer)
+{
+    if (newer.next <= m_state->folded.next)
+        return;
+    m_state->folded = std::move(newer);
+    m_state->recent.clear();
+    m_state->setReady();
+    m_state->notify();
+}
+
+std::vector<log_record> config_service::recentRecords(std::uint64_t from) const
+{
+    const auto &recent = m_state->recent;
+    if (recent.empty() || recent.front().offset > from)
+        return {};
+    const auto begin = std::min<std::uint64_t>(from - recent.front().offset, recent.size());
+    return {recent.begin() + std::ptrdiff_t(begin), recent.end()};
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/operate/config_service.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "kernel/clock.h"
+#include "kernel/result.h"
+#include "ledger/config_state.h"
+#include "platform/log_client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace quincefall {
+
+class timeline;
+
+/// Follows the configuration stream of the log and keeps the folded state in force.
+class config_service
+{
+public:
+    struct dependencies
+    {
+        boost::asio::io_context &context;
+        const log_client &log;
+        timeline &events;
+        clock_source clock;
+    };
+
+    static std::unique_ptr<config_service> makeConfigService(dependencies needs);
+    ~config_service();
+
+    /// Begins to follow the log.
+    void start();
+    void stop();
+
+    /// The state in force.
+    const config_state &state() const;
+
+    /// True once the state has reached the log's tail, or a peer's state, since the start.
+    bool isReady() const;
+
+    /// True while the last read of the log succeeded.
+    bool isLogReachable() const;
+
+    /// Called after each change of the state in force.
+    void onChange(std::function<void()> listener);
+
+    /// Publishes @p change and waits until this host has decided it. Fails with the fold's code,
+    /// logUnavailable when nothing was written, or writeUnknown when that cannot be told.
+    boost::asio::awaitable<result<operation_outcome>> publish(config_change change,
+                                                              milliseconds timeout);
+
+    /// Takes in records that a peer has read from the log; older ones are ignored.
+    void adoptRecords(const std::vector<log_record> &records);
+
+    /// Takes in a peer's whole state when it is newer than this host's.
+    void adoptState(config_state newer);
+
+    /// Recent records from offset @p from on, for a peer; empty when they are no longer kept.
+    std::vector<log_record> recentRecords(std::uint64_t from) const;
+
+private:
+    struct state_data;
+    explicit config_service(std::shared_ptr<state_data> shared);
+    std::shared_ptr<state_data> m_state;
+};
+
+} // namespace quincefall
--- a/src/operate/settings.cpp
+++ b/src/operate/settings.cpp
@@ -24,7 +24,8 @@
 class section_reader
 {
 public:
-    section_reader(const YAML::Node &node, std::string path, std::vector<settings_mistake> &mistakes)
+    section_reader(const YAML::Node &node, std::string path,
+                   std::vector<settings_mistake> &mistakes)
         : m_node(node)
         , m_path(std::move(path))
         , m_mistakes(mistakes)
@@ -54,7 +55,8 @@
                    "a text of at least " + std::to_string(shortest) + " characters");
     }
 
-    void choice(const std::string &key, std::string &value, std::span<const std::string_view> options)
+    void choice(const std::string &key, std::string &value,
+                std::span<const std::string_view> options)
     {
         const YAML::Node child = scalar(key, "a text", false);
         if (!child.IsDefined())
@@ -80,10 +82,11 @@
     }
 
     template <typename number_type>
-    void number(const std::string &key, number_type &value, std::int64_t lowest, std::int64_t highest)
+    void number(const std::string &key, number_type &value, std::int64_t lowest,
+                std::int64_t highest)
     {
-        const std::string expected = "a whole number from " + std::to_string(lowest) + " to "
-            + std::to_string(highest);
+        const std::string expected
+            = "a whole number from " + std::to_string(lowest) + " to " + std::to_string(highest);
         const YAML::Node child = scalar(key, expected, false);
         if (!child.IsDefined())
             return;
--- /dev/null
+++ b/src/platform/host_list_service.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "platform/host_list_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace quincefall {
+
+class timeline;
+
+/// Polls the platform's host list and remembers its last answer.
+class host_list_service
+{
+public:
+    struct dependencies
+    {
+        boost::asio::io_context &context;
+        http_client &client;
+        timeline &events;
+        host_address address;
+    };
+
+    static std::unique_ptr<host_list_service> makeHostListService(dependencies needs);
+    ~host_list_service();
+
+    void start();
+    void stop();
+
+    /// The list as last read; empty before the first answer.
+    const std::vector<listed_host> &hosts() const;
+
+    /// True when the list shows the upstream @p name as leaving.
+    bool isLeavingUpstream(std::string_view name) const;
+
+    /// Called whenever the list differs from the one before.
+    void onChange(std::function<void()> listener);
+
+private:
+    struct state;
+    explicit host_list_service(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -54,8 +54,7 @@
     auto &socket = idle.socket();
     socket.non_blocking(true, code);
     std::array<char, 1> byte{};
-    const std::size_t size
-        = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
+    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
     return size > 0 || code != asio::error::would_block;
 }
 
@@ -237,8 +236,7 @@
     const auto message = toBeast(request, address);
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     while (true) {
-        connection_ptr stream
-            = use == connection_use::reuse ? shared->takeIdle(address) : nullptr;
+        connection_ptr stream = use == connection_use::reuse ? shared->takeIdle(address) : nullptr;
         const bool isReused = stream != nullptr;
         if (!isReused) {
             auto fresh = co_await shared->connect(address, timeout);
--- a/src/platform/http_client.h
+++ b/src/platform/http_client.h
@@ -75,8 +75,8 @@
     ~http_client();
 
     /// Sends @p request and reads the whole answer within @p timeout. Fails with
-    /// upstreamUnreachable when nothing was sent, and with upstreamFailed or upstreamTimeout when the
-    /// request may have arrived.
+    /// upstreamUnreachable when nothing was sent, and with upstreamFailed or upstreamTimeout when
+    /// the request may have arrived.
     boost::asio::awaitable<result<http_reply>> send(host_address address, http_request request,
                                                     milliseconds timeout,
                                                     connection_use use = connection_use::reuse);
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -57,9 +57,8 @@
 {
 }
 
-asio::awaitable<result<std::uint64_t>> log_client::append(std::string stream,
-                                                          std::vector<std::string> records,
-                                                          milliseconds timeout) const
+asio::awaitable<result<std::uint64_t>>
+log_client::append(std::string stream, std::vector<std::string> records, milliseconds timeout) const
 {
     json::array texts;
     for (std::string &record : records)
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -339,8 +339,8 @@
     }
 }
 
-result<std::unique_ptr<http_server>>
-http_server::makeHttpServer(asio::io_context &context, options settings, handler function)
+result<std::unique_ptr<http_server>> http_server::makeHttpServer(asio::io_context &context,
+                                                                 options settings, handler function)
 {
     auto core = std::make_shared<server_core>();
     core->settings = settings;
--- /dev/null
+++ b/src/serve/pool_plan_builder.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "ledger/config_state.h"
+#include "policy/pool_scheduler.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace quincefall {
+
+/// Builds the scheduler's plan of pool @p name from the configuration in force. @p isLeaving tells
+/// which upstreams the platform lists as leaving. An unknown pool gives a plan without upstreams.
+pool_plan buildPoolPlan(const config_state &config, const std::string &name,
+                        const std::function<bool(std::string_view)> &isLeaving);
+
+} // namespace quincefall
