Carry calls between hosts over HTTP/2 streams

Cause: hosts need calls with one request and one answer that may hang open for a minute. Change: a session class over nghttp2 without a socket, a connection that writes once per turn of the event loop, a client link that connects on demand, a server whose handlers are cancelled when the caller gives up. The secret travels once per connection, as HPACK never indexes it. Ruled out: resetting a refused stream at once, since nghttp2 then drops the queued 401; a request without :authority, which nghttp2 rejects.

--- /dev/null
+++ b/src/peer/pending_call.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "kernel/clock.h"
+#include "kernel/result.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace quincefall {
+
+/// A call that waits for its answer. The first answer counts, later ones are dropped.
+struct pending_call
+{
+    explicit pending_call(const boost::asio::any_io_executor &executor);
+
+    /// Gives the answer and wakes the waiting coroutine.
+    void complete(result<std::string> value);
+
+    boost::asio::steady_timer timer;
+    std::optional<result<std::string>> answer;
+};
+
+/// Waits until @p call has an answer. Fails with peerTimeout after @p timeout and with cancelled
+/// when the waiting coroutine is cancelled.
+boost::asio::awaitable<result<std::string>> waitForAnswer(std::shared_ptr<pending_call> call,
+                                                          milliseconds timeout);
+
+} // namespace quincefall
--- /dev/null
+++ b/tests/peer/mesh_fixture.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "peer/peer_mesh.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace quincefall::testing {
+
+/// Longest wait for a condition that a test expects.
+constexpr seconds patience{20};
+
+/// Runs @p context until @p condition holds; fails the test when it never does.
+inline void runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    context.restart();
+    while (!condition() && std::chrono::steady_clock::now() < deadline)
+        context.run_one_for(milliseconds(20));
+    BOOST_REQUIRE(condition());
+}
+
+inline std::unique_ptr<peer_mesh> makeMesh(boost::asio::io_context &context,
+                                           const std::string &name,
+                                           const std::string &secret = "fleet secret")
+{
+    peer_mesh::options settings;
+    settings.hostName = name;
+    settings.listen = {"127.0.0.1", 0};
+    settings.secret = secret;
+    auto mesh = peer_mesh::makePeerMesh(context, settings);
+    BOOST_REQUIRE(mesh.has_value());
+    return std::move(*mesh);
+}
+
+using answer = std::optional<result<std::string>>;
+
+/// Starts a call whose answer appears in the returned place.
+inline std::shared_ptr<answer> startCall(boost::asio::io_context &context, peer_mesh &mesh,
+                                         const std::string &host, const std::string &path,
+                                         const std::string &body,
+                                         milliseconds timeout = milliseconds(60000))
+{
+    auto place = std::make_shared<answer>();
+    boost::asio::co_spawn(context, mesh.call(host, path, body, timeout),
+                          [place](const std::exception_ptr &thrown, result<std::string> value) {
+                              *place = thrown
+                                  ? result<std::string>(makeError(result_code::internal, "thrown"))
+                                  : std::move(value);
+                          });
+    return place;
+}
+
+inline result<std::string> callAndWait(boost::asio::io_context &context, peer_mesh &mesh,
+                                       const std::string &host, const std::string &path,
+                                       const std::string &body,
+                                       milliseconds timeout = milliseconds(60000))
+{
+    const auto place = startCall(context, mesh, host, path, body, timeout);
+    runUntil(context, [&place] { return place->has_value(); });
+    return **place;
+}
+
+/// Number of the error in @p value, or `ok`.
+inline int codeOf(const result<std::string> &value)
+{
+    return static_cast<int>(value ? result_code::ok : value.error().code);
+}
+
+inline int number(result_code code)
+{
+    return static_cast<int>(code);
+}
+
+} // namespace quincefall::testing
