Play the platform's systems with one stand-in program

Process tests, the demo and the measurements need the log service, the host list, engines, plain services and the weight store on loopback, with faults that can be set while they run. One program with one event loop per process plays them; the HTTP server with its faults stands once below all roles.

--- /dev/null
+++ b/tools/standin/http_server.cpp
@@ -0,0 +1,414 @@
+#include "standin/http_server.h"
+
+#include "standin/json_fields.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <array>
+#include <set>
+
+namespace quincefall::standin {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using tcp = net::ip::tcp;
+using error_code = boost::system::error_code;
+
+constexpr auto tokenOfTuple = net::as_tuple(net::use_awaitable);
+constexpr std::uint64_t bodyLimitBytes = 64ULL * 1024 * 1024;
+constexpr std::string_view adminPrefix = "/admin/";
+constexpr std::string_view faultsPath = "/admin/faults";
+
+using wire_request = http::request<http::string_body>;
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<http_server::state>
+{
+    explicit state(net::io_context &loop)
+        : context(loop)
+        , acceptor(loop)
+        , faultsChanged(loop)
+    {
+    }
+
+    net::io_context &context;
+    tcp::acceptor acceptor;
+    handler function;
+    fault_set faults;
+    boost::json::object faultsAsSet;
+    wake_signal faultsChanged;
+    std::set<http_connection *> connections;
+};
+
+/// One caller's connection with the request being answered.
+struct http_connection : std::enable_shared_from_this<http_connection>
+{
+    http_connection(tcp::socket accepted, std::shared_ptr<http_server::state> owner)
+        : socket(std::move(accepted))
+        , server(std::move(owner))
+    {
+        server->connections.insert(this);
+    }
+
+    ~http_connection() { server->connections.erase(this); }
+
+    http_connection(const http_connection &) = delete;
+    http_connection &operator=(const http_connection &) = delete;
+
+    void close()
+    {
+        if (closed)
+            return;
+        closed = true;
+        // A reset rather than an orderly end, as a crashed process leaves behind.
+        error_code ignored;
+        socket.set_option(net::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+        callerLeft();
+    }
+
+    void callerLeft()
+    {
+        closed = true;
+        server->faultsChanged.notify();
+        if (auto function = std::exchange(onClosed, nullptr))
+            function();
+    }
+
+    tcp::socket socket;
+    std::shared_ptr<http_server::state> server;
+    boost::beast::flat_buffer buffer;
+    wire_request request;
+    net::cancellation_signal stopWatch;
+    std::function<void()> onClosed;
+    bool closed = false;
+    bool silenced = false; ///< Open when silent_open was set.
+    bool admin = false; ///< The current request is exempt from faults.
+};
+
+namespace {
+
+net::awaitable<void> pause(net::io_context &context, milliseconds span)
+{
+    net::steady_timer timer(context, span);
+    co_await timer.async_wait(tokenOfTuple);
+}
+
+/// Holds back what goes to the caller while its connection is silent.
+net::awaitable<void> passSilence(std::shared_ptr<http_connection> connection)
+{
+    while (!connection->admin && !connection->closed
+           && (connection->server->faults.silent || connection->silenced))
+        co_await connection->server->faultsChanged.wait();
+}
+
+/// Notices that the caller closes the connection while its request runs.
+void watchCaller(const std::shared_ptr<http_connection> &connection)
+{
+    auto noticed = [weak = std::weak_ptr(connection)](error_code failure) {
+        const auto self = weak.lock();
+        if (!self || self->closed || failure == net::error::operation_aborted)
+            return;
+        error_code ignored;
+        if (failure || self->socket.available(ignored) == 0)
+            self->callerLeft();
+    };
+    connection->socket.async_wait(
+        tcp::socket::wait_read,
+        net::bind_cancellation_slot(connection->stopWatch.slot(), std::move(noticed)));
+}
+
+void applyFaults(http_server::state &server, const fault_set &faults, http_connection &setter)
+{
+    server.faults = faults;
+    const std::set<http_connection *> open = server.connections;
+    for (http_connection *connection : open) {
+        if (connection == &setter)
+            continue;
+        connection->silenced = faults.silentOpen;
+        if (faults.refuse)
+            connection->close();
+    }
+    server.faultsChanged.notify();
+}
+
+net::awaitable<void> answerFaults(std::shared_ptr<http_exchange> exchange,
+                                  std::shared_ptr<http_connection> connection)
+{
+    http_server::state &server = *connection->server;
+    if (exchange->method() != "GET") {
+        const auto object = parseObject(exchange->body());
+        const auto faults = parseFaults(object.value_or(boost::json::object()));
+        if (!object || !faults) {
+            boost::json::value detail{{"error", object ? faults.error().detail : "not an object"}};
+            co_await exchange->reply(400, std::move(detail));
+            co_return;
+        }
+        server.faultsAsSet = *object;
+        applyFaults(server, *faults, *connection);
+    }
+    boost::json::value current(server.faultsAsSet);
+    co_await exchange->reply(200, std::move(current));
+}
+
+net::awaitable<void> answerRequest(std::shared_ptr<http_connection> connection)
+{
+    auto exchange = std::make_shared<http_exchange>(connection);
+    const std::shared_ptr<http_server::state> server = connection->server;
+    if (exchange->path() == faultsPath) {
+        co_await answerFaults(exchange, connection);
+        co_return;
+    }
+    watchCaller(connection);
+    co_await passSilence(connection);
+    const bool faulty = !connection->admin;
+    if (faulty && server->faults.delay.count() > 0)
+        co_await pause(server->context, server->faults.delay);
+    if (faulty && server->faults.down) {
+        boost::json::value body{{"error", "down"}};
+        std::vector<http_header> headers{{"Retry-After", "1"}};
+        co_await exchange->reply(503, std::move(body), std::move(headers));
+    } else if (!connection->closed) {
+        co_await server->function(exchange);
+    }
+    connection->stopWatch.emit(net::cancellation_type::all);
+}
+
+net::awaitable<void> serveConnection(std::shared_ptr<http_connection> connection)
+{
+    for (;;) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(bodyLimitBytes);
+        const auto [failure, size] = co_await http::async_read(
+            connection->socket, connection->buffer, parser, tokenOfTuple);
+        if (failure || connection->closed)
+            co_return;
+        connection->request = parser.release();
+        connection->admin = connection->request.target().starts_with(adminPrefix);
+        if (connection->server->faults.refuse && !connection->admin) {
+            connection->close();
+            co_return;
+        }
+        const bool keepAlive = connection->request.keep_alive();
+        co_await answerRequest(connection);
+        connection->onClosed = nullptr;
+        if (!keepAlive || connection->closed)
+            co_return;
+    }
+}
+
+net::awaitable<void> acceptConnections(std::shared_ptr<http_server::state> server)
+{
+    for (;;) {
+        auto [failure, socket] = co_await server->acceptor.async_accept(tokenOfTuple);
+        if (failure == net::error::operation_aborted)
+            co_return;
+        if (failure) {
+            co_await pause(server->context, milliseconds(10));
+            continue;
+        }
+        error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<http_connection>(std::move(socket), server);
+        net::co_spawn(server->context, serveConnection(std::move(connection)), net::detached);
+    }
+}
+
+} // namespace
+
+struct http_exchange::state
+{
+    std::shared_ptr<http_connection> connection;
+    bool loseAnswer = false; ///< The call takes effect but its answer is never sent.
+};
+
+http_exchange::http_exchange(std::shared_ptr<http_connection> connection)
+    : m_state(std::make_unique<state>())
+{
+    m_state->connection = std::move(connection);
+    http_connection &self = *m_state->connection;
+    fault_set &faults = self.server->faults;
+    if (!self.admin && faults.loseAnswers > 0 && self.request.method() == http::verb::post
+        && path().starts_with(faults.losePath)) {
+        --faults.loseAnswers;
+        m_state->loseAnswer = true;
+    }
+}
+
+http_exchange::~http_exchange() = default;
+
+std::string_view http_exchange::method() const
+{
+    const auto text = m_state->connection->request.method_string();
+    return {text.data(), text.size()};
+}
+
+std::string_view http_exchange::path() const
+{
+    const auto target = m_state->connection->request.target();
+    return std::string_view(target.data(), target.size()).substr(0, target.find('?'));
+}
+
+std::string_view http_exchange::header(std::string_view name) const
+{
+    const auto value = m_state->connection->request[{name.data(), name.size()}];
+    return {value.data(), value.size()};
+}
+
+std::string_view http_exchange::body() const
+{
+    return m_state->connection->request.body();
+}
+
+std::string_view http_exchange::query(std::string_view name) const
+{
+    const auto target = m_state->connection->request.target();
+    std::string_view rest(target.data(), target.size());
+    const auto mark = rest.find('?');
+    rest = mark == std::string_view::npos ? std::string_view() : rest.substr(mark + 1);
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find('&'), rest.size());
+        const std::string_view pair = rest.substr(0, end);
+        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+            return pair.substr(name.size() + 1);
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return {};
+}
+
+net::awaitable<void> http_exchange::reply(int status, boost::json::value body,
+                                          std::vector<http_header> headers)
+{
+    const std::shared_ptr<http_connection> connection = m_state->connection;
+    if (m_state->loseAnswer)
+        connection->close();
+    co_await passSilence(connection);
+    if (connection->closed)
+        co_return;
+    http::response<http::string_body> response(http::status(status), 11);
+    response.set(http::field::content_type, "application/json");
+    for (const http_header &header : headers)
+        response.set(header.name, header.value);
+    response.body() = boost::json::serialize(body);
+    response.keep_alive(connection->request.keep_alive());
+    response.prepare_payload();
+    const auto [failure, size]
+        = co_await http::async_write(connection->socket, response, tokenOfTuple);
+    if (failure && !connection->closed)
+        connection->callerLeft();
+}
+
+net::awaitable<void> http_exchange::beginStream(std::vector<http_header> headers)
+{
+    const std::shared_ptr<http_connection> connection = m_state->connection;
+    co_await passSilence(connection);
+    if (connection->closed || m_state->loseAnswer)
+        co_return;
+    http::response<http::empty_body> response(http::status::ok, 11);
+    response.set(http::field::content_type, "text/event-stream");
+    for (const http_header &header : headers)
+        response.set(header.name, header.value);
+    response.keep_alive(connection->request.keep_alive());
+    response.chunked(true);
+    http::response_serializer<http::empty_body> serializer(response);
+    const auto [failure, size]
+        = co_await http::async_write_header(connection->socket, serializer, tokenOfTuple);
+    if (failure && !connection->closed)
+        connection->callerLeft();
+}
+
+net::awaitable<void> http_exchange::write(std::string text)
+{
+    const std::shared_ptr<http_connection> connection = m_state->connection;
+    co_await passSilence(connection);
+    if (connection->closed || m_state->loseAnswer || text.empty())
+        co_return;
+    const auto chunk = http::make_chunk(net::buffer(text));
+    const auto [failure, size] = co_await net::async_write(connection->socket, chunk, tokenOfTuple);
+    if (failure && !connection->closed)
+        connection->callerLeft();
+}
+
+net::awaitable<void> http_exchange::finish()
+{
+    const std::shared_ptr<http_connection> connection = m_state->connection;
+    if (m_state->loseAnswer)
+        connection->close();
+    co_await passSilence(connection);
+    if (connection->closed)
+        co_return;
+    const auto lastChunk = http::make_chunk_last();
+    const auto [failure, size]
+        = co_await net::async_write(connection->socket, lastChunk, tokenOfTuple);
+    if (failure && !connection->closed)
+        connection->callerLeft();
+}
+
+void http_exchange::abort()
+{
+    m_state->connection->close();
+}
+
+bool http_exchange::closed() const
+{
+    return m_state->connection->closed;
+}
+
+void http_exchange::onClosed(std::function<void()> function)
+{
+    m_state->connection->onClosed = std::move(function);
+}
+
+http_server::http_server(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+http_server::~http_server() = default;
+
+result<std::unique_ptr<http_server>>
+http_server::makeHttpServer(net::io_context &context, const std::string &ip, std::uint16_t port)
+{
+    auto shared = std::make_shared<state>(context);
+    error_code failure;
+    const auto address = net::ip::make_address(ip, failure);
+    if (failure)
+        return makeError(result_code::settingsInvalid, "listen address: " + failure.message());
+    const tcp::endpoint endpoint(address, port);
+    shared->acceptor.open(endpoint.protocol());
+    shared->acceptor.set_option(net::socket_base::reuse_address(true));
+    shared->acceptor.bind(endpoint, failure);
+    if (!failure)
+        shared->acceptor.listen(net::socket_base::max_listen_connections, failure);
+    if (failure)
+        return makeError(result_code::settingsInvalid, "listen: " + failure.message());
+    return std::unique_ptr<http_server>(new http_server(std::move(shared)));
+}
+
+void http_server::start(handler function)
+{
+    m_state->function = std::move(function);
+    net::co_spawn(m_state->context, acceptConnections(m_state), net::detached);
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_state->acceptor.local_endpoint().port();
+}
+
+const fault_set &http_server::faults() const
+{
+    return m_state->faults;
+}
+
+wake_signal &http_server::faultsChanged()
+{
+    return m_state->faultsChanged;
+}
+
+} // namespace quincefall::standin
