Schedule pools by tier, deadline, organisation and upstream load

The stand-in scheduler sorted all waiting requests on every event and knew neither organisations, regions nor early refusals. The queue is now held in ordered containers by class, organisation and request traits, so that an event costs the logarithm of the waiting requests. The tier rule is stated in tier_rule.h: strict order, a share that yields while a higher tier is in distress, a floor of one start each half maxWait, and the counter higherTierShedForLower.

Ruled out: a share that yields only in the last quarter of the higher tier's wait; the golden session of the lower class's burst then shed one director's request (refused rosters 1, now 0).

--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -1,151 +1,330 @@
 #include "policy/pool_scheduler.h"
 
 #include <algorithm>
+#include <set>
 
 namespace quincefall {
 namespace {
 
-constexpr milliseconds minimumRetryAfter{1000};
+constexpr int crossRegionDivisor = 4; // Stay local for a quarter of the first-token target.
+constexpr double defaultTokens = 200; // Charged at the start of a request.
 
-const class_policy *findClass(const pool_state &state, std::string_view name)
+bool isLocal(const work_item &item, std::string_view region)
 {
-    const auto &classes = state.plan.classes;
-    const auto found = std::find_if(classes.begin(), classes.end(),
-                                    [name](const class_policy &c) { return c.name == name; });
-    return found == classes.end() ? nullptr : &*found;
+    return item.entryRegion.empty() || item.entryRegion == region;
 }
 
-int tierOf(const pool_state &state, const work_item &item)
+bool servedLocally(const pool_state &state, const work_item &item)
 {
-    const class_policy *policy = findClass(state, item.serviceClass);
-    return policy == nullptr ? 1 : policy->tier;
+    const auto &records = state.upstreams.records;
+    return std::any_of(records.begin(), records.end(), [&item](const auto &entry) {
+        return isLocal(item, entry.second.info.region) && mayServe(entry.second, item);
+    });
 }
 
-bool isExcluded(const work_item &item, std::string_view upstream)
+bool mayCross(pool_state &state, const work_item &item, instant now)
 {
-    return std::find(item.excluded.begin(), item.excluded.end(), upstream) != item.excluded.end();
+    const class_policy &policy = classQueue(state.queue, item.serviceClass).policy;
+    return now - item.arrival >= policy.firstTokenTarget / crossRegionDivisor
+        || !servedLocally(state, item);
 }
 
-pool_state::upstream_state *leastLoaded(pool_state &state, const work_item &item)
+const upstream_record *leastLoaded(const pool_state &state, const work_item &item, bool local)
 {
-    pool_state::upstream_state *best = nullptr;
-    for (auto &[name, upstream] : state.upstreams) {
-        const std::size_t running = upstream.running.size();
-        if (upstream.info.leaving || running >= upstream.info.slots || isExcluded(item, name))
+    const upstream_record *best = nullptr;
+    for (const auto &[region, names] : state.upstreams.offered) {
+        if (isLocal(item, region) != local)
             continue;
-        if (best == nullptr || running < best->running.size())
-            best = &upstream;
+        const upstream_record *found = leastLoadedIn(state.upstreams, region, item);
+        if (found != nullptr && (best == nullptr || found->rank < best->rank))
+            best = found;
     }
     return best;
 }
 
-void assign(pool_state &state, decisions &out)
+std::string place(pool_state &state, const work_item &item, instant now)
 {
-    std::stable_sort(state.waiting.begin(), state.waiting.end(),
-                     [&state](const work_item &left, const work_item &right) {
-                         return tierOf(state, left) < tierOf(state, right);
-                     });
-    for (auto item = state.waiting.begin(); item != state.waiting.end();) {
-        pool_state::upstream_state *upstream = leastLoaded(state, *item);
-        if (upstream == nullptr) {
-            ++item;
-            continue;
+    if (!isBelowLimit(state.organisations, item.organisation))
+        return {};
+    const upstream_record *chosen = leastLoaded(state, item, true);
+    if (chosen == nullptr && mayCross(state, item, now))
+        chosen = leastLoaded(state, item, false);
+    return chosen == nullptr ? std::string() : chosen->info.name;
+}
+
+std::set<int> waitingTiers(const pool_state &state)
+{
+    std::set<int> tiers;
+    for (const auto &[name, queue] : state.queue.classes) {
+        if (queue.size > 0)
+            tiers.insert(queue.policy.tier);
+    }
+    return tiers;
+}
+
+/// Records which waiting tiers above @p tier could have used the place on @p upstream.
+void recordPassedTiers(pool_state &state, int tier, const std::string &upstream,
+                       start_reason reason, instant now)
+{
+    const placement sameUpstream = [&](const work_item &item) {
+        const upstream_record &record = state.upstreams.records.find(upstream)->second;
+        const bool usable = mayServe(record, item)
+            && (isLocal(item, record.info.region) || mayCross(state, item, now))
+            && isBelowLimit(state.organisations, item.organisation);
+        return usable ? upstream : std::string();
+    };
+    bool passed = false;
+    for (const int other : waitingTiers(state)) {
+        if (other >= tier)
+            break;
+        if (nextOfTier(state.queue, other, now, sameUpstream)) {
+            recordPassed(state.rule, other, reason, now);
+            passed = true;
+        }
+    }
+    if (!passed)
+        return;
+    state.rule.shareStarts += reason == start_reason::share ? 1 : 0;
+    state.rule.floorStarts += reason == start_reason::floor ? 1 : 0;
+}
+
+void start(pool_state &state, const start_candidate &candidate, start_reason reason, instant now,
+           decisions &out)
+{
+    class_queue &queue = *candidate.queue;
+    upstream_record &upstream = state.upstreams.records.find(candidate.upstream)->second;
+    recordPassedTiers(state, queue.policy.tier, candidate.upstream, reason, now);
+    attempt_record attempt{*dequeue(state.queue, candidate.item->id), now, defaultTokens};
+    const std::string &organisation = attempt.item.organisation;
+    chargeOrganisation(queue, organisation, attempt.chargedTokens,
+                       weightOf(state.organisations, organisation));
+    countStart(state.organisations, organisation);
+    ++state.rule.running[attempt.item.serviceClass];
+    queue.lastTaken = now;
+    recordStart(state.drain, queue.policy.tier, now);
+    const std::uint64_t permit = state.nextPermit++;
+    out.grants.push_back({attempt.item.id, attempt.item.entryHost, permit, candidate.upstream});
+    addAttempt(state.upstreams, upstream, permit, std::move(attempt), now);
+}
+
+bool startGuaranteed(pool_state &state, const placement &place, instant now, decisions &out)
+{
+    for (const start_reason wanted : {start_reason::floor, start_reason::share}) {
+        for (auto &[name, queue] : state.queue.classes) {
+            if (guaranteedStart(state.rule, state.queue, queue, state.poolSlots, now) != wanted)
+                continue;
+            if (const auto candidate = nextOfClass(queue, now, place)) {
+                start(state, *candidate, wanted, now, out);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool startInOrder(pool_state &state, const placement &place, instant now, decisions &out)
+{
+    for (const int tier : waitingTiers(state)) {
+        if (const auto candidate = nextOfTier(state.queue, tier, now, place)) {
+            start(state, *candidate, start_reason::tierOrder, now, out);
+            return true;
         }
-        const std::uint64_t permit = state.nextPermit++;
-        out.grants.push_back({item->id, item->entryHost, permit, upstream->info.name});
-        upstream->running.emplace(permit, std::move(*item));
-        item = state.waiting.erase(item);
+    }
+    return false;
+}
+
+void assign(pool_state &state, instant now, decisions &out)
+{
+    const placement placeNow
+        = [&state, now](const work_item &item) { return place(state, item, now); };
+    while (state.upstreams.offeredCount > 0 && !state.queue.byId.empty()) {
+        const bool started
+            = startGuaranteed(state, placeNow, now, out) || startInOrder(state, placeNow, now, out);
+        if (!started)
+            break;
     }
 }
 
-decisions assigned(pool_state &state)
+decisions assigned(pool_state &state, instant now)
 {
     decisions out;
-    assign(state, out);
+    assign(state, now, out);
     return out;
 }
 
+bool isServable(const pool_state &state, const work_item &item)
+{
+    const auto &records = state.upstreams.records;
+    return std::any_of(records.begin(), records.end(),
+                       [&item](const auto &entry) { return mayServe(entry.second, item); });
+}
+
+refusal makeRefusal(const pool_state &state, const work_item &item, result_code otherwise)
+{
+    refusal refused{item.id, item.entryHost, otherwise, {}, "no place within the class's wait"};
+    if (!isServable(state, item)) {
+        refused.code = result_code::noUpstream;
+        refused.detail = "no upstream serves the request";
+    } else if (!isBelowLimit(state.organisations, item.organisation)) {
+        refused.code = result_code::organisationLimit;
+        refused.detail = "the organisation runs as many requests as it may";
+    }
+    return refused;
+}
+
+void refuse(pool_state &state, const work_item &item, result_code code, instant now, decisions &out)
+{
+    class_queue &queue = classQueue(state.queue, item.serviceClass);
+    const class_policy &policy = queue.policy;
+    refusal refused = makeRefusal(state, item, code);
+    const double rate = drainForTier(state.drain, policy.tier, now);
+    const double ahead = workAhead(state.queue, state.organisations, queue, item.organisation);
+    refused.retryAfter = retryAfter(state.returns, policy.tier, expectedWait(ahead, rate),
+                                    policy.firstTokenTarget, rate, now);
+    recordShed(state.rule, policy.tier, item.arrival, now);
+    out.refusals.push_back(std::move(refused));
+}
+
+void refuseExpired(pool_state &state, instant now, decisions &out)
+{
+    for (;;) {
+        const std::string_view id = nextExpired(state.queue, now);
+        if (id.empty())
+            return;
+        const auto item = dequeue(state.queue, id);
+        refuse(state, *item, result_code::deadlineUnreachable, now, out);
+    }
+}
+
+/// Whether work of its own and higher tiers alone outlasts the wait of @p item, which waits.
+bool isHopeless(pool_state &state, const work_item &item, instant now)
+{
+    const class_queue &queue = classQueue(state.queue, item.serviceClass);
+    const double others = workAhead(state.queue, state.organisations, queue, item.organisation) - 1;
+    const double rate = drainForTier(state.drain, queue.policy.tier, now);
+    return now + expectedWait(others, rate) > item.arrival + queue.policy.maxWait;
+}
+
+void endAttempt(pool_state &state, const attempt_record &attempt, double tokens)
+{
+    const work_item &item = attempt.item;
+    countEnd(state.organisations, item.organisation);
+    std::uint32_t &running = state.rule.running[item.serviceClass];
+    running -= running > 0 ? 1 : 0;
+    chargeOrganisation(classQueue(state.queue, item.serviceClass), item.organisation,
+                       tokens - attempt.chargedTokens,
+                       weightOf(state.organisations, item.organisation));
+}
+
 } // namespace
 
-decisions configure(pool_state &state, pool_plan plan, instant)
+decisions configure(pool_state &state, pool_plan plan, instant now)
 {
     state.plan = std::move(plan);
-    std::map<std::string, pool_state::upstream_state, std::less<>> kept;
-    for (const upstream_info &info : state.plan.upstreams) {
-        const auto previous = state.upstreams.find(info.name);
-        auto &upstream = kept[info.name];
-        if (previous != state.upstreams.end())
-            upstream = std::move(previous->second);
-        upstream.info = info;
-    }
-    state.upstreams = std::move(kept);
-    return assigned(state);
+    setClasses(state.queue, state.plan.classes, now);
+    setUpstreams(state.upstreams, state.plan.upstreams);
+    setOrganisations(state.organisations, state.plan.organisations);
+    state.poolSlots = totalCapacity(state.upstreams);
+    return advance(state, now);
 }
 
-decisions submit(pool_state &state, work_item item, instant)
+decisions submit(pool_state &state, work_item item, instant now)
 {
-    const auto same = [&item](const work_item &other) { return other.id == item.id; };
-    if (std::none_of(state.waiting.begin(), state.waiting.end(), same))
-        state.waiting.push_back(std::move(item));
-    return assigned(state);
+    decisions out;
+    if (state.queue.byId.contains(item.id))
+        return out;
+    const work_item newcomer = item;
+    enqueue(state.queue, std::move(item), now);
+    assign(state, now, out);
+    if (state.queue.byId.contains(newcomer.id) && isHopeless(state, newcomer, now)) {
+        dequeue(state.queue, newcomer.id);
+        refuse(state, newcomer, result_code::overloaded, now, out);
+    }
+    return out;
 }
 
-decisions cancel(pool_state &state, std::string_view id, instant)
+decisions cancel(pool_state &state, std::string_view id, instant now)
 {
-    std::erase_if(state.waiting, [id](const work_item &item) { return item.id == id; });
-    return {};
+    dequeue(state.queue, id);
+    return assigned(state, now);
 }
 
-decisions finish(pool_state &state, const completion &done, instant)
+decisions finish(pool_state &state, const completion &done, instant now)
 {
-    if (const auto upstream = state.upstreams.find(done.upstream);
-        upstream != state.upstreams.end())
-        upstream->second.running.erase(done.permit);
-    return assigned(state);
+    const auto found = state.upstreams.records.find(done.upstream);
+    if (found == state.upstreams.records.end())
+        return {};
+    const auto attempt = removeAttempt(state.upstreams, found->second, done.permit, now);
+    if (!attempt)
+        return {};
+    endAttempt(state, *attempt, done.tokens);
+    return assigned(state, now);
 }
 
 decisions adoptRunning(pool_state &state, const running_attempt &attempt, instant now)
 {
-    const auto upstream = state.upstreams.find(attempt.upstream);
-    if (upstream == state.upstreams.end())
+    const auto found = state.upstreams.records.find(attempt.upstream);
+    if (found == state.upstreams.records.end())
         return {};
-    work_item item;
-    item.id = attempt.id;
-    item.entryHost = attempt.entryHost;
-    item.serviceClass = attempt.serviceClass;
-    item.organisation = attempt.organisation;
-    item.arrival = now - attempt.running;
-    upstream->second.running.emplace(attempt.permit, std::move(item));
+    attempt_record record;
+    record.item.id = attempt.id;
+    record.item.entryHost = attempt.entryHost;
+    record.item.serviceClass = attempt.serviceClass;
+    record.item.organisation = attempt.organisation;
+    record.item.arrival = now - attempt.running;
+    record.started = now - attempt.running;
+    if (!addAttempt(state.upstreams, found->second, attempt.permit, std::move(record), now))
+        return {};
+    countStart(state.organisations, attempt.organisation);
+    ++state.rule.running[attempt.serviceClass];
     return {};
 }
 
-decisions applyLoadReport(pool_state &state, const load_report &, instant)
+decisions applyLoadReport(pool_state &state, const load_report &report, instant now)
 {
-    return assigned(state);
+    applyReport(state.upstreams, report, now);
+    state.poolSlots = totalCapacity(state.upstreams);
+    return assigned(state, now);
 }
 
 decisions advance(pool_state &state, instant now)
 {
     decisions out;
-    std::erase_if(state.waiting, [&](const work_item &item) {
-        const class_policy *policy = findClass(state, item.serviceClass);
-        const microseconds limit = policy == nullptr ? seconds(10) : policy->maxWait;
-        if (now - item.arrival < limit)
-            return false;
-        out.refusals.push_back({item.id, item.entryHost, result_code::deadlineUnreachable,
-                                minimumRetryAfter, "waited as long as its class allows"});
-        return true;
-    });
+    refuseExpired(state, now, out);
+    assign(state, now, out);
     return out;
 }
 
-decisions dropEntryHost(pool_state &state, std::string_view host, instant)
+decisions dropEntryHost(pool_state &state, std::string_view host, instant now)
+{
+    std::vector<std::string> gone;
+    for (const auto &[name, queue] : state.queue.classes)
+        collectOfHost(queue, host, gone);
+    for (const std::string &id : gone)
+        dequeue(state.queue, id);
+    for (auto &[name, record] : state.upstreams.records) {
+        std::vector<std::uint64_t> permits;
+        for (const auto &[permit, attempt] : record.running) {
+            if (attempt.item.entryHost == host)
+                permits.push_back(permit);
+        }
+        for (const std::uint64_t permit : permits)
+            endAttempt(state, *removeAttempt(state.upstreams, record, permit, now), 0);
+    }
+    return assigned(state, now);
+}
+
+std::size_t waitingCount(const pool_state &state)
+{
+    return state.queue.byId.size();
+}
+
+std::size_t runningCount(const pool_state &state)
 {
-    const auto ofHost = [host](const work_item &item) { return item.entryHost == host; };
-    std::erase_if(state.waiting, ofHost);
-    for (auto &[name, upstream] : state.upstreams)
-        std::erase_if(upstream.running, [&](const auto &entry) { return ofHost(entry.second); });
-    return assigned(state);
+    std::size_t count = 0;
+    for (const auto &[name, record] : state.upstreams.records)
+        count += record.running.size();
+    return count;
 }
 
 } // namespace quincefall
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -1,142 +1,32 @@
 #pragma once
 
-#include "kernel/clock.h"
-#include "kernel/result.h"
+#include "policy/admission.h"
+#include "policy/drain_rate.h"
+#include "policy/organisation_share.h"
+#include "policy/pool_types.h"
+#include "policy/retry_after.h"
+#include "policy/tier_rule.h"
+#include "policy/upstream_choice.h"
+#include "policy/wait_queue.h"
 
-#include <cstdint>
-#include <map>
-#include <string>
 #include <string_view>
-#include <vector>
 
 namespace quincefall {
 
-/// What the scheduler needs to know of a service class.
-struct class_policy
-{
-    std::string name;
-    int tier = 1; ///< 1 is served first.
-    microseconds firstTokenTarget{700'000};
-    microseconds tokenGapTarget{73'000};
-    microseconds maxWait{10'000'000}; ///< Longest time in the queue before a final answer.
-    double guaranteedShare = 0; ///< Share of the pool's slots, 0..1, kept for the class.
-};
-
-/// One upstream of a pool as declared and listed.
-struct upstream_info
-{
-    std::string name;
-    std::string region;
-    std::string failureDomain;
-    std::uint32_t slots = 1; ///< Requests it runs at once.
-    bool leaving = false; ///< Gets no new work.
-    std::vector<std::string> models; ///< Served now; empty means any.
-};
-
-/// What the scheduler needs to know of an organisation.
-struct organisation_policy
-{
-    std::string name;
-    double weight = 1; ///< Relative share within a class.
-    std::uint32_t maxInFlight = 0; ///< 0 means no limit.
-};
-
-/// Configuration of one pool's queue.
-struct pool_plan
-{
-    std::vector<class_policy> classes;
-    std::vector<upstream_info> upstreams;
-    std::vector<organisation_policy> organisations;
-};
-
-/// A request that waits for, or holds, a place on an upstream.
-struct work_item
-{
-    std::string id;
-    std::string entryHost;
-    std::string entryRegion;
-    std::string organisation;
-    std::string serviceClass;
-    std::string model;
-    std::uint64_t prefixHash = 0;
-    std::uint32_t promptTokens = 0;
-    std::uint32_t resumeFrom = 0; ///< Tokens already delivered by an earlier attempt.
-    instant arrival; ///< On the scheduler's clock.
-    std::vector<std::string> excluded; ///< Upstreams that failed this request.
-};
-
-/// Permission for one attempt on one upstream.
-struct grant
-{
-    std::string id;
-    std::string entryHost;
-    std::uint64_t permit = 0;
-    std::string upstream;
-};
-
-/// Final refusal of a waiting request.
-struct refusal
-{
-    std::string id;
-    std::string entryHost;
-    result_code code = result_code::overloaded;
-    milliseconds retryAfter{0};
-    std::string detail;
-};
-
-/// What a step of the scheduler decided, in order.
-struct decisions
-{
-    std::vector<grant> grants;
-    std::vector<refusal> refusals;
-};
-
-/// The end of an attempt as its entry host saw it.
-struct completion
-{
-    std::uint64_t permit = 0;
-    std::string upstream;
-    std::uint32_t tokens = 0;
-    microseconds firstToken{0};
-    microseconds duration{0};
-    bool failed = false;
-};
-
-/// A permit granted by an earlier owner of the queue.
-struct running_attempt
-{
-    std::string id;
-    std::string entryHost;
-    std::uint64_t permit = 0;
-    std::string upstream;
-    std::string serviceClass;
-    std::string organisation;
-    microseconds running{0};
-};
-
-/// What an upstream says of itself, some time ago.
-struct load_report
-{
-    std::string upstream;
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-    double tokensPerSecond = 0;
-};
-
 /// The queue of one pool. Plain state, changed only by the functions below.
+///
+/// The order of starts, guaranteed starts and sheds is stated in tier_rule.h.
 struct pool_state
 {
-    struct upstream_state
-    {
-        upstream_info info;
-        std::map<std::uint64_t, work_item> running;
-    };
-
     pool_plan plan;
-    std::map<std::string, upstream_state, std::less<>> upstreams;
-    std::vector<work_item> waiting;
-    std::uint64_t nextPermit = 1;
+    wait_queue queue;
+    upstream_table upstreams;
+    organisation_table organisations;
+    tier_rule rule;
+    drain_rate drain;
+    retry_schedule returns;
+    double poolSlots = 0; ///< Slots of all upstreams that take new work.
+    std::uint64_t nextPermit = 1; ///< An owner sets its own range, so that permits are unique.
 };
 
 /// Replaces the plan; waiting and running work is kept.
@@ -157,10 +47,17 @@
 /// Takes in an upstream's report about itself.
 decisions applyLoadReport(pool_state &state, const load_report &report, instant now);
 
-/// Lets time pass: refuses what has waited too long.
+/// Lets time pass: refuses what has waited too long and starts what has become due. To be called
+/// at least every 100 ms while requests wait.
 decisions advance(pool_state &state, instant now);
 
 /// Drops all permits of an entry host that died.
 decisions dropEntryHost(pool_state &state, std::string_view host, instant now);
 
+/// Number of waiting requests.
+std::size_t waitingCount(const pool_state &state);
+
+/// Number of running attempts.
+std::size_t runningCount(const pool_state &state);
+
 } // namespace quincefall
--- /dev/null
+++ b/src/policy/tier_rule.cpp
@@ -0,0 +1,89 @@
+#include "policy/tier_rule.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+constexpr seconds distressHold{5};
+constexpr int distressDivisor = 2;
+constexpr int floorDivisor = 2;
+
+bool hasRequestAtRisk(const class_queue &queue, instant now)
+{
+    if (queue.expiries.empty())
+        return false;
+    const instant oldestArrival = queue.expiries.begin()->deadline - queue.policy.maxWait;
+    return now - oldestArrival >= queue.policy.firstTokenTarget / distressDivisor;
+}
+
+bool higherTierInDistress(const tier_rule &rule, const wait_queue &queue, int tier, instant now)
+{
+    return std::any_of(queue.classes.begin(), queue.classes.end(), [&](const auto &entry) {
+        const int other = entry.second.policy.tier;
+        return other < tier && inDistress(rule, queue, other, now);
+    });
+}
+
+} // namespace
+
+std::uint32_t guaranteedSlots(const class_policy &policy, double poolSlots)
+{
+    if (policy.guaranteedShare <= 0)
+        return 0;
+    return static_cast<std::uint32_t>(
+        std::max(1.0, std::floor(policy.guaranteedShare * poolSlots)));
+}
+
+bool inDistress(const tier_rule &rule, const wait_queue &queue, int tier, instant now)
+{
+    const auto record = rule.tiers.find(tier);
+    if (record != rule.tiers.end() && record->second.lastShed != instant::min()
+        && now - record->second.lastShed < distressHold)
+        return true;
+    return std::any_of(queue.classes.begin(), queue.classes.end(), [&](const auto &entry) {
+        return entry.second.policy.tier == tier && hasRequestAtRisk(entry.second, now);
+    });
+}
+
+start_reason guaranteedStart(const tier_rule &rule, const wait_queue &queue,
+                             const class_queue &candidate, double poolSlots, instant now)
+{
+    const class_policy &policy = candidate.policy;
+    if (candidate.size == 0)
+        return start_reason::tierOrder;
+    if (now - candidate.lastTaken >= policy.maxWait / floorDivisor)
+        return start_reason::floor;
+    const auto running = rule.running.find(policy.name);
+    const std::uint32_t held = running == rule.running.end() ? 0 : running->second;
+    if (held >= guaranteedSlots(policy, poolSlots)
+        || higherTierInDistress(rule, queue, policy.tier, now))
+        return start_reason::tierOrder;
+    return start_reason::share;
+}
+
+void recordPassed(tier_rule &rule, int passed, start_reason reason, instant now)
+{
+    tier_record &record = rule.tiers[passed];
+    if (reason == start_reason::tierOrder) {
+        record.passedAgainstRule = now;
+        return;
+    }
+    record.passedByGuarantee = now;
+    ++record.guaranteesUnpaid;
+}
+
+void recordShed(tier_rule &rule, int tier, instant arrival, instant now)
+{
+    tier_record &record = rule.tiers[tier];
+    record.lastShed = now;
+    if (record.passedAgainstRule >= arrival) {
+        ++rule.higherTierShedForLower;
+    } else if (record.passedByGuarantee >= arrival && record.guaranteesUnpaid > 0) {
+        --record.guaranteesUnpaid;
+        ++rule.higherTierShedForGuarantee;
+    }
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/upstream_choice.cpp
@@ -0,0 +1,156 @@
+#include "policy/upstream_choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+constexpr seconds historySpan{8};
+constexpr double slowRankPenalty = 10; // Slow upstreams come after all others.
+
+template <typename container>
+bool contains(const container &values, std::string_view value)
+{
+    return std::find(values.begin(), values.end(), value) != values.end();
+}
+
+double load(const upstream_record &record)
+{
+    return static_cast<double>(record.running.size()) + record.foreign;
+}
+
+void withdraw(upstream_table &table, upstream_record &record)
+{
+    if (!record.offered)
+        return;
+    table.offered[record.info.region].erase({record.rank, record.info.name});
+    record.offered = false;
+    --table.offeredCount;
+}
+
+void remember(upstream_record &record, instant now)
+{
+    while (record.history.size() > 1 && record.history[1].first < now - historySpan)
+        record.history.pop_front();
+    record.history.emplace_back(now, static_cast<std::uint32_t>(record.running.size()));
+}
+
+std::uint32_t inFlightAt(const upstream_record &record, instant then)
+{
+    std::uint32_t count = 0;
+    for (const auto &[time, size] : record.history) {
+        if (time > then)
+            break;
+        count = size;
+    }
+    return count;
+}
+
+} // namespace
+
+double capacity(const upstream_record &record)
+{
+    const std::uint32_t slots = record.reportedSlots > 0 ? record.reportedSlots : record.info.slots;
+    return std::max(1.0, std::floor(slots * record.speed));
+}
+
+double totalCapacity(const upstream_table &table)
+{
+    double total = 0;
+    for (const auto &[name, record] : table.records)
+        total += record.info.leaving ? 0 : capacity(record);
+    return total;
+}
+
+void setUpstreams(upstream_table &table, const std::vector<upstream_info> &listed)
+{
+    std::set<std::string_view> names;
+    for (const upstream_info &info : listed) {
+        upstream_record &record = table.records[info.name];
+        withdraw(table, record);
+        record.info = info;
+        refresh(table, record);
+        names.insert(info.name);
+    }
+    for (auto entry = table.records.begin(); entry != table.records.end();) {
+        upstream_record &record = entry->second;
+        if (names.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        withdraw(table, record);
+        record.info.leaving = true;
+        entry = record.running.empty() ? table.records.erase(entry) : std::next(entry);
+    }
+}
+
+void refresh(upstream_table &table, upstream_record &record)
+{
+    withdraw(table, record);
+    const double slots = capacity(record);
+    if (record.info.leaving || load(record) >= slots)
+        return;
+    record.rank = load(record) / slots + (record.speed < 1 ? slowRankPenalty : 0);
+    record.offered = true;
+    ++table.offeredCount;
+    table.offered[record.info.region].emplace(record.rank, record.info.name);
+}
+
+bool addAttempt(upstream_table &table, upstream_record &record, std::uint64_t permit,
+                attempt_record attempt, instant now)
+{
+    if (!record.running.emplace(permit, std::move(attempt)).second)
+        return false;
+    remember(record, now);
+    refresh(table, record);
+    return true;
+}
+
+std::optional<attempt_record> removeAttempt(upstream_table &table, upstream_record &record,
+                                            std::uint64_t permit, instant now)
+{
+    auto node = record.running.extract(permit);
+    if (node.empty())
+        return std::nullopt;
+    remember(record, now);
+    refresh(table, record);
+    return std::move(node.mapped());
+}
+
+void applyReport(upstream_table &table, const load_report &report, instant now)
+{
+    const auto found = table.records.find(report.upstream);
+    if (found == table.records.end())
+        return;
+    upstream_record &record = found->second;
+    const double reported = report.running + report.waiting;
+    const double own = inFlightAt(record, now - report.age);
+    record.foreign = std::max(0.0, reported - own);
+    record.reportedSlots = report.slots;
+    refresh(table, record);
+}
+
+bool mayServe(const upstream_record &record, const work_item &item)
+{
+    if (record.info.leaving || contains(item.excluded, record.info.name))
+        return false;
+    return item.model.empty() || record.info.models.empty()
+        || contains(record.info.models, item.model);
+}
+
+const upstream_record *leastLoadedIn(const upstream_table &table, std::string_view region,
+                                     const work_item &item)
+{
+    const auto offered = table.offered.find(region);
+    if (offered == table.offered.end())
+        return nullptr;
+    for (const auto &[rank, name] : offered->second) {
+        const upstream_record &record = table.records.find(name)->second;
+        if (mayServe(record, item))
+            return &record;
+    }
+    return nullptr;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/upstream_choice.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "policy/pool_types.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace quincefall {
+
+/// An attempt that holds a place on an upstream.
+struct attempt_record
+{
+    work_item item;
+    instant started;
+    double chargedTokens = 0; ///< Charged to the organisation at the start.
+};
+
+/// What the scheduler knows of one upstream.
+struct upstream_record
+{
+    upstream_info info;
+    std::map<std::uint64_t, attempt_record> running; ///< By permit.
+    std::uint32_t reportedSlots = 0; ///< Zero until the first load report.
+    double foreign = 0; ///< Work of others, from the last report.
+    double speed = 1; ///< Share of its slots that it is given, 0..1.
+    std::deque<std::pair<instant, std::uint32_t>> history; ///< Past sizes of `running`.
+    double rank = 0; ///< Its place in the table's order.
+    bool offered = false; ///< Stands in the table's order.
+};
+
+/// The upstreams of a pool; those with a free place are ordered by load within their region.
+struct upstream_table
+{
+    using ordered_names = std::set<std::pair<double, std::string>>;
+
+    std::map<std::string, upstream_record, std::less<>> records;
+    std::map<std::string, ordered_names, std::less<>> offered;
+    std::size_t offeredCount = 0;
+};
+
+/// Declared or reported slots, times the share the upstream is given; at least 1.
+double capacity(const upstream_record &record);
+
+/// Slots of all upstreams that take new work.
+double totalCapacity(const upstream_table &table);
+
+/// Replaces the listed upstreams. One that is gone keeps its running attempts, and takes no new
+/// work, until they end.
+void setUpstreams(upstream_table &table, const std::vector<upstream_info> &listed);
+
+/// Puts the record in its place after a change of its load.
+void refresh(upstream_table &table, upstream_record &record);
+
+/// Counts an attempt. False when the permit is in use there already.
+bool addAttempt(upstream_table &table, upstream_record &record, std::uint64_t permit,
+                attempt_record attempt, instant now);
+
+/// Ends an attempt; empty when it is unknown.
+std::optional<attempt_record> removeAttempt(upstream_table &table, upstream_record &record,
+                                            std::uint64_t permit, instant now);
+
+/// Takes in a load report: what it says beyond our own work in flight at its time is foreign.
+void applyReport(upstream_table &table, const load_report &report, instant now);
+
+/// Whether @p record may serve @p item at all, its load aside.
+bool mayServe(const upstream_record &record, const work_item &item);
+
+/// The least loaded upstream with a free place in @p region that may serve @p item, or null.
+const upstream_record *leastLoadedIn(const upstream_table &table, std::string_view region,
+                                     const work_item &item);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/wait_queue.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "policy/pool_types.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace quincefall {
+
+/// Place of a request in deadline order; the sequence keeps equal deadlines in arrival order.
+struct order_key
+{
+    instant deadline;
+    std::uint64_t sequence = 0;
+
+    bool operator<(const order_key &other) const
+    {
+        return std::tie(deadline, sequence) < std::tie(other.deadline, other.sequence);
+    }
+};
+
+/// Everything that decides which upstreams may serve a request. Requests alike in it share a
+/// group, so that one look at the group's head tells for all of them.
+struct request_traits
+{
+    std::string model;
+    std::string entryRegion;
+    std::vector<std::string> excluded;
+
+    bool operator<(const request_traits &other) const
+    {
+        return std::tie(model, entryRegion, excluded)
+            < std::tie(other.model, other.entryRegion, other.excluded);
+    }
+};
+
+using request_group = std::map<order_key, work_item>;
+
+/// Waiting requests of one organisation in one class, and its place in the fair order.
+struct organisation_queue
+{
+    double virtualTime = 0; ///< Tokens started divided by weight; the least is served next.
+    std::size_t size = 0;
+    std::map<request_traits, request_group> groups;
+};
+
+/// Waiting requests of one class.
+struct class_queue
+{
+    class_policy policy;
+    double virtualTime = 0; ///< Of the last start; an organisation that returns begins here.
+    std::size_t size = 0;
+    instant lastTaken; ///< Last start, or when the queue stopped being empty.
+    std::map<std::string, organisation_queue, std::less<>> organisations;
+    std::set<std::pair<double, std::string>> active; ///< With waiting requests, in fair order.
+    std::set<order_key> expiries; ///< Ends of the waits, the earliest first.
+};
+
+/// The waiting requests of a pool.
+///
+/// Every operation costs the logarithm of the number of waiting requests, plus the number of
+/// classes and, while requests can't be placed, of organisations.
+struct wait_queue
+{
+    struct location
+    {
+        std::string serviceClass;
+        std::string organisation;
+        request_traits traits;
+        order_key key;
+        instant expiry;
+    };
+
+    std::map<std::string, class_queue, std::less<>> classes;
+    std::unordered_map<std::string, location> byId;
+    std::set<std::tuple<instant, std::uint64_t, std::string>> expiries;
+    std::uint64_t nextSequence = 1;
+};
+
+/// A request that may start now.
+struct start_candidate
+{
+    class_queue *queue = nullptr;
+    organisation_queue *organisation = nullptr;
+    const work_item *item = nullptr;
+    order_key key;
+    bool onTime = false; ///< It can still meet its first-token target.
+    std::string upstream;
+};
+
+/// Picks the upstream for a request; empty when none can take it now.
+using placement = std::function<std::string(const work_item &)>;
+
+/// Replaces the classes. Waiting requests are sorted in anew; one whose class is gone joins
+/// the lowest tier.
+void setClasses(wait_queue &queue, const std::vector<class_policy> &classes, instant now);
+
+/// The queue of the class called @p name, or the lowest tier's if there is none of that name.
+class_queue &classQueue(wait_queue &queue, std::string_view name);
+
+/// Adds a request; false when its id waits already.
+bool enqueue(wait_queue &queue, work_item item, instant now);
+
+/// Removes a request; empty when the id does not wait.
+std::optional<work_item> dequeue(wait_queue &queue, std::string_view id);
+
+/// The next request of one class: organisations by virtual time, in an organisation first those
+/// that can still be on time, by deadline, then the late ones.
+std::optional<start_candidate> nextOfClass(class_queue &queue, instant now, const placement &place);
+
+/// The next request of one tier: the earliest deadline among its classes' next requests.
+std::optional<start_candidate> nextOfTier(wait_queue &queue, int tier, instant now,
+                                          const placement &place);
+
+/// Charges @p tokens to an organisation's virtual time in a class; negative corrects an estimate.
+void chargeOrganisation(class_queue &queue, std::string_view organisation, double tokens,
+                        double weight);
+
+/// An id whose wait ended at @p now or before; empty when there is none.
+std::string_view nextExpired(const wait_queue &queue, instant now);
+
+/// Adds the ids of the requests that entered through @p host to @p ids.
+void collectOfHost(const class_queue &queue, std::string_view host, std::vector<std::string> &ids);
+
+/// The first-token deadline of @p item under @p policy.
+instant firstTokenDeadline(const work_item &item, const class_policy &policy);
+
+/// The number of requests waiting in tiers above @p tier.
+std::size_t waitingAbove(const wait_queue &queue, int tier);
+
+} // namespace quincefall
--- /dev/null
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -0,0 +1,185 @@
+#include "policy/pool_scheduler.h"
+
+#include "support/golden.h"
+#include "support/pool_session.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace quincefall;
+using quincefall::testing::checkGolden;
+using quincefall::testing::makeThreeTierPlan;
+using quincefall::testing::pool_session;
+
+namespace {
+
+pool_session makeSession(int upstreams, std::uint32_t slots)
+{
+    pool_session session;
+    session.take(configure(session.state, makeThreeTierPlan(upstreams, slots), session.now));
+    return session;
+}
+
+std::string oldestRunning(const pool_session &session)
+{
+    const auto oldest = std::min_element(
+        session.running.begin(), session.running.end(),
+        [](const auto &a, const auto &b) { return a.second.permit < b.second.permit; });
+    return oldest->first;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(pool_scheduler_test)
+
+BOOST_AUTO_TEST_CASE(tiersAreStrictAndDeadlinesOrderATier)
+{
+    pool_session session;
+    pool_plan plan = makeThreeTierPlan(1, 1);
+    plan.classes[2].guaranteedShare = 0;
+    session.take(configure(session.state, plan, session.now));
+    session.submitRequest("first", "rosters", "a");
+    session.submitRequest("low", "questions", "a");
+    session.submitRequest("middle", "reports", "a");
+    session.submitRequest("high", "rosters", "a");
+    for (const char *const next : {"high", "middle", "low"}) {
+        session.finishRequest(oldestRunning(session), 10, seconds(1));
+        BOOST_TEST(oldestRunning(session) == next);
+    }
+    BOOST_TEST(session.state.rule.higherTierShedForLower == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(oneOrganisationsBurstLeavesItsNeighboursTheirShare)
+{
+    pool_session session = makeSession(1, 2);
+    for (int number = 0; number < 50; ++number)
+        session.submitRequest("big-" + std::to_string(number), "rosters", "big");
+    for (int number = 0; number < 5; ++number)
+        session.submitRequest("small-" + std::to_string(number), "rosters", "small");
+    for (int number = 0; number < 12; ++number)
+        session.finishRequest(oldestRunning(session), 200, seconds(1));
+    for (int number = 0; number < 5; ++number)
+        BOOST_TEST(session.granted.contains("small-" + std::to_string(number)));
+}
+
+BOOST_AUTO_TEST_CASE(burstOfALowerClass)
+{
+    pool_session session = makeSession(1, 2);
+    for (int number = 1; number <= 3; ++number)
+        session.submitRequest("q" + std::to_string(number), "questions", "a");
+    session.submitRequest("d1", "rosters", "a");
+    session.submitRequest("d2", "rosters", "a");
+    for (int number = 4; number <= 20; ++number) {
+        session.submitRequest("q" + std::to_string(number), "questions", "a");
+        if (number % 4 != 0)
+            continue;
+        session.advanceBy(milliseconds(500));
+        session.finishRequest(oldestRunning(session), 50, seconds(1));
+        session.submitRequest("d" + std::to_string(number), "rosters", "a");
+    }
+    for (int step = 0; step < 12; ++step) {
+        session.advanceBy(milliseconds(1000));
+        if (!session.running.empty())
+            session.finishRequest(oldestRunning(session), 50, seconds(1));
+    }
+    session.noteCounters();
+    BOOST_TEST(session.refusalsByClass["rosters"] == 0);
+    BOOST_TEST(session.state.rule.higherTierShedForLower == 0U);
+    checkGolden("policy/burst_of_a_lower_class.txt", session.transcript.str());
+}
+
+BOOST_AUTO_TEST_CASE(burstOfTheTopClass)
+{
+    pool_session session = makeSession(2, 2);
+    session.submitRequest("q0", "questions", "a");
+    int next = 1;
+    for (int step = 0; step < 48; ++step) {
+        for (int each = 0; each < 3; ++each)
+            session.submitRequest("d" + std::to_string(next++), "rosters", "a");
+        if (step % 8 == 0)
+            session.submitRequest("q" + std::to_string(next), "questions", "a");
+        session.advanceBy(milliseconds(500));
+        session.finishRequest(oldestRunning(session), 50, seconds(1));
+    }
+    session.noteCounters();
+    BOOST_TEST(session.state.rule.higherTierShedForLower == 0U);
+    BOOST_TEST(session.grantsByClass["questions"] >= 4); // One each half of its wait of 8 s.
+    checkGolden("policy/burst_of_the_top_class.txt", session.transcript.str());
+}
+
+BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNewAndExclusionsHold)
+{
+    pool_session session = makeSession(2, 1);
+    pool_plan plan = makeThreeTierPlan(2, 1);
+    plan.upstreams[0].leaving = true;
+    session.take(configure(session.state, plan, session.now));
+    session.submitRequest("one", "rosters", "a");
+    BOOST_TEST(session.running["one"].upstream == "engine-2");
+    work_item again;
+    again.id = "again";
+    again.serviceClass = "rosters";
+    again.arrival = session.now;
+    again.excluded = {"engine-2"};
+    session.take(submit(session.state, again, session.now));
+    session.submitRequest("two", "rosters", "a");
+    session.finishRequest("one", 10, seconds(1));
+    BOOST_TEST(session.running["two"].upstream == "engine-2");
+    session.advanceBy(seconds(4));
+    BOOST_TEST(!session.granted.contains("again"));
+    BOOST_TEST(waitingCount(session.state) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aNewOwnerCountsWhatAnEarlierOneGranted)
+{
+    pool_session session = makeSession(1, 2);
+    session.take(adoptRunning(
+        session.state, {"old", "entry-2", 1ULL << 40U, "engine-1", "rosters", "a", seconds(1)},
+        session.now));
+    session.submitRequest("one", "rosters", "a");
+    session.submitRequest("two", "rosters", "a");
+    BOOST_TEST(!session.granted.contains("two"));
+    session.take(dropEntryHost(session.state, "entry-2", session.now));
+    BOOST_TEST(session.granted.contains("two"));
+}
+
+BOOST_AUTO_TEST_CASE(randomSessionsKeepTheInvariants)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random(seed);
+        const auto below = [&random](unsigned limit) { return random() % limit; };
+        pool_session session = makeSession(3, 4);
+        session.verbose = false;
+        const char *const classes[] = {"rosters", "reports", "questions"};
+        std::size_t submitted = 0;
+        for (int step = 0; step < 3000; ++step) {
+            const unsigned choice = below(10);
+            if (choice < 5) {
+                const std::string organisation(1, static_cast<char>('a' + below(4)));
+                session.submitRequest("r" + std::to_string(submitted++), classes[below(3)],
+                                      organisation);
+            } else if (choice < 8 && !session.running.empty()) {
+                session.finishRequest(oldestRunning(session), 1 + below(400), seconds(1));
+            } else {
+                session.advanceBy(milliseconds(below(400)));
+            }
+            for (const auto &[name, record] : session.state.upstreams.records)
+                BOOST_REQUIRE_LE(record.running.size(), 4U);
+            BOOST_REQUIRE_EQUAL(session.state.rule.higherTierShedForLower, 0U);
+        }
+        session.advanceBy(seconds(10));
+        while (!session.running.empty())
+            session.finishRequest(oldestRunning(session), 10, seconds(1));
+        BOOST_TEST(waitingCount(session.state) == 0U);
+        std::size_t decided = 0;
+        for (const auto &[name, count] : session.grantsByClass)
+            decided += static_cast<std::size_t>(count);
+        BOOST_TEST(decided == session.granted.size()); // No id is granted twice.
+        for (const auto &[name, count] : session.refusalsByClass)
+            decided += static_cast<std::size_t>(count);
+        BOOST_TEST(decided == submitted);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
