Serve chat and plain calls through queue owners

Cause: a request must go from end to end between separate processes. Change: entry hosts ask the pool's owner for a permit over the peer mesh, stream from the engine with attempt ids and token offsets, resume elsewhere after a failure; callers and operators have HTTP interfaces; the serve, check, errors and version verbs. Ruled out: braced error temporaries inside co_await, which g++ 12 rejects or destroys twice.

--- /dev/null
+++ b/src/cli/verbs.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace quincefall {
+
+/// Exit codes of the program; docs/OPERATIONS.md lists them.
+enum class exit_code : int {
+    success = 0,
+    failure = 1, ///< The operation was refused or failed.
+    usage = 2, ///< The command line is not understood.
+    settings = 3, ///< The settings file has mistakes.
+    unreachable = 4, ///< No host answered.
+    unknown = 5, ///< A change may have been written; ask again by its operation id.
+};
+
+/// A verb of the command line.
+struct verb
+{
+    std::string_view name;
+    std::string_view arguments;
+    std::string_view summary;
+    exit_code (*run)(std::span<const std::string> arguments);
+};
+
+/// All verbs in the order of the help text.
+std::span<const verb> allVerbs();
+
+exit_code runServe(std::span<const std::string> arguments);
+exit_code runCheck(std::span<const std::string> arguments);
+exit_code runErrors(std::span<const std::string> arguments);
+exit_code runVersion(std::span<const std::string> arguments);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/operate/host_process.cpp
@@ -0,0 +1,305 @@
+#include "operate/host_process.h"
+
+#include "kernel/asio_headers.h"
+#include "kernel/kernel.h"
+#include "observe/log_setup.h"
+#include "observe/timeline.h"
+#include "operate/config_service.h"
+#include "operate/operator_api.h"
+#include "peer/peer_mesh.h"
+#include "platform/host_list_service.h"
+#include "platform/http_client.h"
+#include "platform/log_client.h"
+#include "policy/ownership.h"
+#include "serve/caller_api.h"
+#include "serve/chat_service.h"
+#include "serve/http_server.h"
+#include "serve/permit_client.h"
+#include "serve/plain_call_service.h"
+#include "serve/pool_plan_builder.h"
+#include "serve/queue_service.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t timelineCapacity = 20'000;
+constexpr milliseconds leaveDelay{500};
+constexpr milliseconds drainPoll{10};
+constexpr int permitSpaceBits = 40;
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/// Number that differs between the processes that a host runs one after another.
+std::uint64_t makeIncarnation(const clock_source &clock)
+{
+    return std::uint64_t(clock.wall());
+}
+
+} // namespace
+
+struct host_process::state : std::enable_shared_from_this<host_process::state>
+{
+    state(asio::io_context &io, settings wanted)
+        : context(io)
+        , values(std::move(wanted))
+        , clock(makeSystemClock())
+        , incarnation(makeIncarnation(clock))
+        , services(kernel::makeKernel())
+    {
+    }
+
+    asio::io_context &context;
+    settings values;
+    clock_source clock;
+    std::uint64_t incarnation;
+    bool isStopping = false;
+    std::vector<std::string> members;
+    std::unique_ptr<kernel> services;
+
+    template <typename service_type>
+    service_type &add(const char *name, std::unique_ptr<service_type> service,
+                      kernel::hooks lifeCycle = {})
+    {
+        service_type &added = *service;
+        services->add(name, std::shared_ptr<service_type>(std::move(service)),
+                      std::move(lifeCycle));
+        return added;
+    }
+
+    /// Hooks of a service with the member functions start and stop.
+    template <typename service_type>
+    static kernel::hooks startAndStop(service_type &service)
+    {
+        return {[&service]() -> result<void> {
+                    service.start();
+                    return {};
+                },
+                [&service] { service.stop(); }};
+    }
+
+    std::string ownerOf(std::string_view key) const
+    {
+        return std::string(rendezvousOwner(key, members));
+    }
+
+    void updateMembers(const std::vector<listed_host> &listed)
+    {
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        members.clear();
+        for (const listed_host &host : listed) {
+            if (!host.isEntry)
+                continue;
+            mesh.setAddress(host.name, host.address);
+            if (!host.isLeaving)
+                members.push_back(host.name);
+        }
+        services->find<permit_client>("serve.permits").announceRunning();
+        services->find<queue_service>("serve.queues").handOver([this](std::string_view pool) {
+            return ownerOf(pool) == values.hostName;
+        });
+    }
+
+    void updatePools()
+    {
+        const config_state &config = services->find<config_service>("operate.config").state();
+        const auto &list = services->find<host_list_service>("platform.hosts");
+        auto &queues = services->find<queue_service>("serve.queues");
+        std::vector<std::string> pools;
+        for (const auto &[key, stored] : config.resources) {
+            if (key.kind != resource_kind::pool)
+                continue;
+            pools.push_back(key.name);
+            queues.configurePool(key.name,
+                                 buildPoolPlan(config, key.name, [&list](std::string_view name) {
+                                     return list.isLeavingUpstream(name);
+                                 }));
+        }
+        queues.retainPools(pools);
+    }
+
+    result<void> addPlatform()
+    {
+        auto &events = add("observe.timeline",
+                           timeline::makeTimeline(values.hostName, clock, timelineCapacity));
+        auto &client = add("platform.http", http_client::makeHttpClient(context));
+        auto &log = add("platform.log", std::make_unique<log_client>(client, values.log));
+        auto hosts
+            = host_list_service::makeHostListService({context, client, events, values.hostList});
+        auto &list = *hosts;
+        add("platform.hosts", std::move(hosts), startAndStop(list));
+        auto config = config_service::makeConfigService({context, log, events, clock});
+        auto &followed = *config;
+        add("operate.config", std::move(config), startAndStop(followed));
+        return {};
+    }
+
+    result<void> addPeers()
+    {
+        peer_mesh::options wanted;
+        wanted.hostName = values.hostName;
+        wanted.listen = values.peerListen;
+        wanted.secret = values.fleetSecret;
+        auto mesh = peer_mesh::makePeerMesh(context, wanted);
+        if (!mesh)
+            return tl::unexpected(mesh.error());
+        auto &added = **mesh;
+        for (const peer_setting &peer : values.peers)
+            added.setAddress(peer.name, peer.address);
+        add("peer.mesh", std::move(*mesh), {{}, [&added] { added.stop(); }});
+        return {};
+    }
+
+    void addQueues()
+    {
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        auto &events = services->find<timeline>("observe.timeline");
+        // Milliseconds since the epoch, shifted: unique for each start of each host in practice,
+        // and the host's own hash keeps two that start together apart.
+        const std::uint64_t firstPermit
+            = (std::hash<std::string>()(values.hostName) ^ incarnation) << permitSpaceBits >> 1;
+        auto queues
+            = queue_service::makeQueueService({context, mesh, events, clock, firstPermit + 1});
+        auto &queueService = *queues;
+        add("serve.queues", std::move(queues), startAndStop(queueService));
+        fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
+        auto permits = permit_client::makePermitClient(
+            {context, mesh, events, clock, fleet, values.hostName, values.region});
+        auto &permitClient = *permits;
+        add("serve.permits", std::move(permits), startAndStop(permitClient));
+    }
+
+    void addCallerServices()
+    {
+        auto &client = services->find<http_client>("platform.http");
+        auto &permits = services->find<permit_client>("serve.permits");
+        auto &config = services->find<config_service>("operate.config");
+        auto &events = services->find<timeline>("observe.timeline");
+        auto &chat = add("serve.chat",
+                         chat_service::makeChatService({context, client, permits, config, events,
+                                                        clock, values.hostName, incarnation}));
+        auto &calls
+            = add("serve.calls",
+                  plain_call_service::makePlainCallService(
+                      {client, permits, config, events, clock, values.hostName, incarnation}));
+        add("serve.api", caller_api::makeCallerApi({config, chat, calls}));
+        add("operate.api",
+            operator_api::makeOperatorApi({config, events, values.hostName, values.operatorKey,
+                                           [this] { return isStopping; }}));
+    }
+
+    result<void> addServer(const char *name, const host_address &address,
+                           http_server::handler function)
+    {
+        http_server::options wanted;
+        wanted.listen = address;
+        wanted.maxHeaderBytes = values.maxHeaderBytes;
+        wanted.maxBodyBytes = values.maxBodyBytes;
+        wanted.maxConnections = values.maxConnections;
+        wanted.requestTimeout = values.callerTimeout;
+        auto server = http_server::makeHttpServer(context, wanted, std::move(function));
+        if (!server)
+            return tl::unexpected(server.error());
+        auto &added = **server;
+        add(name, std::move(*server), {{}, [&added] { added.stop(); }});
+        return {};
+    }
+
+    result<void> addServers()
+    {
+        auto &api = services->find<caller_api>("serve.api");
+        auto &operators = services->find<operator_api>("operate.api");
+        if (auto added
+            = addServer("serve.server", values.callerListen,
+                        [&api](http_exchange &exchange) { return api.handle(exchange); });
+            !added)
+            return added;
+        return addServer(
+            "operate.server", values.operatorListen,
+            [&operators](http_exchange &exchange) { return operators.handle(exchange); });
+    }
+
+    void connect()
+    {
+        auto &config = services->find<config_service>("operate.config");
+        auto &list = services->find<host_list_service>("platform.hosts");
+        config.onChange([this] { updatePools(); });
+        list.onChange([this, &list] {
+            updateMembers(list.hosts());
+            updatePools();
+        });
+        members.push_back(values.hostName);
+        for (const peer_setting &peer : values.peers)
+            members.push_back(peer.name);
+    }
+
+    result<void> start()
+    {
+        if (auto added = addPlatform(); !added)
+            return added;
+        if (auto added = addPeers(); !added)
+            return added;
+        addQueues();
+        addCallerServices();
+        if (auto added = addServers(); !added)
+            return added;
+        connect();
+        return services->start();
+    }
+
+    static asio::awaitable<void> drain(std::shared_ptr<state> self, std::function<void()> done)
+    {
+        auto &server = self->services->find<http_server>("serve.server");
+        asio::steady_timer pause(self->context);
+        // The balancer sees the failed ready check before connections are refused.
+        server.announceClose();
+        pause.expires_after(leaveDelay);
+        co_await pause.async_wait(asTuple);
+        server.stopAccepting();
+        const instant deadline = self->clock.now() + self->values.drainTimeout;
+        while (server.activeExchanges() > 0 && self->clock.now() < deadline) {
+            pause.expires_after(drainPoll);
+            co_await pause.async_wait(asTuple);
+        }
+        logInfo("host stopped", {{"active", std::to_string(server.activeExchanges())}});
+        self->services->stop();
+        done();
+    }
+};
+
+result<std::unique_ptr<host_process>> host_process::makeHostProcess(asio::io_context &context,
+                                                                    settings values)
+{
+    auto shared = std::make_shared<state>(context, std::move(values));
+    if (auto started = shared->start(); !started)
+        return tl::unexpected(started.error());
+    return std::unique_ptr<host_process>(new host_process(std::move(shared)));
+}
+
+host_process::host_process(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+host_process::~host_process()
+{
+    m_state->services->stop();
+}
+
+host_process::ports host_process::listening() const
+{
+    return {m_state->services->find<http_server>("serve.server").port(),
+            m_state->services->find<peer_mesh>("peer.mesh").port(),
+            m_state->services->find<http_server>("operate.server").port()};
+}
+
+void host_process::stopGracefully(std::function<void()> done)
+{
+    if (m_state->isStopping)
+        return;
+    m_state->isStopping = true;
+    logInfo("host stopping", {{"host", m_state->values.hostName}});
+    asio::co_spawn(m_state->context, state::drain(m_state, std::move(done)), asio::detached);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/caller_api.cpp
@@ -0,0 +1,114 @@
+#include "serve/caller_api.h"
+
+#include "kernel/asio_headers.h"
+#include "operate/config_service.h"
+#include "serve/chat_service.h"
+#include "serve/http_server.h"
+#include "serve/plain_call_service.h"
+#include "serve/respond.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr milliseconds notReadyRetryAfter{1000};
+
+asio::awaitable<void> refuse(http_exchange &exchange, result_code code, const char *detail,
+                             std::optional<milliseconds> retryAfter = {})
+{
+    problem answer{code, detail, run_state::notRun, retryAfter};
+    co_await respondProblem(exchange, std::move(answer), std::string());
+}
+
+json::object modelList(const config_state &config)
+{
+    json::array models;
+    for (const auto &[key, stored] : config.resources) {
+        const auto *declared = std::get_if<model>(&stored.spec);
+        if (declared == nullptr)
+            continue;
+        models.push_back(json::object{{"id", key.name}, {"object", "model"}});
+        for (const std::string &adapter : declared->adapters)
+            models.push_back(json::object{{"id", key.name + ":" + adapter}, {"object", "model"}});
+    }
+    return {{"object", "list"}, {"data", std::move(models)}};
+}
+
+} // namespace
+
+struct caller_api::state
+{
+    explicit state(dependencies wanted)
+        : needs(wanted)
+    {
+    }
+
+    dependencies needs;
+    caller_directory directory;
+    bool isRefusing = false;
+
+    asio::awaitable<void> route(http_exchange &exchange, caller_identity caller)
+    {
+        const std::string_view path = exchange.path();
+        if (path == "/v1/chat/completions") {
+            if (exchange.method() != "POST")
+                co_return co_await refuse(exchange, result_code::methodNotAllowed, "use POST");
+            co_return co_await needs.chat.handle(exchange, std::move(caller));
+        }
+        if (path == "/v1/models") {
+            if (exchange.method() != "GET")
+                co_return co_await refuse(exchange, result_code::methodNotAllowed, "use GET");
+            co_return co_await respondJson(exchange, 200, modelList(needs.config.state()),
+                                           std::string());
+        }
+        if (path.starts_with("/services/"))
+            co_return co_await needs.calls.handle(exchange, std::move(caller));
+        co_await refuse(exchange, result_code::notFound, "no such path");
+    }
+};
+
+std::unique_ptr<caller_api> caller_api::makeCallerApi(dependencies needs)
+{
+    auto shared = std::make_shared<state>(needs);
+    // The directory follows the configuration for as long as the state lives.
+    const std::weak_ptr<state> watched = shared;
+    needs.config.onChange([watched] {
+        if (const auto self = watched.lock())
+            self->directory = caller_directory::makeCallerDirectory(self->needs.config.state());
+    });
+    return std::unique_ptr<caller_api>(new caller_api(std::move(shared)));
+}
+
+caller_api::caller_api(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+caller_api::~caller_api() = default;
+
+asio::awaitable<void> caller_api::handle(http_exchange &exchange)
+{
+    const auto self = m_state;
+    if (self->isRefusing)
+        co_return co_await refuse(exchange, result_code::hostStopping, "the host is stopping",
+                                  notReadyRetryAfter);
+    if (!self->needs.config.isReady())
+        co_return co_await refuse(exchange, result_code::notReady,
+                                  "no configuration is in force on this host yet",
+                                  notReadyRetryAfter);
+    auto caller
+        = self->directory.identify(self->needs.config.state(), exchange.header("Authorization"),
+                                   exchange.header("X-Service-Class"));
+    if (!caller)
+        co_return co_await refuse(exchange, caller.error().code, caller.error().detail.c_str());
+    co_await self->route(exchange, std::move(*caller));
+}
+
+void caller_api::refuseNew()
+{
+    m_state->isRefusing = true;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/chat_service.cpp
@@ -0,0 +1,312 @@
+#include "serve/chat_service.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/timeline.h"
+#include "operate/config_service.h"
+#include "platform/http_client.h"
+#include "serve/chat_request.h"
+#include "serve/engine_attempt.h"
+#include "serve/http_server.h"
+#include "serve/respond.h"
+
+#include <unordered_map>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr int mostAttempts = 4;
+constexpr milliseconds changeWait{60'000};
+constexpr milliseconds shortestTokenLimit{1000};
+constexpr milliseconds shortestFirstTokenLimit{3000};
+constexpr int tokenLimitFactor = 10;
+constexpr int firstTokenLimitFactor = 4;
+constexpr milliseconds failedRetryAfter{1000};
+
+/// All that one request needs until its answer is complete.
+struct chat_job
+{
+    std::string requestId; ///< Unique in the fleet.
+    std::string callerId; ///< As the caller knows it.
+    caller_identity caller;
+    chat_request request;
+    std::string pool;
+    instant arrival;
+    std::vector<std::string> excluded;
+    int attempts = 0;
+    bool mayHaveRun = false; ///< An engine may have executed a part of it.
+};
+
+json::object completionBody(const answer_stream &answer, const chat_job &job)
+{
+    json::object body{
+        {"id", job.requestId}, {"object", "chat.completion"}, {"model", job.request.model}};
+    boost::system::error_code failure;
+    const json::value finish = json::parse(finishEvent(answer.assembly), failure);
+    const json::object *object = failure ? nullptr : finish.if_object();
+    if (const json::value *usage = object == nullptr ? nullptr : object->if_contains("usage"))
+        body["usage"] = *usage;
+    json::object message{{"role", "assistant"}, {"content", joinedContent(answer.assembly)}};
+    body["choices"] = json::array{
+        json::object{{"index", 0}, {"message", std::move(message)}, {"finish_reason", "stop"}}};
+    return body;
+}
+
+std::string errorEvent(const problem &failure, const std::string &requestId)
+{
+    return "event: error\ndata: " + encodeProblem(failure, requestId) + "\n\n";
+}
+
+} // namespace
+
+struct chat_service::state : std::enable_shared_from_this<chat_service::state>
+{
+    explicit state(dependencies wanted)
+        : needs(std::move(wanted))
+    {
+    }
+
+    dependencies needs;
+    std::unordered_map<std::string, std::shared_ptr<answer_stream>> active;
+    std::uint64_t nextId = 1;
+
+    std::string makeId()
+    {
+        return needs.hostName + "-" + std::to_string(needs.incarnation) + "-"
+            + std::to_string(nextId++);
+    }
+
+    const upstream *findUpstream(const std::string &pool, const std::string &name) const
+    {
+        const auto *declared
+            = findSpec<upstream_pool>(needs.config.state(), resource_kind::pool, pool);
+        if (declared == nullptr)
+            return nullptr;
+        const auto found
+            = std::find_if(declared->upstreams.begin(), declared->upstreams.end(),
+                           [&name](const upstream &entry) { return entry.name == name; });
+        return found == declared->upstreams.end() ? nullptr : &*found;
+    }
+
+    permit_query toQuery(const chat_job &job, const answer_stream &answer) const
+    {
+        permit_query query;
+        query.pool = job.pool;
+        query.requestId = job.requestId;
+        query.organisation = job.caller.organisation;
+        query.serviceClass = job.caller.serviceClass;
+        query.model = job.request.model;
+        query.prefixHash = job.request.prefixHash;
+        query.promptTokens = job.request.promptTokens;
+        query.resumeFrom = answer.assembly.delivered;
+        query.excluded = job.excluded;
+        query.arrival = job.arrival;
+        query.maxWait = job.caller.policy.maxWait;
+        return query;
+    }
+
+    engine_call toCall(const chat_job &job, const host_address &address) const
+    {
+        const service_class &policy = job.caller.policy;
+        engine_call call;
+        call.address = address;
+        call.requestId = job.requestId;
+        call.attemptId = job.requestId + "." + std::to_string(job.attempts);
+        call.body = job.request.engineBody;
+        call.priority = policy.tier;
+        call.firstTokenLimit
+            = std::max(shortestFirstTokenLimit, policy.firstTokenTarget * firstTokenLimitFactor);
+        call.tokenLimit = std::max(shortestTokenLimit, policy.tokenGapTarget * tokenLimitFactor);
+        return call;
+    }
+
+    void fail(const chat_job &job, answer_stream &answer, problem failure)
+    {
+        failure.run = job.mayHaveRun ? run_state::unknown : run_state::notRun;
+        if (answer.assembly.delivered > 0)
+            failure.run = run_state::partial;
+        answer.failure = std::move(failure);
+        answer.changed.notifyAll();
+    }
+
+    void noteAttempt(const chat_job &job, const permit &held, const engine_outcome &outcome)
+    {
+        needs.events.record(
+            outcome.failure ? "attempt.failed" : "attempt.done", job.requestId, held.upstream,
+            {{"attempt", std::to_string(job.attempts)},
+             {"tokens", std::to_string(outcome.usage.tokens)},
+             {"first_token_ms", std::to_string(outcome.usage.firstToken.count() / 1000)},
+             {"reason", outcome.failure ? outcome.failure->detail : ""}});
+    }
+
+    /// Runs one try; true when the job is over.
+    asio::awaitable<bool> tryOnce(chat_job &job, std::shared_ptr<answer_stream> answer)
+    {
+        auto query = toQuery(job, *answer);
+        const auto held = co_await needs.permits.acquire(std::move(query), answer->isAbandoned);
+        if (!held) {
+            fail(job, *answer, held.error());
+            co_return true;
+        }
+        const upstream *target = findUpstream(job.pool, held->upstream);
+        if (target == nullptr) {
+            needs.permits.release(*held, {});
+            job.excluded.push_back(held->upstream);
+            co_return false;
+        }
+        ++job.attempts;
+        auto call = toCall(job, target->address);
+        const auto outcome
+            = co_await runEngineAttempt(needs.client, needs.clock, std::move(call), answer);
+        needs.permits.release(*held, outcome.usage);
+        noteAttempt(job, *held, outcome);
+        if (!outcome.failure || answer->assembly.isComplete)
+            co_return true;
+        job.mayHaveRun |= !outcome.wasRefused && !outcome.isFinal
+            && outcome.failure->code != result_code::upstreamUnreachable;
+        job.excluded.push_back(held->upstream);
+        if (!outcome.isFinal && job.attempts < mostAttempts)
+            co_return false;
+        fail(job, *answer,
+             {outcome.failure->code, outcome.failure->detail, run_state::notRun, failedRetryAfter});
+        co_return true;
+    }
+
+    static asio::awaitable<void> produce(std::shared_ptr<state> self, chat_job job,
+                                         std::shared_ptr<answer_stream> answer)
+    {
+        bool isOver = false;
+        while (!isOver && !*answer->isAbandoned)
+            isOver = co_await self->tryOnce(job, answer);
+        self->active.erase(job.requestId);
+        answer->changed.notifyAll();
+    }
+
+    /// The running answer of @p job's id, or a new one.
+    std::shared_ptr<answer_stream> join(const chat_job &job)
+    {
+        if (const auto running = active.find(job.requestId); running != active.end())
+            return running->second;
+        auto answer = std::make_shared<answer_stream>(needs.context.get_executor());
+        answer->organisation = job.caller.organisation;
+        answer->model = job.request.model;
+        answer->assembly = makeAnswerAssembly(job.requestId, 0);
+        active[job.requestId] = answer;
+        asio::co_spawn(needs.context, produce(shared_from_this(), job, answer), asio::detached);
+        return answer;
+    }
+
+    void leave(const chat_job &job, answer_stream &answer)
+    {
+        if (--answer.readers > 0 || answer.isDone())
+            return;
+        *answer.isAbandoned = true;
+        needs.events.record("request.abandoned", job.requestId, job.pool);
+        needs.permits.abandon(job.pool, job.requestId);
+    }
+
+    /// Sends the tokens to a streaming caller as they come.
+    static asio::awaitable<void> sendStream(http_exchange &exchange, const chat_job &job,
+                                            std::shared_ptr<answer_stream> answer)
+    {
+        std::size_t sent = 0;
+        const std::vector<answer_header> headers{{"Content-Type", "text/event-stream"},
+                                                 {"Cache-Control", "no-cache"},
+                                                 {"X-Request-Id", job.callerId}};
+        while (!exchange.isGone()) {
+            const std::string &text = answer->assembly.text;
+            if (sent < text.size()) {
+                if (!exchange.hasBegun() && !co_await exchange.beginStream(200, headers))
+                    co_return;
+                // A copy: the answer grows while the write is under way.
+                const std::string piece = text.substr(sent);
+                sent += piece.size();
+                co_await exchange.write(piece);
+                continue;
+            }
+            if (answer->isDone())
+                break;
+            co_await answer->changed.wait(changeWait);
+        }
+        if (answer->assembly.isComplete) {
+            co_await exchange.endStream();
+        } else if (answer->failure && !exchange.hasBegun()) {
+            co_await respondProblem(exchange, *answer->failure, job.callerId);
+        } else if (answer->failure) {
+            co_await exchange.write(errorEvent(*answer->failure, job.callerId));
+            exchange.abort();
+        }
+    }
+
+    static asio::awaitable<void> sendWhole(http_exchange &exchange, const chat_job &job,
+                                           std::shared_ptr<answer_stream> answer)
+    {
+        while (!exchange.isGone() && !answer->isDone())
+            co_await answer->changed.wait(changeWait);
+        if (answer->assembly.isComplete)
+            co_await respondJson(exchange, 200, completionBody(*answer, job), job.callerId);
+        else if (answer->failure)
+            co_await respondProblem(exchange, *answer->failure, job.callerId);
+    }
+
+    result<chat_job> makeJob(const http_exchange &exchange, caller_identity caller)
+    {
+        auto request = parseChatRequest(exchange.body());
+        if (!request)
+            return tl::unexpected(request.error());
+        const std::string model = request->model.substr(0, request->model.find(':'));
+        const auto *served
+            = findSpec<quincefall::model>(needs.config.state(), resource_kind::model, model);
+        if (served == nullptr)
+            return makeError(result_code::notFound, "model \"" + model + "\" is not declared");
+        chat_job job;
+        job.callerId = std::string(exchange.header("X-Request-Id"));
+        if (job.callerId.empty())
+            job.callerId = makeId();
+        else if (!isRequestId(job.callerId))
+            return makeError(result_code::malformedRequest,
+                             "X-Request-Id: expected 1 to 64 letters, digits, '.', '_' or '-'");
+        job.requestId = caller.organisation + "." + job.callerId;
+        job.caller = std::move(caller);
+        job.request = std::move(*request);
+        job.pool = served->pool;
+        job.arrival = needs.clock.now();
+        return job;
+    }
+};
+
+std::unique_ptr<chat_service> chat_service::makeChatService(dependencies needs)
+{
+    return std::unique_ptr<chat_service>(
+        new chat_service(std::make_shared<state>(std::move(needs))));
+}
+
+chat_service::chat_service(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+chat_service::~chat_service() = default;
+
+asio::awaitable<void> chat_service::handle(http_exchange &exchange, caller_identity caller)
+{
+    const auto self = m_state;
+    const auto job = self->makeJob(exchange, std::move(caller));
+    if (!job) {
+        const problem failure{job.error().code, job.error().detail, run_state::notRun, {}};
+        co_await respondProblem(exchange, failure, std::string());
+        co_return;
+    }
+    const auto answer = self->join(*job);
+    ++answer->readers;
+    exchange.setGoneListener([answer] { answer->changed.notifyAll(); });
+    if (job->request.isStreamed)
+        co_await state::sendStream(exchange, *job, answer);
+    else
+        co_await state::sendWhole(exchange, *job, answer);
+    self->leave(*job, *answer);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/chat_service.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "kernel/clock.h"
+#include "serve/answer_stream.h"
+#include "serve/caller_directory.h"
+#include "serve/permit_client.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace quincefall {
+
+class config_service;
+class http_client;
+class http_exchange;
+class timeline;
+
+/// Serves chat completions: waits for a permit, streams from the engine to the caller, and goes on
+/// elsewhere when an engine fails.
+class chat_service
+{
+public:
+    struct dependencies
+    {
+        boost::asio::io_context &context;
+        http_client &client;
+        permit_client &permits;
+        config_service &config;
+        timeline &events;
+        clock_source clock;
+        std::string hostName;
+        std::uint64_t incarnation = 0; ///< Makes generated ids unique over restarts.
+    };
+
+    static std::unique_ptr<chat_service> makeChatService(dependencies needs);
+    ~chat_service();
+
+    /// Answers one POST /v1/chat/completions of @p caller.
+    boost::asio::awaitable<void> handle(http_exchange &exchange, caller_identity caller);
+
+private:
+    struct state;
+    explicit chat_service(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/engine_attempt.cpp
@@ -0,0 +1,133 @@
+#include "serve/engine_attempt.h"
+
+#include "kernel/asio_headers.h"
+#include "platform/http_client.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds cancelTimeout{500};
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusTooMany = 429;
+constexpr int statusUnavailable = 503;
+constexpr std::uint32_t noTokens = 0;
+
+http_request toRequest(const engine_call &call, std::uint32_t delivered)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.headers = {{"Content-Type", "application/json"},
+                       {"X-Request-Id", call.requestId},
+                       {"X-Attempt-Id", call.attemptId},
+                       {"X-Priority", std::to_string(call.priority)}};
+    if (delivered > noTokens)
+        request.headers.emplace_back("Last-Event-ID", std::to_string(delivered));
+    request.body = call.body;
+    return request;
+}
+
+/// Adds the whole events in @p piece to the answer. Fails when the stream cannot be used further.
+result<void> addPiece(answer_assembly &assembly, sse_reader &reader, std::string_view piece)
+{
+    reader.feed(piece);
+    sse_event event;
+    while (reader.next(event)) {
+        const frame_verdict verdict = addEvent(assembly, event);
+        if (verdict == frame_verdict::gap)
+            return makeError(result_code::streamMismatch, "a token is missing in the stream");
+        if (verdict == frame_verdict::malformed)
+            return makeError(result_code::streamMismatch, "the stream has a malformed event");
+    }
+    return {};
+}
+
+engine_outcome refusedByStatus(int status)
+{
+    engine_outcome outcome;
+    outcome.failure
+        = error{result_code::upstreamFailed, "the engine answered " + std::to_string(status)};
+    outcome.wasRefused = status == statusUnavailable || status == statusTooMany;
+    outcome.isFinal
+        = status >= 400 && status < 500 && status != statusTooMany && status != statusNotFound;
+    return outcome;
+}
+
+/// Tells an engine to stop work whose answer is not wanted.
+asio::awaitable<void> cancelAtEngine(http_client &client, engine_call call)
+{
+    http_request request;
+    request.method = "POST";
+    request.target = "/cancel";
+    request.body = boost::json::serialize(
+        boost::json::object{{"request_id", call.requestId}, {"attempt_id", call.attemptId}});
+    // A new connection: the one in use may be the reason for giving up.
+    const auto use = http_client::connection_use::fresh;
+    co_await client.send(call.address, std::move(request), cancelTimeout, use);
+}
+
+/// Reads the engine's events into the answer until its end, a fault or nobody wants it.
+asio::awaitable<result<void>> readStream(http_stream &stream, const engine_call &call,
+                                         clock_source clock, instant begin,
+                                         std::shared_ptr<answer_stream> answer,
+                                         attempt_usage &usage)
+{
+    sse_reader reader;
+    const std::uint32_t before = answer->assembly.delivered;
+    while (!*answer->isAbandoned) {
+        const bool hasFirst = answer->assembly.delivered > before;
+        const auto piece = co_await stream.read(hasFirst ? call.tokenLimit : call.firstTokenLimit);
+        if (!piece)
+            co_return tl::unexpected(piece.error());
+        if (piece->empty() && answer->assembly.isComplete)
+            co_return result<void>();
+        if (piece->empty())
+            co_return makeError(result_code::streamIncomplete,
+                                "the stream ended before its end mark");
+        const auto added = addPiece(answer->assembly, reader, *piece);
+        usage.tokens = answer->assembly.delivered - before;
+        if (!hasFirst && usage.tokens > 0)
+            usage.firstToken = clock.now() - begin;
+        answer->changed.notifyAll();
+        if (!added)
+            co_return added;
+    }
+    co_return result<void>();
+}
+
+} // namespace
+
+asio::awaitable<engine_outcome> runEngineAttempt(http_client &client, clock_source clock,
+                                                 engine_call call,
+                                                 std::shared_ptr<answer_stream> answer)
+{
+    const instant begin = clock.now();
+    auto request = toRequest(call, answer->assembly.delivered);
+    auto stream = co_await client.open(call.address, std::move(request), call.firstTokenLimit);
+    engine_outcome outcome;
+    if (!stream) {
+        outcome.failure = stream.error();
+    } else if ((*stream)->status() != statusOk) {
+        outcome = refusedByStatus((*stream)->status());
+    } else if ((*stream)->header("X-Attempt-Id") != call.attemptId) {
+        outcome.failure = error{result_code::streamMismatch, "the answer is of another attempt"};
+    } else {
+        const auto read = co_await readStream(**stream, call, clock, begin, answer, outcome.usage);
+        if (!read)
+            outcome.failure = read.error();
+    }
+    outcome.usage.duration = clock.now() - begin;
+    outcome.usage.failed = outcome.failure.has_value() && !outcome.wasRefused;
+    const bool isUnfinished = stream.has_value() && !answer->assembly.isComplete;
+    if (isUnfinished && !outcome.wasRefused && !outcome.isFinal) {
+        (*stream)->close();
+        asio::co_spawn(co_await asio::this_coro::executor, cancelAtEngine(client, call),
+                       asio::detached);
+    }
+    co_return outcome;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/plain_call_service.cpp
@@ -0,0 +1,201 @@
+#include "serve/plain_call_service.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/timeline.h"
+#include "operate/config_service.h"
+#include "platform/http_client.h"
+#include "serve/chat_request.h"
+#include "serve/http_server.h"
+#include "serve/respond.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view servicePrefix = "/services/";
+constexpr int mostAttempts = 3;
+constexpr milliseconds failedRetryAfter{1000};
+
+/// One call on its way to an upstream.
+struct plain_call
+{
+    std::string requestId;
+    std::string callerId;
+    std::string service;
+    std::string path;
+    plain_service declared;
+    caller_identity caller;
+    instant arrival;
+    std::vector<std::string> excluded;
+};
+
+result<std::pair<std::string, std::string>> splitTarget(std::string_view target)
+{
+    const std::string_view rest = target.substr(servicePrefix.size());
+    const std::size_t slash = rest.find('/');
+    if (slash == std::string_view::npos || slash == 0)
+        return makeError(result_code::notFound, "expected /services/{name}/{path}");
+    return std::pair(std::string(rest.substr(0, slash)), std::string(rest.substr(slash)));
+}
+
+bool isCertainlyNotRun(const error &failure)
+{
+    return failure.code == result_code::upstreamUnreachable;
+}
+
+} // namespace
+
+struct plain_call_service::state
+{
+    explicit state(dependencies wanted)
+        : needs(std::move(wanted))
+    {
+    }
+
+    dependencies needs;
+    std::uint64_t nextId = 1;
+
+    result<plain_call> makeCall(const http_exchange &exchange, caller_identity caller)
+    {
+        const auto target = splitTarget(exchange.target());
+        if (!target)
+            return tl::unexpected(target.error());
+        plain_call call;
+        call.service = target->first;
+        call.path = target->second;
+        const auto *declared
+            = findSpec<plain_service>(needs.config.state(), resource_kind::service, call.service);
+        if (declared == nullptr)
+            return makeError(result_code::notFound,
+                             "service \"" + call.service + "\" is not declared");
+        call.declared = *declared;
+        if (!declared->isRepeatable && exchange.header("Idempotency-Key").empty())
+            return makeError(result_code::idempotencyKeyMissing,
+                             "calls of \"" + call.service + "\" may not be repeated");
+        call.callerId = std::string(exchange.header("X-Request-Id"));
+        if (!isRequestId(call.callerId))
+            call.callerId = needs.hostName + "-" + std::to_string(needs.incarnation) + "-s"
+                + std::to_string(nextId++);
+        call.requestId = caller.organisation + "." + call.callerId;
+        call.caller = std::move(caller);
+        call.arrival = needs.clock.now();
+        return call;
+    }
+
+    permit_query toQuery(const plain_call &call) const
+    {
+        permit_query query;
+        query.pool = call.declared.pool;
+        query.requestId = call.requestId;
+        query.organisation = call.caller.organisation;
+        query.serviceClass = call.caller.serviceClass;
+        query.excluded = call.excluded;
+        query.arrival = call.arrival;
+        query.maxWait = call.caller.policy.maxWait;
+        return query;
+    }
+
+    const upstream *findUpstream(const std::string &pool, const std::string &name) const
+    {
+        const auto *declared
+            = findSpec<upstream_pool>(needs.config.state(), resource_kind::pool, pool);
+        if (declared == nullptr)
+            return nullptr;
+        for (const upstream &entry : declared->upstreams) {
+            if (entry.name == name)
+                return &entry;
+        }
+        return nullptr;
+    }
+
+    asio::awaitable<result<http_reply>> send(const http_exchange &exchange, const plain_call &call,
+                                             host_address address)
+    {
+        http_request request;
+        request.method = std::string(exchange.method());
+        request.target = call.path;
+        request.headers = {{"X-Request-Id", call.requestId}};
+        for (const char *name : {"Content-Type", "Idempotency-Key"}) {
+            if (const std::string_view value = exchange.header(name); !value.empty())
+                request.headers.emplace_back(name, value);
+        }
+        request.body = exchange.body();
+        const auto use = call.declared.isRepeatable ? http_client::connection_use::reuse
+                                                    : http_client::connection_use::fresh;
+        co_return co_await needs.client.send(std::move(address), std::move(request),
+                                             call.declared.timeout, use);
+    }
+
+    /// Sends the call to upstreams in turn until one answers or it may have run.
+    asio::awaitable<tl::expected<http_reply, problem>> run(const http_exchange &exchange,
+                                                           plain_call call)
+    {
+        problem last{result_code::noUpstream, "no upstream took the call", run_state::notRun,
+                     failedRetryAfter};
+        for (int attempt = 1; attempt <= mostAttempts; ++attempt) {
+            const auto isCancelled = std::make_shared<bool>(false);
+            auto query = toQuery(call);
+            const auto held = co_await needs.permits.acquire(std::move(query), isCancelled);
+            if (!held)
+                co_return tl::unexpected(attempt == 1 ? held.error() : last);
+            const instant begin = needs.clock.now();
+            const upstream *target = findUpstream(call.declared.pool, held->upstream);
+            result<http_reply> reply = makeError(result_code::upstreamUnreachable, "undeclared");
+            if (target != nullptr)
+                reply = co_await send(exchange, call, target->address);
+            attempt_usage usage;
+            usage.duration = needs.clock.now() - begin;
+            usage.failed = !reply.has_value();
+            needs.permits.release(*held, usage);
+            needs.events.record(reply ? "call.done" : "call.failed", call.requestId, held->upstream,
+                                {{"reason", reply ? "" : reply.error().detail}});
+            if (reply)
+                co_return std::move(*reply);
+            const bool mayHaveRun = !isCertainlyNotRun(reply.error());
+            last = {reply.error().code, reply.error().detail,
+                    mayHaveRun || last.run == run_state::unknown ? run_state::unknown
+                                                                 : run_state::notRun,
+                    failedRetryAfter};
+            if (mayHaveRun && !call.declared.isRepeatable)
+                break;
+            call.excluded.push_back(held->upstream);
+        }
+        co_return tl::unexpected(last);
+    }
+};
+
+std::unique_ptr<plain_call_service> plain_call_service::makePlainCallService(dependencies needs)
+{
+    return std::unique_ptr<plain_call_service>(
+        new plain_call_service(std::make_shared<state>(std::move(needs))));
+}
+
+plain_call_service::plain_call_service(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+plain_call_service::~plain_call_service() = default;
+
+asio::awaitable<void> plain_call_service::handle(http_exchange &exchange, caller_identity caller)
+{
+    const auto self = m_state;
+    auto call = self->makeCall(exchange, std::move(caller));
+    if (!call) {
+        const problem failure{call.error().code, call.error().detail, run_state::notRun, {}};
+        co_await respondProblem(exchange, failure, std::string());
+        co_return;
+    }
+    const std::string callerId = call->callerId;
+    const auto reply = co_await self->run(exchange, *call);
+    if (!reply) {
+        co_await respondProblem(exchange, reply.error(), callerId);
+        co_return;
+    }
+    const std::vector<answer_header> headers{
+        {"Content-Type", std::string(reply->header("Content-Type"))}, {"X-Request-Id", callerId}};
+    co_await exchange.respond(reply->status, headers, reply->body);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/queue_service.cpp
@@ -0,0 +1,392 @@
+#include "serve/queue_service.h"
+
+#include "kernel/asio_headers.h"
+#include "kernel/async_signal.h"
+#include "observe/timeline.h"
+#include "peer.pb.h"
+#include "peer/peer_mesh.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr milliseconds advanceInterval{20};
+constexpr milliseconds longestHold{60'000};
+constexpr seconds reconcileAge{5};
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+/// A call of an entry host that waits for its decision.
+struct pending_permit
+{
+    explicit pending_permit(const asio::any_io_executor &executor)
+        : decided(executor)
+    {
+    }
+
+    async_signal decided;
+    std::optional<result<wire::PermitResponse>> answer;
+
+    void resolve(result<wire::PermitResponse> value)
+    {
+        answer = std::move(value);
+        decided.notifyAll();
+    }
+};
+
+struct granted_permit
+{
+    std::string id;
+    std::string entryHost;
+    std::string upstream;
+    instant since;
+};
+
+/// One pool's queue with the calls that wait on it.
+struct pool_queue
+{
+    pool_state scheduler;
+    std::map<std::string, std::shared_ptr<pending_permit>, std::less<>> pending;
+    std::map<std::uint64_t, granted_permit> granted;
+};
+
+work_item toWorkItem(const wire::PermitRequest &request, instant now)
+{
+    work_item item;
+    item.id = request.request_id();
+    item.entryHost = request.entry_host();
+    item.entryRegion = request.entry_region();
+    item.organisation = request.organisation();
+    item.serviceClass = request.service_class();
+    item.model = request.model();
+    item.prefixHash = request.prefix_hash();
+    item.promptTokens = request.prompt_tokens();
+    item.resumeFrom = request.resume_from();
+    item.arrival = now - microseconds(request.waited_us());
+    item.excluded.assign(request.excluded().begin(), request.excluded().end());
+    return item;
+}
+
+template <typename message_type>
+result<message_type> decode(const std::string &body)
+{
+    message_type message;
+    if (!message.ParseFromString(body))
+        return makeError(result_code::messageInvalid, "cannot decode a peer's message");
+    return message;
+}
+
+std::string emptyAnswer()
+{
+    return wire::Empty().SerializeAsString();
+}
+
+} // namespace
+
+struct queue_service::state : std::enable_shared_from_this<queue_service::state>
+{
+    explicit state(dependencies wanted)
+        : needs(std::move(wanted))
+    {
+    }
+
+    dependencies needs;
+    std::map<std::string, pool_queue, std::less<>> pools;
+    bool isStopped = false;
+
+    instant now() const { return needs.clock.now(); }
+
+    void grantOne(const std::string &pool, pool_queue &queue, const grant &given)
+    {
+        queue.granted[given.permit] = {given.id, given.entryHost, given.upstream, now()};
+        needs.events.record("request.granted", given.id, pool,
+                            {{"upstream", given.upstream},
+                             {"entry", given.entryHost},
+                             {"waiting", std::to_string(waitingCount(queue.scheduler))}});
+        const auto waiting = queue.pending.find(given.id);
+        if (waiting == queue.pending.end())
+            return;
+        wire::PermitResponse answer;
+        answer.mutable_permit()->set_number(given.permit);
+        answer.mutable_permit()->set_upstream(given.upstream);
+        waiting->second->resolve(std::move(answer));
+        queue.pending.erase(waiting);
+    }
+
+    void refuseOne(const std::string &pool, pool_queue &queue, const refusal &refused)
+    {
+        needs.events.record("request.shed", refused.id, pool,
+                            {{"code", std::string(resultInfo(refused.code).name)},
+                             {"retry_after_ms", std::to_string(refused.retryAfter.count())},
+                             {"waiting", std::to_string(waitingCount(queue.scheduler))},
+                             {"running", std::to_string(runningCount(queue.scheduler))},
+                             {"detail", refused.detail}});
+        const auto waiting = queue.pending.find(refused.id);
+        if (waiting == queue.pending.end())
+            return;
+        wire::PermitResponse answer;
+        answer.mutable_refusal()->set_code(int(refused.code));
+        answer.mutable_refusal()->set_detail(refused.detail);
+        answer.mutable_refusal()->set_retry_after_ms(std::uint64_t(refused.retryAfter.count()));
+        waiting->second->resolve(std::move(answer));
+        queue.pending.erase(waiting);
+    }
+
+    void act(const std::string &pool, pool_queue &queue, const decisions &made)
+    {
+        for (const refusal &refused : made.refusals)
+            refuseOne(pool, queue, refused);
+        for (const grant &given : made.grants)
+            grantOne(pool, queue, given);
+    }
+
+    void finishPermit(const std::string &pool, pool_queue &queue, const completion &done)
+    {
+        queue.granted.erase(done.permit);
+        act(pool, queue, finish(queue.scheduler, done, now()));
+    }
+
+    /// Ends the permit of a request whose entry host gave it up before it learned of the grant.
+    void releaseById(const std::string &pool, pool_queue &queue, std::string_view id)
+    {
+        for (const auto &[number, granted] : queue.granted) {
+            if (granted.id != id)
+                continue;
+            completion done;
+            done.permit = number;
+            done.upstream = granted.upstream;
+            finishPermit(pool, queue, done);
+            return;
+        }
+    }
+
+    void drop(const std::string &pool, pool_queue &queue, const std::string &id)
+    {
+        queue.pending.erase(id);
+        act(pool, queue, cancel(queue.scheduler, id, now()));
+        releaseById(pool, queue, id);
+    }
+
+    asio::awaitable<result<std::string>> onPermit(std::string body)
+    {
+        const auto self = shared_from_this();
+        const auto request = decode<wire::PermitRequest>(body);
+        if (!request)
+            co_return tl::unexpected(request.error());
+        const auto entry = pools.find(request->pool());
+        if (entry == pools.end())
+            co_return makeError(result_code::peerRejected, "the pool is not in force here yet");
+        const auto waiting = std::make_shared<pending_permit>(needs.context.get_executor());
+        entry->second.pending[request->request_id()] = waiting;
+        act(entry->first, entry->second,
+            submit(entry->second.scheduler, toWorkItem(*request, now()), now()));
+        const instant deadline = now() + longestHold;
+        while (!waiting->answer && now() < deadline && !isStopped) {
+            co_await waiting->decided.wait(longestHold);
+            const auto cancelled = co_await asio::this_coro::cancellation_state;
+            if (cancelled.cancelled() != asio::cancellation_type::none)
+                break;
+        }
+        if (waiting->answer && *waiting->answer)
+            co_return (*waiting->answer)->SerializeAsString();
+        if (waiting->answer)
+            co_return tl::unexpected(waiting->answer->error());
+        if (const auto pool = pools.find(request->pool()); pool != pools.end())
+            drop(pool->first, pool->second, request->request_id());
+        co_return makeError(result_code::cancelled, "the entry host gave the request up");
+    }
+
+    asio::awaitable<result<std::string>> onRelease(std::string body)
+    {
+        const auto message = decode<wire::ReleaseRequest>(body);
+        if (!message)
+            co_return tl::unexpected(message.error());
+        if (const auto pool = pools.find(message->pool()); pool != pools.end()) {
+            completion done;
+            done.permit = message->number();
+            done.upstream = message->upstream();
+            done.tokens = message->tokens();
+            done.firstToken = microseconds(message->first_token_us());
+            done.duration = microseconds(message->duration_us());
+            done.failed = message->failed();
+            finishPermit(pool->first, pool->second, done);
+        }
+        co_return emptyAnswer();
+    }
+
+    asio::awaitable<result<std::string>> onCancel(std::string body)
+    {
+        const auto message = decode<wire::CancelRequest>(body);
+        if (!message)
+            co_return tl::unexpected(message.error());
+        const auto pool = pools.find(message->pool());
+        if (pool != pools.end()) {
+            const auto waiting = pool->second.pending.find(message->request_id());
+            if (waiting != pool->second.pending.end())
+                waiting->second->resolve(makeError(result_code::cancelled, "cancelled"));
+            drop(pool->first, pool->second, message->request_id());
+        }
+        co_return emptyAnswer();
+    }
+
+    /// An entry host lists its permits in use. Unknown ones are counted; older ones of that host
+    /// that it does not list have ended, and their release was lost.
+    asio::awaitable<result<std::string>> onAdopt(std::string body)
+    {
+        const auto message = decode<wire::AdoptRequest>(body);
+        if (!message)
+            co_return tl::unexpected(message.error());
+        if (const auto pool = pools.find(message->pool()); pool != pools.end())
+            reconcile(pool->first, pool->second, *message);
+        co_return emptyAnswer();
+    }
+
+    void reconcile(const std::string &pool, pool_queue &queue, const wire::AdoptRequest &message)
+    {
+        std::map<std::uint64_t, granted_permit> lost;
+        for (const auto &[number, granted] : queue.granted) {
+            if (granted.entryHost == message.entry_host() && now() - granted.since > reconcileAge)
+                lost.emplace(number, granted);
+        }
+        for (const wire::RunningPermit &running : message.running()) {
+            lost.erase(running.number());
+            if (!queue.granted.contains(running.number()))
+                adoptOne(pool, queue, message.entry_host(), running);
+        }
+        for (const auto &[number, granted] : lost) {
+            completion done;
+            done.permit = number;
+            done.upstream = granted.upstream;
+            finishPermit(pool, queue, done);
+        }
+    }
+
+    void adoptOne(const std::string &pool, pool_queue &queue, const std::string &entryHost,
+                  const wire::RunningPermit &running)
+    {
+        running_attempt attempt;
+        attempt.id = running.request_id();
+        attempt.entryHost = entryHost;
+        attempt.permit = running.number();
+        attempt.upstream = running.upstream();
+        attempt.serviceClass = running.service_class();
+        attempt.organisation = running.organisation();
+        attempt.running = microseconds(running.running_us());
+        queue.granted[attempt.permit] = {attempt.id, entryHost, attempt.upstream, now()};
+        act(pool, queue, adoptRunning(queue.scheduler, attempt, now()));
+    }
+
+    static asio::awaitable<void> passTime(std::shared_ptr<state> self)
+    {
+        asio::steady_timer pause(self->needs.context);
+        while (!self->isStopped) {
+            pause.expires_after(advanceInterval);
+            co_await pause.async_wait(asTuple);
+            for (auto &[name, queue] : self->pools) {
+                if (waitingCount(queue.scheduler) > 0)
+                    self->act(name, queue, advance(queue.scheduler, self->now()));
+            }
+        }
+    }
+
+    static void sendBack(pool_queue &queue, const std::string &reason, const instant now)
+    {
+        const auto pending = std::move(queue.pending);
+        queue.pending.clear();
+        for (const auto &[id, waiting] : pending) {
+            // Nobody is granted while the queue is emptied: no capacity comes free by it.
+            cancel(queue.scheduler, id, now);
+            waiting->resolve(makeError(result_code::peerRejected, reason));
+        }
+    }
+};
+
+std::unique_ptr<queue_service> queue_service::makeQueueService(dependencies needs)
+{
+    return std::unique_ptr<queue_service>(
+        new queue_service(std::make_shared<state>(std::move(needs))));
+}
+
+queue_service::queue_service(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+queue_service::~queue_service()
+{
+    stop();
+}
+
+void queue_service::start()
+{
+    const auto self = m_state;
+    auto &mesh = self->needs.mesh;
+    mesh.handle("/permit", [self](std::string body) { return self->onPermit(std::move(body)); });
+    mesh.handle("/release", [self](std::string body) { return self->onRelease(std::move(body)); });
+    mesh.handle("/cancel", [self](std::string body) { return self->onCancel(std::move(body)); });
+    mesh.handle("/adopt", [self](std::string body) { return self->onAdopt(std::move(body)); });
+    asio::co_spawn(self->needs.context, state::passTime(self), asio::detached);
+}
+
+void queue_service::stop()
+{
+    m_state->isStopped = true;
+    for (auto &[name, queue] : m_state->pools)
+        state::sendBack(queue, "the host is stopping", m_state->now());
+}
+
+void queue_service::configurePool(const std::string &pool, pool_plan plan)
+{
+    auto [entry, isNew] = m_state->pools.try_emplace(pool);
+    if (isNew)
+        entry->second.scheduler.nextPermit = m_state->needs.firstPermit;
+    m_state->act(entry->first, entry->second,
+                 configure(entry->second.scheduler, std::move(plan), m_state->now()));
+}
+
+void queue_service::retainPools(const std::vector<std::string> &pools)
+{
+    for (auto entry = m_state->pools.begin(); entry != m_state->pools.end();) {
+        if (std::find(pools.begin(), pools.end(), entry->first) != pools.end()) {
+            ++entry;
+            continue;
+        }
+        state::sendBack(entry->second, "the pool was deleted", m_state->now());
+        entry = m_state->pools.erase(entry);
+    }
+}
+
+void queue_service::reportLoad(const std::string &pool, const load_report &report)
+{
+    if (const auto entry = m_state->pools.find(pool); entry != m_state->pools.end())
+        m_state->act(pool, entry->second,
+                     applyLoadReport(entry->second.scheduler, report, m_state->now()));
+}
+
+void queue_service::dropEntryHost(std::string_view host)
+{
+    for (auto &[name, queue] : m_state->pools) {
+        std::erase_if(queue.granted,
+                      [host](const auto &entry) { return entry.second.entryHost == host; });
+        m_state->act(name, queue, quincefall::dropEntryHost(queue.scheduler, host, m_state->now()));
+    }
+}
+
+void queue_service::handOver(const std::function<bool(std::string_view pool)> &isOwned)
+{
+    for (auto &[name, queue] : m_state->pools) {
+        if (queue.pending.empty() || isOwned(name))
+            continue;
+        m_state->needs.events.record("queue.handed-over", "", name,
+                                     {{"waiting", std::to_string(queue.pending.size())}});
+        state::sendBack(queue, "another host owns the queue now", m_state->now());
+    }
+}
+
+const pool_state *queue_service::find(std::string_view pool) const
+{
+    const auto entry = m_state->pools.find(pool);
+    return entry == m_state->pools.end() ? nullptr : &entry->second.scheduler;
+}
+
+} // namespace quincefall
