Move calls from silent connections to new ones

Cause: open connections can go silent for good while new ones work, and a long-poll would hang on one for a minute. Change: a connection with pending calls that received nothing for 500 ms is pinged; without an answer within 500 ms a new connection is tried; if that answers a ping the pending calls fail and later ones use it, otherwise the host is reported as suspected. Ruled out: TCP keepalive, whose timers are far longer.

--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -2,6 +2,13 @@
 
 #include "peer/peer_secret.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+#include <unordered_map>
 #include <utility>
 
 namespace quincefall {
@@ -12,8 +19,18 @@
 /// A connection with the calls that wait for an answer on it.
 struct peer_link::channel
 {
+    explicit channel(asio::io_context &context)
+        : watchTimer(context)
+    {
+    }
+
     std::shared_ptr<peer_connection> connection;
     std::unordered_map<http2_session::stream_id, std::shared_ptr<pending_call>> calls;
+    std::vector<std::shared_ptr<pending_call>> pings; ///< Completed by the next pong.
+    asio::steady_timer watchTimer;
+    instant waitingSince{}; ///< When the first of the pending calls was made.
+    bool watched = false;
+    bool alive = false; ///< Something came in.
     bool authenticated = false; ///< An answer came in, so the secret need not be sent again.
 
     void complete(http2_session::stream_id stream, result<std::string> answer)
@@ -23,15 +40,30 @@
             entry->second->complete(std::move(answer));
     }
 
-    void failAll(const error &reason)
+    void completePings()
+    {
+        for (const auto &waiting : std::exchange(pings, {}))
+            waiting->complete(std::string());
+    }
+
+    void failAll(const std::string &reason)
     {
+        const auto failure = makeError(result_code::peerUnreachable, reason);
         for (const auto &[stream, pending] : calls)
-            pending->complete(makeError(result_code::peerUnreachable, reason.detail));
+            pending->complete(failure);
+        for (const auto &waiting : std::exchange(pings, {}))
+            waiting->complete(failure);
+        watchTimer.cancel();
     }
 };
 
 namespace {
 
+instant currentTime()
+{
+    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
+}
+
 result<std::string> toResult(http2_response response)
 {
     if (response.status == 200)
@@ -44,23 +76,26 @@
 
 } // namespace
 
-peer_link::peer_link(asio::io_context &context, options settings,
+peer_link::peer_link(asio::io_context &context, options settings, listener onChange,
                      std::shared_ptr<byte_counter> counter)
     : m_context(context)
     , m_settings(std::move(settings))
+    , m_onChange(std::move(onChange))
     , m_counter(std::move(counter))
 {
 }
 
 std::shared_ptr<peer_link::channel> peer_link::openChannel()
 {
-    auto opened = std::make_shared<channel>();
+    auto opened = std::make_shared<channel>(m_context);
     const std::weak_ptr<channel> weak = opened;
     http2_session::events events;
-    events.onResponse = [weak](http2_session::stream_id stream, http2_response response) {
+    const std::weak_ptr<peer_link> owner = weak_from_this();
+    events.onResponse = [weak, owner](http2_session::stream_id stream, http2_response response) {
         const auto self = weak.lock();
         if (!self)
             return;
+        onHeard(owner, self);
         self->authenticated = self->authenticated || response.status != 401;
         self->complete(stream, toResult(std::move(response)));
     };
@@ -68,7 +103,14 @@
         if (const auto self = weak.lock())
             self->complete(stream, makeError(result_code::peerUnreachable, "the call was reset"));
     };
-    const auto onEnd = [weak, owner = weak_from_this()](const error &reason) {
+    events.onPong = [weak, owner] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        onHeard(owner, self);
+        self->completePings();
+    };
+    const auto onEnd = [weak, owner](const error &reason) {
         const auto link = owner.lock();
         const auto self = weak.lock();
         if (link && self)
@@ -83,13 +125,41 @@
     return opened;
 }
 
+void peer_link::onHeard(const std::weak_ptr<peer_link> &owner,
+                        const std::shared_ptr<channel> &heard)
+{
+    heard->alive = true;
+    if (const auto link = owner.lock())
+        link->setReachable(true);
+}
+
 void peer_link::onClosed(const std::shared_ptr<channel> &closed, const error &reason)
+{
+    // One that worked may have been closed by an orderly restart; the next call will tell.
+    if (m_channel == closed && !closed->alive)
+        setReachable(false);
+    if (m_channel == closed)
+        m_channel = nullptr;
+    closed->failAll(reason.detail);
+}
+
+void peer_link::closeChannel(std::shared_ptr<channel> closed, const std::string &reason)
 {
     if (m_channel == closed)
         m_channel = nullptr;
+    closed->connection->close();
     closed->failAll(reason);
 }
 
+void peer_link::setReachable(bool reachable)
+{
+    if (m_reachable == reachable)
+        return;
+    m_reachable = reachable;
+    if (m_onChange)
+        m_onChange(reachable);
+}
+
 asio::awaitable<result<std::string>> peer_link::call(std::string path, std::string body,
                                                      milliseconds timeout)
 {
@@ -105,12 +175,14 @@
     const http2_session::stream_id stream = used->connection->submitRequest(
         {std::move(path), std::move(authorization), std::move(body)});
     if (stream < 0) {
-        // All stream numbers of this connection are used up.
-        close("the connection is used up");
-        co_return makeError(result_code::peerUnreachable, "the connection is used up");
+        closeChannel(used, "the connection has used up its streams");
+        co_return makeError(result_code::peerUnreachable, "the connection has no stream left");
     }
     const auto pending = std::make_shared<pending_call>(m_context.get_executor());
+    if (used->calls.empty())
+        used->waitingSince = currentTime();
     used->calls.emplace(stream, pending);
+    startWatch(used);
     auto waiting = waitForAnswer(pending, timeout);
     result<std::string> answer = co_await std::move(waiting);
     used->calls.erase(stream);
@@ -119,13 +191,84 @@
     co_return answer;
 }
 
-void peer_link::close(const std::string &reason)
+asio::awaitable<bool> peer_link::pingOver(std::shared_ptr<channel> used, milliseconds timeout)
 {
-    const std::shared_ptr<channel> closed = std::exchange(m_channel, nullptr);
-    if (!closed)
+    const auto waiting = std::make_shared<pending_call>(m_context.get_executor());
+    used->pings.push_back(waiting);
+    used->connection->ping();
+    auto answering = waitForAnswer(waiting, timeout);
+    const result<std::string> answer = co_await std::move(answering);
+    std::erase(used->pings, waiting);
+    co_return answer.has_value();
+}
+
+asio::awaitable<bool> peer_link::ping()
+{
+    const auto self = shared_from_this();
+    if (!m_channel)
+        co_return false;
+    auto pinging = pingOver(m_channel, m_settings.pingTimeout);
+    co_return co_await std::move(pinging);
+}
+
+asio::awaitable<bool> peer_link::reconnect()
+{
+    const auto self = shared_from_this();
+    const std::shared_ptr<channel> before = m_channel;
+    const std::shared_ptr<channel> fresh = openChannel();
+    if (!fresh)
+        co_return false;
+    m_trials.push_back(fresh);
+    auto pinging = pingOver(fresh, m_settings.connectTimeout + m_settings.pingTimeout);
+    const bool answered = co_await std::move(pinging);
+    // The link may have been closed meanwhile, or a call opened another connection as good.
+    const bool replaces = std::erase(m_trials, fresh) > 0 && m_channel == before;
+    if (!answered || !replaces)
+        closeChannel(fresh, "the connection is not needed");
+    if (!answered && replaces)
+        setReachable(false);
+    if (replaces && before)
+        closeChannel(before, "the connection was silent");
+    if (answered && replaces)
+        m_channel = fresh;
+    co_return answered;
+}
+
+void peer_link::startWatch(const std::shared_ptr<channel> &watched)
+{
+    if (std::exchange(watched->watched, true))
         return;
-    closed->connection->close();
-    closed->failAll({result_code::peerUnreachable, reason});
+    asio::co_spawn(m_context, watch(watched), asio::detached);
+}
+
+asio::awaitable<void> peer_link::watch(std::shared_ptr<channel> watched)
+{
+    const auto self = shared_from_this();
+    while (m_channel == watched && !watched->calls.empty()) {
+        const instant heard = std::max(watched->connection->lastReceived(), watched->waitingSince);
+        const instant due = heard + m_settings.silenceInterval;
+        if (currentTime() < due) {
+            watched->watchTimer.expires_at(due);
+            co_await watched->watchTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        auto pinging = pingOver(watched, m_settings.pingTimeout);
+        const bool answered = co_await std::move(pinging);
+        const bool heardSince = watched->connection->lastReceived() > heard;
+        if (answered || heardSince || m_channel != watched)
+            continue;
+        auto reconnecting = reconnect();
+        co_await std::move(reconnecting);
+    }
+    watched->watched = false;
+}
+
+void peer_link::close(const std::string &reason)
+{
+    for (const auto &trial : std::exchange(m_trials, {}))
+        closeChannel(trial, reason);
+    if (m_channel)
+        closeChannel(m_channel, reason);
 }
 
 } // namespace quincefall
--- a/src/peer/peer_link.h
+++ b/src/peer/peer_link.h
@@ -6,9 +6,11 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
-#include <unordered_map>
+#include <vector>
 
 namespace quincefall {
 
@@ -21,27 +23,48 @@
         boost::asio::ip::tcp::endpoint endpoint;
         std::string secret;
         milliseconds connectTimeout;
+        milliseconds silenceInterval;
+        milliseconds pingTimeout;
     };
 
-    peer_link(boost::asio::io_context &context, options settings,
+    /// Called when the peer starts or ceases to be reachable.
+    using listener = std::function<void(bool reachable)>;
+
+    peer_link(boost::asio::io_context &context, options settings, listener onChange,
               std::shared_ptr<byte_counter> counter);
 
     /// Sends @p body to @p path and waits for the answer.
     boost::asio::awaitable<result<std::string>> call(std::string path, std::string body,
                                                      milliseconds timeout);
 
+    /// Whether the peer answers a ping over the open connection; false when there is none.
+    boost::asio::awaitable<bool> ping();
+
+    /// Whether the peer answers a ping over a new connection, which then replaces the old one.
+    boost::asio::awaitable<bool> reconnect();
+
     /// Closes the connection; its pending calls fail with peerUnreachable.
     void close(const std::string &reason);
 
 private:
     struct channel;
     std::shared_ptr<channel> openChannel();
+    static void onHeard(const std::weak_ptr<peer_link> &owner,
+                        const std::shared_ptr<channel> &heard);
     void onClosed(const std::shared_ptr<channel> &closed, const error &reason);
+    void closeChannel(std::shared_ptr<channel> closed, const std::string &reason);
+    boost::asio::awaitable<bool> pingOver(std::shared_ptr<channel> used, milliseconds timeout);
+    void startWatch(const std::shared_ptr<channel> &watched);
+    boost::asio::awaitable<void> watch(std::shared_ptr<channel> watched);
+    void setReachable(bool reachable);
 
     boost::asio::io_context &m_context;
     options m_settings;
+    listener m_onChange;
     std::shared_ptr<byte_counter> m_counter;
     std::shared_ptr<channel> m_channel;
+    std::vector<std::shared_ptr<channel>> m_trials; ///< Connections tried by reconnect().
+    std::optional<bool> m_reachable;
 };
 
 } // namespace quincefall
--- a/src/peer/peer_mesh.cpp
+++ b/src/peer/peer_mesh.cpp
@@ -11,12 +11,19 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-struct peer_mesh::state
+struct peer_mesh::state : std::enable_shared_from_this<peer_mesh::state>
 {
+    state(asio::io_context &loop, options values)
+        : context(loop)
+        , settings(std::move(values))
+    {
+    }
+
     asio::io_context &context;
     options settings;
-    std::shared_ptr<byte_counter> counter;
+    std::shared_ptr<byte_counter> counter = std::make_shared<byte_counter>();
     std::shared_ptr<peer_server> server;
+    reachability_listener onReachability;
     std::map<std::string, host_address, std::less<>> addresses;
     std::map<std::string, std::shared_ptr<peer_link>, std::less<>> links;
     bool stopped = false;
@@ -37,9 +44,17 @@
     const auto number = asio::ip::make_address(address->second.ip, failure);
     if (failure)
         return makeError(result_code::peerUnreachable, "not an IP number: " + address->second.ip);
+    const auto onChange = [weak = weak_from_this(), host](bool reachable) {
+        const auto self = weak.lock();
+        if (self && self->onReachability)
+            self->onReachability(host,
+                                 reachable ? reachability::reachable : reachability::suspected);
+    };
     peer_link::options linkOptions{tcp::endpoint(number, address->second.port), settings.secret,
-                                   settings.connectTimeout};
-    const auto link = std::make_shared<peer_link>(context, std::move(linkOptions), counter);
+                                   settings.connectTimeout, settings.silenceInterval,
+                                   settings.pingTimeout};
+    const auto link
+        = std::make_shared<peer_link>(context, std::move(linkOptions), onChange, counter);
     links.emplace(host, link);
     return link;
 }
@@ -47,12 +62,13 @@
 result<std::unique_ptr<peer_mesh>> peer_mesh::makePeerMesh(asio::io_context &context,
                                                            options settings)
 {
-    auto counter = std::make_shared<byte_counter>();
-    auto server = peer_server::makePeerServer(context, settings.listen, settings.secret, counter);
+    auto shared = std::make_shared<state>(context, std::move(settings));
+    const options &used = shared->settings;
+    auto server = peer_server::makePeerServer(context, {used.listen, used.secret, used.idleTimeout},
+                                              shared->counter);
     if (!server)
         return tl::unexpected(server.error());
-    std::shared_ptr<state> shared(
-        new state{context, std::move(settings), std::move(counter), std::move(*server), {}, {}});
+    shared->server = std::move(*server);
     return std::unique_ptr<peer_mesh>(new peer_mesh(std::move(shared)));
 }
 
@@ -124,6 +140,29 @@
     co_return co_await std::move(running);
 }
 
+void peer_mesh::onReachability(reachability_listener listener)
+{
+    m_state->onReachability = std::move(listener);
+}
+
+asio::awaitable<bool> peer_mesh::ping(std::string host)
+{
+    const auto link = m_state->linkTo(host);
+    if (!link)
+        co_return false;
+    auto pinging = (*link)->ping();
+    co_return co_await std::move(pinging);
+}
+
+asio::awaitable<bool> peer_mesh::reconnect(std::string host)
+{
+    const auto link = m_state->linkTo(host);
+    if (!link)
+        co_return false;
+    auto connecting = (*link)->reconnect();
+    co_return co_await std::move(connecting);
+}
+
 void peer_mesh::disconnect(const std::string &host)
 {
     const auto entry = m_state->links.find(host);
--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -37,8 +37,21 @@
         host_address listen; ///< Port 0 picks a free one.
         std::string secret; ///< Shared by the fleet; sent and compared in constant time.
         milliseconds connectTimeout{500};
+        /// A connection with pending calls that received nothing for this long is pinged.
+        milliseconds silenceInterval{500};
+        /// Without an answer to the ping within this time a new connection is tried.
+        milliseconds pingTimeout{500};
+        /// A peer's connection that received nothing for this long is closed.
+        milliseconds idleTimeout{30000};
     };
 
+    /// What the connections tell about a host.
+    enum class reachability {
+        reachable, ///< It answered over its connection or over a new one.
+        suspected, ///< Its connection is silent or gone, and a new one failed too.
+    };
+    using reachability_listener = std::function<void(const std::string &host, reachability change)>;
+
     static result<std::unique_ptr<peer_mesh>> makePeerMesh(boost::asio::io_context &context,
                                                            options settings);
     ~peer_mesh();
@@ -58,6 +71,16 @@
     boost::asio::awaitable<result<std::string>> call(std::string host, std::string path,
                                                      std::string body, milliseconds timeout);
 
+    /// Calls @p listener when what is known of a host changes. Replaces an earlier listener.
+    void onReachability(reachability_listener listener);
+
+    /// Whether @p host answers a ping over its open connection; false when there is none.
+    boost::asio::awaitable<bool> ping(std::string host);
+
+    /// Whether @p host answers a ping over a new connection. If so, calls move to that one, and
+    /// those pending on the old one fail with peerUnreachable.
+    boost::asio::awaitable<bool> reconnect(std::string host);
+
     /// Closes the connection to @p host; its pending calls fail with peerUnreachable.
     void disconnect(const std::string &host);
 
--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -18,6 +18,8 @@
 {
     std::shared_ptr<peer_connection> connection;
     std::unordered_map<http2_session::stream_id, stop_signal> running;
+    instant heardAtSweep{};
+    int silentSweeps = 0;
 
     void cancel(http2_session::stream_id stream)
     {
@@ -38,6 +40,10 @@
 
 namespace {
 
+/// Sweeps without a byte received after which a connection counts as idle. More than one, so that
+/// a process that was paused reads what has come in before it judges.
+constexpr int idleSweeps = 2;
+
 http2_response toResponse(result<std::string> answer)
 {
     if (answer && answer->size() > http2_session::maxBodyBytes)
@@ -72,22 +78,24 @@
 } // namespace
 
 result<std::shared_ptr<peer_server>>
-peer_server::makePeerServer(asio::io_context &context, const host_address &listen,
-                            std::string secret, std::shared_ptr<byte_counter> counter)
+peer_server::makePeerServer(asio::io_context &context, const options &settings,
+                            std::shared_ptr<byte_counter> counter)
 {
-    std::shared_ptr<peer_server> server(
-        new peer_server(context, std::move(secret), std::move(counter)));
-    if (auto listening = server->listen(listen); !listening)
+    std::shared_ptr<peer_server> server(new peer_server(context, settings, std::move(counter)));
+    if (auto listening = server->listen(settings.listen); !listening)
         return tl::unexpected(listening.error());
     server->accept();
+    server->scheduleSweep();
     return server;
 }
 
-peer_server::peer_server(asio::io_context &context, std::string secret,
+peer_server::peer_server(asio::io_context &context, const options &settings,
                          std::shared_ptr<byte_counter> counter)
     : m_context(context)
     , m_acceptor(context)
-    , m_expectedField(bearerField(secret))
+    , m_sweepTimer(context)
+    , m_idleTimeout(settings.idleTimeout)
+    , m_expectedField(bearerField(settings.secret))
     , m_counter(std::move(counter))
 {
 }
@@ -208,9 +216,37 @@
     closed->cancelAll();
 }
 
+void peer_server::scheduleSweep()
+{
+    m_sweepTimer.expires_after(m_idleTimeout / idleSweeps);
+    m_sweepTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &aborted) {
+        const auto self = weak.lock();
+        if (aborted || !self)
+            return;
+        self->sweep();
+        self->scheduleSweep();
+    });
+}
+
+void peer_server::sweep()
+{
+    const auto clients = m_clients;
+    for (const auto &swept : clients) {
+        const instant heard = swept->connection->lastReceived();
+        const bool silent = swept->heardAtSweep == heard;
+        swept->silentSweeps = silent ? swept->silentSweeps + 1 : 0;
+        swept->heardAtSweep = heard;
+        if (swept->silentSweeps < idleSweeps)
+            continue;
+        swept->connection->close();
+        removeClient(swept);
+    }
+}
+
 void peer_server::stop()
 {
     boost::system::error_code ignored;
+    m_sweepTimer.cancel();
     m_acceptor.close(ignored);
     const auto clients = std::exchange(m_clients, {});
     for (const auto &closed : clients) {
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <map>
@@ -23,8 +24,15 @@
     /// Ends a running handler by `emit`.
     using stop_signal = std::shared_ptr<boost::asio::cancellation_signal>;
 
+    struct options
+    {
+        host_address listen;
+        std::string secret;
+        milliseconds idleTimeout; ///< Connections that received nothing for this long are closed.
+    };
+
     static result<std::shared_ptr<peer_server>>
-    makePeerServer(boost::asio::io_context &context, const host_address &listen, std::string secret,
+    makePeerServer(boost::asio::io_context &context, const options &settings,
                    std::shared_ptr<byte_counter> counter);
 
     std::uint16_t port() const;
@@ -39,8 +47,10 @@
 
 private:
     struct client;
-    peer_server(boost::asio::io_context &context, std::string secret,
+    peer_server(boost::asio::io_context &context, const options &settings,
                 std::shared_ptr<byte_counter> counter);
+    void scheduleSweep();
+    void sweep();
     result<void> listen(const host_address &address);
     void accept();
     void addClient(boost::asio::ip::tcp::socket socket);
@@ -50,6 +60,8 @@
 
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_sweepTimer;
+    milliseconds m_idleTimeout;
     std::string m_expectedField;
     std::shared_ptr<byte_counter> m_counter;
     std::map<std::string, std::shared_ptr<const peer_mesh::handler>, std::less<>> m_handlers;
--- a/tests/peer/mesh_fixture.h
+++ b/tests/peer/mesh_fixture.h
@@ -27,14 +27,18 @@
     BOOST_REQUIRE(condition());
 }
 
+using adjustment = std::function<void(peer_mesh::options &)>;
+
+/// A mesh on a free loopback port; @p adjust may change its options.
 inline std::unique_ptr<peer_mesh> makeMesh(boost::asio::io_context &context,
-                                           const std::string &name,
-                                           const std::string &secret = "fleet secret")
+                                           const std::string &name, const adjustment &adjust = {})
 {
     peer_mesh::options settings;
     settings.hostName = name;
     settings.listen = {"127.0.0.1", 0};
-    settings.secret = secret;
+    settings.secret = "fleet secret";
+    if (adjust)
+        adjust(settings);
     auto mesh = peer_mesh::makePeerMesh(context, settings);
     BOOST_REQUIRE(mesh.has_value());
     return std::move(*mesh);
--- a/tests/peer/peer_mesh_test.cpp
+++ b/tests/peer/peer_mesh_test.cpp
@@ -144,7 +144,8 @@
         ++ran;
         co_return std::string();
     });
-    const auto stranger = makeMesh(context, "c", "another secret");
+    const auto stranger = makeMesh(
+        context, "c", [](peer_mesh::options &settings) { settings.secret = "another secret"; });
     stranger->setAddress("b", {"127.0.0.1", b->port()});
     for (const char *body : {"", "with a body"}) {
         const auto answer = callAndWait(context, *stranger, "b", "/count", body);
@@ -167,8 +168,8 @@
     BOOST_TEST(codeOf(callAndWait(context, *a, "b", "/echo", ""))
                == number(result_code::peerUnreachable));
 
-    peer_mesh::options settings{"b", {"127.0.0.1", port}, "fleet secret"};
-    b = std::move(peer_mesh::makePeerMesh(context, settings).value());
+    b = makeMesh(context, "b",
+                 [port](peer_mesh::options &settings) { settings.listen.port = port; });
     b->handle("/echo", echo);
     BOOST_TEST(callAndWait(context, *a, "b", "/echo", "back").value() == "back");
 }
