Decide which hosts are live from list, beats and probes

Cause: the platform's host list lags and says only who may be a member; ownership of queues needs to know who is. Change: pure membership over plain structs: suspicion after three missed beats, a ping, a new connection, dead only when both fail; a higher incarnation resets; leaving hosts give up ownership at once; a listed host owns nothing before its first beat. A ring ordered by hash chooses mutual beat partners (all today), hosts that are no partners are probed and suspicions passed on. Ruled out: calling a host dead on another host's word.

--- /dev/null
+++ b/src/policy/beat_partners.cpp
@@ -0,0 +1,47 @@
+#include "policy/membership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace quincefall {
+namespace {
+
+std::vector<std::string> hashRing(std::string_view self, std::span<const std::string> hosts)
+{
+    std::vector<std::string> ring(hosts.begin(), hosts.end());
+    ring.emplace_back(self);
+    std::sort(ring.begin(), ring.end(), [](const std::string &left, const std::string &right) {
+        const XXH64_hash_t leftHash = XXH64(left.data(), left.size(), 0);
+        const XXH64_hash_t rightHash = XXH64(right.data(), right.size(), 0);
+        return std::tie(leftHash, left) < std::tie(rightHash, right);
+    });
+    ring.erase(std::unique(ring.begin(), ring.end()), ring.end());
+    return ring;
+}
+
+} // namespace
+
+std::vector<beat_partner> beatPartners(std::string_view self, std::span<const std::string> hosts,
+                                       std::size_t count)
+{
+    const std::vector<std::string> ring = hashRing(self, hosts);
+    const std::size_t size = ring.size();
+    // Half of the partners on each side, which makes the relation symmetric.
+    const std::size_t reach = count == 0 ? size : (count + 1) / 2;
+    const auto own
+        = static_cast<std::size_t>(std::find(ring.begin(), ring.end(), self) - ring.begin());
+    std::vector<beat_partner> partners;
+    for (std::size_t forward = 1; forward < size; ++forward) {
+        const std::size_t backward = size - forward;
+        if (std::min(forward, backward) > reach)
+            continue;
+        const std::string &host = ring[(own + forward) % size];
+        const bool initiates = forward < backward || (forward == backward && self < host);
+        partners.push_back({host, initiates});
+    }
+    return partners;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/membership.cpp
@@ -0,0 +1,272 @@
+#include "policy/membership.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+namespace quincefall {
+namespace {
+
+constexpr std::array<std::string_view, 5> stateNames{"unknown", "live", "suspected", "dead",
+                                                     "leaving"};
+constexpr std::array<std::string_view, 12> reasonNames{
+    "listed",        "unlisted",          "beat",
+    "restarted",     "missed-beats",      "unreachable",
+    "reported",      "ping-answered",     "new-connection",
+    "probes-failed", "announced-leaving", "listed-leaving"};
+
+/// Applies inputs to a fleet and gathers what follows.
+struct stepper
+{
+    membership &fleet;
+    instant now;
+    membership_step step;
+
+    void enter(std::string_view host, member &target, host_state state, host_reason reason)
+    {
+        if (target.state != state)
+            step.changes.push_back({std::string(host), target.state, state, reason});
+        target.state = state;
+        target.reason = reason;
+    }
+
+    void orderProbe(std::string_view host, member &target, probe_kind kind)
+    {
+        target.lastProbe = now;
+        step.probes.push_back({std::string(host), kind, ++target.probe});
+    }
+
+    void suspect(std::string_view host, member &target, host_reason reason)
+    {
+        if (target.state != host_state::live)
+            return;
+        enter(host, target, host_state::suspected, reason);
+        orderProbe(host, target, probe_kind::ping);
+    }
+
+    bool isFresh(const member &target) const
+    {
+        const auto silence = fleet.rules.beatInterval * fleet.rules.missedBeats;
+        return target.heard && now - target.lastHeard <= silence;
+    }
+
+    /// Leaving comes before any sign of life, and only listed hosts are members.
+    bool enterUnlistedOrLeaving(std::string_view host, member &target)
+    {
+        if (!target.listed) {
+            enter(host, target, host_state::unknown, host_reason::unlisted);
+            return true;
+        }
+        if (target.announcedLeaving) {
+            enter(host, target, host_state::leaving, host_reason::announcedLeaving);
+            return true;
+        }
+        if (target.listedLeaving && !target.outdatedLeaving) {
+            enter(host, target, host_state::leaving, host_reason::listedLeaving);
+            return true;
+        }
+        return false;
+    }
+
+    void applyListing(std::string_view host, member &target)
+    {
+        if (enterUnlistedOrLeaving(host, target))
+            return;
+        const bool undecided
+            = target.state == host_state::unknown || target.state == host_state::leaving;
+        if (undecided && isFresh(target))
+            enter(host, target, host_state::live, host_reason::beat);
+        else if (undecided)
+            enter(host, target, host_state::unknown, host_reason::listed);
+    }
+
+    void choosePartners()
+    {
+        std::vector<std::string> hosts;
+        for (const auto &[host, target] : fleet.members) {
+            if (target.listed)
+                hosts.push_back(host);
+        }
+        std::set<std::string, std::less<>> chosen;
+        for (beat_partner &partner : beatPartners(fleet.self, hosts, fleet.rules.partners))
+            chosen.insert(std::move(partner.host));
+        for (auto &[host, target] : fleet.members)
+            target.partner = chosen.contains(host);
+    }
+
+    void applyReports(const host_beat &beat)
+    {
+        for (const std::string &host : beat.suspected) {
+            const auto entry = fleet.members.find(host);
+            // Of its partners this host knows more than others do.
+            if (entry != fleet.members.end() && !entry->second.partner)
+                suspect(host, entry->second, host_reason::reported);
+        }
+    }
+
+    /// Time in which this process did not run is no evidence against others.
+    void discountOwnPause()
+    {
+        const auto gap = now - fleet.advanced;
+        const bool first = std::exchange(fleet.advanced, now) == instant{};
+        if (first || gap <= 2 * fleet.rules.beatInterval)
+            return;
+        for (auto &[host, target] : fleet.members)
+            target.lastHeard = std::min(now, target.lastHeard + (gap - fleet.rules.beatInterval));
+    }
+
+    void checkSilence(std::string_view host, member &target)
+    {
+        if (target.partner) {
+            if (target.state == host_state::live && !isFresh(target))
+                suspect(host, target, host_reason::missedBeats);
+            return;
+        }
+        const bool undecided
+            = target.state == host_state::unknown || target.state == host_state::dead;
+        const bool due = target.lastProbe == instant{}
+            || now - target.lastProbe >= fleet.rules.reprobeInterval;
+        if (target.listed && undecided && due)
+            orderProbe(host, target, probe_kind::connection);
+    }
+
+    void forgetUnlisted()
+    {
+        std::erase_if(fleet.members, [this](const auto &entry) {
+            const member &target = entry.second;
+            return !target.listed && now - target.lastHeard > fleet.rules.forgetAfter;
+        });
+    }
+};
+
+} // namespace
+
+std::string_view toString(host_state state)
+{
+    return stateNames.at(static_cast<std::size_t>(state));
+}
+
+std::string_view toString(host_reason reason)
+{
+    return reasonNames.at(static_cast<std::size_t>(reason));
+}
+
+membership_step applyHostList(membership &fleet, std::span<const listed_host> hosts, instant now)
+{
+    stepper stepping{fleet, now, {}};
+    for (auto &[host, target] : fleet.members)
+        target.listed = false;
+    fleet.selfListedLeaving = false;
+    for (const listed_host &host : hosts) {
+        if (host.name == fleet.self) {
+            fleet.selfListedLeaving = host.leaving;
+            continue;
+        }
+        member &target = fleet.members[host.name];
+        target.listed = true;
+        target.listedLeaving = host.leaving;
+        target.outdatedLeaving = target.outdatedLeaving && host.leaving;
+    }
+    stepping.choosePartners();
+    for (auto &[host, target] : fleet.members)
+        stepping.applyListing(host, target);
+    return std::move(stepping.step);
+}
+
+membership_step applyBeat(membership &fleet, const host_beat &beat, instant now)
+{
+    stepper stepping{fleet, now, {}};
+    if (beat.host == fleet.self || beat.host.empty())
+        return {};
+    member &target = fleet.members[beat.host];
+    const auto stamp = std::pair(beat.incarnation, beat.sequence);
+    if (target.heard && stamp <= std::pair(target.incarnation, target.sequence))
+        return {};
+    const bool restarted = target.heard && beat.incarnation > target.incarnation;
+    target.incarnation = beat.incarnation;
+    target.sequence = beat.sequence;
+    target.heard = true;
+    target.lastHeard = now;
+    // A process that is leaving never comes back; its successor starts anew.
+    target.announcedLeaving = beat.leaving || (target.announcedLeaving && !restarted);
+    target.outdatedLeaving = target.outdatedLeaving || (restarted && target.listedLeaving);
+    if (!stepping.enterUnlistedOrLeaving(beat.host, target))
+        stepping.enter(beat.host, target, host_state::live,
+                       restarted ? host_reason::restarted : host_reason::beat);
+    stepping.applyReports(beat);
+    return std::move(stepping.step);
+}
+
+membership_step applyProbe(membership &fleet, const probe_order &probe, bool answered, instant now)
+{
+    stepper stepping{fleet, now, {}};
+    const auto entry = fleet.members.find(probe.host);
+    if (entry == fleet.members.end() || entry->second.probe != probe.number)
+        return {};
+    member &target = entry->second;
+    const bool suspected = target.state == host_state::suspected;
+    // Partners must beat before they count as live; of others an answer is all there is.
+    const bool awaited = !target.partner && target.listed
+        && (target.state == host_state::unknown || target.state == host_state::dead);
+    if (answered && (suspected || awaited)) {
+        target.lastHeard = now;
+        stepping.enter(probe.host, target, host_state::live,
+                       probe.kind == probe_kind::ping ? host_reason::pingAnswered
+                                                      : host_reason::connectionAnswered);
+    } else if (!answered && suspected && probe.kind == probe_kind::ping) {
+        stepping.orderProbe(probe.host, target, probe_kind::connection);
+    } else if (!answered && suspected) {
+        stepping.enter(probe.host, target, host_state::dead, host_reason::probesFailed);
+    }
+    return std::move(stepping.step);
+}
+
+membership_step applyUnreachable(membership &fleet, std::string_view host, instant now)
+{
+    stepper stepping{fleet, now, {}};
+    const auto entry = fleet.members.find(host);
+    if (entry != fleet.members.end())
+        stepping.suspect(host, entry->second, host_reason::unreachable);
+    return std::move(stepping.step);
+}
+
+membership_step advance(membership &fleet, instant now)
+{
+    stepper stepping{fleet, now, {}};
+    stepping.discountOwnPause();
+    stepping.forgetUnlisted();
+    for (auto &[host, target] : fleet.members)
+        stepping.checkSilence(host, target);
+    return std::move(stepping.step);
+}
+
+bool isLeaving(const membership &fleet)
+{
+    return fleet.selfAnnouncedLeaving || fleet.selfListedLeaving;
+}
+
+std::vector<std::string> ownerCandidates(const membership &fleet)
+{
+    std::vector<std::string> names;
+    if (!isLeaving(fleet))
+        names.push_back(fleet.self);
+    for (const auto &[host, target] : fleet.members) {
+        if (target.state == host_state::live || target.state == host_state::suspected)
+            names.push_back(host);
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::vector<std::string> hostsInState(const membership &fleet, host_state state)
+{
+    std::vector<std::string> names;
+    for (const auto &[host, target] : fleet.members) {
+        if (target.state == state)
+            names.push_back(host);
+    }
+    return names;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/tests/policy/membership_test.cpp
@@ -0,0 +1,320 @@
+#include "policy/membership.h"
+
+#include "support/golden.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <set>
+#include <sstream>
+
+using namespace quincefall;
+
+namespace {
+
+constexpr milliseconds tick{100};
+constexpr milliseconds unansweredProbe{500};
+
+/// How the other end behaves, as far as this host can see.
+struct remote_host
+{
+    std::uint64_t incarnation = 1;
+    std::uint64_t sequence = 0;
+    bool beats = true;
+    bool leaving = false;
+    bool answersPing = true;
+    bool answersConnection = true;
+};
+
+/// Host `a` watches others; time is manual and every change becomes a line.
+struct session
+{
+    membership fleet;
+    std::map<std::string, remote_host> remotes;
+    std::multimap<instant, std::pair<probe_order, bool>> results;
+    std::vector<std::string> reported;
+    instant now = instant{} + seconds(100);
+    std::ostringstream text;
+
+    session() { fleet.self = "a"; }
+
+    milliseconds elapsed() const
+    {
+        return std::chrono::duration_cast<milliseconds>(now - instant{} - seconds(100));
+    }
+
+    void say(const std::string &line) { text << "-- " << line << '\n'; }
+
+    void take(const membership_step &step)
+    {
+        for (const state_change &change : step.changes) {
+            text << elapsed().count() << " ms: " << change.host << ' ' << toString(change.before)
+                 << " -> " << toString(change.after) << " (" << toString(change.reason)
+                 << "), owners:";
+            for (const std::string &owner : ownerCandidates(fleet))
+                text << ' ' << owner;
+            text << '\n';
+        }
+        for (const probe_order &probe : step.probes) {
+            const remote_host &remote = remotes[probe.host];
+            const bool isPing = probe.kind == probe_kind::ping;
+            const bool answered = isPing ? remote.answersPing : remote.answersConnection;
+            results.emplace(now + (answered ? tick : unansweredProbe), std::pair(probe, answered));
+            text << elapsed().count() << " ms: probe " << probe.host
+                 << (isPing ? " by ping\n" : " by new connection\n");
+        }
+    }
+
+    void list(const std::vector<listed_host> &hosts) { take(applyHostList(fleet, hosts, now)); }
+
+    void beat(const std::string &host)
+    {
+        remote_host &remote = remotes[host];
+        take(applyBeat(
+            fleet, {host, remote.incarnation, ++remote.sequence, remote.leaving, reported}, now));
+    }
+
+    void run(milliseconds span)
+    {
+        for (milliseconds done{}; done < span; done += tick) {
+            now += tick;
+            while (!results.empty() && results.begin()->first <= now) {
+                const auto [probe, answered] = results.begin()->second;
+                results.erase(results.begin());
+                take(applyProbe(fleet, probe, answered, now));
+            }
+            if (elapsed() % fleet.rules.beatInterval != milliseconds{})
+                continue;
+            for (auto &[host, remote] : remotes) {
+                if (remote.beats)
+                    beat(host);
+            }
+            take(advance(fleet, now));
+        }
+    }
+
+    host_state stateOf(const std::string &host) const { return fleet.members.at(host).state; }
+};
+
+void fallSilent(remote_host &remote)
+{
+    remote.beats = false;
+    remote.answersPing = false;
+    remote.answersConnection = false;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(membership_test)
+
+BOOST_AUTO_TEST_CASE(wholeSession)
+{
+    session s;
+    s.remotes = {{"b", {}}, {"c", {}}, {"d", {}}};
+    s.say("the list names b, c and d; d sends no beat yet");
+    s.remotes["d"].beats = false;
+    s.list({{"a"}, {"b"}, {"c"}, {"d"}});
+    s.run(milliseconds(400));
+    s.remotes["d"].beats = true;
+    s.run(milliseconds(400));
+
+    s.say("b is killed");
+    fallSilent(s.remotes["b"]);
+    s.run(milliseconds(2000));
+    s.say("b starts again with a new incarnation");
+    s.remotes["b"] = {2};
+    s.run(milliseconds(400));
+
+    s.say("c is paused for 10 s and wakes up");
+    fallSilent(s.remotes["c"]);
+    s.run(milliseconds(10000));
+    s.remotes["c"] = {1, s.remotes["c"].sequence};
+    s.run(milliseconds(400));
+
+    s.say("the connection to d goes silent; a new one works and carries its beats");
+    s.remotes["d"].beats = false;
+    s.remotes["d"].answersPing = false;
+    s.run(milliseconds(1200));
+    s.remotes["d"].beats = true;
+    s.remotes["d"].answersPing = true;
+    s.run(milliseconds(800));
+
+    s.say("d announces that it leaves, then exits; the list still calls it live");
+    s.remotes["d"].leaving = true;
+    s.run(milliseconds(400));
+    fallSilent(s.remotes["d"]);
+    s.run(milliseconds(2000));
+    s.say("the list calls d leaving; a new process of d beats before the list has caught up");
+    s.list({{"a"}, {"b"}, {"c"}, {"d", true}});
+    s.remotes["d"] = {2};
+    s.run(milliseconds(400));
+    s.say("the list has caught up, then calls d leaving again");
+    s.list({{"a"}, {"b"}, {"c"}, {"d"}});
+    s.run(milliseconds(400));
+    s.list({{"a"}, {"b"}, {"c"}, {"d", true}});
+    s.run(milliseconds(400));
+
+    s.say("e beats before it is listed; c is dropped from the list while it beats");
+    s.remotes["e"] = {};
+    s.run(milliseconds(400));
+    s.list({{"a"}, {"b"}, {"d", true}, {"e"}});
+    s.run(milliseconds(400));
+    s.say("c is listed again");
+    s.list({{"a"}, {"b"}, {"c"}, {"d", true}, {"e"}});
+    s.run(milliseconds(400));
+    s.say("a itself is leaving");
+    s.fleet.selfAnnouncedLeaving = true;
+    s.list({{"a"}, {"b"}, {"c"}, {"e"}});
+    s.run(milliseconds(400));
+    quincefall::testing::checkGolden("membership_session.txt", s.text.str());
+}
+
+BOOST_AUTO_TEST_CASE(tableOfTransitions)
+{
+    using enum host_state;
+    struct row
+    {
+        const char *name;
+        std::function<void(session &)> input;
+        host_state after;
+    };
+    const auto missBeats = [](session &s) {
+        s.remotes["b"].beats = false;
+        s.remotes["b"].answersPing = false;
+        s.run(milliseconds(900));
+    };
+    const std::vector<row> rows{
+        {"three beats missed", missBeats, suspected},
+        {"late beat of a lower sequence",
+         [&](session &s) {
+             missBeats(s);
+             s.take(applyBeat(s.fleet, {"b", 1, 1, false, {}}, s.now));
+         },
+         suspected},
+        {"beat of an earlier incarnation",
+         [&](session &s) {
+             missBeats(s);
+             s.take(applyBeat(s.fleet, {"b", 0, 99, false, {}}, s.now));
+         },
+         suspected},
+        {"next beat",
+         [&](session &s) {
+             missBeats(s);
+             s.beat("b");
+         },
+         live},
+        {"unreachable, then ping answered",
+         [](session &s) {
+             s.take(applyUnreachable(s.fleet, "b", s.now));
+             BOOST_TEST((s.stateOf("b") == suspected));
+             s.remotes["b"].beats = false;
+             s.run(milliseconds(100));
+         },
+         live},
+        {"result of an outdated probe",
+         [](session &s) {
+             s.take(applyUnreachable(s.fleet, "b", s.now));
+             s.beat("b");
+             s.take(applyUnreachable(s.fleet, "b", s.now));
+             s.take(applyProbe(s.fleet, {"b", probe_kind::connection, 1}, false, s.now));
+         },
+         suspected},
+        {"reported by another host while its beats come in",
+         [](session &s) {
+             s.take(applyBeat(s.fleet, {"c", 1, 99, false, {"b"}}, s.now));
+         },
+         live},
+    };
+    for (const row &entry : rows) {
+        session s;
+        s.remotes = {{"b", {}}, {"c", {}}};
+        s.list({{"a"}, {"b"}, {"c"}});
+        s.run(milliseconds(200));
+        BOOST_REQUIRE((s.stateOf("b") == live));
+        entry.input(s);
+        BOOST_TEST((s.stateOf("b") == entry.after), entry.name << "\n" << s.text.str());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(deathOfAKilledHostTakesLessThanTwoSeconds)
+{
+    session s;
+    s.remotes = {{"b", {}}};
+    s.list({{"a"}, {"b"}});
+    s.run(milliseconds(200));
+    fallSilent(s.remotes["b"]);
+    s.run(milliseconds(1900));
+    BOOST_TEST((s.stateOf("b") == host_state::dead));
+}
+
+BOOST_AUTO_TEST_CASE(ownPauseMakesNobodySuspected)
+{
+    session s;
+    s.remotes = {{"b", {}}};
+    s.list({{"a"}, {"b"}});
+    s.run(milliseconds(400));
+    s.now += seconds(10);
+    s.take(advance(s.fleet, s.now));
+    BOOST_TEST((s.stateOf("b") == host_state::live));
+    fallSilent(s.remotes["b"]);
+    s.run(milliseconds(800));
+    BOOST_TEST((s.stateOf("b") == host_state::suspected));
+}
+
+BOOST_AUTO_TEST_CASE(hostsWithoutBeatsAreProbedAndReportsPassedOn)
+{
+    session s;
+    s.fleet.rules.partners = 2;
+    std::vector<listed_host> hosts{{"a"}};
+    for (const char *name : {"b", "c", "d", "e", "f", "g"}) {
+        s.remotes[name] = {};
+        hosts.push_back({name});
+    }
+    s.list(hosts);
+    std::string stranger;
+    for (auto &[host, target] : s.fleet.members) {
+        s.remotes[host].beats = target.partner;
+        if (!target.partner)
+            stranger = host;
+    }
+    s.run(milliseconds(400));
+    BOOST_TEST(ownerCandidates(s.fleet).size() == 7U);
+    s.run(milliseconds(5000));
+    BOOST_TEST((s.stateOf(stranger) == host_state::live));
+
+    fallSilent(s.remotes[stranger]);
+    s.reported = {stranger};
+    s.run(milliseconds(200));
+    BOOST_TEST((s.stateOf(stranger) == host_state::suspected));
+    s.reported.clear();
+    s.run(milliseconds(1200));
+    BOOST_TEST((s.stateOf(stranger) == host_state::dead));
+    s.remotes[stranger].answersConnection = true;
+    s.run(milliseconds(5200));
+    BOOST_TEST((s.stateOf(stranger) == host_state::live));
+}
+
+BOOST_AUTO_TEST_CASE(partnersAreMutualAndOneOfEachPairInitiates)
+{
+    std::vector<std::string> hosts(9, "host-");
+    for (std::size_t number = 0; number < hosts.size(); ++number)
+        hosts[number] += std::to_string(number);
+    for (const std::size_t count : {0U, 4U}) {
+        std::set<std::pair<std::string, std::string>> initiated;
+        for (const std::string &self : hosts) {
+            const auto partners = beatPartners(self, hosts, count);
+            BOOST_TEST(partners.size() == (count == 0 ? 8U : 4U));
+            std::size_t initiates = 0;
+            for (const beat_partner &partner : partners) {
+                if (partner.initiates && ++initiates > 0)
+                    initiated.emplace(self, partner.host);
+            }
+            BOOST_TEST(initiates == (count == 0 ? 4U : 2U));
+        }
+        BOOST_TEST(initiated.size() == (count == 0 ? 36U : 18U));
+        for (const auto &[first, second] : initiated)
+            BOOST_TEST(!initiated.contains({second, first}));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
