--- /dev/null
+++ b/tests/process/support/client.py
@@ -0,0 +1,151 @@
+"""HTTP client of the process tests: whole answers, server-sent events, checks of answers."""
+
+import dataclasses
+import http.client
+import json
+
+from support.xxh64 import xxh64
+
+DEFAULT_TIMEOUT_S = 30
+
+
+@dataclasses.dataclass
+class Answer:
+    """A whole answer; status 0 means that the connection broke."""
+
+    status: int = 0
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    error: str = ""
+
+    def json(self):
+        return json.loads(self.body)
+
+
+@dataclasses.dataclass
+class Stream:
+    """A streamed answer: its tokens in order and how it ended."""
+
+    status: int = 0
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b""  # of an answer that is not a stream
+    tokens: list = dataclasses.field(default_factory=list)
+    numbers: list = dataclasses.field(default_factory=list)
+    ids: set = dataclasses.field(default_factory=set)
+    finish_reason: str = ""
+    is_done: bool = False
+    usage: dict = None
+    error: str = ""
+
+    def text(self):
+        return "".join(self.tokens)
+
+
+def split_address(address):
+    ip, port = address.rsplit(":", 1)
+    return ip, int(port)
+
+
+def _exchange(address, method, path, body, headers, timeout_s):
+    connection = http.client.HTTPConnection(*split_address(address), timeout=timeout_s)
+    connection.request(method, path, body=body, headers=headers)
+    return connection, connection.getresponse()
+
+
+def send(address, method, path, body=None, headers=None, timeout_s=DEFAULT_TIMEOUT_S):
+    """Sends one request on a connection of its own; `body` is JSON unless it is bytes."""
+    data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
+    connection = None
+    try:
+        connection, response = _exchange(address, method, path, data, headers or {}, timeout_s)
+        return Answer(response.status, dict(response.getheaders()), response.read())
+    except (OSError, http.client.HTTPException) as failure:
+        return Answer(error=type(failure).__name__)
+    finally:
+        if connection is not None:
+            connection.close()
+
+
+def chat_body(prompt, tokens, model="m", stream=True):
+    return {
+        "model": model,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+
+
+def _take_event(stream, lines):
+    data = "\n".join(line[6:] for line in lines if line.startswith("data: "))
+    number = next((int(line[4:]) for line in lines if line.startswith("id: ")), None)
+    if data == "[DONE]":
+        stream.is_done = True
+    elif data:
+        event = json.loads(data)
+        if "choices" not in event:
+            stream.error = data
+            return
+        choice = event["choices"][0]
+        stream.ids.add(event.get("id"))
+        stream.usage = event.get("usage") or stream.usage
+        content = choice["delta"].get("content")
+        if content:
+            stream.tokens.append(content)
+            stream.numbers.append(number)
+        stream.finish_reason = choice.get("finish_reason") or stream.finish_reason
+
+
+def _read_events(stream, response, on_token):
+    lines = []
+    while not stream.is_done:
+        line = response.readline().decode()
+        if not line:
+            return
+        line = line.rstrip("\r\n")
+        if line:
+            lines.append(line)
+            continue
+        count = len(stream.tokens)
+        _take_event(stream, lines)
+        lines = []
+        if on_token and len(stream.tokens) > count:
+            on_token(len(stream.tokens))
+
+
+def stream_chat(address, prompt, tokens, model="m", headers=None, on_token=None,
+                timeout_s=DEFAULT_TIMEOUT_S):
+    """Asks for a streamed answer; on_token(n) runs after the n-th token arrived."""
+    stream = Stream()
+    connection = None
+    try:
+        body = json.dumps(chat_body(prompt, tokens, model)).encode()
+        connection, response = _exchange(address, "POST", "/v1/chat/completions", body,
+                                         headers or {}, timeout_s)
+        stream.status = response.status
+        stream.headers = dict(response.getheaders())
+        if response.status == 200:
+            _read_events(stream, response, on_token)
+        else:
+            stream.body = response.read()
+    except (OSError, http.client.HTTPException) as failure:
+        stream.error = type(failure).__name__
+    finally:
+        if connection is not None:
+            connection.close()
+    return stream
+
+
+def expected_token(prompt, number):
+    digest = xxh64((prompt + str(number)).encode())
+    return f" w{number}-{digest:016x}"[:len(f" w{number}-") + 8]
+
+
+def expected_text(prompt, tokens):
+    """The stand-in engine's whole answer to `prompt`."""
+    return "".join(expected_token(prompt, number) for number in range(1, tokens + 1))
+
+
+def is_whole(stream, prompt, tokens):
+    """True when the caller got every token of its own answer once and the end mark."""
+    return (stream.status == 200 and stream.is_done and stream.finish_reason == "stop"
+            and stream.text() == expected_text(prompt, tokens))
