--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -208,8 +209,8 @@
     if (values.empty())
         return 0;
     std::sort(values.begin(), values.end());
-    const auto index = std::size_t(share * double(values.size() - 1) + 0.5);
-    return values[index];
+    const auto index = std::lround(share * double(values.size() - 1));
+    return values[std::size_t(index)];
 }
 
 json::object describe(const way &path)
