--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -29,13 +29,15 @@
         || !servedLocally(state, item);
 }
 
-const upstream_record *leastLoaded(const pool_state &state, const work_item &item, bool local)
+const upstream_record *chooseUpstream(pool_state &state, const work_item &item, bool local)
 {
     const upstream_record *best = nullptr;
     for (const auto &[region, names] : state.upstreams.offered) {
         if (isLocal(item, region) != local)
             continue;
-        const upstream_record *found = leastLoadedIn(state.upstreams, region, item);
+        const upstream_record *found = state.plan.twoChoices
+            ? betterOfTwoIn(state.upstreams, region, item, state.random)
+            : leastLoadedIn(state.upstreams, region, item);
         if (found != nullptr && (best == nullptr || found->rank < best->rank))
             best = found;
     }
@@ -46,9 +48,9 @@
 {
     if (!isBelowLimit(state.organisations, item.organisation))
         return {};
-    const upstream_record *chosen = leastLoaded(state, item, true);
+    const upstream_record *chosen = chooseUpstream(state, item, true);
     if (chosen == nullptr && mayCross(state, item, now))
-        chosen = leastLoaded(state, item, false);
+        chosen = chooseUpstream(state, item, false);
     return chosen == nullptr ? std::string() : chosen->info.name;
 }
 
@@ -100,7 +102,7 @@
                        weightOf(state.organisations, organisation));
     countStart(state.organisations, organisation);
     ++state.rule.running[attempt.item.serviceClass];
-    queue.lastTaken = now;
+    queue.starvedSince = now;
     recordStart(state.drain, queue.policy.tier, now);
     const std::uint64_t permit = state.nextPermit++;
     out.grants.push_back({attempt.item.id, attempt.item.entryHost, permit, candidate.upstream});
@@ -200,6 +202,8 @@
 bool isHopeless(pool_state &state, const work_item &item, instant now)
 {
     const class_queue &queue = classQueue(state.queue, item.serviceClass);
+    if (queue.size == 1)
+        return false;
     const double others = workAhead(state.queue, state.organisations, queue, item.organisation) - 1;
     const double rate = drainForTier(state.drain, queue.policy.tier, now);
     return now + expectedWait(others, rate) > item.arrival + queue.policy.maxWait;
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -9,6 +9,7 @@
 #include "policy/upstream_choice.h"
 #include "policy/wait_queue.h"
 
+#include <random>
 #include <string_view>
 
 namespace quincefall {
@@ -26,6 +27,7 @@
     drain_rate drain;
     retry_schedule returns;
     double poolSlots = 0; ///< Slots of all upstreams that take new work.
+    std::mt19937_64 random; ///< For `pool_plan::twoChoices`; seeded by the owner of the state.
     std::uint64_t nextPermit = 1; ///< An owner sets its own range, so that permits are unique.
 };
 
--- a/src/policy/pool_types.h
+++ b/src/policy/pool_types.h
@@ -45,6 +45,7 @@
     std::vector<class_policy> classes;
     std::vector<upstream_info> upstreams;
     std::vector<organisation_policy> organisations;
+    bool twoChoices = false; ///< Take the better of two random upstreams, not the least loaded.
 };
 
 /// A request that waits for, or holds, a place on an upstream.
--- a/src/policy/tier_rule.cpp
+++ b/src/policy/tier_rule.cpp
@@ -8,7 +8,6 @@
 
 constexpr seconds distressHold{5};
 constexpr int distressDivisor = 2;
-constexpr int floorDivisor = 2;
 
 bool hasRequestAtRisk(const class_queue &queue, instant now)
 {
@@ -53,7 +52,7 @@
     const class_policy &policy = candidate.policy;
     if (candidate.size == 0)
         return start_reason::tierOrder;
-    if (now - candidate.lastTaken >= policy.maxWait / floorDivisor)
+    if (now - candidate.starvedSince >= policy.maxWait / floorDivisor)
         return start_reason::floor;
     const auto running = rule.running.find(policy.name);
     const std::uint32_t held = running == rule.running.end() ? 0 : running->second;
--- a/src/policy/tier_rule.h
+++ b/src/policy/tier_rule.h
@@ -20,7 +20,8 @@
 //    target, and for five seconds after one of its requests was shed.
 // 5. A request is shed when it has waited for `maxWait`, or on arrival when work of its own and
 //    higher tiers alone, at the rate at which its own and lower tiers were started lately, will
-//    take longer than that. Work waiting in lower tiers never counts.
+//    take longer than that. Work waiting in lower tiers never counts. A class's only waiting
+//    request is not shed on arrival, so that the floor has something to start.
 //
 // `higherTierShedForLower` counts every shed request during whose wait a lower tier was started,
 // on an upstream that the shed request's tier could have used, other than by rule 3. It must stay
--- a/src/policy/upstream_choice.cpp
+++ b/src/policy/upstream_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace quincefall {
 namespace {
@@ -153,4 +154,23 @@
     return nullptr;
 }
 
+const upstream_record *betterOfTwoIn(const upstream_table &table, std::string_view region,
+                                     const work_item &item, std::mt19937_64 &random)
+{
+    const auto offered = table.offered.find(region);
+    if (offered == table.offered.end())
+        return nullptr;
+    std::vector<const upstream_record *> candidates;
+    for (const auto &[rank, name] : offered->second) {
+        const upstream_record &record = table.records.find(name)->second;
+        if (mayServe(record, item))
+            candidates.push_back(&record);
+    }
+    if (candidates.empty())
+        return nullptr;
+    const upstream_record *first = candidates[random() % candidates.size()];
+    const upstream_record *second = candidates[random() % candidates.size()];
+    return first->rank <= second->rank ? first : second;
+}
+
 } // namespace quincefall
--- a/src/policy/upstream_choice.h
+++ b/src/policy/upstream_choice.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -74,4 +75,9 @@
 const upstream_record *leastLoadedIn(const upstream_table &table, std::string_view region,
                                      const work_item &item);
 
+/// The less loaded of two upstreams with a free place in @p region, drawn at random, or null. Keeps
+/// several schedulers that see the same lagging reports from all choosing the same upstream.
+const upstream_record *betterOfTwoIn(const upstream_table &table, std::string_view region,
+                                     const work_item &item, std::mt19937_64 &random);
+
 } // namespace quincefall
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -21,6 +21,14 @@
     queue.active.emplace(organisation.virtualTime, name);
 }
 
+void recordArrival(class_queue &queue, instant now)
+{
+    // A class that had no demand does not starve.
+    if (queue.size == 1 && now - queue.lastArrival > queue.policy.maxWait / floorDivisor)
+        queue.starvedSince = now;
+    queue.lastArrival = now;
+}
+
 request_group::const_iterator nextInGroup(const request_group &group, instant now)
 {
     const auto onTime = group.lower_bound(order_key{now, 0});
@@ -80,8 +88,11 @@
             if (target != queue.classes.end())
                 target->second.organisations[organisation].virtualTime = waiting.virtualTime;
         }
-        if (const auto target = queue.classes.find(name); target != queue.classes.end())
+        if (const auto target = queue.classes.find(name); target != queue.classes.end()) {
             target->second.virtualTime = old.virtualTime;
+            target->second.lastArrival = old.lastArrival;
+            target->second.starvedSince = old.starvedSince;
+        }
     }
     std::sort(kept.begin(), kept.end(),
               [](const auto &left, const auto &right) { return left.first < right.first; });
@@ -104,8 +115,8 @@
     const instant expiry = item.arrival + target.policy.maxWait;
     const std::string organisationName = item.organisation;
     organisation_queue &organisation = target.organisations[organisationName];
-    if (target.size++ == 0)
-        target.lastTaken = now;
+    ++target.size;
+    recordArrival(target, now);
     if (organisation.size++ == 0)
         activate(target, organisationName, organisation);
     request_traits traits = traitsOf(item);
--- a/src/policy/wait_queue.h
+++ b/src/policy/wait_queue.h
@@ -13,6 +13,9 @@
 
 namespace quincefall {
 
+/// A class starves once nothing of it has started for its `maxWait` divided by this.
+constexpr int floorDivisor = 2;
+
 /// Place of a request in deadline order; the sequence keeps equal deadlines in arrival order.
 struct order_key
 {
@@ -56,7 +59,8 @@
     class_policy policy;
     double virtualTime = 0; ///< Of the last start; an organisation that returns begins here.
     std::size_t size = 0;
-    instant lastTaken; ///< Last start, or when the queue stopped being empty.
+    instant lastArrival; ///< Refused ones included.
+    instant starvedSince; ///< Last start, or the first arrival after a time without any.
     std::map<std::string, organisation_queue, std::less<>> organisations;
     std::set<std::pair<double, std::string>> active; ///< With waiting requests, in fair order.
     std::set<order_key> expiries; ///< Ends of the waits, the earliest first.
--- a/tests/policy/pool_scheduler_test.cpp
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -109,6 +109,27 @@
     checkGolden("policy/burst_of_the_top_class.txt", session.transcript.str());
 }
 
+BOOST_AUTO_TEST_CASE(aClassRefusedOnArrivalStillStartsOnceInEachHalfOfItsWait)
+{
+    pool_session session = makeSession(2, 2);
+    session.verbose = false;
+    instant lastStart = session.now;
+    int next = 0;
+    for (int step = 0; step < 600; ++step) {
+        session.submitRequest("d" + std::to_string(next++), "rosters", "a");
+        session.submitRequest("q" + std::to_string(next++), "questions", "a");
+        const int before = session.grantsByClass["questions"];
+        session.advanceBy(milliseconds(100));
+        if (step % 5 == 0)
+            session.finishRequest(oldestRunning(session), 50, seconds(2));
+        if (session.grantsByClass["questions"] > before)
+            lastStart = session.now;
+        // Half of 8 s, and the time until a place comes free.
+        BOOST_REQUIRE(session.now - lastStart <= milliseconds(4600));
+    }
+    BOOST_TEST(session.refusalsByClass["questions"] > 100);
+}
+
 BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNewAndExclusionsHold)
 {
     pool_session session = makeSession(2, 1);
