--- a/src/operate/settings.cpp
+++ b/src/operate/settings.cpp
@@ -123,7 +123,7 @@
         for (const auto &entry : m_node) {
             const std::string key = entry.first.Scalar();
             if (!m_known.contains(key))
-                report(lineOf(entry.first), pathOf(key), "no such key; known keys:" + knownKeys());
+                report(lineOf(entry.first), pathOf(key), "one of" + knownKeys());
         }
     }
 
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -14,7 +14,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t idleConnectionsPerAddress = 64;
-constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint64_t largestReply = 256ULL * 1024 * 1024;
 constexpr milliseconds connectTimeout{1000};
 
@@ -148,7 +148,7 @@
 
 int http_stream::status() const
 {
-    return m_state->parser.get().result_int();
+    return int(m_state->parser.get().result_int());
 }
 
 std::string_view http_stream::header(std::string_view name) const
--- a/src/policy/answer_assembly.cpp
+++ b/src/policy/answer_assembly.cpp
@@ -12,7 +12,7 @@
 constexpr std::string_view endMark = "[DONE]";
 constexpr std::string_view unfinished = "\"finish_reason\":null";
 constexpr std::string_view idPrefix = "{\"id\":\"";
-constexpr std::size_t compactAbove = 64 * 1024;
+constexpr std::size_t compactAbove = 65536;
 
 std::string_view trimmedLine(std::string_view line)
 {
--- a/src/serve/caller_api.cpp
+++ b/src/serve/caller_api.cpp
@@ -94,7 +94,8 @@
     if (self->isRefusing)
         co_return co_await refuse(exchange, result_code::hostStopping, "the host is stopping",
                                   notReadyRetryAfter);
-    if (!self->needs.config.isReady())
+    const config_service &config = self->needs.config;
+    if (!config.isReady() || config.state().resources.empty())
         co_return co_await refuse(exchange, result_code::notReady,
                                   "no configuration is in force on this host yet",
                                   notReadyRetryAfter);
