Exchange heartbeats between hosts and measure them

Cause: ownership, relaying of configuration and suspicion need regular signs of life at under 3 KB/s per host. Change: heartbeat_service runs membership over peer_mesh: of each pair one side sends its beat and gets the other's as the answer, the passive side sends its own when it hears nothing for two intervals; config offsets and clock stamps travel along; leaving is announced at once; probes are carried out. A silent connection is now noticed also when its calls give up before it is judged. Ruled out: a beat each way with an empty answer, which costs more headers.

--- /dev/null
+++ b/bench/peer_bench.cpp
@@ -0,0 +1,205 @@
+// Measures calls between two hosts and the bytes of the fleet's heartbeats; prints one JSON object.
+
+#include "observe/timeline.h"
+#include "peer/heartbeat_service.h"
+#include "peer/peer_mesh.h"
+#include "platform/host_list_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <ctime>
+#include <iostream>
+#include <thread>
+
+DEFINE_uint32(calls, 50000, "calls of each measurement");
+DEFINE_uint32(in_flight, 64, "calls under way at once in the second measurement");
+DEFINE_uint32(body_bytes, 100, "bytes of request and answer");
+DEFINE_uint32(hosts, 9, "hosts that exchange heartbeats");
+DEFINE_uint32(seconds, 5, "duration of the heartbeat measurement");
+
+namespace {
+
+using namespace quincefall;
+namespace asio = boost::asio;
+namespace json = boost::json;
+using clock_type = std::chrono::steady_clock;
+
+constexpr milliseconds callTimeout{10000};
+
+double secondsSince(clock_type::time_point start)
+{
+    return std::chrono::duration<double>(clock_type::now() - start).count();
+}
+
+/// CPU time of all threads of this process in seconds.
+double processorSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+std::unique_ptr<peer_mesh> makeMesh(asio::io_context &context, const std::string &name)
+{
+    peer_mesh::options settings;
+    settings.hostName = name;
+    settings.listen = {"127.0.0.1", 0};
+    settings.secret = "a secret of the usual length of 32";
+    return std::move(peer_mesh::makePeerMesh(context, settings).value());
+}
+
+struct call_figures
+{
+    std::uint32_t left = 0;
+    std::uint32_t failed = 0;
+    std::vector<double> microsecondsPerCall;
+};
+
+asio::awaitable<void> callRepeatedly(peer_mesh &mesh, call_figures &figures)
+{
+    const std::string body(FLAGS_body_bytes, 'x');
+    while (figures.left > 0) {
+        --figures.left;
+        const auto start = clock_type::now();
+        auto calling = mesh.call("b", "/echo", body, callTimeout);
+        const result<std::string> answer = co_await std::move(calling);
+        figures.failed += answer ? 0 : 1;
+        figures.microsecondsPerCall.push_back(1e6 * secondsSince(start));
+    }
+}
+
+double quantile(std::vector<double> &values, double share)
+{
+    const auto place = values.begin() + static_cast<long>(share * double(values.size() - 1));
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+json::object measureCalls(asio::io_context &context, peer_mesh &mesh, std::uint32_t inFlight)
+{
+    call_figures figures;
+    figures.left = FLAGS_calls;
+    figures.microsecondsPerCall.reserve(FLAGS_calls);
+    const auto before = mesh.bytes();
+    const double processorBefore = processorSeconds();
+    const auto start = clock_type::now();
+    for (std::uint32_t worker = 0; worker < inFlight; ++worker)
+        asio::co_spawn(context, callRepeatedly(mesh, figures), asio::detached);
+    context.restart();
+    while (figures.microsecondsPerCall.size() < FLAGS_calls)
+        context.run_one();
+    const double elapsed = secondsSince(start);
+    const double processor = processorSeconds() - processorBefore;
+    const auto after = mesh.bytes();
+    json::object report;
+    report["in_flight"] = inFlight;
+    report["calls"] = FLAGS_calls;
+    report["failed"] = figures.failed;
+    report["calls_per_second"] = FLAGS_calls / elapsed;
+    report["cpu_us_per_call_both_sides"] = 1e6 * processor / FLAGS_calls;
+    report["latency_us_p50"] = quantile(figures.microsecondsPerCall, 0.5);
+    report["latency_us_p99"] = quantile(figures.microsecondsPerCall, 0.99);
+    report["bytes_sent_per_call"] = double(after.sent - before.sent) / FLAGS_calls;
+    report["bytes_received_per_call"] = double(after.received - before.received) / FLAGS_calls;
+    return report;
+}
+
+json::array measureCallsBetweenTwoHosts()
+{
+    asio::io_context callerContext;
+    asio::io_context answererContext;
+    const auto caller = makeMesh(callerContext, "a");
+    auto answerer = makeMesh(answererContext, "b");
+    answerer->handle(
+        "/echo", [](std::string body) -> asio::awaitable<result<std::string>> { co_return body; });
+    caller->setAddress("b", {"127.0.0.1", answerer->port()});
+    auto work = asio::make_work_guard(answererContext);
+    std::thread answering([&answererContext] { answererContext.run(); });
+    json::array reports;
+    reports.push_back(measureCalls(callerContext, *caller, 1));
+    reports.push_back(measureCalls(callerContext, *caller, FLAGS_in_flight));
+    answererContext.stop();
+    answering.join();
+    return reports;
+}
+
+struct beating_host
+{
+    std::unique_ptr<peer_mesh> mesh;
+    std::unique_ptr<timeline> events;
+    std::unique_ptr<heartbeat_service> beats;
+};
+
+json::object measureHeartbeats()
+{
+    asio::io_context context;
+    std::vector<beating_host> fleet(FLAGS_hosts);
+    std::vector<listed_host> list;
+    const clock_source clock = makeSystemClock();
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        const std::string name = "entry-" + std::to_string(number);
+        beating_host &host = fleet[number];
+        host.mesh = makeMesh(context, name);
+        host.events = timeline::makeTimeline(name, clock, 100);
+        host.beats = heartbeat_service::makeHeartbeatService(
+            {context, *host.mesh, *host.events, clock},
+            {name, static_cast<std::uint64_t>(clock.wall()), {}});
+        host.beats->carryOffsets([] { return 100000; }, {});
+        host.beats->start();
+        list.push_back({name, true, {"127.0.0.1", host.mesh->port()}, {}, {}, false});
+    }
+    for (const beating_host &host : fleet)
+        host.beats->setHostList(list);
+    context.run_for(seconds(2));
+
+    std::vector<peer_mesh::traffic> before;
+    before.reserve(fleet.size());
+    for (const beating_host &host : fleet)
+        before.push_back(host.mesh->bytes());
+    const auto beatsBefore = fleet[0].beats->counted();
+    const double processorBefore = processorSeconds();
+    const auto start = clock_type::now();
+    context.run_for(seconds(FLAGS_seconds));
+    const double elapsed = secondsSince(start);
+    const double processor = processorSeconds() - processorBefore;
+    double sent = 0;
+    double received = 0;
+    double highest = 0;
+    for (std::size_t number = 0; number < fleet.size(); ++number) {
+        const auto after = fleet[number].mesh->bytes();
+        const double sentHere = double(after.sent - before[number].sent) / elapsed;
+        sent += sentHere / FLAGS_hosts;
+        received += double(after.received - before[number].received) / elapsed / FLAGS_hosts;
+        highest = std::max(highest, sentHere);
+    }
+    const auto beatsAfter = fleet[0].beats->counted();
+    const double beats = double(beatsAfter.beatsSent - beatsBefore.beatsSent);
+    json::object report;
+    report["hosts"] = FLAGS_hosts;
+    report["seconds"] = elapsed;
+    report["live_as_seen_by_first"] = fleet[0].beats->liveHosts().size();
+    report["bytes_sent_per_second_and_host"] = sent;
+    report["bytes_received_per_second_and_host"] = received;
+    report["bytes_sent_per_second_highest_host"] = highest;
+    report["beats_sent_per_second_first_host"] = beats / elapsed;
+    report["body_bytes_per_beat"]
+        = double(beatsAfter.bytesSent - beatsBefore.bytesSent) / std::max(beats, 1.0);
+    report["cpu_ms_per_second_and_host"] = 1e3 * processor / elapsed / FLAGS_hosts;
+    return report;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    json::object report;
+    report["calls"] = measureCallsBetweenTwoHosts();
+    report["heartbeats"] = measureHeartbeats();
+    std::cout << json::serialize(report) << '\n';
+    return 0;
+}
--- /dev/null
+++ b/src/peer/heartbeat_service.cpp
@@ -0,0 +1,329 @@
+#include "peer/heartbeat_service.h"
+
+#include "observe/timeline.h"
+#include "peer.pb.h"
+#include "peer/peer_mesh.h"
+#include "platform/host_list_client.h"
+#include "policy/ownership.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace quincefall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char *beatPath = "/beat";
+constexpr milliseconds beatTimeout{2000};
+constexpr int deadHostDivisor = 5; ///< Of so many beats, a dead host is sent one.
+constexpr std::size_t maxSuspectedInBeat = 16;
+
+wire::Heartbeat toWire(const host_beat &beat)
+{
+    wire::Heartbeat message;
+    message.set_host(beat.host);
+    message.set_incarnation(beat.incarnation);
+    message.set_sequence(beat.sequence);
+    message.set_leaving(beat.leaving);
+    for (const std::string &host : beat.suspected)
+        message.add_suspected(host);
+    return message;
+}
+
+host_beat fromWire(const wire::Heartbeat &message)
+{
+    host_beat beat{
+        message.host(), message.incarnation(), message.sequence(), message.leaving(), {}};
+    beat.suspected.assign(message.suspected().begin(), message.suspected().end());
+    return beat;
+}
+
+std::vector<std::string> listedMembers(const membership &fleet)
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, target] : fleet.members) {
+        if (target.listed)
+            hosts.push_back(host);
+    }
+    return hosts;
+}
+
+} // namespace
+
+struct heartbeat_service::state : std::enable_shared_from_this<heartbeat_service::state>
+{
+    state(dependencies uses, options values)
+        : needs(std::move(uses))
+        , settings(std::move(values))
+        , timer(needs.context)
+    {
+        fleet.self = settings.hostName;
+        fleet.rules = settings.rules;
+        owners = ownerCandidates(fleet);
+    }
+
+    dependencies needs;
+    options settings;
+    asio::steady_timer timer;
+    membership fleet;
+    std::vector<std::string> owners;
+    std::vector<beat_partner> partners;
+    std::set<std::string, std::less<>> waiting; ///< Hosts whose answer to a beat is due.
+    std::vector<change_listener> listeners;
+    offset_source ownOffset;
+    offset_listener onPeerOffset;
+    traffic counted;
+    std::uint64_t sequence = 0;
+    std::uint64_t ticks = 0;
+    bool running = false;
+
+    std::string makeBeat();
+    result<void> takeBeat(const std::string &body);
+    void apply(const membership_step &step);
+    void schedule();
+    void tick();
+    bool isBeatDue(const beat_partner &partner) const;
+    void sendBeat(const std::string &host);
+    asio::awaitable<void> exchangeBeat(std::string host);
+    asio::awaitable<void> probe(probe_order order);
+};
+
+std::string heartbeat_service::state::makeBeat()
+{
+    host_beat beat{settings.hostName, settings.incarnation, ++sequence, isLeaving(fleet),
+                   hostsInState(fleet, host_state::suspected)};
+    beat.suspected.resize(std::min(beat.suspected.size(), maxSuspectedInBeat));
+    wire::Heartbeat message = toWire(beat);
+    if (ownOffset)
+        message.set_config_offset(ownOffset());
+    const hybrid_stamp stamp = needs.events.stamp();
+    message.set_stamp_wall_ms(static_cast<std::uint64_t>(stamp.wall));
+    message.set_stamp_logical(stamp.logical);
+    std::string body = message.SerializeAsString();
+    ++counted.beatsSent;
+    counted.bytesSent += body.size();
+    return body;
+}
+
+result<void> heartbeat_service::state::takeBeat(const std::string &body)
+{
+    wire::Heartbeat message;
+    if (!message.ParseFromString(body) || message.host().empty())
+        return makeError(result_code::messageInvalid, "the heartbeat cannot be decoded");
+    ++counted.beatsReceived;
+    counted.bytesReceived += body.size();
+    needs.events.observe(
+        {static_cast<wall_milliseconds>(message.stamp_wall_ms()), message.stamp_logical()});
+    apply(applyBeat(fleet, fromWire(message), needs.clock.now()));
+    if (onPeerOffset && message.host() != settings.hostName)
+        onPeerOffset(message.host(), message.config_offset());
+    return {};
+}
+
+void heartbeat_service::state::apply(const membership_step &step)
+{
+    owners = ownerCandidates(fleet);
+    if (running) {
+        for (const probe_order &order : step.probes)
+            asio::co_spawn(needs.context, probe(order), asio::detached);
+    }
+    for (const state_change &change : step.changes) {
+        needs.events.record("host.state", {}, change.host,
+                            {{"before", std::string(toString(change.before))},
+                             {"after", std::string(toString(change.after))},
+                             {"reason", std::string(toString(change.reason))}});
+        for (const change_listener &listener : listeners)
+            listener(change);
+    }
+}
+
+void heartbeat_service::state::schedule()
+{
+    timer.expires_after(settings.rules.beatInterval);
+    timer.async_wait([weak = weak_from_this()](const boost::system::error_code &aborted) {
+        const auto self = weak.lock();
+        if (aborted || !self || !self->running)
+            return;
+        self->schedule();
+        self->tick();
+    });
+}
+
+void heartbeat_service::state::tick()
+{
+    ++ticks;
+    apply(advance(fleet, needs.clock.now()));
+    for (const beat_partner &partner : partners) {
+        if (isBeatDue(partner))
+            sendBeat(partner.host);
+    }
+}
+
+bool heartbeat_service::state::isBeatDue(const beat_partner &partner) const
+{
+    const auto entry = fleet.members.find(partner.host);
+    if (entry == fleet.members.end())
+        return false;
+    const member &target = entry->second;
+    if (target.state == host_state::dead && ticks % deadHostDivisor != 0)
+        return false;
+    // The other side may not know this host yet, or may have stopped.
+    const auto silence = needs.clock.now() - target.lastHeard;
+    const bool overdue = !target.heard || silence > 2 * settings.rules.beatInterval;
+    return partner.initiates || overdue;
+}
+
+void heartbeat_service::state::sendBeat(const std::string &host)
+{
+    if (waiting.insert(host).second)
+        asio::co_spawn(needs.context, exchangeBeat(host), asio::detached);
+}
+
+asio::awaitable<void> heartbeat_service::state::exchangeBeat(std::string host)
+{
+    const auto self = shared_from_this();
+    auto calling = needs.mesh.call(host, beatPath, makeBeat(), beatTimeout);
+    const result<std::string> answer = co_await std::move(calling);
+    waiting.erase(host);
+    if (answer && running)
+        (void)takeBeat(*answer);
+}
+
+asio::awaitable<void> heartbeat_service::state::probe(probe_order order)
+{
+    const auto self = shared_from_this();
+    auto asking = order.kind == probe_kind::ping ? needs.mesh.ping(order.host)
+                                                 : needs.mesh.reconnect(order.host);
+    const bool answered = co_await std::move(asking);
+    if (running)
+        apply(applyProbe(fleet, order, answered, needs.clock.now()));
+}
+
+std::unique_ptr<heartbeat_service> heartbeat_service::makeHeartbeatService(dependencies needs,
+                                                                           options settings)
+{
+    auto shared = std::make_shared<state>(std::move(needs), std::move(settings));
+    return std::unique_ptr<heartbeat_service>(new heartbeat_service(std::move(shared)));
+}
+
+heartbeat_service::heartbeat_service(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+heartbeat_service::~heartbeat_service()
+{
+    stop();
+}
+
+void heartbeat_service::start()
+{
+    if (std::exchange(m_state->running, true))
+        return;
+    const std::weak_ptr<state> weak = m_state;
+    m_state->needs.mesh.handle(
+        beatPath, [weak](std::string body) -> asio::awaitable<result<std::string>> {
+            const auto self = weak.lock();
+            if (!self || !self->running)
+                co_return makeError(result_code::hostStopping, "this host is stopping");
+            if (const auto taken = self->takeBeat(body); !taken)
+                co_return tl::unexpected(taken.error());
+            co_return self->makeBeat();
+        });
+    m_state->needs.mesh.onReachability(
+        [weak](const std::string &host, peer_mesh::reachability change) {
+            const auto self = weak.lock();
+            if (!self || !self->running || change != peer_mesh::reachability::suspected)
+                return;
+            self->apply(applyUnreachable(self->fleet, host, self->needs.clock.now()));
+        });
+    m_state->schedule();
+}
+
+void heartbeat_service::stop()
+{
+    m_state->running = false;
+    m_state->timer.cancel();
+}
+
+void heartbeat_service::setHostList(std::span<const listed_host> hosts)
+{
+    std::vector<member_listing> listings;
+    for (const listed_host &host : hosts) {
+        if (!host.isEntry)
+            continue;
+        listings.push_back({host.name, host.isLeaving});
+        if (host.name != m_state->settings.hostName)
+            m_state->needs.mesh.setAddress(host.name, host.address);
+    }
+    membership &fleet = m_state->fleet;
+    const membership_step step = applyHostList(fleet, listings, m_state->needs.clock.now());
+    m_state->partners
+        = beatPartners(fleet.self, listedMembers(fleet), m_state->settings.rules.partners);
+    m_state->apply(step);
+}
+
+void heartbeat_service::leave()
+{
+    membership &fleet = m_state->fleet;
+    if (std::exchange(fleet.selfAnnouncedLeaving, true))
+        return;
+    m_state->apply(
+        {{{fleet.self, host_state::live, host_state::leaving, host_reason::announcedLeaving}}, {}});
+    if (!m_state->running)
+        return;
+    for (const beat_partner &partner : m_state->partners) {
+        // An exchange that is under way carries the old state.
+        asio::co_spawn(m_state->needs.context, m_state->exchangeBeat(partner.host), asio::detached);
+    }
+}
+
+std::vector<std::string> heartbeat_service::liveHosts() const
+{
+    std::vector<std::string> hosts = hostsInState(m_state->fleet, host_state::live);
+    if (!isLeaving(m_state->fleet))
+        hosts.push_back(m_state->fleet.self);
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
+const std::vector<std::string> &heartbeat_service::owners() const
+{
+    return m_state->owners;
+}
+
+std::string heartbeat_service::ownerOf(std::string_view key) const
+{
+    return std::string(rendezvousOwner(key, m_state->owners));
+}
+
+host_state heartbeat_service::stateOf(std::string_view host) const
+{
+    const auto entry = m_state->fleet.members.find(host);
+    return entry == m_state->fleet.members.end() ? host_state::unknown : entry->second.state;
+}
+
+void heartbeat_service::onChange(change_listener listener)
+{
+    m_state->listeners.push_back(std::move(listener));
+}
+
+void heartbeat_service::carryOffsets(offset_source own, offset_listener onPeer)
+{
+    m_state->ownOffset = std::move(own);
+    m_state->onPeerOffset = std::move(onPeer);
+}
+
+const heartbeat_service::traffic &heartbeat_service::counted() const
+{
+    return m_state->counted;
+}
+
+} // namespace quincefall
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -28,7 +28,7 @@
     std::unordered_map<http2_session::stream_id, std::shared_ptr<pending_call>> calls;
     std::vector<std::shared_ptr<pending_call>> pings; ///< Completed by the next pong.
     asio::steady_timer watchTimer;
-    instant waitingSince{}; ///< When the first of the pending calls was made.
+    instant waitingSince{}; ///< When the first unanswered call was made.
     bool watched = false;
     bool alive = false; ///< Something came in.
     bool authenticated = false; ///< An answer came in, so the secret need not be sent again.
@@ -40,6 +40,9 @@
             entry->second->complete(std::move(answer));
     }
 
+    /// Whether the peer owes an answer or a sign of life.
+    bool isWaiting() const { return !calls.empty() || connection->lastReceived() < waitingSince; }
+
     void completePings()
     {
         for (const auto &waiting : std::exchange(pings, {}))
@@ -179,7 +182,8 @@
         co_return makeError(result_code::peerUnreachable, "the connection has no stream left");
     }
     const auto pending = std::make_shared<pending_call>(m_context.get_executor());
-    if (used->calls.empty())
+    // Calls that gave up waiting count on until something comes in.
+    if (used->calls.empty() && used->connection->lastReceived() >= used->waitingSince)
         used->waitingSince = currentTime();
     used->calls.emplace(stream, pending);
     startWatch(used);
@@ -219,7 +223,7 @@
     if (!fresh)
         co_return false;
     m_trials.push_back(fresh);
-    auto pinging = pingOver(fresh, m_settings.connectTimeout + m_settings.pingTimeout);
+    auto pinging = pingOver(fresh, std::max(m_settings.connectTimeout, m_settings.pingTimeout));
     const bool answered = co_await std::move(pinging);
     // The link may have been closed meanwhile, or a call opened another connection as good.
     const bool replaces = std::erase(m_trials, fresh) > 0 && m_channel == before;
@@ -244,7 +248,7 @@
 asio::awaitable<void> peer_link::watch(std::shared_ptr<channel> watched)
 {
     const auto self = shared_from_this();
-    while (m_channel == watched && !watched->calls.empty()) {
+    while (m_channel == watched && watched->isWaiting()) {
         const instant heard = std::max(watched->connection->lastReceived(), watched->waitingSince);
         const instant due = heard + m_settings.silenceInterval;
         if (currentTime() < due) {
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -152,13 +152,13 @@
     return reasonNames.at(static_cast<std::size_t>(reason));
 }
 
-membership_step applyHostList(membership &fleet, std::span<const listed_host> hosts, instant now)
+membership_step applyHostList(membership &fleet, std::span<const member_listing> hosts, instant now)
 {
     stepper stepping{fleet, now, {}};
     for (auto &[host, target] : fleet.members)
         target.listed = false;
     fleet.selfListedLeaving = false;
-    for (const listed_host &host : hosts) {
+    for (const member_listing &host : hosts) {
         if (host.name == fleet.self) {
             fleet.selfListedLeaving = host.leaving;
             continue;
--- a/src/policy/membership.h
+++ b/src/policy/membership.h
@@ -50,7 +50,7 @@
 };
 
 /// An entry host in the platform's list, which lags.
-struct listed_host
+struct member_listing
 {
     std::string name;
     bool leaving = false;
@@ -123,7 +123,8 @@
 };
 
 /// Takes in a complete host list of the platform.
-membership_step applyHostList(membership &fleet, std::span<const listed_host> hosts, instant now);
+membership_step applyHostList(membership &fleet, std::span<const member_listing> hosts,
+                              instant now);
 
 /// Takes in a beat. Late ones are dropped.
 membership_step applyBeat(membership &fleet, const host_beat &beat, instant now);
--- a/tests/peer/silent_connection_test.cpp
+++ b/tests/peer/silent_connection_test.cpp
@@ -65,14 +65,6 @@
         runUntil(context, [&] { return hungInTotal > before; });
         return pending;
     }
-
-    void runFor(milliseconds span)
-    {
-        bool over = false;
-        asio::steady_timer timer(context, span);
-        timer.async_wait([&over](const boost::system::error_code &) { over = true; });
-        runUntil(context, [&over] { return over; });
-    }
 };
 
 using reachability = peer_mesh::reachability;
@@ -84,7 +76,9 @@
 BOOST_AUTO_TEST_CASE(quietButLiveConnectionKeepsItsCalls)
 {
     const auto pending = hang();
-    runFor(milliseconds(1500));
+    // Twenty pings and their answers outlast the idle timeout.
+    const int passedOn = relay->passedOn();
+    runUntil(context, [&] { return relay->passedOn() >= passedOn + 40 || pending->has_value(); });
     BOOST_TEST(!pending->has_value());
     BOOST_TEST(relay->accepted() == 1);
 }
@@ -104,6 +98,15 @@
     runUntil(context, [this] { return hangingNow == 0; });
 }
 
+BOOST_AUTO_TEST_CASE(callsThatGiveUpEarlyStillRevealASilentConnection)
+{
+    BOOST_TEST(callAndWait(context, *a, "b", "/echo", "first").value() == "first");
+    relay->silenceOpenConnections();
+    for (int call = 0; call < 100 && relay->accepted() == 1; ++call)
+        callAndWait(context, *a, "b", "/echo", "", milliseconds(20));
+    BOOST_TEST(relay->accepted() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(hostWhoseNewConnectionsAreSilentTooIsSuspected)
 {
     BOOST_TEST(callAndWait(context, *a, "b", "/echo", "first").value() == "first");
--- a/tests/peer/tcp_relay.h
+++ b/tests/peer/tcp_relay.h
@@ -27,6 +27,9 @@
     /// Number of connections accepted so far.
     int accepted() const { return m_accepted; }
 
+    /// Number of reads that were passed on so far.
+    int passedOn() const { return m_passedOn; }
+
     /// From now on no byte passes through connections that are open; new ones work.
     void silenceOpenConnections() { ++m_generation; }
 
@@ -83,6 +86,7 @@
                                                            std::size_t size) {
                                  if (isSilent(*through))
                                      return failure ? void() : pass(through, from, to, bytes);
+                                 ++m_passedOn;
                                  boost::system::error_code ended = failure;
                                  if (!ended)
                                      boost::asio::write(to, boost::asio::buffer(bytes, size),
@@ -99,6 +103,7 @@
     tcp::endpoint m_target;
     int m_generation = 0;
     int m_accepted = 0;
+    int m_passedOn = 0;
     bool m_swallowing = false;
 };
 
--- a/tests/policy/membership_test.cpp
+++ b/tests/policy/membership_test.cpp
@@ -65,7 +65,7 @@
         }
     }
 
-    void list(const std::vector<listed_host> &hosts) { take(applyHostList(fleet, hosts, now)); }
+    void list(const std::vector<member_listing> &hosts) { take(applyHostList(fleet, hosts, now)); }
 
     void beat(const std::string &host)
     {
@@ -166,7 +166,7 @@
     s.fleet.selfAnnouncedLeaving = true;
     s.list({{"a"}, {"b"}, {"c"}, {"e"}});
     s.run(milliseconds(400));
-    quincefall::testing::checkGolden("membership_session.txt", s.text.str());
+    quincefall::testing::checkGolden("policy/membership_session.txt", s.text.str());
 }
 
 BOOST_AUTO_TEST_CASE(tableOfTransitions)
@@ -265,7 +265,7 @@
 {
     session s;
     s.fleet.rules.partners = 2;
-    std::vector<listed_host> hosts{{"a"}};
+    std::vector<member_listing> hosts{{"a"}};
     for (const char *name : {"b", "c", "d", "e", "f", "g"}) {
         s.remotes[name] = {};
         hosts.push_back({name});
