--- a/tests/process/support/client.py
+++ b/tests/process/support/client.py
@@ -46,24 +46,22 @@
     return ip, int(port)
 
 
-def _exchange(address, method, path, body, headers, timeout_s):
-    connection = http.client.HTTPConnection(*split_address(address), timeout=timeout_s)
-    connection.request(method, path, body=body, headers=headers)
-    return connection, connection.getresponse()
+def _connect(address, timeout_s):
+    return http.client.HTTPConnection(*split_address(address), timeout=timeout_s)
 
 
 def send(address, method, path, body=None, headers=None, timeout_s=DEFAULT_TIMEOUT_S):
     """Sends one request on a connection of its own; `body` is JSON unless it is bytes."""
     data = body if body is None or isinstance(body, bytes) else json.dumps(body).encode()
-    connection = None
+    connection = _connect(address, timeout_s)
     try:
-        connection, response = _exchange(address, method, path, data, headers or {}, timeout_s)
+        connection.request(method, path, body=data, headers=headers or {})
+        response = connection.getresponse()
         return Answer(response.status, dict(response.getheaders()), response.read())
     except (OSError, http.client.HTTPException) as failure:
         return Answer(error=type(failure).__name__)
     finally:
-        if connection is not None:
-            connection.close()
+        connection.close()
 
 
 def chat_body(prompt, tokens, model="m", stream=True):
@@ -113,25 +111,32 @@
 
 
 def stream_chat(address, prompt, tokens, model="m", headers=None, on_token=None,
-                timeout_s=DEFAULT_TIMEOUT_S):
-    """Asks for a streamed answer; on_token(n) runs after the n-th token arrived."""
+                timeout_s=DEFAULT_TIMEOUT_S, connections=None):
+    """Asks for a streamed answer; on_token(n) runs after the n-th token arrived.
+
+    Given a dictionary `connections`, the connection to each address is kept in it for reuse.
+    """
     stream = Stream()
-    connection = None
+    connection = (connections or {}).get(address) or _connect(address, timeout_s)
+    is_reusable = False
     try:
         body = json.dumps(chat_body(prompt, tokens, model)).encode()
-        connection, response = _exchange(address, "POST", "/v1/chat/completions", body,
-                                         headers or {}, timeout_s)
+        connection.request("POST", "/v1/chat/completions", body=body, headers=headers or {})
+        response = connection.getresponse()
         stream.status = response.status
         stream.headers = dict(response.getheaders())
         if response.status == 200:
             _read_events(stream, response, on_token)
+            is_reusable = response.read() == b"" and not response.will_close
         else:
             stream.body = response.read()
     except (OSError, http.client.HTTPException) as failure:
         stream.error = type(failure).__name__
-    finally:
-        if connection is not None:
-            connection.close()
+    if connections is not None and is_reusable:
+        connections[address] = connection
+    else:
+        connection.close()
+        (connections or {}).pop(address, None)
     return stream
 
 
--- a/tests/process/support/fleet.py
+++ b/tests/process/support/fleet.py
@@ -13,6 +13,7 @@
 OPERATOR_KEY = "operator-key-for-tests-only"
 CALLER_KEY = "caller-key-for-tests-only"
 CONFIG_STREAM = "config"
+ORGANISATION = "daycare"
 
 
 def binary(variable):
@@ -196,7 +197,7 @@
         for name, tier in classes.items():
             self.publish("service_class", name, {"tier": tier, "max_wait_ms": max_wait_ms})
         names = list(classes)
-        self.publish("organisation", "daycare", {
+        self.publish("organisation", ORGANISATION, {
             "key_sha256": [key_digest(CALLER_KEY)], "default_class": names[0], "classes": names})
         engines = self._upstreams("engine", slots)
         if engines:
@@ -241,8 +242,30 @@
         return client.send(self.hosts[host].caller, "POST", f"/services/{service}/{path}", body,
                            self.headers(key=key), **options)
 
+    def timeline(self, host, request=""):
+        """Events of a host's time line, of one request or all."""
+        answer = client.send(self.hosts[host].operator, "GET", f"/timeline?request={request}",
+                             headers={"Authorization": f"Bearer {OPERATOR_KEY}"})
+        assert answer.status == 200, answer
+        return [json.loads(line) for line in answer.body.splitlines()]
+
+    def granting_hosts(self, request_id):
+        """Names of the hosts whose queue granted the request."""
+        return {host for host in self.hosts
+                if any(event["event"] == "request.granted"
+                       for event in self.timeline(host, f"{ORGANISATION}.{request_id}"))}
+
+    def queue_owner(self):
+        """The host that grants the requests of all hosts, or None while they don't agree."""
+        owners = set()
+        for host in list(self.hosts):
+            request_id = f"probe-{uuid.uuid4().hex}"
+            answer = self.ask(host, "ready?", 1, request_id)
+            if answer.status != 200:
+                return None
+            owners |= self.granting_hosts(request_id)
+        return owners.pop() if len(owners) == 1 else None
+
     def wait_ready(self, limit_s=30):
-        """Waits until every host answers a short request whole."""
-        for name in list(self.hosts):
-            wait_for(lambda name=name: self.ask(name, "ready?", 1).status == 200, limit_s,
-                     f"{name} ready")
+        """Waits until every host answers and all use the same queue; returns its owner."""
+        return wait_for(self.queue_owner, limit_s, "one queue for all hosts")
--- a/tests/process/support/load.py
+++ b/tests/process/support/load.py
@@ -24,8 +24,9 @@
 class SteadyLoad:
     """Callers that ask one streamed question after another until the end of a with block.
 
-    A connection that is refused is tried on the next host, as the platform's balancer does;
-    everything else that is not a whole answer is a failure.
+    Every other caller keeps its connections open between questions. A connection that is refused is
+    tried on the next host, as the platform's balancer does; everything else that is not a whole
+    answer is a failure.
     """
 
     def __init__(self, fleet, callers=6, tokens=10, hosts=None):
@@ -51,11 +52,14 @@
 
     def _run(self, caller):
         number = 0
+        connections = {} if caller % 2 else None
         while not self._stopped.is_set():
             number += 1
-            self._ask(caller, number)
+            self._ask(caller, number, connections)
+        for connection in (connections or {}).values():
+            connection.close()
 
-    def _ask(self, caller, number):
+    def _ask(self, caller, number, connections):
         prompt = f"caller {caller} question {number}"
         names = self._hosts()
         for offset in range(len(names)):
@@ -63,7 +67,8 @@
             if host is None:
                 continue
             answer = client.stream_chat(host.caller, prompt, self._tokens,
-                                        headers=self._fleet.headers())
+                                        headers=self._fleet.headers(),
+                                        connections=connections)
             if answer.error == "ConnectionRefusedError":
                 continue
             with self._lock:
