Serve first what can still reach its first-token target

In a burst the deadline order started requests at the very end of their target, and their first token came late by the time of the prefill. The time to the first token is now learnt by class and model from Boost.Histogram samples, and a request with less time left waits behind those with more. Lengths learnt in the same way are what an organisation is charged at a start.

Without the margin the new test of the hopeless request fails: it is what the queue did before.

--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int crossRegionDivisor = 4; // Stay local for a quarter of the first-token target.
+constexpr double firstTokenQuantile = 0.8;
 constexpr double defaultTokens = 200; // Charged at the start of a request.
 
 bool isLocal(const work_item &item, std::string_view region)
@@ -96,7 +97,9 @@
     class_queue &queue = *candidate.queue;
     upstream_record &upstream = state.upstreams.records.find(candidate.upstream)->second;
     recordPassedTiers(state, queue.policy.tier, candidate.upstream, reason, now);
-    attempt_record attempt{*dequeue(state.queue, candidate.item->id), now, defaultTokens};
+    attempt_record attempt{*dequeue(state.queue, candidate.item->id), now, 0};
+    attempt.chargedTokens = expectedTokens(state.lengths, attempt.item.serviceClass,
+                                           attempt.item.model, defaultTokens);
     const std::string &organisation = attempt.item.organisation;
     chargeOrganisation(queue, organisation, attempt.chargedTokens,
                        weightOf(state.organisations, organisation));
@@ -220,6 +223,18 @@
                        weightOf(state.organisations, item.organisation));
 }
 
+/// Learns lengths and times from a complete answer.
+void learn(pool_state &state, const attempt_record &attempt, const completion &done)
+{
+    if (done.failed || done.tokens == 0 || attempt.item.resumeFrom > 0)
+        return;
+    const work_item &item = attempt.item;
+    recordAnswer(state.lengths, item.serviceClass, item.model, done.tokens, done.firstToken);
+    class_queue &queue = classQueue(state.queue, item.serviceClass);
+    queue.firstTokenTime
+        = firstTokenTime(state.lengths, item.serviceClass, item.model, firstTokenQuantile);
+}
+
 } // namespace
 
 decisions configure(pool_state &state, pool_plan plan, instant now)
@@ -262,6 +277,7 @@
     if (!attempt)
         return {};
     endAttempt(state, *attempt, done.tokens);
+    learn(state, *attempt, done);
     return assigned(state, now);
 }
 
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "policy/admission.h"
 #include "policy/drain_rate.h"
+#include "policy/length_estimate.h"
 #include "policy/organisation_share.h"
 #include "policy/pool_types.h"
 #include "policy/retry_after.h"
@@ -25,6 +26,7 @@
     organisation_table organisations;
     tier_rule rule;
     drain_rate drain;
+    length_estimates lengths;
     retry_schedule returns;
     double poolSlots = 0; ///< Slots of all upstreams that take new work.
     std::mt19937_64 random; ///< For `pool_plan::twoChoices`; seeded by the owner of the state.
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -29,9 +29,9 @@
     queue.lastArrival = now;
 }
 
-request_group::const_iterator nextInGroup(const request_group &group, instant now)
+request_group::const_iterator nextInGroup(const request_group &group, instant earliestFirstToken)
 {
-    const auto onTime = group.lower_bound(order_key{now, 0});
+    const auto onTime = group.lower_bound(order_key{earliestFirstToken, 0});
     return onTime == group.end() ? group.begin() : onTime;
 }
 
@@ -45,10 +45,11 @@
 std::optional<start_candidate> nextOfOrganisation(class_queue &queue, organisation_queue &from,
                                                   instant now, const placement &place)
 {
+    const instant earliestFirstToken = now + queue.firstTokenTime;
     std::vector<start_candidate> heads;
     for (const auto &[traits, group] : from.groups) {
-        const auto next = nextInGroup(group, now);
-        const bool onTime = next->first.deadline >= now;
+        const auto next = nextInGroup(group, earliestFirstToken);
+        const bool onTime = next->first.deadline >= earliestFirstToken;
         heads.push_back({&queue, &from, &next->second, next->first, onTime, {}});
     }
     std::sort(heads.begin(), heads.end(), precedes);
@@ -90,6 +91,7 @@
         }
         if (const auto target = queue.classes.find(name); target != queue.classes.end()) {
             target->second.virtualTime = old.virtualTime;
+            target->second.firstTokenTime = old.firstTokenTime;
             target->second.lastArrival = old.lastArrival;
             target->second.starvedSince = old.starvedSince;
         }
--- a/src/policy/wait_queue.h
+++ b/src/policy/wait_queue.h
@@ -59,6 +59,7 @@
     class_policy policy;
     double virtualTime = 0; ///< Of the last start; an organisation that returns begins here.
     std::size_t size = 0;
+    microseconds firstTokenTime{0}; ///< Expected from the start to the first token.
     instant lastArrival; ///< Refused ones included.
     instant starvedSince; ///< Last start, or the first arrival after a time without any.
     std::map<std::string, organisation_queue, std::less<>> organisations;
--- a/tests/policy/pool_scheduler_test.cpp
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -130,6 +130,29 @@
     BOOST_TEST(session.refusalsByClass["questions"] > 100);
 }
 
+BOOST_AUTO_TEST_CASE(aRequestThatCanNoLongerBeOnTimeLetsOthersPass)
+{
+    pool_session session = makeSession(1, 1);
+    session.submitRequest("r0", "rosters", "a");
+    for (int number = 1; number <= 20; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        session.submitRequest(id, "rosters", "a");
+        completion done;
+        done.permit = session.running.begin()->second.permit;
+        done.upstream = "engine-1";
+        done.tokens = 100;
+        done.firstToken = milliseconds(300);
+        session.running.clear();
+        session.take(finish(session.state, done, session.now));
+    }
+    session.submitRequest("hopeless", "rosters", "a");
+    session.advanceBy(milliseconds(500)); // 200 ms are left, 300 ms are needed.
+    session.submitRequest("on time", "rosters", "a");
+    session.finishRequest("r20", 100, seconds(1));
+    BOOST_TEST(session.granted.contains("on time"));
+    BOOST_TEST(!session.granted.contains("hopeless"));
+}
+
 BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNewAndExclusionsHold)
 {
     pool_session session = makeSession(2, 1);
