Prefer on-time requests across the organisations of a class

An organisation whose waiting requests were all late took its turn although others had requests that could still be on time. Now a class starts on-time requests first, in the fair order of their organisations, and late ones after them; the margin is the 0.9 quantile of the time to the first token in place of 0.8.

Tried and not kept: in overload refuse on arrival what can't start within 0.7 of its target.

--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr int crossRegionDivisor = 4; // Stay local for a quarter of the first-token target.
-constexpr double firstTokenQuantile = 0.8;
+constexpr double firstTokenQuantile = 0.9;
 constexpr double defaultTokens = 200; // Charged at the start of a request.
 
 bool isLocal(const work_item &item, std::string_view region)
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -155,12 +155,16 @@
 
 std::optional<start_candidate> nextOfClass(class_queue &queue, instant now, const placement &place)
 {
+    std::optional<start_candidate> late;
     for (const auto &[virtualTime, name] : queue.active) {
         organisation_queue &organisation = queue.organisations.find(name)->second;
-        if (auto next = nextOfOrganisation(queue, organisation, now, place))
+        auto next = nextOfOrganisation(queue, organisation, now, place);
+        if (next && next->onTime)
             return next;
+        if (next && !late)
+            late = std::move(next);
     }
-    return std::nullopt;
+    return late;
 }
 
 std::optional<start_candidate> nextOfTier(wait_queue &queue, int tier, instant now,
--- a/src/policy/wait_queue.h
+++ b/src/policy/wait_queue.h
@@ -115,8 +115,8 @@
 /// Removes a request; empty when the id does not wait.
 std::optional<work_item> dequeue(wait_queue &queue, std::string_view id);
 
-/// The next request of one class: organisations by virtual time, in an organisation first those
-/// that can still be on time, by deadline, then the late ones.
+/// The next request of one class: first those that can still be on time, by their organisation's
+/// virtual time and then by deadline, then the late ones in the same order.
 std::optional<start_candidate> nextOfClass(class_queue &queue, instant now, const placement &place);
 
 /// The next request of one tier: the earliest deadline among its classes' next requests.
