Find failing and slow upstreams by their own progress and probe them back in

The schedulers went on granting a crashed engine and a straggler. Now failed attempts withhold an upstream for a growing pause, and a token rate below half of the pool's usual rate makes it slow; both get single probes. A resumed answer goes first in its class and its wait begins anew: before, one that had run for longer than maxWait was refused as expired.

Ruled out: probes by the lowest tier ahead of a waiting higher tier. The property test found the counter higherTierShedForLower at 2; a higher tier that finds no other place now takes the probe.

Trials, each fails a test: resumed answers in plain order or with their old wait, a slow state that is never entered or never left, failures of one moment counted one by one.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -121,6 +121,7 @@
     sum.lost += one.lost;
     sum.shedForLower += one.shedForLower;
     sum.shedForGuarantee += one.shedForGuarantee;
+    sum.failed += one.failed;
     sum.retries += one.retries;
     sum.schedulerSeconds += one.schedulerSeconds;
     sum.schedulerCalls += one.schedulerCalls;
@@ -178,7 +179,8 @@
         << ",\"returned\":" << figures.returned << ",\"returned_served\":"
         << number(ratio(static_cast<double>(figures.returnedServed),
                         static_cast<double>(figures.returned)))
-        << ",\"retries\":" << figures.retries << ",\"lost\":" << figures.lost
+        << ",\"retries\":" << figures.retries << ",\"failed\":" << figures.failed
+        << ",\"lost\":" << figures.lost
         << ",\"higher_tier_shed_for_lower\":" << figures.shedForLower
         << ",\"higher_tier_shed_for_guarantee\":" << figures.shedForGuarantee
         << ",\"steps_per_request\":"
--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -8,6 +8,8 @@
 
 constexpr int crossRegionDivisor = 4; // Stay local for a quarter of the first-token target.
 constexpr double firstTokenQuantile = 0.9;
+constexpr std::uint32_t enoughTokens = 10; // To judge an upstream's rate by.
+constexpr seconds probePatience{3};
 constexpr double defaultTokens = 200; // Charged at the start of a request.
 
 bool isLocal(const work_item &item, std::string_view region)
@@ -49,9 +51,18 @@
 {
     if (!isBelowLimit(state.organisations, item.organisation))
         return {};
-    const upstream_record *chosen = chooseUpstream(state, item, true);
+    // Probes are left to the lowest tier unless it has no demand; but a request that finds no other
+    // place takes one at once, so that a lower tier doesn't start there ahead of it.
+    const bool isLowest
+        = classQueue(state.queue, item.serviceClass).policy.tier >= state.lowestTier;
+    const microseconds patience = isLowest ? microseconds(0) : probePatience;
+    const upstream_record *chosen = probeFor(state.upstreams, item, patience, now);
+    if (chosen == nullptr)
+        chosen = chooseUpstream(state, item, true);
     if (chosen == nullptr && mayCross(state, item, now))
         chosen = chooseUpstream(state, item, false);
+    if (chosen == nullptr)
+        chosen = probeFor(state.upstreams, item, {}, now);
     return chosen == nullptr ? std::string() : chosen->info.name;
 }
 
@@ -107,6 +118,8 @@
     ++state.rule.running[attempt.item.serviceClass];
     queue.starvedSince = now;
     recordStart(state.drain, queue.policy.tier, now);
+    if (upstream.withheld)
+        delayProbe(upstream.health, now);
     const std::uint64_t permit = state.nextPermit++;
     out.grants.push_back({attempt.item.id, attempt.item.entryHost, permit, candidate.upstream});
     addAttempt(state.upstreams, upstream, permit, std::move(attempt), now);
@@ -142,7 +155,7 @@
 {
     const placement placeNow
         = [&state, now](const work_item &item) { return place(state, item, now); };
-    while (state.upstreams.offeredCount > 0 && !state.queue.byId.empty()) {
+    while (hasFreePlace(state.upstreams) && !state.queue.byId.empty()) {
         const bool started
             = startGuaranteed(state, placeNow, now, out) || startInOrder(state, placeNow, now, out);
         if (!started)
@@ -205,7 +218,7 @@
 bool isHopeless(pool_state &state, const work_item &item, instant now)
 {
     const class_queue &queue = classQueue(state.queue, item.serviceClass);
-    if (queue.size == 1)
+    if (queue.size == 1 || item.resumeFrom > 0)
         return false;
     const double others = workAhead(state.queue, state.organisations, queue, item.organisation) - 1;
     const double rate = drainForTier(state.drain, queue.policy.tier, now);
@@ -223,10 +236,24 @@
                        weightOf(state.organisations, item.organisation));
 }
 
+/// Learns from the end of an attempt how its upstream does.
+void judgeUpstream(pool_state &state, upstream_record &upstream, const completion &done,
+                   instant now)
+{
+    const double seconds = toMilliseconds(done.duration - done.firstToken) / 1000;
+    if (done.failed)
+        recordFailure(upstream.health, now);
+    else if (!done.stopped)
+        recordSuccess(upstream.health);
+    if (!done.failed && !done.stopped && done.tokens >= enoughTokens && seconds > 0)
+        recordRate(upstream.health, state.upstreams.usual, (done.tokens - 1) / seconds, now);
+    refresh(state.upstreams, upstream);
+}
+
 /// Learns lengths and times from a complete answer.
 void learn(pool_state &state, const attempt_record &attempt, const completion &done)
 {
-    if (done.failed || done.tokens == 0 || attempt.item.resumeFrom > 0)
+    if (done.failed || done.stopped || done.tokens == 0 || attempt.item.resumeFrom > 0)
         return;
     const work_item &item = attempt.item;
     recordAnswer(state.lengths, item.serviceClass, item.model, done.tokens, done.firstToken);
@@ -244,6 +271,9 @@
     setUpstreams(state.upstreams, state.plan.upstreams);
     setOrganisations(state.organisations, state.plan.organisations);
     state.poolSlots = totalCapacity(state.upstreams);
+    state.lowestTier = 1;
+    for (const class_policy &policy : state.plan.classes)
+        state.lowestTier = std::max(state.lowestTier, policy.tier);
     return advance(state, now);
 }
 
@@ -277,10 +307,24 @@
     if (!attempt)
         return {};
     endAttempt(state, *attempt, done.tokens);
+    judgeUpstream(state, found->second, done, now);
     learn(state, *attempt, done);
     return assigned(state, now);
 }
 
+decisions reportSlow(pool_state &state, const slow_progress &progress, instant now)
+{
+    const auto found = state.upstreams.records.find(progress.upstream);
+    if (found == state.upstreams.records.end() || !found->second.running.contains(progress.permit))
+        return {};
+    upstream_record &upstream = found->second;
+    recordRate(upstream.health, state.upstreams.usual, progress.tokensPerSecond, now);
+    if (upstream.withheld)
+        delayProbe(upstream.health, now);
+    refresh(state.upstreams, upstream);
+    return {};
+}
+
 decisions adoptRunning(pool_state &state, const running_attempt &attempt, instant now)
 {
     const auto found = state.upstreams.records.find(attempt.upstream);
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -29,6 +29,7 @@
     length_estimates lengths;
     retry_schedule returns;
     double poolSlots = 0; ///< Slots of all upstreams that take new work.
+    int lowestTier = 1;
     std::mt19937_64 random; ///< For `pool_plan::twoChoices`; seeded by the owner of the state.
     std::uint64_t nextPermit = 1; ///< An owner sets its own range, so that permits are unique.
 };
@@ -45,6 +46,9 @@
 /// Ends a running attempt; unknown permits are ignored.
 decisions finish(pool_state &state, const completion &done, instant now);
 
+/// Takes in that a running answer is slower than its class asks for; see stream_watch.h.
+decisions reportSlow(pool_state &state, const slow_progress &progress, instant now);
+
 /// Counts an attempt that an earlier owner granted.
 decisions adoptRunning(pool_state &state, const running_attempt &attempt, instant now);
 
--- a/src/policy/pool_types.h
+++ b/src/policy/pool_types.h
@@ -98,7 +98,16 @@
     std::uint32_t tokens = 0;
     microseconds firstToken{0};
     microseconds duration{0};
-    bool failed = false;
+    bool failed = false; ///< By a fault of the upstream.
+    bool stopped = false; ///< Before its end, by the caller or to go on elsewhere.
+};
+
+/// Progress of a running attempt that is slower than its class asks for.
+struct slow_progress
+{
+    std::uint64_t permit = 0;
+    std::string upstream;
+    double tokensPerSecond = 0; ///< In the last interval.
 };
 
 /// A permit granted by an earlier owner of the queue.
--- a/src/policy/upstream_choice.cpp
+++ b/src/policy/upstream_choice.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr seconds historySpan{8};
-constexpr double slowRankPenalty = 10; // Slow upstreams come after all others.
 
 template <typename container>
 bool contains(const container &values, std::string_view value)
@@ -21,8 +20,22 @@
     return static_cast<double>(record.running.size()) + record.foreign;
 }
 
+/// Failing upstreams are withheld; slow ones only while they are a minority, since otherwise the
+/// usual rate is what has changed.
+bool isWithheld(const upstream_table &table, const upstream_record &record)
+{
+    using condition = upstream_health::condition;
+    if (record.health.state == condition::slow)
+        return (table.slowCount + 1) * 2 <= table.records.size();
+    return record.health.state == condition::failing;
+}
+
 void withdraw(upstream_table &table, upstream_record &record)
 {
+    table.slowCount -= record.countedSlow ? 1 : 0;
+    record.countedSlow = false;
+    table.withheld.erase(record.info.name);
+    record.withheld = false;
     if (!record.offered)
         return;
     table.offered[record.info.region].erase({record.rank, record.info.name});
@@ -30,6 +43,14 @@
     --table.offeredCount;
 }
 
+void withhold(upstream_table &table, upstream_record &record)
+{
+    record.countedSlow = record.health.state == upstream_health::condition::slow;
+    table.slowCount += record.countedSlow ? 1 : 0;
+    if (!record.info.leaving && record.running.empty())
+        table.withheld.insert(record.info.name);
+}
+
 void remember(upstream_record &record, instant now)
 {
     while (record.history.size() > 1 && record.history[1].first < now - historySpan)
@@ -52,8 +73,10 @@
 
 double capacity(const upstream_record &record)
 {
+    if (record.withheld)
+        return 1;
     const std::uint32_t slots = record.reportedSlots > 0 ? record.reportedSlots : record.info.slots;
-    return std::max(1.0, std::floor(slots * record.speed));
+    return std::max(1U, slots);
 }
 
 double totalCapacity(const upstream_table &table)
@@ -89,10 +112,15 @@
 void refresh(upstream_table &table, upstream_record &record)
 {
     withdraw(table, record);
+    record.withheld = isWithheld(table, record);
+    if (record.withheld) {
+        withhold(table, record);
+        return;
+    }
     const double slots = capacity(record);
     if (record.info.leaving || load(record) >= slots)
         return;
-    record.rank = load(record) / slots + (record.speed < 1 ? slowRankPenalty : 0);
+    record.rank = load(record) / slots;
     record.offered = true;
     ++table.offeredCount;
     table.offered[record.info.region].emplace(record.rank, record.info.name);
@@ -132,6 +160,11 @@
     refresh(table, record);
 }
 
+bool hasFreePlace(const upstream_table &table)
+{
+    return table.offeredCount > 0 || !table.withheld.empty();
+}
+
 bool mayServe(const upstream_record &record, const work_item &item)
 {
     if (record.info.leaving || contains(item.excluded, record.info.name))
@@ -140,6 +173,17 @@
         || contains(record.info.models, item.model);
 }
 
+const upstream_record *probeFor(const upstream_table &table, const work_item &item,
+                                microseconds overdue, instant now)
+{
+    for (const std::string &name : table.withheld) {
+        const upstream_record &record = table.records.find(name)->second;
+        if (record.health.probeFrom + overdue <= now && mayServe(record, item))
+            return &record;
+    }
+    return nullptr;
+}
+
 const upstream_record *leastLoadedIn(const upstream_table &table, std::string_view region,
                                      const work_item &item)
 {
--- a/src/policy/upstream_choice.h
+++ b/src/policy/upstream_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/pool_types.h"
+#include "policy/upstream_health.h"
 
 #include <deque>
 #include <functional>
@@ -28,9 +29,11 @@
     std::map<std::uint64_t, attempt_record> running; ///< By permit.
     std::uint32_t reportedSlots = 0; ///< Zero until the first load report.
     double foreign = 0; ///< Work of others, from the last report.
-    double speed = 1; ///< Share of its slots that it is given, 0..1.
+    upstream_health health;
     std::deque<std::pair<instant, std::uint32_t>> history; ///< Past sizes of `running`.
     double rank = 0; ///< Its place in the table's order.
+    bool withheld = false; ///< Gets probes only.
+    bool countedSlow = false; ///< Part of the table's `slowCount`.
     bool offered = false; ///< Stands in the table's order.
 };
 
@@ -41,10 +44,13 @@
 
     std::map<std::string, upstream_record, std::less<>> records;
     std::map<std::string, ordered_names, std::less<>> offered;
+    std::set<std::string, std::less<>> withheld; ///< Failing and slow ones with a free place.
     std::size_t offeredCount = 0;
+    std::size_t slowCount = 0;
+    usual_rate usual;
 };
 
-/// Declared or reported slots, times the share the upstream is given; at least 1.
+/// Declared or reported slots; 1 while the upstream gets probes only.
 double capacity(const upstream_record &record);
 
 /// Slots of all upstreams that take new work.
@@ -68,9 +74,17 @@
 /// Takes in a load report: what it says beyond our own work in flight at its time is foreign.
 void applyReport(upstream_table &table, const load_report &report, instant now);
 
+/// Whether any upstream may take a request now.
+bool hasFreePlace(const upstream_table &table);
+
 /// Whether @p record may serve @p item at all, its load aside.
 bool mayServe(const upstream_record &record, const work_item &item);
 
+/// A failing or slow upstream that was due for a probe @p overdue ago and may serve @p item, or
+/// null.
+const upstream_record *probeFor(const upstream_table &table, const work_item &item,
+                                microseconds overdue, instant now);
+
 /// The least loaded upstream with a free place in @p region that may serve @p item, or null.
 const upstream_record *leastLoadedIn(const upstream_table &table, std::string_view region,
                                      const work_item &item);
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 const char *const fallbackClass = "";
+constexpr instant resumedDeadline = instant::min();
 
 request_traits traitsOf(const work_item &item)
 {
@@ -31,6 +32,8 @@
 
 request_group::const_iterator nextInGroup(const request_group &group, instant earliestFirstToken)
 {
+    if (group.begin()->first.deadline == resumedDeadline)
+        return group.begin();
     const auto onTime = group.lower_bound(order_key{earliestFirstToken, 0});
     return onTime == group.end() ? group.begin() : onTime;
 }
@@ -49,7 +52,8 @@
     std::vector<start_candidate> heads;
     for (const auto &[traits, group] : from.groups) {
         const auto next = nextInGroup(group, earliestFirstToken);
-        const bool onTime = next->first.deadline >= earliestFirstToken;
+        const instant deadline = next->first.deadline;
+        const bool onTime = deadline >= earliestFirstToken || deadline == resumedDeadline;
         heads.push_back({&queue, &from, &next->second, next->first, onTime, {}});
     }
     std::sort(heads.begin(), heads.end(), precedes);
@@ -63,11 +67,6 @@
 
 } // namespace
 
-instant firstTokenDeadline(const work_item &item, const class_policy &policy)
-{
-    return item.arrival + policy.firstTokenTarget;
-}
-
 void setClasses(wait_queue &queue, const std::vector<class_policy> &classes, instant now)
 {
     wait_queue previous = std::exchange(queue, {});
@@ -113,8 +112,10 @@
     if (queue.byId.contains(item.id))
         return false;
     class_queue &target = classQueue(queue, item.serviceClass);
-    const order_key key{firstTokenDeadline(item, target.policy), queue.nextSequence++};
-    const instant expiry = item.arrival + target.policy.maxWait;
+    const bool resumed = item.resumeFrom > 0;
+    const instant deadline = item.arrival + target.policy.firstTokenTarget;
+    const order_key key{resumed ? resumedDeadline : deadline, queue.nextSequence++};
+    const instant expiry = (resumed ? now : item.arrival) + target.policy.maxWait;
     const std::string organisationName = item.organisation;
     organisation_queue &organisation = target.organisations[organisationName];
     ++target.size;
--- a/src/policy/wait_queue.h
+++ b/src/policy/wait_queue.h
@@ -109,7 +109,8 @@
 /// The queue of the class called @p name, or the lowest tier's if there is none of that name.
 class_queue &classQueue(wait_queue &queue, std::string_view name);
 
-/// Adds a request; false when its id waits already.
+/// Adds a request; false when its id waits already. One that resumes a broken answer goes before
+/// all others of its class and organisation, and its wait begins now.
 bool enqueue(wait_queue &queue, work_item item, instant now);
 
 /// Removes a request; empty when the id does not wait.
@@ -133,9 +134,6 @@
 /// Adds the ids of the requests that entered through @p host to @p ids.
 void collectOfHost(const class_queue &queue, std::string_view host, std::vector<std::string> &ids);
 
-/// The first-token deadline of @p item under @p policy.
-instant firstTokenDeadline(const work_item &item, const class_policy &policy);
-
 /// The number of requests waiting in tiers above @p tier.
 std::size_t waitingAbove(const wait_queue &queue, int tier);
 
--- a/tests/policy/pool_scheduler_test.cpp
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -153,6 +153,63 @@
     BOOST_TEST(!session.granted.contains("hopeless"));
 }
 
+BOOST_AUTO_TEST_CASE(aBrokenAnswerGoesOnBeforeOthersHoweverOldItIs)
+{
+    pool_session session = makeSession(1, 1);
+    session.submitRequest("first", "rosters", "a");
+    session.advanceBy(seconds(30));
+    session.submitRequest("other", "rosters", "a");
+    work_item broken;
+    broken.id = "broken";
+    broken.serviceClass = "rosters";
+    broken.organisation = "a";
+    broken.arrival = session.now - seconds(25);
+    broken.resumeFrom = 70;
+    session.take(submit(session.state, broken, session.now));
+    session.advanceBy(milliseconds(100));
+    session.finishRequest("first", 10, seconds(1));
+    BOOST_TEST(session.granted.contains("broken"));
+}
+
+BOOST_AUTO_TEST_CASE(stragglerIsProbedUntilItRecovers)
+{
+    pool_session session = makeSession(3, 2);
+    int next = 0;
+    double stragglerRate = 50;
+    int onStraggler = 0;
+    const auto runRound = [&] {
+        for (int each = 0; each < 4; ++each)
+            session.submitRequest("r" + std::to_string(next++), "questions", "a");
+        std::map<std::string, grant> running;
+        running.swap(session.running);
+        session.now += milliseconds(1000);
+        for (const auto &[id, permit] : running) {
+            const bool slow = permit.upstream == "engine-2";
+            const double rate = slow ? stragglerRate : 50;
+            onStraggler += slow ? 1 : 0;
+            completion done{permit.permit, permit.upstream, 101, milliseconds(100), {}};
+            done.duration
+                = microseconds(static_cast<std::int64_t>(100 / rate * 1e6)) + done.firstToken;
+            session.note("finish " + id + " on " + permit.upstream);
+            session.take(finish(session.state, done, session.now));
+        }
+    };
+    const auto grantsToStraggler = [&](int rounds) {
+        const int before = onStraggler;
+        for (int round = 0; round < rounds; ++round)
+            runRound();
+        return onStraggler - before;
+    };
+    BOOST_TEST(grantsToStraggler(8) > 6);
+    stragglerRate = 5;
+    grantsToStraggler(2);
+    BOOST_TEST(grantsToStraggler(8) <= 4); // One probe in 2 s.
+    stragglerRate = 50;
+    grantsToStraggler(4);
+    BOOST_TEST(grantsToStraggler(8) > 6);
+    checkGolden("policy/straggler.txt", session.transcript.str());
+}
+
 BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNewAndExclusionsHold)
 {
     pool_session session = makeSession(2, 1);
