Keep the configuration in force through outages, truncation and lost hosts

Cause: a change accepted by one host was lost to the others when the log went down, a host started in an outage had nothing in force, and a truncated log could not be read from its beginning. Change: beats carry offsets and lagging hosts fetch records or the folded state from peers; a host writes checkpoints in parts; queues move with membership.

--- a/src/ledger/config_state.cpp
+++ b/src/ledger/config_state.cpp
@@ -140,6 +140,28 @@
     return effect;
 }
 
+std::optional<std::uint64_t> numberIn(const json::object &body, std::string_view name)
+{
+    const json::value *value = body.if_contains(name);
+    boost::system::error_code failure;
+    const auto number = value == nullptr ? 0 : value->to_number<std::uint64_t>(failure);
+    return value == nullptr || failure ? std::nullopt : std::optional(number);
+}
+
+/// Remembers how far the newest whole checkpoint reaches, so that hosts do not all write one. Parts
+/// are appended in order: the last one completes the checkpoint.
+void noteCheckpoint(config_state &state, const json::value &checkpoint)
+{
+    const json::object *body = checkpoint.if_object();
+    if (body == nullptr)
+        return;
+    const auto next = numberIn(*body, "next");
+    const auto part = numberIn(*body, "part");
+    const auto parts = numberIn(*body, "parts");
+    if (next && part && parts && *part + 1 == *parts && *next <= state.next)
+        state.lastCheckpoint = std::max(state.lastCheckpoint, *next);
+}
+
 json::object dumpResource(const resource_key &key, const stored_resource &stored)
 {
     return {{"kind", toString(key.kind)},
@@ -193,8 +215,12 @@
     state.next = offset + 1;
     boost::system::error_code failure;
     const json::value parsed = json::parse(record, failure);
-    if (failure || !parsed.is_object() || parsed.get_object().contains("checkpoint"))
+    if (failure || !parsed.is_object())
         return {};
+    if (const json::value *checkpoint = parsed.get_object().if_contains("checkpoint")) {
+        noteCheckpoint(state, *checkpoint);
+        return {};
+    }
     auto change = decodeChange(parsed.get_object());
     if (!change)
         return {operation_outcome{"", change.error().code, offset, change.error().detail}, {}};
--- a/src/operate/config_service.cpp
+++ b/src/operate/config_service.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds readWait{5000};
 constexpr milliseconds retryPause{200};
 constexpr milliseconds appendTimeout{1000};
+constexpr milliseconds checkpointTimeout{10'000};
 constexpr milliseconds outcomePoll{5};
 constexpr std::size_t recentRecordLimit = 4096;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
@@ -28,11 +29,14 @@
     }
 
     dependencies needs;
+    std::weak_ptr<state_data> self;
     config_state folded;
     std::deque<log_record> recent;
     std::vector<std::function<void()>> listeners;
     bool isReady = false;
     bool isLogReachable = false;
+    std::function<bool()> isCheckpointWriter;
+    bool isWritingCheckpoint = false;
     bool isStopped = false;
 
     /// Folds in a record if it is the next one; false when it is not.
@@ -96,6 +100,57 @@
             notify();
     }
 
+    void adopt(config_state newer)
+    {
+        if (newer.next <= folded.next)
+            return;
+        folded = std::move(newer);
+        recent.clear();
+        needs.events.record("config.adopted", "", configStream,
+                            {{"next", std::to_string(folded.next)}});
+        notify();
+    }
+
+    /// Reads on from the oldest kept record until a checkpoint makes a newer state; records from
+    /// that state on are folded in by the reads that follow.
+    static asio::awaitable<void> recover(std::shared_ptr<state_data> self, std::uint64_t first)
+    {
+        checkpoint_reader reader;
+        std::uint64_t from = first;
+        while (!self->isStopped && self->folded.next < first) {
+            const auto page = co_await self->needs.log.read(configStream, from, retryPause);
+            if (!page || page->isTruncated)
+                co_return;
+            for (const log_record &record : page->records) {
+                from = record.offset + 1;
+                if (auto state = addCheckpointRecord(reader, record.data);
+                    state && state->next >= first)
+                    self->adopt(std::move(*state));
+            }
+        }
+    }
+
+    /// Appends a checkpoint when it is this host's turn. A duplicate does no harm.
+    static asio::awaitable<void> writeCheckpoint(std::shared_ptr<state_data> self)
+    {
+        self->isWritingCheckpoint = true;
+        const std::string id = self->needs.hostName + "-" + std::to_string(self->folded.next);
+        auto records = encodeCheckpoint(self->folded, id, self->needs.checkpoints);
+        const auto appended
+            = co_await self->needs.log.append(configStream, std::move(records), checkpointTimeout);
+        self->needs.events.record("config.checkpoint", "", configStream,
+                                  {{"id", id}, {"written", appended ? "yes" : "not known"}});
+        self->isWritingCheckpoint = false;
+    }
+
+    void checkpointIfDue()
+    {
+        if (isWritingCheckpoint || !isReady || !isCheckpointWriter || !isCheckpointWriter())
+            return;
+        if (isCheckpointDue(folded, needs.checkpoints))
+            asio::co_spawn(needs.context, writeCheckpoint(self.lock()), asio::detached);
+    }
+
     static asio::awaitable<void> follow(std::shared_ptr<state_data> self)
     {
         asio::steady_timer pause(self->needs.context);
@@ -108,8 +163,11 @@
             self->setReachable(page.has_value());
             if (page && !page->isTruncated) {
                 self->take(*page);
+                self->checkpointIfDue();
                 continue;
             }
+            if (page)
+                co_await recover(self, page->first);
             pause.expires_after(retryPause);
             co_await pause.async_wait(asTuple);
         }
@@ -125,6 +183,7 @@
 config_service::config_service(std::shared_ptr<state_data> shared)
     : m_state(std::move(shared))
 {
+    m_state->self = m_state;
 }
 
 config_service::~config_service()
@@ -141,6 +200,7 @@
 {
     m_state->isStopped = true;
     m_state->listeners.clear();
+    m_state->isCheckpointWriter = nullptr;
 }
 
 const config_state &config_service::state() const
@@ -158,6 +218,11 @@
     return m_state->isLogReachable;
 }
 
+void config_service::setCheckpointWriter(std::function<bool()> isWriter)
+{
+    m_state->isCheckpointWriter = std::move(isWriter);
+}
+
 void config_service::onChange(std::function<void()> listener)
 {
     m_state->listeners.push_back(std::move(listener));
@@ -187,23 +252,22 @@
     co_return makeError(result_code::writeUnknown, "ask again by operation id " + operation);
 }
 
-void config_service::adoptRecords(const std::vector<log_record> &records)
+void config_service::adoptRecords(const std::vector<log_record> &records, std::uint64_t peerNext)
 {
     bool hasChanged = false;
     for (const log_record &record : records)
         hasChanged |= m_state->apply(record);
-    if (hasChanged)
+    const bool becomesReady = !m_state->isReady && m_state->folded.next >= peerNext;
+    if (becomesReady)
+        m_state->setReady();
+    if (hasChanged || becomesReady)
         m_state->notify();
 }
 
 void config_service::adoptState(config_state newer)
 {
-    if (newer.next <= m_state->folded.next)
-        return;
-    m_state->folded = std::move(newer);
-    m_state->recent.clear();
+    m_state->adopt(std::move(newer));
     m_state->setReady();
-    m_state->notify();
 }
 
 std::vector<log_record> config_service::recentRecords(std::uint64_t from) const
--- a/src/operate/config_service.h
+++ b/src/operate/config_service.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 #include "kernel/result.h"
+#include "ledger/checkpoint.h"
 #include "ledger/config_state.h"
 #include "platform/log_client.h"
 
@@ -26,6 +27,8 @@
         const log_client &log;
         timeline &events;
         clock_source clock;
+        std::string hostName;
+        checkpoint_rules checkpoints;
     };
 
     static std::unique_ptr<config_service> makeConfigService(dependencies needs);
@@ -44,6 +47,9 @@
     /// True while the last read of the log succeeded.
     bool isLogReachable() const;
 
+    /// Tells whether this host is the one that writes checkpoints now.
+    void setCheckpointWriter(std::function<bool()> isWriter);
+
     /// Called after each change of the state in force.
     void onChange(std::function<void()> listener);
 
@@ -52,8 +58,9 @@
     boost::asio::awaitable<result<operation_outcome>> publish(config_change change,
                                                               milliseconds timeout);
 
-    /// Takes in records that a peer has read from the log; older ones are ignored.
-    void adoptRecords(const std::vector<log_record> &records);
+    /// Takes in records that a peer has read from the log; older ones are ignored. @p peerNext is
+    /// the peer's next offset: a host that reaches it is ready.
+    void adoptRecords(const std::vector<log_record> &records, std::uint64_t peerNext);
 
     /// Takes in a peer's whole state when it is newer than this host's.
     void adoptState(config_state newer);
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -4,13 +4,14 @@
 #include "kernel/kernel.h"
 #include "observe/log_setup.h"
 #include "observe/timeline.h"
+#include "operate/config_relay.h"
 #include "operate/config_service.h"
 #include "operate/operator_api.h"
+#include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
 #include "platform/host_list_service.h"
 #include "platform/http_client.h"
 #include "platform/log_client.h"
-#include "policy/ownership.h"
 #include "serve/caller_api.h"
 #include "serve/chat_service.h"
 #include "serve/http_server.h"
@@ -54,7 +55,6 @@
     clock_source clock;
     std::uint64_t incarnation;
     bool isStopping = false;
-    std::vector<std::string> members;
     std::unique_ptr<kernel> services;
 
     template <typename service_type>
@@ -80,24 +80,30 @@
 
     std::string ownerOf(std::string_view key) const
     {
-        return std::string(rendezvousOwner(key, members));
+        return services->find<heartbeat_service>("peer.heartbeats").ownerOf(key);
     }
 
-    void updateMembers(const std::vector<listed_host> &listed)
+    void takeHostList(std::span<const listed_host> listed)
     {
         auto &mesh = services->find<peer_mesh>("peer.mesh");
-        members.clear();
         for (const listed_host &host : listed) {
-            if (!host.isEntry)
-                continue;
-            mesh.setAddress(host.name, host.address);
-            if (!host.isLeaving)
-                members.push_back(host.name);
+            if (host.isEntry)
+                mesh.setAddress(host.name, host.address);
+        }
+        services->find<heartbeat_service>("peer.heartbeats").setHostList(listed);
+    }
+
+    /// Queues move when members change: permits in use are told to new owners, waiting requests go
+    /// back to their entry hosts.
+    void takeMemberChange(const state_change &change)
+    {
+        auto &queues = services->find<queue_service>("serve.queues");
+        if (change.after == host_state::dead) {
+            services->find<peer_mesh>("peer.mesh").disconnect(change.host);
+            queues.dropEntryHost(change.host);
         }
         services->find<permit_client>("serve.permits").announceRunning();
-        services->find<queue_service>("serve.queues").handOver([this](std::string_view pool) {
-            return ownerOf(pool) == values.hostName;
-        });
+        queues.handOver([this](std::string_view pool) { return ownerOf(pool) == values.hostName; });
     }
 
     void updatePools()
@@ -128,7 +134,8 @@
             = host_list_service::makeHostListService({context, client, events, values.hostList});
         auto &list = *hosts;
         add("platform.hosts", std::move(hosts), startAndStop(list));
-        auto config = config_service::makeConfigService({context, log, events, clock});
+        auto config = config_service::makeConfigService(
+            {context, log, events, clock, values.hostName, {values.checkpointEvery}});
         auto &followed = *config;
         add("operate.config", std::move(config), startAndStop(followed));
         return {};
@@ -147,6 +154,15 @@
         for (const peer_setting &peer : values.peers)
             added.setAddress(peer.name, peer.address);
         add("peer.mesh", std::move(*mesh), {{}, [&added] { added.stop(); }});
+        auto &events = services->find<timeline>("observe.timeline");
+        auto beats = heartbeat_service::makeHeartbeatService({context, added, events, clock},
+                                                             {values.hostName, incarnation, {}});
+        auto &heartbeats = *beats;
+        add("peer.heartbeats", std::move(beats), startAndStop(heartbeats));
+        auto &config = services->find<config_service>("operate.config");
+        auto relay = config_relay::makeConfigRelay({context, added, config, events});
+        auto &relayService = *relay;
+        add("operate.relay", std::move(relay), startAndStop(relayService));
         return {};
     }
 
@@ -219,18 +235,34 @@
             [&operators](http_exchange &exchange) { return operators.handle(exchange); });
     }
 
+    /// The peers that are known before the platform's list is read.
+    std::vector<listed_host> hostsInSettings() const
+    {
+        std::vector<listed_host> hosts;
+        for (const peer_setting &peer : values.peers)
+            hosts.push_back({peer.name, true, peer.address, "", "", false});
+        return hosts;
+    }
+
     void connect()
     {
         auto &config = services->find<config_service>("operate.config");
         auto &list = services->find<host_list_service>("platform.hosts");
         config.onChange([this] { updatePools(); });
         list.onChange([this, &list] {
-            updateMembers(list.hosts());
+            takeHostList(list.hosts());
             updatePools();
         });
-        members.push_back(values.hostName);
-        for (const peer_setting &peer : values.peers)
-            members.push_back(peer.name);
+        services->find<heartbeat_service>("peer.heartbeats")
+            .onChange([this](const state_change &change) { takeMemberChange(change); });
+        takeHostList(hostsInSettings());
+        config.setCheckpointWriter([this] { return ownerOf("config") == values.hostName; });
+        services->find<heartbeat_service>("peer.heartbeats")
+            .carryOffsets(
+                [&config] { return config.state().next; },
+                [this](const std::string &host, std::uint64_t offset) {
+                    services->find<config_relay>("operate.relay").takePeerOffset(host, offset);
+                });
     }
 
     result<void> start()
@@ -251,6 +283,7 @@
     {
         auto &server = self->services->find<http_server>("serve.server");
         asio::steady_timer pause(self->context);
+        self->services->find<heartbeat_service>("peer.heartbeats").leave();
         // The balancer sees the failed ready check before connections are refused.
         server.announceClose();
         pause.expires_after(leaveDelay);
--- a/src/operate/settings.cpp
+++ b/src/operate/settings.cpp
@@ -215,6 +215,7 @@
     section_reader platform = root.section("platform", true);
     platform.address("log", values.log);
     platform.address("hosts", values.hostList);
+    platform.number("checkpoint_every", values.checkpointEvery, 10, 1'000'000);
     platform.rejectUnknown();
 }
 
--- a/src/operate/settings.h
+++ b/src/operate/settings.h
@@ -34,6 +34,7 @@
 
     host_address log;
     host_address hostList;
+    std::uint32_t checkpointEvery = 500; ///< Records between checkpoints of a log stream.
 
     std::string logTarget = "stderr"; ///< "stderr" or a file path.
     std::string logLevel = "info";
--- a/tests/process/support/fleet.py
+++ b/tests/process/support/fleet.py
@@ -114,7 +114,8 @@
             "host": {"name": name, "region": region, "failure_domain": failure_domain},
             "listen": {role: "127.0.0.1:0" for role in ("caller", "peer", "operator")},
             "fleet": {"secret": SECRET, "operator_key": OPERATOR_KEY},
-            "platform": {"log": self.log.address, "hosts": self.host_list.address},
+            "platform": {"log": self.log.address, "hosts": self.host_list.address,
+                         "checkpoint_every": 20},
             "log": {"target": "stderr", "level": "info"},
             **(extra or {}),
         }
