--- a/src/peer/peer_server.cpp
+++ b/src/peer/peer_server.cpp
@@ -44,6 +44,8 @@
 /// a process that was paused reads what has come in before it judges.
 constexpr int idleSweeps = 2;
 
+constexpr milliseconds acceptPause{100};
+
 http2_response toResponse(result<std::string> answer)
 {
     if (answer && answer->size() > http2_session::maxBodyBytes)
@@ -93,6 +95,7 @@
                          std::shared_ptr<byte_counter> counter)
     : m_context(context)
     , m_acceptor(context)
+    , m_acceptTimer(context)
     , m_sweepTimer(context)
     , m_idleTimeout(settings.idleTimeout)
     , m_expectedField(bearerField(settings.secret))
@@ -137,12 +140,23 @@
         [self = shared_from_this()](const boost::system::error_code &failure, tcp::socket socket) {
             if (!self->m_acceptor.is_open())
                 return;
-            if (!failure)
-                self->addClient(std::move(socket));
+            if (failure)
+                return self->acceptLater();
+            self->addClient(std::move(socket));
             self->accept();
         });
 }
 
+void peer_server::acceptLater()
+{
+    // Mostly the process is out of descriptors, and trying again at once would spin.
+    m_acceptTimer.expires_after(acceptPause);
+    m_acceptTimer.async_wait([self = shared_from_this()](const boost::system::error_code &aborted) {
+        if (!aborted && self->m_acceptor.is_open())
+            self->accept();
+    });
+}
+
 void peer_server::addClient(tcp::socket socket)
 {
     const auto added = std::make_shared<client>();
@@ -246,6 +260,7 @@
 void peer_server::stop()
 {
     boost::system::error_code ignored;
+    m_acceptTimer.cancel();
     m_sweepTimer.cancel();
     m_acceptor.close(ignored);
     const auto clients = std::exchange(m_clients, {});
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -53,6 +53,7 @@
     void sweep();
     result<void> listen(const host_address &address);
     void accept();
+    void acceptLater();
     void addClient(boost::asio::ip::tcp::socket socket);
     void answer(const std::shared_ptr<client> &asker, http2_session::stream_id stream,
                 http2_request request);
@@ -60,6 +61,7 @@
 
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_acceptTimer;
     boost::asio::steady_timer m_sweepTimer;
     milliseconds m_idleTimeout;
     std::string m_expectedField;
--- a/src/policy/membership.cpp
+++ b/src/policy/membership.cpp
@@ -181,9 +181,12 @@
         return {};
     member &target = fleet.members[beat.host];
     const auto stamp = std::pair(beat.incarnation, beat.sequence);
-    if (target.heard && stamp <= std::pair(target.incarnation, target.sequence))
+    const bool older = stamp <= std::pair(target.incarnation, target.sequence);
+    // A new process has a lower incarnation when the host's clock was set back in between.
+    const bool supersedes = beat.incarnation != target.incarnation && !stepping.isFresh(target);
+    if (target.heard && older && !supersedes)
         return {};
-    const bool restarted = target.heard && beat.incarnation > target.incarnation;
+    const bool restarted = target.heard && beat.incarnation != target.incarnation;
     target.incarnation = beat.incarnation;
     target.sequence = beat.sequence;
     target.heard = true;
--- a/src/policy/membership.h
+++ b/src/policy/membership.h
@@ -126,7 +126,8 @@
 membership_step applyHostList(membership &fleet, std::span<const member_listing> hosts,
                               instant now);
 
-/// Takes in a beat. Late ones are dropped.
+/// Takes in a beat. Late ones are dropped, and those of an earlier incarnation for as long as the
+/// later one is heard.
 membership_step applyBeat(membership &fleet, const host_beat &beat, instant now);
 
 /// Takes in the result of a probe.
