Parse all received chunks of a stream in one turn

Forwarding one token per engine write cost three sends for each read: a read returns several small chunks, but the parser gave them to the service one at a time, each with a wake-up, a timer and a send of its own. http_stream::read now takes over what is in the buffer already; an incomplete chunk header waits for the next read, so no token waits for the one after it (this is why the parser's eager mode, which reads on in that case, was ruled out).

--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -122,6 +122,18 @@
     http::response_parser<http::buffer_body> parser;
     std::array<char, readBufferBytes> piece{};
 
+    /// Adds the chunks that were received already to the piece, so that many small ones cost one
+    /// turn of the event loop. What is left over waits for the next read, which reports errors.
+    void parseBuffered()
+    {
+        boost::system::error_code code;
+        while (!code && !parser.is_done() && buffer.size() > 0
+               && parser.get().body().size > 0) {
+            const std::size_t used = parser.put(buffer.data(), code);
+            buffer.consume(used);
+        }
+    }
+
     ~state()
     {
         const auto connections = owner.lock();
@@ -170,6 +182,7 @@
         (void)size;
         if (code && code != http::error::need_buffer)
             co_return tl::unexpected(toError(code, self.address));
+        self.parseBuffered();
         const std::size_t filled = self.piece.size() - body.size;
         if (filled > 0)
             co_return std::string_view(self.piece.data(), filled);
