Read load reports of owned pools

Cause: the scheduler corrected its own counts by nothing. Change: the owner of a pool reads its upstreams' reports each second, spread over the interval; other hosts ask none.

--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -15,6 +15,7 @@
 #include "serve/caller_api.h"
 #include "serve/chat_service.h"
 #include "serve/http_server.h"
+#include "serve/load_poller.h"
 #include "serve/permit_client.h"
 #include "serve/plain_call_service.h"
 #include "serve/pool_plan_builder.h"
@@ -106,6 +107,20 @@
         queues.handOver([this](std::string_view pool) { return ownerOf(pool) == values.hostName; });
     }
 
+    std::vector<polled_upstream> ownedUpstreams() const
+    {
+        std::vector<polled_upstream> found;
+        const config_state &config = services->find<config_service>("operate.config").state();
+        for (const auto &[key, stored] : config.resources) {
+            const auto *pool = std::get_if<upstream_pool>(&stored.spec);
+            if (pool == nullptr || ownerOf(key.name) != values.hostName)
+                continue;
+            for (const upstream &declared : pool->upstreams)
+                found.push_back({key.name, declared.name, declared.address});
+        }
+        return found;
+    }
+
     void updatePools()
     {
         const config_state &config = services->find<config_service>("operate.config").state();
@@ -178,6 +193,14 @@
             = queue_service::makeQueueService({context, mesh, events, clock, firstPermit + 1});
         auto &queueService = *queues;
         add("serve.queues", std::move(queues), startAndStop(queueService));
+        auto poller = load_poller::makeLoadPoller(
+            {context, services->find<http_client>("platform.http"),
+             [this] { return ownedUpstreams(); },
+             [&queueService](const std::string &pool, const load_report &report) {
+                 queueService.reportLoad(pool, report);
+             }});
+        auto &loadPoller = *poller;
+        add("serve.load", std::move(poller), startAndStop(loadPoller));
         fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
         auto permits = permit_client::makePermitClient(
             {context, mesh, events, clock, fleet, values.hostName, values.region});
--- /dev/null
+++ b/src/serve/load_poller.cpp
@@ -0,0 +1,107 @@
+#include "serve/load_poller.h"
+
+#include "kernel/asio_headers.h"
+#include "platform/http_client.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+constexpr milliseconds pollInterval{1000};
+constexpr milliseconds reportTimeout{500};
+constexpr int statusOk = 200;
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+result<load_report> parseLoadReport(std::string_view upstream, std::string_view body)
+{
+    load_report report;
+    report.upstream = std::string(upstream);
+    try {
+        const json::value parsed = json::parse(body);
+        report.running = parsed.at("running").to_number<std::uint32_t>();
+        report.waiting = parsed.at("waiting").to_number<std::uint32_t>();
+        report.slots = parsed.at("slots").to_number<std::uint32_t>();
+        report.tokensPerSecond = parsed.at("tokens_per_second").to_number<double>();
+        report.age = milliseconds(parsed.at("age_ms").to_number<std::int64_t>());
+    } catch (const std::exception &failure) {
+        return makeError(result_code::messageInvalid, failure.what());
+    }
+    return report;
+}
+
+struct load_poller::state
+{
+    explicit state(dependencies wanted)
+        : needs(std::move(wanted))
+    {
+    }
+
+    dependencies needs;
+    bool isStopped = false;
+
+    static asio::awaitable<void> ask(std::shared_ptr<state> self, polled_upstream upstream)
+    {
+        http_request request;
+        request.target = "/load";
+        const auto reply = co_await self->needs.client.send(upstream.address, std::move(request),
+                                                            reportTimeout);
+        if (self->isStopped || !reply || reply->status != statusOk)
+            co_return;
+        if (const auto report = parseLoadReport(upstream.name, reply->body))
+            self->needs.onReport(upstream.pool, *report);
+    }
+
+    /// Spreads the questions over the interval, so that they come in no burst.
+    static asio::awaitable<void> poll(std::shared_ptr<state> self)
+    {
+        asio::steady_timer pause(self->needs.context);
+        while (!self->isStopped) {
+            const auto upstreams = self->needs.upstreams();
+            const microseconds step = pollInterval / std::max<std::size_t>(1, upstreams.size());
+            for (const polled_upstream &upstream : upstreams) {
+                if (self->isStopped)
+                    co_return;
+                asio::co_spawn(self->needs.context, ask(self, upstream), asio::detached);
+                pause.expires_after(step);
+                co_await pause.async_wait(asTuple);
+            }
+            if (!upstreams.empty())
+                continue;
+            pause.expires_after(pollInterval);
+            co_await pause.async_wait(asTuple);
+        }
+    }
+};
+
+std::unique_ptr<load_poller> load_poller::makeLoadPoller(dependencies needs)
+{
+    return std::unique_ptr<load_poller>(
+        new load_poller(std::make_shared<state>(std::move(needs))));
+}
+
+load_poller::load_poller(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+load_poller::~load_poller()
+{
+    stop();
+}
+
+void load_poller::start()
+{
+    asio::co_spawn(m_state->needs.context, state::poll(m_state), asio::detached);
+}
+
+void load_poller::stop()
+{
+    m_state->isStopped = true;
+    m_state->needs.upstreams = [] { return std::vector<polled_upstream>(); };
+}
+
+} // namespace quincefall
