Let a caller come back through another host

Cause: a caller that lost its connection had to start over, and its request was cancelled at once. Change: a request with the caller's own id runs on for two seconds without a reader; Last-Event-ID finds it on this host or asks the peers, copies the rest, and resumes on an engine when nobody runs it.

--- a/src/operate/config_relay.cpp
+++ b/src/operate/config_relay.cpp
@@ -109,8 +109,8 @@
 {
     const config_state &known = m_state->needs.config.state();
     const bool isBehind = offset > known.next;
-    const bool startsWithoutLog = offset > 0 && offset == known.next && !m_state->needs.config.isReady()
-        && !m_state->needs.config.isLogReachable();
+    const bool startsWithoutLog = offset > 0 && offset == known.next
+        && !m_state->needs.config.isReady() && !m_state->needs.config.isLogReachable();
     if (m_state->isFetching || m_state->isStopped || (!isBehind && !startsWithoutLog))
         return;
     if (!isBehind)
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -214,9 +214,17 @@
         auto &permits = services->find<permit_client>("serve.permits");
         auto &config = services->find<config_service>("operate.config");
         auto &events = services->find<timeline>("observe.timeline");
-        auto &chat = add("serve.chat",
-                         chat_service::makeChatService({context, client, permits, config, events,
-                                                        clock, values.hostName, incarnation}));
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        auto &beats = services->find<heartbeat_service>("peer.heartbeats");
+        auto chatService = chat_service::makeChatService(
+            {context, client, permits, config, events, mesh, [&beats] { return beats.liveHosts(); },
+             clock, values.hostName, incarnation});
+        auto &chat = *chatService;
+        add("serve.chat", std::move(chatService), {[&chat]() -> result<void> {
+                                                       chat.start();
+                                                       return {};
+                                                   },
+                                                   {}});
         auto &calls
             = add("serve.calls",
                   plain_call_service::makePlainCallService(
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -127,8 +127,7 @@
     void parseBuffered()
     {
         boost::system::error_code code;
-        while (!code && !parser.is_done() && buffer.size() > 0
-               && parser.get().body().size > 0) {
+        while (!code && !parser.is_done() && buffer.size() > 0 && parser.get().body().size > 0) {
             const std::size_t used = parser.put(buffer.data(), code);
             buffer.consume(used);
         }
--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -4,11 +4,15 @@
 #include "observe/timeline.h"
 #include "operate/config_service.h"
 #include "platform/http_client.h"
+#include "policy/retry_budget.h"
+#include "serve/answer_relay.h"
 #include "serve/chat_request.h"
 #include "serve/engine_attempt.h"
 #include "serve/http_server.h"
 #include "serve/respond.h"
 
+#include <boost/lexical_cast/try_lexical_convert.hpp>
+
 #include <unordered_map>
 
 namespace quincefall {
@@ -24,6 +28,8 @@
 constexpr int tokenLimitFactor = 10;
 constexpr int firstTokenLimitFactor = 4;
 constexpr milliseconds failedRetryAfter{1000};
+/// How long a request whose caller gave its own id runs on without a reader.
+constexpr milliseconds returnGrace{2000};
 
 /// All that one request needs until its answer is complete.
 struct chat_job
@@ -37,6 +43,8 @@
     std::vector<std::string> excluded;
     int attempts = 0;
     bool mayHaveRun = false; ///< An engine may have executed a part of it.
+    bool hasOwnId = false; ///< The caller gave the id and may come back with it.
+    std::optional<std::uint32_t> returnsAfter; ///< Last token that a returning caller has.
 };
 
 json::object completionBody(const answer_stream &answer, const chat_job &job)
@@ -70,6 +78,8 @@
 
     dependencies needs;
     std::unordered_map<std::string, std::shared_ptr<answer_stream>> active;
+    std::unique_ptr<answer_relay> relay;
+    retry_budget retries;
     std::uint64_t nextId = 1;
 
     std::string makeId()
@@ -162,12 +172,17 @@
             = co_await runEngineAttempt(needs.client, needs.clock, std::move(call), answer);
         needs.permits.release(*held, outcome.usage);
         noteAttempt(job, *held, outcome);
+        if (answer->assembly.isComplete)
+            earnRetry(retries);
         if (!outcome.failure || answer->assembly.isComplete)
             co_return true;
-        job.mayHaveRun |= !outcome.wasRefused && !outcome.isFinal
+        const bool hasRun = !outcome.wasRefused && !outcome.isFinal
             && outcome.failure->code != result_code::upstreamUnreachable;
+        job.mayHaveRun |= hasRun;
         job.excluded.push_back(held->upstream);
-        if (!outcome.isFinal && job.attempts < mostAttempts)
+        // Only tries that put load on engines draw on the budget.
+        const bool mayTryAgain = job.attempts < mostAttempts && (!hasRun || takeRetry(retries));
+        if (!outcome.isFinal && mayTryAgain)
             co_return false;
         fail(job, *answer,
              {outcome.failure->code, outcome.failure->detail, run_state::notRun, failedRetryAfter});
@@ -177,7 +192,13 @@
     static asio::awaitable<void> produce(std::shared_ptr<state> self, chat_job job,
                                          std::shared_ptr<answer_stream> answer)
     {
-        bool isOver = false;
+        if (job.returnsAfter) {
+            const std::string host = co_await self->relay->findHost(job.requestId);
+            self->needs.events.record("request.returned", job.requestId, host);
+            if (!host.empty())
+                co_await self->relay->follow(host, answer);
+        }
+        bool isOver = answer->assembly.isComplete;
         while (!isOver && !*answer->isAbandoned)
             isOver = co_await self->tryOnce(job, answer);
         self->active.erase(job.requestId);
@@ -192,26 +213,45 @@
         auto answer = std::make_shared<answer_stream>(needs.context.get_executor());
         answer->organisation = job.caller.organisation;
         answer->model = job.request.model;
-        answer->assembly = makeAnswerAssembly(job.requestId, 0);
+        answer->assembly = makeAnswerAssembly(job.requestId, job.returnsAfter.value_or(0));
         active[job.requestId] = answer;
         asio::co_spawn(needs.context, produce(shared_from_this(), job, answer), asio::detached);
         return answer;
     }
 
-    void leave(const chat_job &job, answer_stream &answer)
+    void abandonIfUnread(const chat_job &job, answer_stream &answer)
     {
-        if (--answer.readers > 0 || answer.isDone())
+        if (answer.readers > 0 || answer.isDone() || *answer.isAbandoned)
             return;
         *answer.isAbandoned = true;
         needs.events.record("request.abandoned", job.requestId, job.pool);
         needs.permits.abandon(job.pool, job.requestId);
     }
 
+    static asio::awaitable<void> abandonLater(std::shared_ptr<state> self, chat_job job,
+                                              std::shared_ptr<answer_stream> answer)
+    {
+        asio::steady_timer grace(self->needs.context, returnGrace);
+        co_await grace.async_wait(asio::as_tuple(asio::use_awaitable));
+        self->abandonIfUnread(job, *answer);
+    }
+
+    void leave(const chat_job &job, std::shared_ptr<answer_stream> answer)
+    {
+        if (--answer->readers > 0 || answer->isDone())
+            return;
+        if (job.hasOwnId)
+            asio::co_spawn(needs.context, abandonLater(shared_from_this(), job, answer),
+                           asio::detached);
+        else
+            abandonIfUnread(job, *answer);
+    }
+
     /// Sends the tokens to a streaming caller as they come.
     static asio::awaitable<void> sendStream(http_exchange &exchange, const chat_job &job,
                                             std::shared_ptr<answer_stream> answer)
     {
-        std::size_t sent = 0;
+        std::size_t sent = positionAfter(answer->assembly, job.returnsAfter.value_or(0));
         const std::vector<answer_header> headers{{"Content-Type", "text/event-stream"},
                                                  {"Cache-Control", "no-cache"},
                                                  {"X-Request-Id", job.callerId}};
@@ -268,6 +308,14 @@
         else if (!isRequestId(job.callerId))
             return makeError(result_code::malformedRequest,
                              "X-Request-Id: expected 1 to 64 letters, digits, '.', '_' or '-'");
+        job.hasOwnId = !exchange.header("X-Request-Id").empty();
+        if (const std::string_view last = exchange.header("Last-Event-ID"); !last.empty()) {
+            std::uint32_t number = 0;
+            if (!boost::conversion::try_lexical_convert(last, number) || !job.hasOwnId)
+                return makeError(result_code::malformedRequest,
+                                 "Last-Event-ID: expected a token number and an X-Request-Id");
+            job.returnsAfter = number;
+        }
         job.requestId = caller.organisation + "." + job.callerId;
         job.caller = std::move(caller);
         job.request = std::move(*request);
@@ -277,6 +325,16 @@
     }
 };
 
+std::shared_ptr<answer_stream> chat_service::findActive(const std::weak_ptr<state> &watched,
+                                                        const std::string &id)
+{
+    const auto self = watched.lock();
+    if (!self)
+        return nullptr;
+    const auto running = self->active.find(id);
+    return running == self->active.end() ? nullptr : running->second;
+}
+
 std::unique_ptr<chat_service> chat_service::makeChatService(dependencies needs)
 {
     return std::unique_ptr<chat_service>(
@@ -290,6 +348,16 @@
 
 chat_service::~chat_service() = default;
 
+void chat_service::start()
+{
+    const std::weak_ptr<state> watched = m_state;
+    const auto &needs = m_state->needs;
+    m_state->relay = answer_relay::makeAnswerRelay(
+        {needs.context, needs.mesh, needs.hostName, needs.liveHosts,
+         [watched](const std::string &id) { return findActive(watched, id); }});
+    m_state->relay->start();
+}
+
 asio::awaitable<void> chat_service::handle(http_exchange &exchange, caller_identity caller)
 {
     const auto self = m_state;
@@ -300,13 +368,19 @@
         co_return;
     }
     const auto answer = self->join(*job);
+    if (job->returnsAfter.value_or(0) + 1 < answer->assembly.firstToken) {
+        problem busy{result_code::callInProgress, "the request runs from a later token on",
+                     run_state::partial, failedRetryAfter};
+        co_await respondProblem(exchange, std::move(busy), job->callerId);
+        co_return;
+    }
     ++answer->readers;
     exchange.setGoneListener([answer] { answer->changed.notifyAll(); });
     if (job->request.isStreamed)
         co_await state::sendStream(exchange, *job, answer);
     else
         co_await state::sendWhole(exchange, *job, answer);
-    self->leave(*job, *answer);
+    self->leave(*job, answer);
 }
 
 } // namespace quincefall
--- a/src/serve/chat_service.h
+++ b/src/serve/chat_service.h
@@ -10,12 +10,15 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace quincefall {
 
 class config_service;
 class http_client;
 class http_exchange;
+class peer_mesh;
 class timeline;
 
 /// Serves chat completions: waits for a permit, streams from the engine to the caller, and goes on
@@ -30,6 +33,8 @@
         permit_client &permits;
         config_service &config;
         timeline &events;
+        peer_mesh &mesh;
+        std::function<std::vector<std::string>()> liveHosts;
         clock_source clock;
         std::string hostName;
         std::uint64_t incarnation = 0; ///< Makes generated ids unique over restarts.
@@ -38,11 +43,16 @@
     static std::unique_ptr<chat_service> makeChatService(dependencies needs);
     ~chat_service();
 
+    /// Begins to pass running answers on to peers.
+    void start();
+
     /// Answers one POST /v1/chat/completions of @p caller.
     boost::asio::awaitable<void> handle(http_exchange &exchange, caller_identity caller);
 
 private:
     struct state;
+    static std::shared_ptr<answer_stream> findActive(const std::weak_ptr<state> &watched,
+                                                     const std::string &id);
     explicit chat_service(std::shared_ptr<state> shared);
     std::shared_ptr<state> m_state;
 };
--- a/src/serve/load_poller.cpp
+++ b/src/serve/load_poller.cpp
@@ -47,8 +47,8 @@
     {
         http_request request;
         request.target = "/load";
-        const auto reply = co_await self->needs.client.send(upstream.address, std::move(request),
-                                                            reportTimeout);
+        const auto reply
+            = co_await self->needs.client.send(upstream.address, std::move(request), reportTimeout);
         if (self->isStopped || !reply || reply->status != statusOk)
             co_return;
         if (const auto report = parseLoadReport(upstream.name, reply->body))
@@ -79,8 +79,7 @@
 
 std::unique_ptr<load_poller> load_poller::makeLoadPoller(dependencies needs)
 {
-    return std::unique_ptr<load_poller>(
-        new load_poller(std::make_shared<state>(std::move(needs))));
+    return std::unique_ptr<load_poller>(new load_poller(std::make_shared<state>(std::move(needs))));
 }
 
 load_poller::load_poller(std::shared_ptr<state> shared)
--- /dev/null
+++ b/tests/process/returning_caller_test.py
@@ -0,0 +1,75 @@
+"""A caller that loses its connection comes back through another host with its request id."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from support import client
+from support.fleet import Fleet
+from support.golden import check_golden
+
+TOKENS = 60
+PROMPT = "shoeing plan of a grey mare"
+
+
+class ConnectionLost(Exception):
+    """Stands for a caller that walks out of reach in mid-stream."""
+
+
+def take_tokens(fleet, host, request_id, count):
+    """Reads `count` tokens of a new request, then loses the connection."""
+    taken = []
+
+    def on_token(number):
+        if number >= count:
+            raise ConnectionLost
+
+    stream = client.Stream()
+    try:
+        fleet.stream(host, PROMPT, TOKENS, request_id, on_token=on_token)
+    except ConnectionLost:
+        taken = [client.expected_token(PROMPT, number) for number in range(1, count + 1)]
+    return taken, stream
+
+
+def come_back(fleet, host, request_id, after):
+    headers = {**fleet.headers(request_id), "Last-Event-ID": str(after)}
+    return client.stream_chat(fleet.hosts[host].caller, PROMPT, TOKENS, headers=headers)
+
+
+def check_return(fleet, lines, label, first, second, request_id, after, between=None):
+    taken, _ = take_tokens(fleet, first, request_id, after)
+    if between:
+        between()
+    rest = come_back(fleet, second, request_id, after)
+    joined = "".join(taken) + rest.text()
+    runs = fleet.standins["engine-1"].runs()[f"daycare.{request_id}"]
+    lines.append(f"{label}: whole={joined == client.expected_text(PROMPT, TOKENS)}"
+                 f" end mark={rest.is_done} attempts on the engine={runs['attempts']}")
+
+
+def main():
+    lines = []
+    with Fleet() as fleet:
+        fleet.start_engine("engine-1", token_delay_ms=20)
+        fleet.start_hosts(3)
+        fleet.publish_defaults()
+        fleet.wait_ready()
+        check_return(fleet, lines, "same host", "h1", "h1", "back-1", 10)
+        check_return(fleet, lines, "another host", "h1", "h2", "back-2", 10)
+        check_return(fleet, lines, "another host after the first was killed", "h1", "h3",
+                     "back-3", 10, between=fleet.hosts["h1"].process.kill)
+        late = come_back(fleet, "h2", "back-4", 25)
+        tail = "".join(client.expected_token(PROMPT, n) for n in range(26, TOKENS + 1))
+        lines.append(f"return for an answer nobody runs: whole={late.text() == tail}"
+                     f" end mark={late.is_done}")
+        stranger = client.stream_chat(
+            fleet.hosts["h2"].caller, PROMPT, TOKENS,
+            headers={**fleet.headers(), "Last-Event-ID": "3"})
+        lines.append(f"return without a request id: {stranger.status}")
+        del fleet.hosts["h1"]
+    check_golden("returning_caller.txt", lines)
+
+
+main()
