Run each call that may not be repeated at most once, by claims in the log

Cause: plain calls went out without any claim, so the same key asked through two hosts, or asked again after a lost answer, ran again.

Ruled out: a claim in this fleet's own memory (a replica of ours would be the store that the users rule out); a lock with a time limit (a paused holder wakes up and runs it a second time); trusting the append's answer (it may be lost, so only a claim that was read back counts).

Change: claim_book folds the stream `claims` (first claim by offset counts, results and releases only from its attempt, memory 24 h by the records' own time); claim_attempts is the only place that gives the right to send, once; claim_service appends many entries at once, at most one append in flight and 20 ms apart, and follows the stream; plain_call_service claims first. While the log is out a call is refused at once, "not run" only when every listed host confirms that it knows no claim. A graceful stop waits for unwritten results within its drain time.

Proof: 4000 seeded interleavings of 400 steps: 0 runs of a key after its first, 0 false "not run", 0 wrong results. With a guard taken out (claim not read back, old book trusted, refused attempt kept) the same checks find violations; those three trials stay as tests.

Not proved here: a host whose wall clock runs ahead shortens the memory of all keys.

--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -14,6 +14,7 @@
 #include "platform/log_client.h"
 #include "serve/caller_api.h"
 #include "serve/chat_service.h"
+#include "serve/claim_service.h"
 #include "serve/http_server.h"
 #include "serve/load_poller.h"
 #include "serve/permit_client.h"
@@ -84,6 +85,15 @@
         return services->find<heartbeat_service>("peer.heartbeats").ownerOf(key);
     }
 
+    /// Whether a process that has claimed a call may still answer it.
+    bool mayBeAtWork(const std::string &host, std::uint64_t process) const
+    {
+        if (host == values.hostName)
+            return process == incarnation;
+        const auto seen = services->find<heartbeat_service>("peer.heartbeats").stateOf(host);
+        return seen != host_state::dead && seen != host_state::unknown;
+    }
+
     void takeHostList(std::span<const listed_host> listed)
     {
         auto &mesh = services->find<peer_mesh>("peer.mesh");
@@ -92,6 +102,12 @@
                 mesh.setAddress(host.name, host.address);
         }
         services->find<heartbeat_service>("peer.heartbeats").setHostList(listed);
+        std::vector<std::string> claimers;
+        for (const listed_host &host : listed) {
+            if (host.isEntry)
+                claimers.push_back(host.name);
+        }
+        services->find<claim_service>("serve.claims").noteMembers(claimers);
     }
 
     /// Queues move when members change: permits in use are told to new owners, waiting requests go
@@ -220,15 +236,24 @@
             {context, client, permits, config, events, mesh, [&beats] { return beats.liveHosts(); },
              clock, values.hostName, incarnation});
         auto &chat = *chatService;
-        add("serve.chat", std::move(chatService), {[&chat]() -> result<void> {
-                                                       chat.start();
-                                                       return {};
-                                                   },
-                                                   {}});
+        add("serve.chat", std::move(chatService),
+            {[&chat]() -> result<void> {
+                 chat.start();
+                 return {};
+             },
+             {}});
+        auto claiming = claim_service::makeClaimService(
+            {context, services->find<log_client>("platform.log"),
+             services->find<peer_mesh>("peer.mesh"), events, clock, values.hostName, incarnation,
+             [this](const std::string &host, std::uint64_t process) {
+                 return mayBeAtWork(host, process);
+             }});
+        auto &claims = *claiming;
+        add("serve.claims", std::move(claiming), startAndStop(claims));
         auto &calls
             = add("serve.calls",
-                  plain_call_service::makePlainCallService(
-                      {client, permits, config, events, clock, values.hostName, incarnation}));
+                  plain_call_service::makePlainCallService({client, permits, config, claims, events,
+                                                            clock, values.hostName, incarnation}));
         add("serve.api", caller_api::makeCallerApi({config, chat, calls}));
         add("operate.api",
             operator_api::makeOperatorApi({config, events, values.hostName, values.operatorKey,
@@ -321,7 +346,9 @@
         co_await pause.async_wait(asTuple);
         server.stopAccepting();
         const instant deadline = self->clock.now() + self->values.drainTimeout;
-        while (server.activeExchanges() > 0 && self->clock.now() < deadline) {
+        const auto &claims = self->services->find<claim_service>("serve.claims");
+        const auto isBusy = [&] { return server.activeExchanges() > 0 || !claims.isFlushed(); };
+        while (isBusy() && self->clock.now() < deadline) {
             pause.expires_after(drainPoll);
             co_await pause.async_wait(asTuple);
         }
--- a/src/serve/plain_call_service.cpp
+++ b/src/serve/plain_call_service.cpp
@@ -5,9 +5,12 @@
 #include "operate/config_service.h"
 #include "platform/http_client.h"
 #include "serve/chat_request.h"
+#include "serve/claim_service.h"
 #include "serve/http_server.h"
 #include "serve/respond.h"
 
+#include <algorithm>
+
 namespace quincefall {
 namespace {
 
@@ -16,6 +19,7 @@
 constexpr std::string_view servicePrefix = "/services/";
 constexpr int mostAttempts = 3;
 constexpr milliseconds failedRetryAfter{1000};
+constexpr std::size_t longestKey = 255;
 
 /// One call on its way to an upstream.
 struct plain_call
@@ -27,6 +31,7 @@
     plain_service declared;
     caller_identity caller;
     instant arrival;
+    std::string attempt; ///< The claim under which the call is sent, if it needs one.
     std::vector<std::string> excluded;
 };
 
@@ -39,6 +44,34 @@
     return std::pair(std::string(rest.substr(0, slash)), std::string(rest.substr(slash)));
 }
 
+/// Keys are records in the log: 1..255 printable ASCII characters.
+bool isIdempotencyKey(std::string_view key)
+{
+    const auto isPrintable = [](char sign) { return sign > ' ' && sign <= '~'; };
+    return !key.empty() && key.size() <= longestKey
+        && std::all_of(key.begin(), key.end(), isPrintable);
+}
+
+/// What makes two requests with one key the same request.
+std::string requestDigest(const http_exchange &exchange, const plain_call &call)
+{
+    std::string text(exchange.method());
+    text += '\n' + call.path + '\n';
+    text += std::string(exchange.header("Content-Type")) + '\n';
+    text += exchange.body();
+    return sha256Hex(text);
+}
+
+/// An answer that ran but is no longer whole is not presented as one.
+problem answerNotKept(const claim_result &kept)
+{
+    return {result_code::callOutcomeUnknown,
+            "the call ran and answered with status " + std::to_string(kept.status)
+                + "; its body was not kept, SHA-256 " + kept.bodyDigest,
+            run_state::partial,
+            {}};
+}
+
 bool isCertainlyNotRun(const error &failure)
 {
     return failure.code == result_code::upstreamUnreachable;
@@ -73,6 +106,9 @@
         if (!declared->isRepeatable && exchange.header("Idempotency-Key").empty())
             return makeError(result_code::idempotencyKeyMissing,
                              "calls of \"" + call.service + "\" may not be repeated");
+        if (!declared->isRepeatable && !isIdempotencyKey(exchange.header("Idempotency-Key")))
+            return makeError(result_code::malformedRequest,
+                             "an Idempotency-Key has 1..255 printable ASCII characters");
         call.callerId = std::string(exchange.header("X-Request-Id"));
         if (!isRequestId(call.callerId))
             call.callerId = needs.hostName + "-" + std::to_string(needs.incarnation) + "-s"
@@ -127,6 +163,72 @@
                                              call.declared.timeout, use);
     }
 
+    instant sendDeadline(const plain_call &call) const
+    {
+        return call.arrival + call.caller.policy.maxWait;
+    }
+
+    asio::awaitable<claim_service::outcome> claim(const http_exchange &exchange,
+                                                  const plain_call &call)
+    {
+        claim_service::request wanted;
+        wanted.key = {call.caller.organisation, call.service,
+                      std::string(exchange.header("Idempotency-Key"))};
+        wanted.digest = requestDigest(exchange, call);
+        wanted.deadline = sendDeadline(call);
+        wanted.serviceTimeout = call.declared.timeout;
+        co_return co_await needs.claims.claim(std::move(wanted));
+    }
+
+    /// Ends the claim as the call ended.
+    void settle(const plain_call &call, const tl::expected<http_reply, problem> &reply)
+    {
+        if (reply)
+            needs.claims.settle(
+                call.attempt,
+                makeClaimResult(reply->status, reply->header("Content-Type"), reply->body));
+        else if (reply.error().run == run_state::notRun)
+            needs.claims.release(call.attempt);
+        else
+            needs.claims.settle(call.attempt, std::nullopt);
+    }
+
+    /// Runs a call that may not be repeated, unless it has run before.
+    asio::awaitable<tl::expected<http_reply, problem>> runOnce(const http_exchange &exchange,
+                                                               plain_call call)
+    {
+        auto claimed = co_await claim(exchange, call);
+        if (auto *refusal = std::get_if<problem>(&claimed))
+            co_return tl::unexpected(*refusal);
+        if (auto *kept = std::get_if<claim_result>(&claimed)) {
+            if (!kept->isBodyKept)
+                co_return tl::unexpected(answerNotKept(*kept));
+            http_reply reply;
+            reply.status = kept->status;
+            reply.headers = {{"Content-Type", kept->contentType}};
+            reply.body = kept->body;
+            co_return reply;
+        }
+        call.attempt = std::get<claim_service::grant>(claimed).attempt;
+        auto reply = co_await run(exchange, call);
+        settle(call, reply);
+        co_return reply;
+    }
+
+    asio::awaitable<tl::expected<http_reply, problem>> answer(const http_exchange &exchange,
+                                                              plain_call call)
+    {
+        if (!call.declared.isRepeatable)
+            co_return co_await runOnce(exchange, std::move(call));
+        co_return co_await run(exchange, std::move(call));
+    }
+
+    /// Whether the call may go out now. The claim is judged last before each send.
+    bool mayStillSend(const plain_call &call) const
+    {
+        return call.attempt.empty() || needs.claims.mayStillSend(call.attempt, sendDeadline(call));
+    }
+
     /// Sends the call to upstreams in turn until one answers or it may have run.
     asio::awaitable<tl::expected<http_reply, problem>> run(const http_exchange &exchange,
                                                            plain_call call)
@@ -140,6 +242,11 @@
             if (!held)
                 co_return tl::unexpected(attempt == 1 ? held.error() : last);
             const instant begin = needs.clock.now();
+            if (!mayStillSend(call)) {
+                needs.permits.release(*held, {});
+                last.code = result_code::deadlineUnreachable;
+                co_return tl::unexpected(last);
+            }
             const upstream *target = findUpstream(call.declared.pool, held->upstream);
             result<http_reply> reply = makeError(result_code::upstreamUnreachable, "undeclared");
             if (target != nullptr)
@@ -188,7 +295,7 @@
         co_return;
     }
     const std::string callerId = call->callerId;
-    const auto reply = co_await self->run(exchange, *call);
+    const auto reply = co_await self->answer(exchange, *call);
     if (!reply) {
         co_await respondProblem(exchange, reply.error(), callerId);
         co_return;
--- a/src/serve/plain_call_service.h
+++ b/src/serve/plain_call_service.h
@@ -10,6 +10,7 @@
 
 namespace quincefall {
 
+class claim_service;
 class config_service;
 class http_client;
 class http_exchange;
@@ -24,6 +25,7 @@
         http_client &client;
         permit_client &permits;
         config_service &config;
+        claim_service &claims; ///< For calls that may not be repeated.
         timeline &events;
         clock_source clock;
         std::string hostName;
--- /dev/null
+++ b/tests/ledger/claim_interleavings_test.cpp
@@ -0,0 +1,85 @@
+#include "support/claim_fleet.h"
+#include "support/golden.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace quincefall;
+using testing::claim_fleet;
+using testing::claim_guards;
+using testing::claim_tally;
+
+namespace {
+
+constexpr std::uint64_t seeds = 4000;
+constexpr int stepsPerSeed = 400;
+
+claim_tally runAll(claim_guards guards)
+{
+    claim_tally sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        claim_fleet fleet(seed, guards);
+        fleet.run(stepsPerSeed);
+        const claim_tally &one = fleet.tally();
+        if (one.ranTwice + one.falseNotRun + one.wrongResults > 0 && guards.firstClaimWins
+            && guards.asksPeers && guards.abandons)
+            BOOST_TEST_MESSAGE("seed " << seed << "\n" << fleet.trace());
+        sum.requests += one.requests;
+        sum.runs += one.runs;
+        sum.toldNotRun += one.toldNotRun;
+        sum.toldUnknown += one.toldUnknown;
+        sum.sameResults += one.sameResults;
+        sum.faults += one.faults;
+        sum.ranTwice += one.ranTwice;
+        sum.falseNotRun += one.falseNotRun;
+        sum.wrongResults += one.wrongResults;
+    }
+    return sum;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(claim_interleavings_suite)
+
+BOOST_AUTO_TEST_CASE(no_key_runs_twice_and_not_run_is_true)
+{
+    const claim_tally sum = runAll({});
+    BOOST_TEST(sum.ranTwice == 0);
+    BOOST_TEST(sum.falseNotRun == 0);
+    BOOST_TEST(sum.wrongResults == 0);
+    // The schedule reaches every kind of answer.
+    BOOST_TEST(sum.runs > seeds / 2);
+    BOOST_TEST(sum.toldNotRun > seeds / 4);
+    BOOST_TEST(sum.toldUnknown > seeds / 2);
+    BOOST_TEST(sum.sameResults > seeds / 2);
+    BOOST_TEST(sum.faults > seeds);
+}
+
+BOOST_AUTO_TEST_CASE(checks_notice_a_host_that_does_not_read_its_claim_back)
+{
+    claim_guards guards;
+    guards.firstClaimWins = false;
+    BOOST_TEST(runAll(guards).ranTwice > 0);
+}
+
+BOOST_AUTO_TEST_CASE(checks_notice_a_host_that_trusts_an_old_book)
+{
+    claim_guards guards;
+    guards.asksPeers = false;
+    BOOST_TEST(runAll(guards).falseNotRun > 0);
+}
+
+BOOST_AUTO_TEST_CASE(checks_notice_a_refused_attempt_that_still_sends)
+{
+    claim_guards guards;
+    guards.abandons = false;
+    BOOST_TEST(runAll(guards).falseNotRun > 0);
+}
+
+BOOST_AUTO_TEST_CASE(one_session_is_as_recorded)
+{
+    claim_fleet fleet(7);
+    fleet.run(250);
+    testing::checkGolden("ledger/claims.txt", fleet.trace());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/claim_fleet.cpp
@@ -0,0 +1,292 @@
+#include "support/claim_fleet.h"
+
+#include <algorithm>
+
+namespace quincefall::testing {
+namespace {
+
+constexpr std::string_view digest = "request";
+constexpr milliseconds stepTime{10};
+constexpr milliseconds patience{1500};
+constexpr std::size_t batchLimit = 4;
+
+claim_key keyOf(std::size_t index)
+{
+    return {"daycare", "shift-desk", "key-" + std::to_string(index)};
+}
+
+claim_result resultOf(int run)
+{
+    return {200, "application/json", "run " + std::to_string(run), true, ""};
+}
+
+} // namespace
+
+claim_fleet::claim_fleet(std::uint64_t seed, claim_guards guards)
+    : m_random(seed)
+    , m_guards(guards)
+    , m_calmActions(seed % 2 == 0 ? 92 : 98)
+{
+    for (std::size_t index = 0; index < hostCount; ++index) {
+        m_hosts[index].own.host = "h" + std::to_string(index);
+        m_hosts[index].own.incarnation = m_nextIncarnation++;
+    }
+}
+
+bool claim_fleet::chance(int percent)
+{
+    return std::uniform_int_distribution<int>(0, 99)(m_random) < percent;
+}
+
+std::size_t claim_fleet::pick(std::size_t size)
+{
+    return std::uniform_int_distribution<std::size_t>(0, size - 1)(m_random);
+}
+
+void claim_fleet::note(std::string_view what, std::size_t index, std::string_view detail)
+{
+    m_trace += std::to_string(m_now.time_since_epoch() / milliseconds(1)) + " h"
+        + std::to_string(index) + " " + std::string(what) + " " + std::string(detail) + "\n";
+}
+
+void claim_fleet::run(int steps)
+{
+    for (int count = 0; count < steps; ++count) {
+        m_now += stepTime;
+        step();
+    }
+}
+
+void claim_fleet::step()
+{
+    const std::size_t index = pick(hostCount);
+    const std::size_t action = pick(100);
+    const bool canAct = isAwake(m_hosts[index]);
+    if (action < 8 && canAct)
+        ask(index);
+    else if (action < 25 && canAct)
+        append(index);
+    else if (action < 42)
+        land();
+    else if (action < 62 && canAct)
+        read(index);
+    else if (action < 80 && canAct)
+        work(index);
+    else if (action < m_calmActions)
+        deliverCall();
+    else
+        harm(index);
+}
+
+void claim_fleet::ask(std::size_t index)
+{
+    host &asked = m_hosts[index];
+    const std::size_t key = pick(keyCount);
+    ++m_tally.requests;
+    if (const claim_record *holder = findClaim(asked.book, keyOf(key))) {
+        answerFromBook(index, key, *holder);
+    } else if (hasActiveAttempt(asked.own, keyOf(key))) {
+        note("in-progress", index, keyOf(key).key);
+    } else if (!asked.isReady || !asked.hasLog) {
+        refuse(index, key);
+    } else {
+        const std::string attempt = beginClaim(asked.own, keyOf(key), std::string(digest), 1000);
+        asked.requests.push_back({index, key, attempt, m_now + patience, false});
+        note("claims", index, attempt + " " + keyOf(key).key);
+    }
+}
+
+void claim_fleet::answerFromBook(std::size_t index, std::size_t key, const claim_record &holder)
+{
+    const asker_verdict verdict = judgeAsker(holder, digest, true, true);
+    if (verdict == asker_verdict::sameResult) {
+        ++m_tally.sameResults;
+        m_tally.wrongResults += holder.result == resultOf(m_firstBody[key]) ? 0 : 1;
+        note("same-result", index, holder.result.body);
+    } else {
+        ++m_tally.toldUnknown;
+        note(verdict == asker_verdict::wait ? "in-progress" : "unknown", index, keyOf(key).key);
+    }
+}
+
+void claim_fleet::refuse(std::size_t index, std::size_t key)
+{
+    host &asked = m_hosts[index];
+    const auto describe = [&](const host &subject) {
+        const bool answers = isAwake(subject);
+        return answers ? describeKnowledge(subject.book, subject.own, keyOf(key), subject.isReady)
+                       : peer_knowledge{};
+    };
+    std::vector<peer_knowledge> peers;
+    for (std::size_t other = 0; m_guards.asksPeers && other < hostCount; ++other) {
+        if (other != index)
+            peers.push_back(describe(m_hosts[other]));
+    }
+    if (isCertainlyUnclaimed(describe(asked), peers)) {
+        tellNotRun(index, key);
+    } else {
+        ++m_tally.toldUnknown;
+        note("unknown", index, keyOf(key).key);
+    }
+}
+
+void claim_fleet::tellNotRun(std::size_t index, std::size_t key)
+{
+    ++m_tally.toldNotRun;
+    const bool isOnItsWay = std::any_of(m_calls.begin(), m_calls.end(),
+                                        [key](const call &sent) { return sent.key == key; });
+    m_tally.falseNotRun += m_runs[key] > 0 || isOnItsWay ? 1 : 0;
+    note("not-run", index, keyOf(key).key);
+}
+
+void claim_fleet::append(std::size_t index)
+{
+    host &writer = m_hosts[index];
+    const auto batch = takeBatch(writer.own, batchLimit);
+    if (batch.empty())
+        return;
+    if (!writer.hasLog || chance(10)) {
+        ++m_tally.faults;
+        return; // Refused; the outbox keeps the entries.
+    }
+    m_inFlight.push_back(encodeBatch(batch));
+    note("appends", index,
+         std::string(toString(batch.front().action)) + " " + batch.front().attempt);
+}
+
+void claim_fleet::land()
+{
+    if (m_inFlight.empty())
+        return;
+    const std::size_t index = pick(m_inFlight.size());
+    m_log.push_back(m_inFlight[index]);
+    if (chance(15)) {
+        ++m_tally.faults; // A doubled delivery stays on its way.
+        return;
+    }
+    m_inFlight.erase(m_inFlight.begin() + std::ptrdiff_t(index));
+}
+
+void claim_fleet::read(std::size_t index)
+{
+    host &reader = m_hosts[index];
+    if (!reader.hasLog)
+        return;
+    const std::size_t end
+        = chance(30) ? m_log.size() : std::min(m_log.size(), reader.book.next + 1);
+    while (reader.book.next < end) {
+        const auto effects = foldClaims(reader.book, reader.book.next, m_log[reader.book.next]);
+        noteEffects(reader.own, effects, 1000);
+    }
+    reader.isReady = reader.isReady || reader.book.next == m_log.size();
+}
+
+void claim_fleet::work(std::size_t index)
+{
+    host &worker = m_hosts[index];
+    if (worker.requests.empty())
+        return;
+    const std::size_t position = pick(worker.requests.size());
+    const request subject = worker.requests[position];
+    if (m_guards.abandons && !worker.hasLog
+        && findClaim(worker.book, keyOf(subject.key)) == nullptr) {
+        worker.requests.erase(worker.requests.begin() + std::ptrdiff_t(position));
+        giveUp(index, subject);
+        return;
+    }
+    if (!m_guards.abandons && !worker.hasLog && !subject.isRefused) {
+        worker.requests[position].isRefused = true;
+        tellNotRun(index, subject.key);
+        return;
+    }
+    send_verdict verdict
+        = decideSend(worker.own, worker.book, subject.attempt, m_now, subject.deadline);
+    if (verdict == send_verdict::wait && !m_guards.firstClaimWins) {
+        worker.own.attempts.at(subject.attempt).phase = attempt_phase::sending;
+        verdict = send_verdict::send;
+    }
+    if (verdict == send_verdict::wait)
+        return;
+    worker.requests.erase(worker.requests.begin() + std::ptrdiff_t(position));
+    if (verdict != send_verdict::send) {
+        giveUp(index, subject);
+    } else if (chance(10)) {
+        // No connection could be opened: nothing was sent.
+        returnUnsent(worker.own, subject.attempt);
+        giveUp(index, subject);
+    } else {
+        m_calls.push_back(
+            {index, worker.own.incarnation, subject.key, subject.attempt, subject.isRefused});
+        note("sends", index, subject.attempt);
+    }
+}
+
+void claim_fleet::giveUp(std::size_t index, request subject)
+{
+    host &worker = m_hosts[index];
+    const claim_record *holder = findClaim(worker.book, keyOf(subject.key));
+    const bool isHolder = holder != nullptr && holder->attempt == subject.attempt;
+    const bool isOther = holder != nullptr && !isHolder;
+    const claim_record other = isOther ? *holder : claim_record();
+    abandon(worker.own, subject.attempt, 1000);
+    if (isHolder)
+        tellNotRun(index, subject.key);
+    else if (isOther)
+        answerFromBook(index, subject.key, other);
+    else
+        refuse(index, subject.key);
+}
+
+void claim_fleet::deliverCall()
+{
+    if (m_calls.empty())
+        return;
+    const std::size_t index = pick(m_calls.size());
+    const call sent = m_calls[index];
+    m_calls.erase(m_calls.begin() + std::ptrdiff_t(index));
+    const int run = ++m_runs[sent.key];
+    ++m_tally.runs;
+    m_tally.ranTwice += run > 1 ? 1 : 0;
+    m_tally.falseNotRun += sent.isRefused ? 1 : 0;
+    if (run == 1)
+        m_firstBody[sent.key] = run;
+    note("runs", sent.host, keyOf(sent.key).key);
+    host &sender = m_hosts[sent.host];
+    if (!sender.isAlive || sender.own.incarnation != sent.incarnation)
+        return;
+    const bool isAnswered = !chance(20);
+    m_tally.faults += isAnswered ? 0 : 1;
+    settle(sender.own, sent.attempt, isAnswered ? std::optional(resultOf(run)) : std::nullopt,
+           1000);
+}
+
+void claim_fleet::harm(std::size_t index)
+{
+    host &victim = m_hosts[index];
+    const std::size_t kind = pick(3);
+    ++m_tally.faults;
+    if (kind == 0) {
+        if (victim.isAlive)
+            victim.isAlive = false;
+        else
+            restart(index);
+        note(victim.isAlive ? "starts" : "dies", index, "");
+    } else if (kind == 1) {
+        victim.isPaused = !victim.isPaused;
+        note(victim.isPaused ? "pauses" : "resumes", index, "");
+    } else {
+        victim.hasLog = !victim.hasLog;
+        note(victim.hasLog ? "has-log" : "loses-log", index, "");
+    }
+}
+
+void claim_fleet::restart(std::size_t index)
+{
+    const std::string name = m_hosts[index].own.host;
+    m_hosts[index] = host();
+    m_hosts[index].own.host = name;
+    m_hosts[index].own.incarnation = m_nextIncarnation++;
+    m_hosts[index].isReady = false;
+}
+
+} // namespace quincefall::testing
