Order models onto engines under a lease in the log

Cause: declared models, versions and adapters were not brought to the engines, and nothing kept two hosts from ordering at once.

Ruled out: wall clocks in the fold (hosts disagree); an election among live hosts (two sides of a cut each elect one); an expected fence alone for a take (a take that lands late would depose a holder that has renewed in between, so a take names the last record that its writer has seen).

A model whose resource is deleted stays loaded.

--- /dev/null
+++ b/bench/promises_bench.cpp
@@ -0,0 +1,174 @@
+#include "ledger/config_state.h"
+#include "support/claim_fleet.h"
+#include "support/lease_fleet.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <random>
+
+DEFINE_int64(seeds, 4000, "seeds of each promise");
+
+namespace quincefall {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int claimSteps = 400;
+constexpr int leaseTicks = 600;
+constexpr int writersOfOneRecord = 4;
+constexpr int writesOfOneWriter = 10;
+
+json::object measureClaims(testing::claim_guards guards)
+{
+    testing::claim_tally sum;
+    for (std::int64_t seed = 1; seed <= FLAGS_seeds; ++seed) {
+        testing::claim_fleet fleet(std::uint64_t(seed), guards);
+        fleet.run(claimSteps);
+        const testing::claim_tally &one = fleet.tally();
+        sum.requests += one.requests;
+        sum.runs += one.runs;
+        sum.toldNotRun += one.toldNotRun;
+        sum.toldUnknown += one.toldUnknown;
+        sum.sameResults += one.sameResults;
+        sum.faults += one.faults;
+        sum.ranTwice += one.ranTwice;
+        sum.falseNotRun += one.falseNotRun;
+        sum.wrongResults += one.wrongResults;
+    }
+    return {{"interleavings", FLAGS_seeds},
+            {"requests", sum.requests},
+            {"runs", sum.runs},
+            {"faults", sum.faults},
+            {"told_not_run", sum.toldNotRun},
+            {"told_unknown", sum.toldUnknown},
+            {"same_results", sum.sameResults},
+            {"violations",
+             json::object{{"ran_twice", sum.ranTwice},
+                          {"false_not_run", sum.falseNotRun},
+                          {"wrong_results", sum.wrongResults}}}};
+}
+
+json::object measureOrders(testing::order_guards guards)
+{
+    testing::lease_tally sum;
+    for (std::int64_t seed = 1; seed <= FLAGS_seeds; ++seed) {
+        testing::lease_fleet fleet(std::uint64_t(seed), guards);
+        fleet.run(leaseTicks);
+        const testing::lease_tally &one = fleet.tally();
+        sum.holders += one.holders;
+        sum.orders += one.orders;
+        sum.refused += one.refused;
+        sum.faults += one.faults;
+        sum.twoHolders += one.twoHolders;
+        sum.staleOrders += one.staleOrders;
+    }
+    return {{"interleavings", FLAGS_seeds},
+            {"holders", sum.holders},
+            {"orders", sum.orders},
+            {"refused", sum.refused},
+            {"faults", sum.faults},
+            {"violations",
+             json::object{{"two_holders", sum.twoHolders}, {"stale_orders", sum.staleOrders}}}};
+}
+
+/// One operator that adds to a number in a resource: reads, waits, writes.
+struct writer
+{
+    bool hasRead = false;
+    std::uint64_t version = 0;
+    std::int64_t value = 0;
+    int written = 0;
+};
+
+constexpr const char *counterName = "counter";
+
+std::int64_t counterOf(const config_state &config)
+{
+    const auto *spec = findSpec<service_class>(config, resource_kind::serviceClass, counterName);
+    return spec == nullptr ? 0 : spec->maxWait.count();
+}
+
+std::uint64_t versionOf(const config_state &config)
+{
+    const auto found = config.resources.find({resource_kind::serviceClass, counterName});
+    return found == config.resources.end() ? 0 : found->second.version;
+}
+
+/// Reads when it has nothing, else writes what it has read plus one. True for a success.
+bool step(writer &subject, config_state &config, bool isGuarded, std::uint64_t &conflicts)
+{
+    if (!subject.hasRead) {
+        subject.hasRead = true;
+        subject.version = versionOf(config);
+        subject.value = counterOf(config);
+        return false;
+    }
+    subject.hasRead = false;
+    config_change change;
+    change.operation = std::to_string(config.next);
+    change.key = {resource_kind::serviceClass, counterName};
+    if (isGuarded)
+        change.expectedVersion = subject.version;
+    change.spec = json::object{{"tier", 1}, {"max_wait_ms", subject.value + 1}};
+    const auto effect = applyRecord(config, config.next, encodeChange(change));
+    const bool isAccepted = effect.outcome && effect.outcome->code == result_code::ok;
+    subject.written += isAccepted ? 1 : 0;
+    conflicts += isAccepted ? 0 : 1;
+    return isAccepted;
+}
+
+json::object measureWrites(bool isGuarded)
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t conflicts = 0;
+    std::int64_t lost = 0;
+    for (std::int64_t seed = 1; seed <= FLAGS_seeds; ++seed) {
+        std::mt19937_64 random{std::uint64_t(seed)};
+        config_state config;
+        std::array<writer, writersOfOneRecord> writers;
+        std::int64_t succeeded = 0;
+        const auto isDone
+            = [](const writer &one) { return one.written >= writesOfOneWriter; };
+        while (!std::all_of(writers.begin(), writers.end(), isDone)) {
+            writer &next = writers[random() % writers.size()];
+            if (!isDone(next))
+                succeeded += step(next, config, isGuarded, conflicts) ? 1 : 0;
+        }
+        accepted += std::uint64_t(succeeded);
+        lost += succeeded - counterOf(config);
+    }
+    return {{"interleavings", FLAGS_seeds},
+            {"accepted", accepted},
+            {"conflicts", conflicts},
+            {"violations", json::object{{"lost_updates", lost}}}};
+}
+
+json::object measureAll()
+{
+    const json::object claims{{"guarded", measureClaims({})},
+                              {"claim_not_read_back", measureClaims({false, true, true})},
+                              {"old_book_trusted", measureClaims({true, false, true})},
+                              {"refused_attempt_kept", measureClaims({true, true, false})}};
+    const json::object orders{{"guarded", measureOrders({})},
+                              {"fencing_only", measureOrders({true, false, false})},
+                              {"clock_only", measureOrders({false, true, true})},
+                              {"unguarded", measureOrders({false, false, false})}};
+    const json::object writes{{"conditional", measureWrites(true)},
+                              {"unconditional", measureWrites(false)}};
+    return {{"at_most_once", claims}, {"orders", orders}, {"configuration_writes", writes}};
+}
+
+} // namespace
+} // namespace quincefall
+
+int main(int argumentCount, char **arguments)
+{
+    gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
+    std::cout << boost::json::serialize(quincefall::measureAll()) << "\n";
+    return 0;
+}
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -6,7 +6,9 @@
 #include "observe/timeline.h"
 #include "operate/config_relay.h"
 #include "operate/config_service.h"
+#include "operate/lease_service.h"
 #include "operate/operator_api.h"
+#include "operate/order_service.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
 #include "platform/host_list_service.h"
@@ -260,6 +262,22 @@
                                            [this] { return isStopping; }}));
     }
 
+    void addOrders()
+    {
+        auto &client = services->find<http_client>("platform.http");
+        auto &log = services->find<log_client>("platform.log");
+        auto &config = services->find<config_service>("operate.config");
+        auto &events = services->find<timeline>("observe.timeline");
+        auto competing = lease_service::makeLeaseService(
+            {context, log, events, clock, "orders", values.hostName, incarnation, {}});
+        auto &lease = *competing;
+        add("operate.lease", std::move(competing), startAndStop(lease));
+        auto ordering = order_service::makeOrderService(
+            {context, client, config, lease, events, clock, lease_rules().ttl});
+        auto &orders = *ordering;
+        add("operate.orders", std::move(ordering), startAndStop(orders));
+    }
+
     result<void> addServer(const char *name, const host_address &address,
                            http_server::handler function)
     {
@@ -329,6 +347,7 @@
             return added;
         addQueues();
         addCallerServices();
+        addOrders();
         if (auto added = addServers(); !added)
             return added;
         connect();
