Wait until the faulty engine is trusted again before the next fault

The hosts now keep failing engines out of use until a probe succeeds, so after stall_after the next check ran on the other engine alone and ended with 'the faulty engine was not asked'. Each check now waits until e1 gets work again; what is asked of the answers is unchanged.

--- a/tests/process/engine_failure_test.py
+++ b/tests/process/engine_failure_test.py
@@ -35,8 +35,22 @@
     return any(label in request for request in engine.runs())
 
 
+def wait_in_use(fleet, engine):
+    """Waits until the hosts trust the engine again after an earlier fault."""
+    state = {"round": 0}
+
+    def is_used():
+        state["round"] += 1
+        label = f"probe{state['round']}."
+        ask_all(fleet, label)
+        return used(engine, label)
+
+    wait_for(is_used, ANSWER_LIMIT_S, "work for the engine that was faulty")
+
+
 def check_fault(fleet, lines, name, **faults):
     engine = fleet.standins["e1"]
+    wait_in_use(fleet, engine)
     engine.set_faults(**faults)
     whole = ask_all(fleet, name)
     assert used(engine, name), f"{name}: the faulty engine was not asked"
@@ -47,6 +61,7 @@
 def check_silent_connections(fleet, lines):
     """Open connections go silent in mid-stream; new ones work."""
     engine = fleet.standins["e1"]
+    wait_in_use(fleet, engine)
     state = {"set": False}
 
     def silence(number):
@@ -63,6 +78,7 @@
 def check_killed_engine(fleet, lines):
     """An engine dies in mid-stream."""
     engine = fleet.standins["e1"]
+    wait_in_use(fleet, engine)
     state = {"killed": False}
 
     def kill(number):
