Test that paused and crashed hosts don't stop the others

The queue's owner is paused with SIGSTOP, then killed, while the platform's list still shows it; the other hosts' callers must get whole answers and the engines must drop the dead host's work. Seen to fail before heartbeats decided who is live: 0 of 8 answers whole with the owner paused and 0 of 8 after its crash, each refused by deadline-unreachable after 10 s.

--- /dev/null
+++ b/tests/process/host_failure_test.py
@@ -0,0 +1,87 @@
+"""Hosts that crash or pause don't keep the others' callers from their whole answers."""
+
+import threading
+
+from support import client
+from support.fleet import Fleet
+from support.golden import check_golden
+from support.load import run_all
+from support.processes import wait_for
+
+CALLERS = 8
+TOKENS = 20
+ANSWER_LIMIT_S = 20
+
+
+def ask_through(fleet, hosts, label):
+    """Sends CALLERS requests at once through the named hosts and counts the whole answers."""
+
+    def work(index):
+        prompt = f"{label} {index}"
+        answer = fleet.stream(hosts[index % len(hosts)], prompt, TOKENS,
+                              timeout_s=ANSWER_LIMIT_S)
+        if not client.is_whole(answer, prompt, TOKENS):
+            print(label, answer)
+            return False
+        return True
+
+    return sum(run_all(CALLERS, work))
+
+
+def others(fleet, name):
+    return [host for host in fleet.hosts if host != name]
+
+
+def check_paused_hosts(fleet, lines):
+    """Each host in turn is paused, so that the owner of the pool's queue is among them."""
+    for name in list(fleet.hosts):
+        process = fleet.hosts[name].process
+        process.pause()
+        whole = ask_through(fleet, others(fleet, name), f"paused {name}")
+        process.resume()
+        wait_for(lambda: fleet.ask(name, "awake?", 1).status == 200, what=f"{name} awake")
+        lines.append(f"{name} paused: {whole} of {CALLERS} answers of the others whole")
+
+
+def check_killed_host(fleet, lines):
+    """The queue's owner crashes; its own callers see a broken answer, the others a whole one.
+
+    The platform's list still shows the dead host.
+    """
+    victim = fleet.wait_ready()
+    own = {}
+    reached = threading.Event()
+
+    def ask_victim():
+        own["answer"] = fleet.stream(victim, "own", 2000, on_token=lambda _: reached.set())
+
+    caller = threading.Thread(target=ask_victim)
+    caller.start()
+    assert reached.wait(30), "the victim's stream did not begin"
+    fleet.hosts[victim].process.kill()
+    caller.join()
+    del fleet.hosts[victim]
+    answer = own["answer"]
+    lines.append(f"owner killed: its stream ends with the end mark: {answer.is_done}")
+    whole = ask_through(fleet, list(fleet.hosts), "after the crash")
+    lines.append(f"owner killed: {whole} of {CALLERS} answers of the others whole")
+    wait_for(lambda: all(engine.get("/load")["running"] == 0
+                         for engine, _, _ in fleet.listed_upstreams.values()),
+             what="engines without work")
+    lines.append("engines dropped the crashed host's work")
+
+
+def main():
+    lines = []
+    with Fleet() as fleet:
+        for name in ("e1", "e2"):
+            fleet.start_engine(name, slots=4, token_delay_ms=3, first_token_delay_ms=1)
+        fleet.publish_defaults(slots=4, max_wait_ms=10_000)
+        fleet.start_hosts(3)
+        fleet.wait_ready()
+        check_paused_hosts(fleet, lines)
+        check_killed_host(fleet, lines)
+    check_golden("host_failure.txt", lines)
+
+
+main()
