Bound what crosses the regions' link by the wait and by a byte budget

A request crossed to the other region after a quarter of its first-token target and without a limit on bytes, and a probe ignored the region. Now it crosses after half of the target, within a budget that the plan gives and of which the highest tier may overdraw one burst, and not at all while the regions are parted.

Trial: without the budget's check the new test fails.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -75,6 +75,9 @@
     add("members_seen_differently").viewsDiffer = true;
     scenario &regions = add("second_region_over_its_capacity");
     regions.farDemand = 0.65;
+    scenario &budget = add("second_region_over_its_capacity_with_link_budget");
+    budget.farDemand = 0.65;
+    budget.linkBytesPerSecond = 100'000;
     add("engine_crash_each_minute").crashEverySeconds = 60;
     scenario &both = add("burst_of_lowest_class_and_owner_killed");
     both.demands[2].burstShare = 3;
--- a/bench/policy_fleet.cpp
+++ b/bench/policy_fleet.cpp
@@ -862,6 +862,8 @@
 {
     pool_plan plan;
     plan.twoChoices = world.way == sharing_way::separate;
+    plan.linkBytesPerSecond
+        = world.plan.linkBytesPerSecond / (world.way == sharing_way::owner ? 1 : world.plan.hosts);
     for (const demand &of : world.plan.demands)
         plan.classes.push_back(of.policy);
     for (const engine_model &engine : world.engines) {
--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -42,6 +42,7 @@
     double farDemand = 0.3; ///< Share of the callers in the second region.
     microseconds reportLag{300'000};
     bool unevenLoad = false; ///< Others' work holds half of the slots of every third engine.
+    double linkBytesPerSecond = 0; ///< Budget for answers across regions; 0 means no limit.
     bool straggler = false; ///< One engine runs at a tenth of its speed from `burstFrom`.
     bool ownerKilled = false;
     bool ownerPaused = false; ///< For 10 s from `burstFrom`.
--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -6,7 +6,7 @@
 namespace quincefall {
 namespace {
 
-constexpr int crossRegionDivisor = 4; // Stay local for a quarter of the first-token target.
+constexpr int crossRegionDivisor = 2; // Stay local for half of the first-token target.
 constexpr double firstTokenQuantile = 0.9;
 constexpr std::uint32_t enoughTokens = 10; // To judge an upstream's rate by.
 constexpr seconds probePatience{3};
@@ -28,8 +28,10 @@
 bool mayCross(pool_state &state, const work_item &item, instant now)
 {
     const class_policy &policy = classQueue(state.queue, item.serviceClass).policy;
-    return now - item.arrival >= policy.firstTokenTarget / crossRegionDivisor
-        || !servedLocally(state, item);
+    if (now - item.arrival < policy.firstTokenTarget / crossRegionDivisor
+        && servedLocally(state, item))
+        return false;
+    return mayUseLink(state.link, policy.tier == 1, now);
 }
 
 const upstream_record *chooseUpstream(pool_state &state, const work_item &item, bool local)
@@ -47,6 +49,15 @@
     return best;
 }
 
+const upstream_record *usableProbe(pool_state &state, const work_item &item, microseconds overdue,
+                                   instant now)
+{
+    const upstream_record *probe = probeFor(state.upstreams, item, overdue, now);
+    if (probe == nullptr || isLocal(item, probe->info.region) || mayCross(state, item, now))
+        return probe;
+    return nullptr;
+}
+
 std::string place(pool_state &state, const work_item &item, instant now)
 {
     if (!isBelowLimit(state.organisations, item.organisation))
@@ -56,13 +67,13 @@
     const bool isLowest
         = classQueue(state.queue, item.serviceClass).policy.tier >= state.lowestTier;
     const microseconds patience = isLowest ? microseconds(0) : probePatience;
-    const upstream_record *chosen = probeFor(state.upstreams, item, patience, now);
+    const upstream_record *chosen = usableProbe(state, item, patience, now);
     if (chosen == nullptr)
         chosen = chooseUpstream(state, item, true);
     if (chosen == nullptr && mayCross(state, item, now))
         chosen = chooseUpstream(state, item, false);
     if (chosen == nullptr)
-        chosen = probeFor(state.upstreams, item, {}, now);
+        chosen = usableProbe(state, item, {}, now);
     return chosen == nullptr ? std::string() : chosen->info.name;
 }
 
@@ -120,6 +131,10 @@
     recordStart(state.drain, queue.policy.tier, now);
     if (upstream.withheld)
         delayProbe(upstream.health, now);
+    if (!isLocal(attempt.item, upstream.info.region)) {
+        const double tokens = std::max(0.0, attempt.chargedTokens - attempt.item.resumeFrom);
+        chargeLink(state.link, crossingBytes(attempt.item.promptTokens, tokens));
+    }
     const std::uint64_t permit = state.nextPermit++;
     out.grants.push_back({attempt.item.id, attempt.item.entryHost, permit, candidate.upstream});
     addAttempt(state.upstreams, upstream, permit, std::move(attempt), now);
@@ -271,6 +286,8 @@
     setClasses(state.queue, state.plan.classes, now);
     setUpstreams(state.upstreams, state.plan.upstreams);
     setOrganisations(state.organisations, state.plan.organisations);
+    state.link.bytesPerSecond = state.plan.linkBytesPerSecond;
+    state.link.parted = state.plan.regionsParted;
     state.lowestTier = 1;
     for (const class_policy &policy : state.plan.classes)
         state.lowestTier = std::max(state.lowestTier, policy.tier);
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -3,6 +3,7 @@
 #include "policy/admission.h"
 #include "policy/drain_rate.h"
 #include "policy/length_estimate.h"
+#include "policy/link_budget.h"
 #include "policy/organisation_share.h"
 #include "policy/pool_types.h"
 #include "policy/retry_after.h"
@@ -27,6 +28,7 @@
     tier_rule rule;
     drain_rate drain;
     length_estimates lengths;
+    link_budget link;
     retry_schedule returns;
     int lowestTier = 1;
     std::mt19937_64 random; ///< For `pool_plan::twoChoices`; seeded by the owner of the state.
--- a/src/policy/pool_types.h
+++ b/src/policy/pool_types.h
@@ -45,6 +45,8 @@
     std::vector<class_policy> classes;
     std::vector<upstream_info> upstreams;
     std::vector<organisation_policy> organisations;
+    double linkBytesPerSecond = 0; ///< Budget for the link between regions; 0 means no limit.
+    bool regionsParted = false; ///< Nothing crosses the link while the regions are parted.
     bool twoChoices = false; ///< Take the better of two random upstreams, not the least loaded.
 };
 
--- a/tests/policy/pool_scheduler_test.cpp
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -279,6 +279,33 @@
     checkGolden("policy/lost_owner.txt", session.transcript.str());
 }
 
+BOOST_AUTO_TEST_CASE(requestsStayLocalUntilTheWaitPaysForTheLinkAndWithinItsBudget)
+{
+    pool_plan plan = makeThreeTierPlan(2, 4);
+    plan.upstreams[0].region = "pirkanmaa";
+    plan.linkBytesPerSecond = 20'000;
+    for (const bool parted : {false, true}) {
+        plan.regionsParted = parted;
+        pool_session session;
+        session.now += seconds(10);
+        session.take(configure(session.state, plan, session.now));
+        for (int number = 0; number < 8; ++number) {
+            work_item item;
+            item.id = std::to_string(number);
+            item.entryRegion = "uusimaa";
+            item.serviceClass = "questions";
+            item.arrival = session.now;
+            session.take(submit(session.state, item, session.now));
+        }
+        BOOST_TEST(session.running.size() == 4U); // All on the local upstream.
+        session.advanceBy(milliseconds(499));
+        BOOST_TEST(session.running.size() == 4U);
+        session.advanceBy(milliseconds(1));
+        // 200 tokens of 180 bytes each use up the 40 kB that were saved after the second one.
+        BOOST_TEST(session.running.size() == (parted ? 4U : 6U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(randomSessionsKeepTheInvariants)
 {
     for (unsigned seed = 1; seed <= 20; ++seed) {
