Move running answers off slow engines

Cause: a straggler kept the answers it had begun, though the scheduler's rule for them stood unused. Change: entry hosts watch the rate of each running answer, tell the queue's owner of slow ones and resume elsewhere after two slow intervals when the retry budget allows it; a resumed answer waits anew.

--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -5,6 +5,7 @@
 #include "operate/config_service.h"
 #include "platform/http_client.h"
 #include "policy/retry_budget.h"
+#include "policy/stream_watch.h"
 #include "serve/answer_relay.h"
 #include "serve/chat_request.h"
 #include "serve/engine_attempt.h"
@@ -117,6 +118,27 @@
         return query;
     }
 
+    /// Watches the progress of a try: tells the queue's owner of a slow engine and leaves it when
+    /// it stays slow and the retry budget allows it.
+    std::function<bool(std::uint32_t)> watchProgress(const chat_job &job, const permit &held)
+    {
+        const auto watch = std::make_shared<stream_watch>();
+        const milliseconds gap = job.caller.policy.tokenGapTarget;
+        return [self = shared_from_this(), watch, gap, held](std::uint32_t tokens) {
+            const instant now = self->needs.clock.now();
+            if (watch->checkedAt == instant()) {
+                *watch = {now, tokens, 0};
+                return false;
+            }
+            const double rate = intervalRate(*watch, tokens, now);
+            const stream_action action = watchStream(*watch, tokens, gap, now);
+            if (action == stream_action::none)
+                return false;
+            self->needs.permits.reportSlow(held, rate);
+            return action == stream_action::move && takeRetry(self->retries);
+        };
+    }
+
     engine_call toCall(const chat_job &job, const host_address &address) const
     {
         const service_class &policy = job.caller.policy;
@@ -168,6 +190,8 @@
         }
         ++job.attempts;
         auto call = toCall(job, target->address);
+        if (job.attempts < mostAttempts)
+            call.shouldMove = watchProgress(job, *held);
         const auto outcome
             = co_await runEngineAttempt(needs.client, needs.clock, std::move(call), answer);
         needs.permits.release(*held, outcome.usage);
@@ -181,7 +205,8 @@
         job.mayHaveRun |= hasRun;
         job.excluded.push_back(held->upstream);
         // Only tries that put load on engines draw on the budget.
-        const bool mayTryAgain = job.attempts < mostAttempts && (!hasRun || takeRetry(retries));
+        const bool mayTryAgain
+            = job.attempts < mostAttempts && (!hasRun || outcome.isMoved || takeRetry(retries));
         if (!outcome.isFinal && mayTryAgain)
             co_return false;
         fail(job, *answer,
--- a/src/serve/engine_attempt.cpp
+++ b/src/serve/engine_attempt.cpp
@@ -73,7 +73,7 @@
 asio::awaitable<result<void>> readStream(http_stream &stream, const engine_call &call,
                                          clock_source clock, instant begin,
                                          std::shared_ptr<answer_stream> answer,
-                                         attempt_usage &usage)
+                                         engine_outcome &outcome)
 {
     sse_reader reader;
     const std::uint32_t before = answer->assembly.delivered;
@@ -88,12 +88,19 @@
             co_return makeError(result_code::streamIncomplete,
                                 "the stream ended before its end mark");
         const auto added = addPiece(answer->assembly, reader, *piece);
+        attempt_usage &usage = outcome.usage;
         usage.tokens = answer->assembly.delivered - before;
         if (!hasFirst && usage.tokens > 0)
             usage.firstToken = clock.now() - begin;
         answer->changed.notifyAll();
         if (!added)
             co_return added;
+        const bool isRunning = usage.tokens > 0 && !answer->assembly.hasFinish;
+        if (isRunning && call.shouldMove && call.shouldMove(usage.tokens)) {
+            outcome.isMoved = true;
+            co_return makeError(result_code::upstreamTimeout,
+                                "the engine is slower than the class asks for");
+        }
     }
     co_return result<void>();
 }
@@ -115,7 +122,7 @@
     } else if ((*stream)->header("X-Attempt-Id") != call.attemptId) {
         outcome.failure = error{result_code::streamMismatch, "the answer is of another attempt"};
     } else {
-        const auto read = co_await readStream(**stream, call, clock, begin, answer, outcome.usage);
+        const auto read = co_await readStream(**stream, call, clock, begin, answer, outcome);
         if (!read)
             outcome.failure = read.error();
     }
--- a/src/serve/engine_attempt.h
+++ b/src/serve/engine_attempt.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <string>
 
 namespace quincefall {
@@ -23,6 +25,9 @@
     int priority = 1;
     milliseconds firstTokenLimit{5000}; ///< Longest silence before the first token.
     milliseconds tokenLimit{2000}; ///< Longest silence between tokens.
+    /// Called with the tokens of this try as they come, from the first on; true ends the try, so
+    /// that the answer goes on elsewhere.
+    std::function<bool(std::uint32_t tokens)> shouldMove;
 };
 
 /// How a try ended. Without an error the answer is complete or nobody wants it any more.
@@ -32,6 +37,7 @@
     std::optional<error> failure;
     bool isFinal = false; ///< The engine refused the request itself; another try is useless.
     bool wasRefused = false; ///< The engine was too busy and did not run it.
+    bool isMoved = false; ///< Ended by shouldMove.
 };
 
 /// Runs @p call and adds the engine's tokens to @p answer, continuing after those it has.
--- a/src/serve/permit_client.cpp
+++ b/src/serve/permit_client.cpp
@@ -176,7 +176,9 @@
     const auto self = m_state;
     auto &needs = self->needs;
     asio::steady_timer pause(needs.context);
-    const instant deadline = query.arrival + query.maxWait;
+    // A resumed answer waits anew: its caller already has a part of it.
+    const instant begin = query.resumeFrom > 0 ? needs.clock.now() : query.arrival;
+    const instant deadline = begin + query.maxWait;
     while (!*isCancelled) {
         const std::string owner = needs.fleet.ownerOf(query.pool);
         result<std::string> reply = makeError(result_code::peerUnreachable, "no owner");
@@ -230,6 +232,16 @@
     m_state->send(used.pool, "/release", message.SerializeAsString());
 }
 
+void permit_client::reportSlow(const permit &held, double tokensPerSecond)
+{
+    wire::SlowRequest message;
+    message.set_pool(held.pool);
+    message.set_number(held.number);
+    message.set_upstream(held.upstream);
+    message.set_tokens_per_second(tokensPerSecond);
+    m_state->send(held.pool, "/slow", message.SerializeAsString());
+}
+
 void permit_client::announceRunning()
 {
     m_state->announceAll(true);
--- a/src/serve/permit_client.h
+++ b/src/serve/permit_client.h
@@ -96,6 +96,10 @@
     /// Gives back @p used.
     void release(const permit &used, const attempt_usage &usage);
 
+    /// Tells the queue's owner that @p held progresses at @p tokensPerSecond, too slow for its
+    /// class.
+    void reportSlow(const permit &held, double tokensPerSecond);
+
     /// Tells new owners of this host's permits in use; to be called when members change.
     void announceRunning();
 
--- a/src/serve/queue_service.cpp
+++ b/src/serve/queue_service.cpp
@@ -215,6 +215,19 @@
         co_return emptyAnswer();
     }
 
+    asio::awaitable<result<std::string>> onSlow(std::string body)
+    {
+        const auto message = decode<wire::SlowRequest>(body);
+        if (!message)
+            co_return tl::unexpected(message.error());
+        if (const auto pool = pools.find(message->pool()); pool != pools.end()) {
+            const slow_progress progress{message->number(), message->upstream(),
+                                         message->tokens_per_second()};
+            act(pool->first, pool->second, reportSlow(pool->second.scheduler, progress, now()));
+        }
+        co_return emptyAnswer();
+    }
+
     asio::awaitable<result<std::string>> onCancel(std::string body)
     {
         const auto message = decode<wire::CancelRequest>(body);
@@ -324,6 +337,7 @@
     auto &mesh = self->needs.mesh;
     mesh.handle("/permit", [self](std::string body) { return self->onPermit(std::move(body)); });
     mesh.handle("/release", [self](std::string body) { return self->onRelease(std::move(body)); });
+    mesh.handle("/slow", [self](std::string body) { return self->onSlow(std::move(body)); });
     mesh.handle("/cancel", [self](std::string body) { return self->onCancel(std::move(body)); });
     mesh.handle("/adopt", [self](std::string body) { return self->onAdopt(std::move(body)); });
     asio::co_spawn(self->needs.context, state::passTime(self), asio::detached);
