--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -42,6 +42,7 @@
     double farDemand = 0.3; ///< Share of the callers in the second region.
     microseconds reportLag{300'000};
     bool unevenLoad = false; ///< Others' work holds half of the slots of every third engine.
+    double linkBytesPerSecond = 0; ///< Budget for answers across regions; 0 means no limit.
     bool straggler = false; ///< One engine runs at a tenth of its speed from `burstFrom`.
     bool ownerKilled = false;
     bool ownerPaused = false; ///< For 10 s from `burstFrom`.
@@ -75,6 +76,7 @@
     std::uint64_t lost = 0; ///< Neither served nor refused at the end of the run.
     std::uint64_t shedForLower = 0;
     std::uint64_t shedForGuarantee = 0;
+    std::uint64_t failed = 0; ///< Ended with an error, the retry budget being used up.
     std::uint64_t retries = 0;
     double schedulerSeconds = 0; ///< Processor time in the decision functions.
     std::uint64_t schedulerCalls = 0;
--- a/src/operate/settings.cpp
+++ b/src/operate/settings.cpp
@@ -123,7 +123,7 @@
         for (const auto &entry : m_node) {
             const std::string key = entry.first.Scalar();
             if (!m_known.contains(key))
-                report(lineOf(entry.first), pathOf(key), "no such key; known keys:" + knownKeys());
+                report(lineOf(entry.first), pathOf(key), "one of" + knownKeys());
         }
     }
 
@@ -215,6 +215,7 @@
     section_reader platform = root.section("platform", true);
     platform.address("log", values.log);
     platform.address("hosts", values.hostList);
+    platform.number("checkpoint_every", values.checkpointEvery, 10, 1'000'000);
     platform.rejectUnknown();
 }
 
--- a/src/platform/http_client.cpp
+++ b/src/platform/http_client.cpp
@@ -14,7 +14,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::size_t idleConnectionsPerAddress = 64;
-constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint64_t largestReply = 256ULL * 1024 * 1024;
 constexpr milliseconds connectTimeout{1000};
 
@@ -122,6 +122,17 @@
     http::response_parser<http::buffer_body> parser;
     std::array<char, readBufferBytes> piece{};
 
+    /// Adds the chunks that were received already to the piece, so that many small ones cost one
+    /// turn of the event loop. What is left over waits for the next read, which reports errors.
+    void parseBuffered()
+    {
+        boost::system::error_code code;
+        while (!code && !parser.is_done() && buffer.size() > 0 && parser.get().body().size > 0) {
+            const std::size_t used = parser.put(buffer.data(), code);
+            buffer.consume(used);
+        }
+    }
+
     ~state()
     {
         const auto connections = owner.lock();
@@ -148,7 +159,7 @@
 
 int http_stream::status() const
 {
-    return m_state->parser.get().result_int();
+    return int(m_state->parser.get().result_int());
 }
 
 std::string_view http_stream::header(std::string_view name) const
@@ -170,6 +181,7 @@
         (void)size;
         if (code && code != http::error::need_buffer)
             co_return tl::unexpected(toError(code, self.address));
+        self.parseBuffered();
         const std::size_t filled = self.piece.size() - body.size;
         if (filled > 0)
             co_return std::string_view(self.piece.data(), filled);
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -2,6 +2,8 @@
 
 #include "policy/admission.h"
 #include "policy/drain_rate.h"
+#include "policy/length_estimate.h"
+#include "policy/link_budget.h"
 #include "policy/organisation_share.h"
 #include "policy/pool_types.h"
 #include "policy/retry_after.h"
@@ -25,8 +27,10 @@
     organisation_table organisations;
     tier_rule rule;
     drain_rate drain;
+    length_estimates lengths;
+    link_budget link;
     retry_schedule returns;
-    double poolSlots = 0; ///< Slots of all upstreams that take new work.
+    int lowestTier = 1;
     std::mt19937_64 random; ///< For `pool_plan::twoChoices`; seeded by the owner of the state.
     std::uint64_t nextPermit = 1; ///< An owner sets its own range, so that permits are unique.
 };
@@ -43,6 +47,9 @@
 /// Ends a running attempt; unknown permits are ignored.
 decisions finish(pool_state &state, const completion &done, instant now);
 
+/// Takes in that a running answer is slower than its class asks for; see stream_watch.h.
+decisions reportSlow(pool_state &state, const slow_progress &progress, instant now);
+
 /// Counts an attempt that an earlier owner granted.
 decisions adoptRunning(pool_state &state, const running_attempt &attempt, instant now);
 
--- a/src/policy/pool_types.h
+++ b/src/policy/pool_types.h
@@ -45,6 +45,8 @@
     std::vector<class_policy> classes;
     std::vector<upstream_info> upstreams;
     std::vector<organisation_policy> organisations;
+    double linkBytesPerSecond = 0; ///< Budget for the link between regions; 0 means no limit.
+    bool regionsParted = false; ///< Nothing crosses the link while the regions are parted.
     bool twoChoices = false; ///< Take the better of two random upstreams, not the least loaded.
 };
 
@@ -98,7 +100,16 @@
     std::uint32_t tokens = 0;
     microseconds firstToken{0};
     microseconds duration{0};
-    bool failed = false;
+    bool failed = false; ///< By a fault of the upstream.
+    bool stopped = false; ///< Before its end, by the caller or to go on elsewhere.
+};
+
+/// Progress of a running attempt that is slower than its class asks for.
+struct slow_progress
+{
+    std::uint64_t permit = 0;
+    std::string upstream;
+    double tokensPerSecond = 0; ///< In the last interval.
 };
 
 /// A permit granted by an earlier owner of the queue.
--- a/src/policy/wait_queue.cpp
+++ b/src/policy/wait_queue.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 const char *const fallbackClass = "";
+constexpr instant resumedDeadline = instant::min();
 
 request_traits traitsOf(const work_item &item)
 {
@@ -29,9 +30,11 @@
     queue.lastArrival = now;
 }
 
-request_group::const_iterator nextInGroup(const request_group &group, instant now)
+request_group::const_iterator nextInGroup(const request_group &group, instant earliestFirstToken)
 {
-    const auto onTime = group.lower_bound(order_key{now, 0});
+    if (group.begin()->first.deadline == resumedDeadline)
+        return group.begin();
+    const auto onTime = group.lower_bound(order_key{earliestFirstToken, 0});
     return onTime == group.end() ? group.begin() : onTime;
 }
 
@@ -45,10 +48,12 @@
 std::optional<start_candidate> nextOfOrganisation(class_queue &queue, organisation_queue &from,
                                                   instant now, const placement &place)
 {
+    const instant earliestFirstToken = now + queue.firstTokenTime;
     std::vector<start_candidate> heads;
     for (const auto &[traits, group] : from.groups) {
-        const auto next = nextInGroup(group, now);
-        const bool onTime = next->first.deadline >= now;
+        const auto next = nextInGroup(group, earliestFirstToken);
+        const instant deadline = next->first.deadline;
+        const bool onTime = deadline >= earliestFirstToken || deadline == resumedDeadline;
         heads.push_back({&queue, &from, &next->second, next->first, onTime, {}});
     }
     std::sort(heads.begin(), heads.end(), precedes);
@@ -62,11 +67,6 @@
 
 } // namespace
 
-instant firstTokenDeadline(const work_item &item, const class_policy &policy)
-{
-    return item.arrival + policy.firstTokenTarget;
-}
-
 void setClasses(wait_queue &queue, const std::vector<class_policy> &classes, instant now)
 {
     wait_queue previous = std::exchange(queue, {});
@@ -90,6 +90,7 @@
         }
         if (const auto target = queue.classes.find(name); target != queue.classes.end()) {
             target->second.virtualTime = old.virtualTime;
+            target->second.firstTokenTime = old.firstTokenTime;
             target->second.lastArrival = old.lastArrival;
             target->second.starvedSince = old.starvedSince;
         }
@@ -111,8 +112,10 @@
     if (queue.byId.contains(item.id))
         return false;
     class_queue &target = classQueue(queue, item.serviceClass);
-    const order_key key{firstTokenDeadline(item, target.policy), queue.nextSequence++};
-    const instant expiry = item.arrival + target.policy.maxWait;
+    const bool resumed = item.resumeFrom > 0;
+    const instant deadline = item.arrival + target.policy.firstTokenTarget;
+    const order_key key{resumed ? resumedDeadline : deadline, queue.nextSequence++};
+    const instant expiry = (resumed ? now : item.arrival) + target.policy.maxWait;
     const std::string organisationName = item.organisation;
     organisation_queue &organisation = target.organisations[organisationName];
     ++target.size;
@@ -153,12 +156,16 @@
 
 std::optional<start_candidate> nextOfClass(class_queue &queue, instant now, const placement &place)
 {
+    std::optional<start_candidate> late;
     for (const auto &[virtualTime, name] : queue.active) {
         organisation_queue &organisation = queue.organisations.find(name)->second;
-        if (auto next = nextOfOrganisation(queue, organisation, now, place))
+        auto next = nextOfOrganisation(queue, organisation, now, place);
+        if (next && next->onTime)
             return next;
+        if (next && !late)
+            late = std::move(next);
     }
-    return std::nullopt;
+    return late;
 }
 
 std::optional<start_candidate> nextOfTier(wait_queue &queue, int tier, instant now,
--- a/src/policy/wait_queue.h
+++ b/src/policy/wait_queue.h
@@ -59,6 +59,7 @@
     class_policy policy;
     double virtualTime = 0; ///< Of the last start; an organisation that returns begins here.
     std::size_t size = 0;
+    microseconds firstTokenTime{0}; ///< Expected from the start to the first token.
     instant lastArrival; ///< Refused ones included.
     instant starvedSince; ///< Last start, or the first arrival after a time without any.
     std::map<std::string, organisation_queue, std::less<>> organisations;
@@ -108,14 +109,15 @@
 /// The queue of the class called @p name, or the lowest tier's if there is none of that name.
 class_queue &classQueue(wait_queue &queue, std::string_view name);
 
-/// Adds a request; false when its id waits already.
+/// Adds a request; false when its id waits already. One that resumes a broken answer goes before
+/// all others of its class and organisation, and its wait begins now.
 bool enqueue(wait_queue &queue, work_item item, instant now);
 
 /// Removes a request; empty when the id does not wait.
 std::optional<work_item> dequeue(wait_queue &queue, std::string_view id);
 
-/// The next request of one class: organisations by virtual time, in an organisation first those
-/// that can still be on time, by deadline, then the late ones.
+/// The next request of one class: first those that can still be on time, by their organisation's
+/// virtual time and then by deadline, then the late ones in the same order.
 std::optional<start_candidate> nextOfClass(class_queue &queue, instant now, const placement &place);
 
 /// The next request of one tier: the earliest deadline among its classes' next requests.
@@ -132,9 +134,6 @@
 /// Adds the ids of the requests that entered through @p host to @p ids.
 void collectOfHost(const class_queue &queue, std::string_view host, std::vector<std::string> &ids);
 
-/// The first-token deadline of @p item under @p policy.
-instant firstTokenDeadline(const work_item &item, const class_policy &policy);
-
 /// The number of requests waiting in tiers above @p tier.
 std::size_t waitingAbove(const wait_queue &queue, int tier);
 
--- a/tests/policy/pool_scheduler_test.cpp
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -130,6 +130,86 @@
     BOOST_TEST(session.refusalsByClass["questions"] > 100);
 }
 
+BOOST_AUTO_TEST_CASE(aRequestThatCanNoLongerBeOnTimeLetsOthersPass)
+{
+    pool_session session = makeSession(1, 1);
+    session.submitRequest("r0", "rosters", "a");
+    for (int number = 1; number <= 20; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        session.submitRequest(id, "rosters", "a");
+        completion done;
+        done.permit = session.running.begin()->second.permit;
+        done.upstream = "engine-1";
+        done.tokens = 100;
+        done.firstToken = milliseconds(300);
+        session.running.clear();
+        session.take(finish(session.state, done, session.now));
+    }
+    session.submitRequest("hopeless", "rosters", "a");
+    session.advanceBy(milliseconds(500)); // 200 ms are left, 300 ms are needed.
+    session.submitRequest("on time", "rosters", "a");
+    session.finishRequest("r20", 100, seconds(1));
+    BOOST_TEST(session.granted.contains("on time"));
+    BOOST_TEST(!session.granted.contains("hopeless"));
+}
+
+BOOST_AUTO_TEST_CASE(aBrokenAnswerGoesOnBeforeOthersHoweverOldItIs)
+{
+    pool_session session = makeSession(1, 1);
+    session.submitRequest("first", "rosters", "a");
+    session.advanceBy(seconds(30));
+    session.submitRequest("other", "rosters", "a");
+    work_item broken;
+    broken.id = "broken";
+    broken.serviceClass = "rosters";
+    broken.organisation = "a";
+    broken.arrival = session.now - seconds(25);
+    broken.resumeFrom = 70;
+    session.take(submit(session.state, broken, session.now));
+    session.advanceBy(milliseconds(100));
+    session.finishRequest("first", 10, seconds(1));
+    BOOST_TEST(session.granted.contains("broken"));
+}
+
+BOOST_AUTO_TEST_CASE(stragglerIsProbedUntilItRecovers)
+{
+    pool_session session = makeSession(3, 2);
+    int next = 0;
+    double stragglerRate = 50;
+    int onStraggler = 0;
+    const auto runRound = [&] {
+        for (int each = 0; each < 4; ++each)
+            session.submitRequest("r" + std::to_string(next++), "questions", "a");
+        std::map<std::string, grant> running;
+        running.swap(session.running);
+        session.now += milliseconds(1000);
+        for (const auto &[id, permit] : running) {
+            const bool slow = permit.upstream == "engine-2";
+            const double rate = slow ? stragglerRate : 50;
+            onStraggler += slow ? 1 : 0;
+            completion done{permit.permit, permit.upstream, 101, milliseconds(100), {}};
+            done.duration
+                = microseconds(static_cast<std::int64_t>(100 / rate * 1e6)) + done.firstToken;
+            session.note("finish " + id + " on " + permit.upstream);
+            session.take(finish(session.state, done, session.now));
+        }
+    };
+    const auto grantsToStraggler = [&](int rounds) {
+        const int before = onStraggler;
+        for (int round = 0; round < rounds; ++round)
+            runRound();
+        return onStraggler - before;
+    };
+    BOOST_TEST(grantsToStraggler(8) > 6);
+    stragglerRate = 5;
+    grantsToStraggler(2);
+    BOOST_TEST(grantsToStraggler(8) <= 4); // One probe in 2 s.
+    stragglerRate = 50;
+    grantsToStraggler(4);
+    BOOST_TEST(grantsToStraggler(8) > 6);
+    checkGolden("policy/straggler.txt", session.transcript.str());
+}
+
 BOOST_AUTO_TEST_CASE(aLeavingUpstreamGetsNothingNewAndExclusionsHold)
 {
     pool_session session = makeSession(2, 1);
@@ -165,6 +245,67 @@
     BOOST_TEST(session.granted.contains("two"));
 }
 
+BOOST_AUTO_TEST_CASE(lostOwnerIsReplacedAndNothingIsLostOrGrantedTwice)
+{
+    pool_session session = makeSession(1, 2);
+    for (const char *const id : {"d1", "d2", "d3", "q1"})
+        session.submitRequest(id, id[0] == 'd' ? "rosters" : "questions", "a");
+    session.advanceBy(milliseconds(300));
+    session.note("the owner is lost; the entry host tells the next owner what runs and waits");
+    session.state = {};
+    session.state.nextPermit = 1ULL << 40U;
+    session.now += milliseconds(500);
+    session.take(configure(session.state, makeThreeTierPlan(1, 2), session.now));
+    for (const char *const id : {"d1", "d2"}) {
+        const grant &permit = session.running[id];
+        session.note("adopt " + permit.id + " on " + permit.upstream);
+        session.take(adoptRunning(
+            session.state,
+            {id, "entry-1", permit.permit, permit.upstream, "rosters", "a", milliseconds(800)},
+            session.now));
+    }
+    session.submitRequest("q1", "questions", "a");
+    session.submitRequest("d3", "rosters", "a");
+    session.submitRequest("d3", "rosters", "a");
+    BOOST_TEST(session.running.size() == 2U);
+    session.finishRequest("d1", 50, seconds(1));
+    BOOST_TEST(session.granted.contains("d3"));
+    session.finishRequest("d2", 50, seconds(1));
+    session.finishRequest("d3", 50, seconds(1));
+    session.finishRequest("q1", 50, seconds(1));
+    session.noteCounters();
+    BOOST_TEST(runningCount(session.state) == 0U);
+    BOOST_TEST(session.grantsByClass["rosters"] == 3);
+    checkGolden("policy/lost_owner.txt", session.transcript.str());
+}
+
+BOOST_AUTO_TEST_CASE(requestsStayLocalUntilTheWaitPaysForTheLinkAndWithinItsBudget)
+{
+    pool_plan plan = makeThreeTierPlan(2, 4);
+    plan.upstreams[0].region = "pirkanmaa";
+    plan.linkBytesPerSecond = 20'000;
+    for (const bool parted : {false, true}) {
+        plan.regionsParted = parted;
+        pool_session session;
+        session.now += seconds(10);
+        session.take(configure(session.state, plan, session.now));
+        for (int number = 0; number < 8; ++number) {
+            work_item item;
+            item.id = std::to_string(number);
+            item.entryRegion = "uusimaa";
+            item.serviceClass = "questions";
+            item.arrival = session.now;
+            session.take(submit(session.state, item, session.now));
+        }
+        BOOST_TEST(session.running.size() == 4U); // All on the local upstream.
+        session.advanceBy(milliseconds(499));
+        BOOST_TEST(session.running.size() == 4U);
+        session.advanceBy(milliseconds(1));
+        // 200 tokens of 180 bytes each use up the 40 kB that were saved after the second one.
+        BOOST_TEST(session.running.size() == (parted ? 4U : 6U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(randomSessionsKeepTheInvariants)
 {
     for (unsigned seed = 1; seed <= 20; ++seed) {
