Add the operators' resources, watch, status, time line, metrics and verbs

Cause: operators had one write path and each host's own events; nothing showed what is declared, where it is in force, or why a request was late. Ruled out: checking references on the asked host only, since its fold may lag; the log's fold decides, and /v1/plan folds a copy of the state to foretell it. Change: /v1/resources, /v1/plan, /v1/operations, /v1/watch, /v1/status, /v1/progress, /v1/timeline, /v1/drain, /metrics; verbs apply, get, list, delete, operation, watch, status, timeline, drain; request.arrived, request.done and the inputs of grants in the time line. Conclusion: an operator can declare, watch and read what happened by any host.

--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -30,6 +30,15 @@
 
 exit_code runServe(std::span<const std::string> arguments);
 exit_code runCheck(std::span<const std::string> arguments);
+exit_code runApply(std::span<const std::string> arguments);
+exit_code runGet(std::span<const std::string> arguments);
+exit_code runList(std::span<const std::string> arguments);
+exit_code runDelete(std::span<const std::string> arguments);
+exit_code runOperation(std::span<const std::string> arguments);
+exit_code runWatch(std::span<const std::string> arguments);
+exit_code runStatus(std::span<const std::string> arguments);
+exit_code runTimeline(std::span<const std::string> arguments);
+exit_code runDrain(std::span<const std::string> arguments);
 exit_code runErrors(std::span<const std::string> arguments);
 exit_code runVersion(std::span<const std::string> arguments);
 
--- /dev/null
+++ b/src/operate/change_feed.cpp
@@ -0,0 +1,45 @@
+#include "operate/change_feed.h"
+
+namespace quincefall {
+
+change_feed::change_feed(std::size_t capacity)
+    : m_capacity(capacity)
+{
+}
+
+void change_feed::take(const config_state &state, const config_effect &effect)
+{
+    const std::uint64_t offset = state.next - 1;
+    // A gap means that a whole state was taken over from a peer.
+    if (offset != m_next) {
+        m_changes.clear();
+        m_first = offset;
+    }
+    m_next = offset + 1;
+    if (!effect.changed)
+        return;
+    const std::string operation = effect.outcome ? effect.outcome->operation : std::string();
+    m_changes.push_back(
+        {state.next, *effect.changed, operation, !state.resources.contains(*effect.changed)});
+    if (m_changes.size() <= m_capacity)
+        return;
+    m_first = m_changes.front().version;
+    m_changes.pop_front();
+}
+
+bool change_feed::reachesBack(std::uint64_t from) const
+{
+    return from >= m_first && from <= m_next;
+}
+
+std::vector<feed_change> change_feed::after(std::uint64_t from) const
+{
+    std::vector<feed_change> found;
+    for (const feed_change &change : m_changes) {
+        if (change.version > from)
+            found.push_back(change);
+    }
+    return found;
+}
+
+} // namespace quincefall
--- a/src/operate/config_service.cpp
+++ b/src/operate/config_service.cpp
@@ -31,6 +31,8 @@
     config_state folded;
     std::deque<log_record> recent;
     std::vector<std::function<void()>> listeners;
+    std::vector<std::function<void(const config_effect &)>> effectListeners;
+    std::uint64_t logNext = 0;
     bool isReady = false;
     bool isLogReachable = false;
     bool isStopped = false;
@@ -45,6 +47,8 @@
         if (recent.size() > recentRecordLimit)
             recent.pop_front();
         note(effect);
+        for (const auto &listener : effectListeners)
+            listener(effect);
         return true;
     }
 
@@ -87,6 +91,7 @@
     void take(const log_page &page)
     {
         bool hasChanged = false;
+        logNext = page.next;
         for (const log_record &record : page.records)
             hasChanged |= apply(record);
         const bool wasReady = isReady;
@@ -141,6 +146,7 @@
 {
     m_state->isStopped = true;
     m_state->listeners.clear();
+    m_state->effectListeners.clear();
 }
 
 const config_state &config_service::state() const
@@ -163,6 +169,16 @@
     m_state->listeners.push_back(std::move(listener));
 }
 
+void config_service::onEffect(std::function<void(const config_effect &effect)> listener)
+{
+    m_state->effectListeners.push_back(std::move(listener));
+}
+
+std::uint64_t config_service::logNext() const
+{
+    return m_state->logNext;
+}
+
 asio::awaitable<result<operation_outcome>> config_service::publish(config_change change,
                                                                    milliseconds timeout)
 {
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -3,9 +3,13 @@
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
 #include "observe/log_setup.h"
+#include "observe/metrics.h"
 #include "observe/timeline.h"
+#include "operate/change_feed.h"
 #include "operate/config_service.h"
+#include "operate/host_metrics.h"
 #include "operate/operator_api.h"
+#include "operate/queue_status.h"
 #include "peer/peer_mesh.h"
 #include "platform/host_list_service.h"
 #include "platform/http_client.h"
@@ -19,6 +23,8 @@
 #include "serve/pool_plan_builder.h"
 #include "serve/queue_service.h"
 
+#include <csignal>
+
 namespace quincefall {
 namespace {
 
@@ -122,6 +128,7 @@
     {
         auto &events = add("observe.timeline",
                            timeline::makeTimeline(values.hostName, clock, timelineCapacity));
+        add("observe.metrics", metrics::makeMetrics());
         auto &client = add("platform.http", http_client::makeHttpClient(context));
         auto &log = add("platform.log", std::make_unique<log_client>(client, values.log));
         auto hosts
@@ -163,8 +170,9 @@
         auto &queueService = *queues;
         add("serve.queues", std::move(queues), startAndStop(queueService));
         fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
+        auto &meters = services->find<metrics>("observe.metrics");
         auto permits = permit_client::makePermitClient(
-            {context, mesh, events, clock, fleet, values.hostName, values.region});
+            {context, mesh, events, clock, fleet, values.hostName, values.region, meters});
         auto &permitClient = *permits;
         add("serve.permits", std::move(permits), startAndStop(permitClient));
     }
@@ -175,17 +183,61 @@
         auto &permits = services->find<permit_client>("serve.permits");
         auto &config = services->find<config_service>("operate.config");
         auto &events = services->find<timeline>("observe.timeline");
-        auto &chat = add("serve.chat",
-                         chat_service::makeChatService({context, client, permits, config, events,
-                                                        clock, values.hostName, incarnation}));
+        auto &chat
+            = add("serve.chat",
+                  chat_service::makeChatService(
+                      {context, client, permits, config, events, clock, values.hostName,
+                       incarnation, services->find<metrics>("observe.metrics"), values.region}));
         auto &calls
             = add("serve.calls",
                   plain_call_service::makePlainCallService(
                       {client, permits, config, events, clock, values.hostName, incarnation}));
         add("serve.api", caller_api::makeCallerApi({config, chat, calls}));
-        add("operate.api",
-            operator_api::makeOperatorApi({config, events, values.hostName, values.operatorKey,
-                                           [this] { return isStopping; }}));
+        addOperatorApi();
+    }
+
+    std::vector<std::string> hostsWithSelf() const
+    {
+        std::vector<std::string> hosts = members;
+        if (std::find(hosts.begin(), hosts.end(), values.hostName) == hosts.end())
+            hosts.push_back(values.hostName);
+        return hosts;
+    }
+
+    void addOperatorApi()
+    {
+        auto &config = services->find<config_service>("operate.config");
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        auto &changes = add("operate.changes", std::make_unique<change_feed>());
+        config.onEffect([&changes, &config](const config_effect &effect) {
+            changes.take(config.state(), effect);
+        });
+        auto &meters = services->find<metrics>("observe.metrics");
+        addHostMetrics(meters, config, mesh);
+        operator_context needs{context,
+                               config,
+                               services->find<timeline>("observe.timeline"),
+                               mesh,
+                               changes,
+                               meters,
+                               clock,
+                               values.hostName,
+                               values.operatorKey,
+                               [this] { return isStopping; },
+                               // The signal handler of `serve` begins the graceful stop.
+                               [] { std::raise(SIGTERM); },
+                               [this] { return hostsWithSelf(); },
+                               {}};
+        auto api = operator_api::makeOperatorApi(std::move(needs));
+        auto &added = *api;
+        add("operate.api", std::move(api), startAndStop(added));
+        const auto &queues = services->find<queue_service>("serve.queues");
+        added.addStatusSection({"queues", [this, &queues, &config] {
+                                    return describeQueues(
+                                        config.state(), queues, [this](std::string_view pool) {
+                                            return ownerOf(pool) == values.hostName;
+                                        });
+                                }});
     }
 
     result<void> addServer(const char *name, const host_address &address,
--- a/src/operate/operator_api.h
+++ b/src/operate/operator_api.h
@@ -1,35 +1,29 @@
 #pragma once
 
-#include "kernel/clock.h"
+#include "operate/operator_context.h"
 
 #include <boost/asio/awaitable.hpp>
 
-#include <functional>
 #include <memory>
-#include <string>
 
 namespace quincefall {
 
-class config_service;
 class http_exchange;
-class timeline;
 
-/// The operators' HTTP interface.
+/// The operators' HTTP interface; docs/API.md lists its paths.
 class operator_api
 {
 public:
-    struct dependencies
-    {
-        config_service &config;
-        timeline &events;
-        std::string hostName;
-        std::string operatorKey;
-        std::function<bool()> isStopping;
-    };
-
-    static std::unique_ptr<operator_api> makeOperatorApi(dependencies needs);
+    static std::unique_ptr<operator_api> makeOperatorApi(operator_context needs);
     ~operator_api();
 
+    /// Answers peers that gather the fleet's status and time line.
+    void start();
+    void stop();
+
+    /// Adds a part of the status, shown by every host under its name.
+    void addStatusSection(status_section section);
+
     /// Answers one request.
     boost::asio::awaitable<void> handle(http_exchange &exchange);
 
--- /dev/null
+++ b/src/operate/queue_status.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "ledger/config_state.h"
+
+#include <boost/json/array.hpp>
+
+#include <functional>
+#include <string_view>
+
+namespace quincefall {
+
+class queue_service;
+
+/// The queues that this host owns: for each pool its owner, waiting and running requests by class,
+/// and its upstreams with state and reason.
+boost::json::array describeQueues(const config_state &config, const queue_service &queues,
+                                  const std::function<bool(std::string_view pool)> &isOwned);
+
+} // namespace quincefall
--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -1,9 +1,11 @@
 #include "serve/chat_service.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "operate/config_service.h"
 #include "platform/http_client.h"
+#include "serve/answer_metrics.h"
 #include "serve/chat_request.h"
 #include "serve/engine_attempt.h"
 #include "serve/http_server.h"
@@ -36,6 +38,8 @@
     instant arrival;
     std::vector<std::string> excluded;
     int attempts = 0;
+    std::optional<microseconds> firstToken; ///< From the arrival on.
+    bool wasRefused = false; ///< By the queue, for good.
     bool mayHaveRun = false; ///< An engine may have executed a part of it.
 };
 
@@ -131,6 +135,54 @@
         answer.changed.notifyAll();
     }
 
+    /// Counts what an attempt at an engine of @p region added to the answer.
+    void countAttempt(chat_job &job, const engine_outcome &outcome, const std::string &region,
+                      std::size_t bytes, instant started)
+    {
+        if (!job.firstToken && outcome.usage.tokens > 0)
+            job.firstToken = started + outcome.usage.firstToken - job.arrival;
+        if (region != needs.region && bytes > 0)
+            needs.meters.add(metric::crossRegionBytes, {}, double(bytes));
+        if (outcome.failure)
+            needs.meters.add(metric::retries, {{"cause", resultInfo(outcome.failure->code).name}});
+    }
+
+    static answer_facts::outcome outcomeOf(const chat_job &job, const answer_stream &answer)
+    {
+        if (answer.assembly.isComplete)
+            return answer_facts::outcome::complete;
+        if (*answer.isAbandoned)
+            return answer_facts::outcome::abandoned;
+        return job.wasRefused ? answer_facts::outcome::refused : answer_facts::outcome::failed;
+    }
+
+    /// Counts the finished job and records its times beside its class's targets.
+    void noteEnd(const chat_job &job, const answer_stream &answer)
+    {
+        answer_facts facts;
+        facts.result = outcomeOf(job, answer);
+        facts.serviceClass = job.caller.serviceClass;
+        facts.policy = job.caller.policy;
+        facts.tokens = answer.assembly.delivered;
+        facts.droppedTokens = answer.assembly.dropped;
+        facts.firstToken = job.firstToken;
+        facts.total = needs.clock.now() - job.arrival;
+        countAnswer(needs.meters, facts);
+        const auto inMilliseconds
+            = [](microseconds span) { return std::to_string(span.count() / 1000); };
+        needs.events.record(
+            "request.done", job.requestId, job.pool,
+            {{"outcome", toString(facts.result)},
+             {"class", facts.serviceClass},
+             {"attempts", std::to_string(job.attempts)},
+             {"tokens", std::to_string(facts.tokens)},
+             {"first_token_ms", facts.firstToken ? inMilliseconds(*facts.firstToken) : "none"},
+             {"first_token_target_ms", std::to_string(facts.policy.firstTokenTarget.count())},
+             {"token_gap_ms", inMilliseconds(tokenGap(facts))},
+             {"token_gap_target_ms", std::to_string(facts.policy.tokenGapTarget.count())},
+             {"total_ms", inMilliseconds(facts.total)}});
+    }
+
     void noteAttempt(const chat_job &job, const permit &held, const engine_outcome &outcome)
     {
         needs.events.record(
@@ -147,6 +199,7 @@
         auto query = toQuery(job, *answer);
         const auto held = co_await needs.permits.acquire(std::move(query), answer->isAbandoned);
         if (!held) {
+            job.wasRefused = job.attempts == 0;
             fail(job, *answer, held.error());
             co_return true;
         }
@@ -158,9 +211,13 @@
         }
         ++job.attempts;
         auto call = toCall(job, target->address);
+        const std::string region = target->region;
+        const std::size_t bytesBefore = answer->assembly.text.size();
+        const instant started = needs.clock.now();
         const auto outcome
             = co_await runEngineAttempt(needs.client, needs.clock, std::move(call), answer);
         needs.permits.release(*held, outcome.usage);
+        countAttempt(job, outcome, region, answer->assembly.text.size() - bytesBefore, started);
         noteAttempt(job, *held, outcome);
         if (!outcome.failure || answer->assembly.isComplete)
             co_return true;
@@ -180,6 +237,7 @@
         bool isOver = false;
         while (!isOver && !*answer->isAbandoned)
             isOver = co_await self->tryOnce(job, answer);
+        self->noteEnd(job, *answer);
         self->active.erase(job.requestId);
         answer->changed.notifyAll();
     }
@@ -193,6 +251,11 @@
         answer->organisation = job.caller.organisation;
         answer->model = job.request.model;
         answer->assembly = makeAnswerAssembly(job.requestId, 0);
+        needs.events.record("request.arrived", job.requestId, job.pool,
+                            {{"organisation", job.caller.organisation},
+                             {"class", job.caller.serviceClass},
+                             {"tier", std::to_string(job.caller.policy.tier)},
+                             {"model", job.request.model}});
         active[job.requestId] = answer;
         asio::co_spawn(needs.context, produce(shared_from_this(), job, answer), asio::detached);
         return answer;
--- a/src/serve/chat_service.h
+++ b/src/serve/chat_service.h
@@ -16,6 +16,7 @@
 class config_service;
 class http_client;
 class http_exchange;
+class metrics;
 class timeline;
 
 /// Serves chat completions: waits for a permit, streams from the engine to the caller, and goes on
@@ -33,6 +34,8 @@
         clock_source clock;
         std::string hostName;
         std::uint64_t incarnation = 0; ///< Makes generated ids unique over restarts.
+        metrics &meters;
+        std::string region;
     };
 
     static std::unique_ptr<chat_service> makeChatService(dependencies needs);
--- a/src/serve/permit_client.cpp
+++ b/src/serve/permit_client.cpp
@@ -1,6 +1,7 @@
 #include "serve/permit_client.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "peer.pb.h"
 #include "peer/peer_mesh.h"
@@ -16,6 +17,7 @@
 constexpr milliseconds announceInterval{5000};
 constexpr milliseconds noOwnerRetryAfter{1000};
 constexpr int releaseTries = 3;
+constexpr double microsecondsPerSecond = 1e6;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 wire::PermitRequest toMessage(const permit_query &query, const std::string &host,
@@ -132,6 +134,20 @@
         }
     }
 
+    void count(const std::string &serviceClass, const tl::expected<permit, problem> &outcome,
+               microseconds waited)
+    {
+        const double waitSeconds = double(waited.count()) / microsecondsPerSecond;
+        if (outcome)
+            needs.meters.observe(metric::queueWait, {{"class", serviceClass}}, waitSeconds);
+        else if (outcome.error().code != result_code::cancelled)
+            needs.meters.add(metric::sheds, {{"code", resultInfo(outcome.error().code).name}});
+    }
+
+    /// Asks owners until one decides; see acquire.
+    static asio::awaitable<tl::expected<permit, problem>>
+    ask(std::shared_ptr<state> self, permit_query query, std::shared_ptr<bool> isCancelled);
+
     static asio::awaitable<void> announcePeriodically(std::shared_ptr<state> self)
     {
         asio::steady_timer pause(self->needs.context);
@@ -174,6 +190,17 @@
 permit_client::acquire(permit_query query, std::shared_ptr<bool> isCancelled)
 {
     const auto self = m_state;
+    const std::string serviceClass = query.serviceClass;
+    const instant asked = self->needs.clock.now();
+    auto outcome = co_await state::ask(self, std::move(query), std::move(isCancelled));
+    self->count(serviceClass, outcome, self->needs.clock.now() - asked);
+    co_return outcome;
+}
+
+asio::awaitable<tl::expected<permit, problem>>
+permit_client::state::ask(std::shared_ptr<state> self, permit_query query,
+                          std::shared_ptr<bool> isCancelled)
+{
     auto &needs = self->needs;
     asio::steady_timer pause(needs.context);
     const instant deadline = query.arrival + query.maxWait;
--- a/src/serve/permit_client.h
+++ b/src/serve/permit_client.h
@@ -16,6 +16,7 @@
 
 namespace quincefall {
 
+class metrics;
 class peer_mesh;
 class timeline;
 
@@ -77,6 +78,7 @@
         fleet_view fleet;
         std::string hostName;
         std::string region;
+        metrics &meters;
     };
 
     static std::unique_ptr<permit_client> makePermitClient(dependencies needs);
--- a/src/serve/queue_service.cpp
+++ b/src/serve/queue_service.cpp
@@ -96,13 +96,33 @@
 
     instant now() const { return needs.clock.now(); }
 
+    /// What the grant of a request was decided from.
+    timeline::fields grantInputs(const pool_state &pool, const grant &given) const
+    {
+        timeline::fields fields{{"upstream", given.upstream},
+                                {"entry", given.entryHost},
+                                {"waiting", std::to_string(waitingCount(pool))},
+                                {"running", std::to_string(runningCount(pool))}};
+        const auto record = pool.upstreams.records.find(given.upstream);
+        if (record == pool.upstreams.records.end())
+            return fields;
+        const auto attempt = record->second.running.find(given.permit);
+        if (attempt == record->second.running.end())
+            return fields;
+        const work_item &item = attempt->second.item;
+        const auto waited = std::chrono::duration_cast<milliseconds>(now() - item.arrival);
+        fields.emplace_back("class", item.serviceClass);
+        fields.emplace_back("waited_ms", std::to_string(waited.count()));
+        fields.emplace_back("resume_from", std::to_string(item.resumeFrom));
+        fields.emplace_back("upstream_running", std::to_string(record->second.running.size()));
+        fields.emplace_back("excluded", std::to_string(item.excluded.size()));
+        return fields;
+    }
+
     void grantOne(const std::string &pool, pool_queue &queue, const grant &given)
     {
         queue.granted[given.permit] = {given.id, given.entryHost, given.upstream, now()};
-        needs.events.record("request.granted", given.id, pool,
-                            {{"upstream", given.upstream},
-                             {"entry", given.entryHost},
-                             {"waiting", std::to_string(waitingCount(queue.scheduler))}});
+        needs.events.record("request.granted", given.id, pool, grantInputs(queue.scheduler, given));
         const auto waiting = queue.pending.find(given.id);
         if (waiting == queue.pending.end())
             return;
