Mend linter findings of the manifest, metrics and time line

Cause: scripts/lint named a missing include and string temporaries in loops. Change: include <optional>, append in place. Ruled out: silencing the checks. Conclusion: no behaviour changes; the unit tests hold the output as before.

--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -121,6 +121,14 @@
     out += name + braced(labels) + " " + formatNumber(value) + "\n";
 }
 
+std::string leLabel(const std::string &bound)
+{
+    std::string label = "le=\"";
+    label += bound;
+    label += '"';
+    return label;
+}
+
 void writeHistogram(std::string &out, const std::string &name, const std::string &labels,
                     const histogram_sample &sample)
 {
@@ -130,9 +138,9 @@
     for (int index = 0; index < axis.size(); ++index) {
         below += sample.buckets.at(index);
         const std::string bound = formatNumber(axis.bin(index).upper());
-        writeSample(out, name + "_bucket", prefix + "le=\"" + bound + "\"", below);
+        writeSample(out, name + "_bucket", prefix + leLabel(bound), below);
     }
-    writeSample(out, name + "_bucket", prefix + "le=\"+Inf\"", double(sample.count));
+    writeSample(out, name + "_bucket", prefix + leLabel("+Inf"), double(sample.count));
     writeSample(out, name + "_sum", labels, sample.sum);
     writeSample(out, name + "_count", labels, double(sample.count));
 }
--- a/src/observe/timeline_merge.cpp
+++ b/src/observe/timeline_merge.cpp
@@ -151,8 +151,12 @@
     if (!event.resource.empty())
         line += "  on=" + event.resource;
     for (const auto &[name, value] : event.fields) {
-        if (!value.empty())
-            line += "  " + name + "=" + value;
+        if (value.empty())
+            continue;
+        line += "  ";
+        line += name;
+        line += '=';
+        line += value;
     }
     return line;
 }
--- a/src/operate/manifest.cpp
+++ b/src/operate/manifest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <optional>
 #include <set>
 
 namespace quincefall {
