--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -3,10 +3,14 @@
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
 #include "observe/log_setup.h"
+#include "observe/metrics.h"
 #include "observe/timeline.h"
+#include "operate/change_feed.h"
 #include "operate/config_relay.h"
 #include "operate/config_service.h"
+#include "operate/host_metrics.h"
 #include "operate/operator_api.h"
+#include "operate/queue_status.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
 #include "platform/host_list_service.h"
@@ -22,6 +26,8 @@
 #include "serve/pool_plan_builder.h"
 #include "serve/queue_service.h"
 
+#include <csignal>
+
 namespace quincefall {
 namespace {
 
@@ -159,6 +165,7 @@
     {
         auto &events = add("observe.timeline",
                            timeline::makeTimeline(values.hostName, clock, timelineCapacity));
+        add("observe.metrics", metrics::makeMetrics());
         auto &client = add("platform.http", http_client::makeHttpClient(context));
         auto &log = add("platform.log", std::make_unique<log_client>(client, values.log));
         auto hosts
@@ -218,8 +225,9 @@
         auto &loadPoller = *poller;
         add("serve.load", std::move(poller), startAndStop(loadPoller));
         fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
+        auto &meters = services->find<metrics>("observe.metrics");
         auto permits = permit_client::makePermitClient(
-            {context, mesh, events, clock, fleet, values.hostName, values.region});
+            {context, mesh, events, clock, fleet, values.hostName, values.region, meters});
         auto &permitClient = *permits;
         add("serve.permits", std::move(permits), startAndStop(permitClient));
     }
@@ -234,7 +242,8 @@
         auto &beats = services->find<heartbeat_service>("peer.heartbeats");
         auto chatService = chat_service::makeChatService(
             {context, client, permits, config, events, mesh, [&beats] { return beats.liveHosts(); },
-             clock, values.hostName, incarnation});
+             clock, values.hostName, incarnation, services->find<metrics>("observe.metrics"),
+             values.region});
         auto &chat = *chatService;
         add("serve.chat", std::move(chatService),
             {[&chat]() -> result<void> {
@@ -243,9 +252,8 @@
              },
              {}});
         auto claiming = claim_service::makeClaimService(
-            {context, services->find<log_client>("platform.log"),
-             services->find<peer_mesh>("peer.mesh"), events, clock, values.hostName, incarnation,
-             [this](const std::string &host, std::uint64_t process) {
+            {context, services->find<log_client>("platform.log"), mesh, events, clock,
+             values.hostName, incarnation, [this](const std::string &host, std::uint64_t process) {
                  return mayBeAtWork(host, process);
              }});
         auto &claims = *claiming;
@@ -255,9 +263,51 @@
                   plain_call_service::makePlainCallService({client, permits, config, claims, events,
                                                             clock, values.hostName, incarnation}));
         add("serve.api", caller_api::makeCallerApi({config, chat, calls}));
-        add("operate.api",
-            operator_api::makeOperatorApi({config, events, values.hostName, values.operatorKey,
-                                           [this] { return isStopping; }}));
+        addOperatorApi();
+    }
+
+    std::vector<std::string> hostsWithSelf() const
+    {
+        auto hosts = services->find<heartbeat_service>("peer.heartbeats").liveHosts();
+        if (std::find(hosts.begin(), hosts.end(), values.hostName) == hosts.end())
+            hosts.push_back(values.hostName);
+        return hosts;
+    }
+
+    void addOperatorApi()
+    {
+        auto &config = services->find<config_service>("operate.config");
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        auto &changes = add("operate.changes", std::make_unique<change_feed>());
+        config.onEffect([&changes, &config](const config_effect &effect) {
+            changes.take(config.state(), effect);
+        });
+        auto &meters = services->find<metrics>("observe.metrics");
+        addHostMetrics(meters, config, mesh);
+        operator_context needs{context,
+                               config,
+                               services->find<timeline>("observe.timeline"),
+                               mesh,
+                               changes,
+                               meters,
+                               clock,
+                               values.hostName,
+                               values.operatorKey,
+                               [this] { return isStopping; },
+                               // The signal handler of `serve` begins the graceful stop.
+                               [] { std::raise(SIGTERM); },
+                               [this] { return hostsWithSelf(); },
+                               {}};
+        auto api = operator_api::makeOperatorApi(std::move(needs));
+        auto &added = *api;
+        add("operate.api", std::move(api), startAndStop(added));
+        const auto &queues = services->find<queue_service>("serve.queues");
+        added.addStatusSection({"queues", [this, &queues, &config] {
+                                    return describeQueues(
+                                        config.state(), queues, [this](std::string_view pool) {
+                                            return ownerOf(pool) == values.hostName;
+                                        });
+                                }});
     }
 
     result<void> addServer(const char *name, const host_address &address,
