--- a/src/serve/permit_client.h
+++ b/src/serve/permit_client.h
@@ -16,6 +16,7 @@
 
 namespace quincefall {
 
+class metrics;
 class peer_mesh;
 class timeline;
 
@@ -77,6 +78,7 @@
         fleet_view fleet;
         std::string hostName;
         std::string region;
+        metrics &meters;
     };
 
     static std::unique_ptr<permit_client> makePermitClient(dependencies needs);
@@ -96,6 +98,10 @@
     /// Gives back @p used.
     void release(const permit &used, const attempt_usage &usage);
 
+    /// Tells the queue's owner that @p held progresses at @p tokensPerSecond, too slow for its
+    /// class.
+    void reportSlow(const permit &held, double tokensPerSecond);
+
     /// Tells new owners of this host's permits in use; to be called when members change.
     void announceRunning();
 
