--- a/bench/promises_bench.cpp
+++ b/bench/promises_bench.cpp
@@ -132,8 +132,7 @@
         config_state config;
         std::array<writer, writersOfOneRecord> writers;
         std::int64_t succeeded = 0;
-        const auto isDone
-            = [](const writer &one) { return one.written >= writesOfOneWriter; };
+        const auto isDone = [](const writer &one) { return one.written >= writesOfOneWriter; };
         while (!std::all_of(writers.begin(), writers.end(), isDone)) {
             writer &next = writers[random() % writers.size()];
             if (!isDone(next))
--- a/src/serve/claim_service.cpp
+++ b/src/serve/claim_service.cpp
@@ -17,12 +17,14 @@
 
 constexpr const char *claimStream = "claims";
 constexpr const char *knowledgePath = "/claim-known";
+constexpr const char *statePath = "/claim-state";
 constexpr milliseconds appendInterval{20}; ///< Between the starts of two appends of a host.
 constexpr milliseconds appendTimeout{1000};
 constexpr milliseconds failurePause{200};
 constexpr milliseconds readBackLimit{1000}; ///< Until an acknowledged record is written again.
 constexpr milliseconds claimLimit{2000}; ///< Until a claim that is not read back is given up.
 constexpr milliseconds knowledgeTimeout{500};
+constexpr milliseconds stateTimeout{2000};
 constexpr milliseconds patienceMargin{5000};
 constexpr milliseconds retryAfter{1000};
 constexpr milliseconds waitStep{100};
@@ -95,7 +97,9 @@
     std::unique_ptr<log_follower> follower;
     std::vector<std::string> members;
     std::set<std::string> mayHaveClaimed; ///< Hosts listed since the log's tail was last reached.
+    std::weak_ptr<state> weak; ///< To itself.
     bool isReady = false;
+    bool isAdopting = false;
     bool isStopped = false;
 
     bool hasLog() const { return isReady && follower->isReachable(); }
@@ -104,6 +108,7 @@
     {
         if (page.isTruncated) {
             isReady = false;
+            asio::co_spawn(needs.context, adoptState(weak.lock(), page.first), asio::detached);
             return;
         }
         for (const log_record &record : page.records) {
@@ -120,6 +125,28 @@
         filled.notifyAll();
     }
 
+    /// Takes a peer's book when the log no longer keeps the records after this one.
+    static asio::awaitable<void> adoptState(std::shared_ptr<state> self, std::uint64_t first)
+    {
+        if (!self || self->isAdopting)
+            co_return;
+        self->isAdopting = true;
+        const std::vector<std::string> hosts = self->members;
+        for (const std::string &host : hosts) {
+            if (host == self->needs.hostName || self->book.next >= first)
+                continue;
+            const auto answer
+                = co_await self->needs.mesh.call(host, statePath, std::string(), stateTimeout);
+            auto newer = answer ? restoreBook(*answer) : result<claim_book>(claim_book());
+            if (!newer || newer->next < first || newer->next <= self->book.next)
+                continue;
+            self->book = std::move(*newer);
+            self->needs.events.record("claims.adopted", "", claimStream,
+                                      {{"from", host}, {"next", std::to_string(self->book.next)}});
+        }
+        self->isAdopting = false;
+    }
+
     void noteReach(bool isReachable)
     {
         needs.events.record(isReachable ? "log.reachable" : "log.unreachable", "", claimStream);
@@ -320,6 +347,13 @@
          [raw](const log_page &page) { raw->take(page); },
          [raw](bool isReachable) { raw->noteReach(isReachable); }});
     std::weak_ptr<state> weak = shared;
+    shared->weak = weak;
+    raw->needs.mesh.handle(statePath, [weak](std::string) -> asio::awaitable<result<std::string>> {
+        const auto self = weak.lock();
+        if (!self || !self->isReady)
+            co_return makeError(result_code::notReady, "no book yet");
+        co_return dumpBook(self->book);
+    });
     raw->needs.mesh.handle(knowledgePath,
                            [weak](std::string body) -> asio::awaitable<result<std::string>> {
                                const auto self = weak.lock();
--- a/tests/process/at_most_once_test.py
+++ b/tests/process/at_most_once_test.py
@@ -1,5 +1,6 @@
 """Calls that may not be repeated, under kills, pauses, log outages and lost answers."""
 
+import itertools
 import json
 import pathlib
 import sys
@@ -64,7 +65,7 @@
     def wait_log(self):
         """Waits until every host can claim again."""
         for number, name in enumerate(sorted(self.fleet.hosts)):
-            serial = iter(range(1000))
+            serial = itertools.count()
             wait_for(lambda: self.fleet.book(name, f"probe-{number}-{len(self.lines)}"
                                              f"-{next(serial)}", {}).status == 200,
                      30, f"{name} claims")
@@ -143,6 +144,22 @@
     session.note_runs("paused")
 
 
+def truncated_log(session):
+    """A host that starts after the first claims have left the log gets them from a peer."""
+    fleet = session.fleet
+    assert fleet.stop_host("h3") == 0
+    fleet.log.set_faults(retention=4)
+    session.wait_log()
+    fleet.start_host("h3")
+    fleet.publish_hosts()
+    session.wait_log()
+    first = fleet.log.get("/admin/streams")["streams"]["claims"]["first"]
+    session.lines.append(f"  claims left the log: {first > 0}")
+    session.note("key of a truncated claim, new host", fleet.book("h3", "plain", {"day": 1}))
+    fleet.log.set_faults()
+    session.note_runs("plain")
+
+
 def killed_claimer(session):
     fleet = session.fleet
     session.service.set_faults(run_delay_ms=RUN_DELAY_MS)
@@ -174,7 +191,8 @@
         session = Session(fleet, service)
         session.wait_log()
         for part in (same_answer_everywhere, two_hosts_at_once, lost_log_answers,
-                     lost_service_answer, log_outage, paused_claimer, killed_claimer):
+                     lost_service_answer, log_outage, paused_claimer, truncated_log,
+                     killed_claimer):
             session.lines.append(f"{part.__name__}")
             part(session)
         twice = {key: count for key, count in service.runs().items() if count > 1}
