Serve every accepted connection before a host stops

Cause, found by the rolling restart test (one of nine runs failed under load): at the stop idle connections were closed while a request was on its way, queued connections were reset with the acceptor, and one accepted in the same turn was dropped. Ruled out: the answers in progress, which all ended whole. Change: the queue of the acceptor is served, idle connections keep a second of grace, the drain waits for open connections.

--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -397,7 +397,7 @@
         server.stopAccepting();
         const instant deadline = self->clock.now() + self->values.drainTimeout;
         const auto &claims = self->services->find<claim_service>("serve.claims");
-        const auto isBusy = [&] { return server.activeExchanges() > 0 || !claims.isFlushed(); };
+        const auto isBusy = [&] { return server.openConnections() > 0 || !claims.isFlushed(); };
         while (isBusy() && self->clock.now() < deadline) {
             pause.expires_after(drainPoll);
             co_await pause.async_wait(asTuple);
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -28,6 +28,7 @@
     http_server::handler function;
     std::set<beast::tcp_stream *> idle;
     std::set<beast::tcp_stream *> open;
+    std::size_t starting = 0; ///< Accepted connections whose coroutine has not begun.
     std::size_t active = 0;
     bool isClosing = false;
     bool isStopped = false;
@@ -229,6 +230,9 @@
     core_ptr core;
 
     static asio::awaitable<void> accept(std::shared_ptr<state> self);
+    static asio::awaitable<void> closeIdle(std::shared_ptr<state> self);
+    void acceptQueued();
+    void startServing(tcp::socket socket);
     static asio::awaitable<void> serve(core_ptr core, tcp::socket socket);
     static asio::awaitable<bool> serveOne(core_ptr core, beast::tcp_stream &stream,
                                           beast::flat_buffer &buffer);
@@ -302,6 +306,7 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
+    --core->starting;
     core->open.insert(&stream);
     beast::flat_buffer buffer;
     bool isOpen = true;
@@ -324,7 +329,8 @@
 {
     while (self->acceptor.is_open()) {
         auto [code, socket] = co_await self->acceptor.async_accept(asTuple);
-        if (code == asio::error::operation_aborted || !self->acceptor.is_open())
+        // A connection accepted just before the acceptor was closed is still served.
+        if (code && !self->acceptor.is_open())
             co_return;
         if (code) {
             // Out of descriptors: wait for connections to close instead of spinning.
@@ -335,10 +341,40 @@
         if (self->core->open.size() >= self->core->settings.maxConnections)
             asio::co_spawn(self->context, refuse(std::move(socket)), asio::detached);
         else
-            asio::co_spawn(self->context, serve(self->core, std::move(socket)), asio::detached);
+            self->startServing(std::move(socket));
     }
 }
 
+void http_server::state::startServing(tcp::socket socket)
+{
+    ++core->starting;
+    asio::co_spawn(context, serve(core, std::move(socket)), asio::detached);
+}
+
+/// Serves the connections that callers have opened already; closing the acceptor would reset them.
+void http_server::state::acceptQueued()
+{
+    boost::system::error_code code;
+    acceptor.non_blocking(true, code);
+    while (!code) {
+        tcp::socket socket(context);
+        acceptor.accept(socket, code);
+        if (!code)
+            startServing(std::move(socket));
+    }
+}
+
+/// Closes the connections that are idle once the grace is over. A request that is on its way when
+/// the host begins to stop still finds its connection open.
+asio::awaitable<void> http_server::state::closeIdle(std::shared_ptr<state> self)
+{
+    asio::steady_timer grace(self->context, self->core->settings.closeGrace);
+    co_await grace.async_wait(asTuple);
+    const auto idle = self->core->idle;
+    for (beast::tcp_stream *stream : idle)
+        stream->cancel();
+}
+
 result<std::unique_ptr<http_server>> http_server::makeHttpServer(asio::io_context &context,
                                                                  options settings, handler function)
 {
@@ -393,17 +429,25 @@
 void http_server::stopAccepting()
 {
     announceClose();
+    if (!m_state->acceptor.is_open())
+        return;
+    m_state->acceptQueued();
     boost::system::error_code ignored;
     m_state->acceptor.close(ignored);
-    const auto idle = m_state->core->idle;
-    for (beast::tcp_stream *stream : idle)
-        stream->cancel();
+    asio::co_spawn(m_state->context, state::closeIdle(m_state), asio::detached);
+}
+
+std::size_t http_server::openConnections() const
+{
+    return m_state->core->open.size() + m_state->core->starting;
 }
 
 void http_server::stop()
 {
     m_state->core->isStopped = true;
-    stopAccepting();
+    announceClose();
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
     const auto open = m_state->core->open;
     for (beast::tcp_stream *stream : open)
         stream->cancel();
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -77,6 +77,7 @@
         std::uint32_t maxConnections = 4096;
         milliseconds requestTimeout{10'000}; ///< For a begun request to arrive, and for a write.
         milliseconds idleTimeout{60'000}; ///< For the next request on an open connection.
+        milliseconds closeGrace{1000}; ///< For the same after stopAccepting.
     };
 
     static result<std::unique_ptr<http_server>> makeHttpServer(boost::asio::io_context &context,
@@ -91,9 +92,13 @@
     /// Asks callers to close their connection after each answer from now on.
     void announceClose();
 
-    /// Accepts no further connection and closes the idle ones; running requests go on.
+    /// Accepts no further connection. Running requests go on; a connection that stays idle for
+    /// the grace of the settings is closed.
     void stopAccepting();
 
+    /// Connections that callers have open.
+    std::size_t openConnections() const;
+
     /// Closes everything.
     void stop();
 
