Let a slow caller read why its answer broke, and test what callers are told

http_exchange::abort reset the connection, which discards what the caller has not taken yet: a caller with a small receive buffer lost tokens and the event that says 'partial'. It now closes in order; the missing last chunk still shows a broken answer. Ruled out: waiting for the caller before the reset, which a silent caller would hold up. The same test checks run states under a crowd, lost answers, outages and cuts: a request told not-run was begun by no engine. client.py kept only the last error of a stream and hid the event in front of it; it keeps the first now.

--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -194,8 +194,8 @@
 void http_exchange::abort()
 {
     m_state->keepAlive = false;
-    boost::system::error_code ignored;
-    m_state->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    // Without the last chunk the caller sees a broken answer. An orderly close lets it read what
+    // was written before; a reset would discard that for a slow caller.
     m_state->stream.close();
     m_state->markGone();
 }
--- /dev/null
+++ b/tests/process/not_run_test.py
@@ -0,0 +1,118 @@
+"""What callers are told of requests that fail: "not-run" only when no engine has begun them."""
+
+import http.client
+import json
+import pathlib
+import socket
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from support import client
+from support.fleet import ORGANISATION, Fleet
+from support.golden import check_golden
+from support.load import run_all
+from support.processes import wait_for
+
+CALLERS = 16
+TOKENS = 30
+ENGINES = ("e1", "e2")
+
+
+def outcome_of(answer, prompt):
+    """"whole", or the run state that the caller was told, or "broken" without one."""
+    if client.is_whole(answer, prompt, TOKENS):
+        return "whole"
+    for text in (answer.body, answer.error):
+        try:
+            return json.loads(text)["run"]
+        except (ValueError, KeyError, TypeError):
+            continue
+    return "broken"
+
+
+def began(fleet, request_id):
+    """True when an engine that lives began the request."""
+    name = f"{ORGANISATION}.{request_id}"
+    return any(name in fleet.standins[engine].runs() for engine in ENGINES)
+
+
+def ask_all(fleet, label):
+    """Outcomes of CALLERS requests at once, by request id."""
+    hosts = list(fleet.hosts)
+
+    def work(index):
+        prompt = f"{label} {index}"
+        answer = fleet.stream(hosts[index % len(hosts)], prompt, TOKENS, f"{label}-{index}",
+                              timeout_s=60)
+        return f"{label}-{index}", outcome_of(answer, prompt)
+
+    return dict(run_all(CALLERS, work))
+
+
+def check(fleet, lines, label, expected, **faults):
+    """Runs one fault; `expected` is the set of outcomes that may occur, all of which are listed."""
+    for engine in ENGINES:
+        fleet.standins[engine].set_faults(**faults)
+    outcomes = ask_all(fleet, label)
+    for engine in ENGINES:
+        fleet.standins[engine].set_faults()
+    wrong = [request for request, outcome in outcomes.items()
+             if outcome == "not-run" and began(fleet, request)]
+    lines.append(f"{label}: told not-run but begun: {len(wrong)}; "
+                 f"outcomes other than {'/'.join(sorted(expected))}: "
+                 f"{sorted(set(outcomes.values()) - expected)}")
+    return outcomes
+
+
+def connect_slowly(address):
+    """A connection whose caller takes in little at a time."""
+    connection = http.client.HTTPConnection(*client.split_address(address), timeout=60)
+    connection.sock = socket.socket()
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.sock.connect(client.split_address(address))
+    return connection
+
+
+def check_slow_caller(fleet, lines):
+    """An answer breaks while its caller has read little of it; it still learns all there is."""
+    wait_for(lambda: fleet.ask("h1", "trusted again?", 1).status == 200, what="a trusted engine")
+    for engine in ENGINES:
+        fleet.standins[engine].set_faults(cut_after=500, token_delay_ms=0)
+    host = fleet.hosts["h1"]
+
+    def is_given_up():
+        return any(event["event"] == "request.shed" for name in fleet.hosts
+                   for event in fleet.timeline(name, f"{ORGANISATION}.slow"))
+
+    def wait_until_broken(number):
+        if number == 1:
+            wait_for(is_given_up, what="the end of the attempts")
+
+    answer = client.stream_chat(host.caller, "slow", 5000, headers=fleet.headers("slow"),
+                                on_token=wait_until_broken,
+                                connections={host.caller: connect_slowly(host.caller)})
+    lines.append(f"slow caller: {outcome_of(answer, 'slow')}")
+
+
+def main():
+    lines = []
+    with Fleet() as fleet:
+        for name in ENGINES:
+            fleet.start_engine(name, slots=2, queue=0, token_delay_ms=5, first_token_delay_ms=1)
+        fleet.publish_defaults(slots=2, max_wait_ms=400)
+        fleet.start_hosts(3)
+        fleet.wait_ready()
+        crowded = check(fleet, lines, "crowd", {"whole", "not-run"})
+        lines.append(f"crowd: some whole {'whole' in crowded.values()}, "
+                     f"some refused {'not-run' in crowded.values()}")
+        lost = check(fleet, lines, "lost-answers", {"unknown", "not-run"}, lose_answers=1000,
+                     lose_path="/v1/")
+        lines.append(f"lost-answers: some unknown {'unknown' in lost.values()}")
+        check(fleet, lines, "down", {"not-run"}, down=True)
+        check(fleet, lines, "cut", {"whole", "partial", "not-run"}, cut_after=3)
+        check_slow_caller(fleet, lines)
+    check_golden("not_run.txt", lines)
+
+
+main()
--- a/tests/process/support/client.py
+++ b/tests/process/support/client.py
@@ -131,7 +131,7 @@
         else:
             stream.body = response.read()
     except (OSError, http.client.HTTPException) as failure:
-        stream.error = type(failure).__name__
+        stream.error = stream.error or type(failure).__name__
     if connections is not None and is_reusable:
         connections[address] = connection
     else:
