--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -3,10 +3,14 @@
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
 #include "observe/log_setup.h"
+#include "observe/metrics.h"
 #include "observe/timeline.h"
+#include "operate/change_feed.h"
 #include "operate/config_relay.h"
 #include "operate/config_service.h"
+#include "operate/host_metrics.h"
 #include "operate/operator_api.h"
+#include "operate/queue_status.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
 #include "platform/host_list_service.h"
@@ -14,6 +18,7 @@
 #include "platform/log_client.h"
 #include "serve/caller_api.h"
 #include "serve/chat_service.h"
+#include "serve/claim_service.h"
 #include "serve/http_server.h"
 #include "serve/load_poller.h"
 #include "serve/permit_client.h"
@@ -21,6 +26,8 @@
 #include "serve/pool_plan_builder.h"
 #include "serve/queue_service.h"
 
+#include <csignal>
+
 namespace quincefall {
 namespace {
 
@@ -84,6 +91,15 @@
         return services->find<heartbeat_service>("peer.heartbeats").ownerOf(key);
     }
 
+    /// Whether a process that has claimed a call may still answer it.
+    bool mayBeAtWork(const std::string &host, std::uint64_t process) const
+    {
+        if (host == values.hostName)
+            return process == incarnation;
+        const auto seen = services->find<heartbeat_service>("peer.heartbeats").stateOf(host);
+        return seen != host_state::dead && seen != host_state::unknown;
+    }
+
     void takeHostList(std::span<const listed_host> listed)
     {
         auto &mesh = services->find<peer_mesh>("peer.mesh");
@@ -92,6 +108,12 @@
                 mesh.setAddress(host.name, host.address);
         }
         services->find<heartbeat_service>("peer.heartbeats").setHostList(listed);
+        std::vector<std::string> claimers;
+        for (const listed_host &host : listed) {
+            if (host.isEntry)
+                claimers.push_back(host.name);
+        }
+        services->find<claim_service>("serve.claims").noteMembers(claimers);
     }
 
     /// Queues move when members change: permits in use are told to new owners, waiting requests go
@@ -143,6 +165,7 @@
     {
         auto &events = add("observe.timeline",
                            timeline::makeTimeline(values.hostName, clock, timelineCapacity));
+        add("observe.metrics", metrics::makeMetrics());
         auto &client = add("platform.http", http_client::makeHttpClient(context));
         auto &log = add("platform.log", std::make_unique<log_client>(client, values.log));
         auto hosts
@@ -202,8 +225,9 @@
         auto &loadPoller = *poller;
         add("serve.load", std::move(poller), startAndStop(loadPoller));
         fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
+        auto &meters = services->find<metrics>("observe.metrics");
         auto permits = permit_client::makePermitClient(
-            {context, mesh, events, clock, fleet, values.hostName, values.region});
+            {context, mesh, events, clock, fleet, values.hostName, values.region, meters});
         auto &permitClient = *permits;
         add("serve.permits", std::move(permits), startAndStop(permitClient));
     }
@@ -218,7 +242,8 @@
         auto &beats = services->find<heartbeat_service>("peer.heartbeats");
         auto chatService = chat_service::makeChatService(
             {context, client, permits, config, events, mesh, [&beats] { return beats.liveHosts(); },
-             clock, values.hostName, incarnation});
+             clock, values.hostName, incarnation, services->find<metrics>("observe.metrics"),
+             values.region});
         auto &chat = *chatService;
         add("serve.chat", std::move(chatService),
             {[&chat]() -> result<void> {
@@ -226,14 +251,63 @@
                  return {};
              },
              {}});
+        auto claiming = claim_service::makeClaimService(
+            {context, services->find<log_client>("platform.log"), mesh, events, clock,
+             values.hostName, incarnation, [this](const std::string &host, std::uint64_t process) {
+                 return mayBeAtWork(host, process);
+             }});
+        auto &claims = *claiming;
+        add("serve.claims", std::move(claiming), startAndStop(claims));
         auto &calls
             = add("serve.calls",
-                  plain_call_service::makePlainCallService(
-                      {client, permits, config, events, clock, values.hostName, incarnation}));
+                  plain_call_service::makePlainCallService({client, permits, config, claims, events,
+                                                            clock, values.hostName, incarnation}));
         add("serve.api", caller_api::makeCallerApi({config, chat, calls}));
-        add("operate.api",
-            operator_api::makeOperatorApi({config, events, values.hostName, values.operatorKey,
-                                           [this] { return isStopping; }}));
+        addOperatorApi();
+    }
+
+    std::vector<std::string> hostsWithSelf() const
+    {
+        auto hosts = services->find<heartbeat_service>("peer.heartbeats").liveHosts();
+        if (std::find(hosts.begin(), hosts.end(), values.hostName) == hosts.end())
+            hosts.push_back(values.hostName);
+        return hosts;
+    }
+
+    void addOperatorApi()
+    {
+        auto &config = services->find<config_service>("operate.config");
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        auto &changes = add("operate.changes", std::make_unique<change_feed>());
+        config.onEffect([&changes, &config](const config_effect &effect) {
+            changes.take(config.state(), effect);
+        });
+        auto &meters = services->find<metrics>("observe.metrics");
+        addHostMetrics(meters, config, mesh);
+        operator_context needs{context,
+                               config,
+                               services->find<timeline>("observe.timeline"),
+                               mesh,
+                               changes,
+                               meters,
+                               clock,
+                               values.hostName,
+                               values.operatorKey,
+                               [this] { return isStopping; },
+                               // The signal handler of `serve` begins the graceful stop.
+                               [] { std::raise(SIGTERM); },
+                               [this] { return hostsWithSelf(); },
+                               {}};
+        auto api = operator_api::makeOperatorApi(std::move(needs));
+        auto &added = *api;
+        add("operate.api", std::move(api), startAndStop(added));
+        const auto &queues = services->find<queue_service>("serve.queues");
+        added.addStatusSection({"queues", [this, &queues, &config] {
+                                    return describeQueues(
+                                        config.state(), queues, [this](std::string_view pool) {
+                                            return ownerOf(pool) == values.hostName;
+                                        });
+                                }});
     }
 
     result<void> addServer(const char *name, const host_address &address,
@@ -322,7 +396,9 @@
         co_await pause.async_wait(asTuple);
         server.stopAccepting();
         const instant deadline = self->clock.now() + self->values.drainTimeout;
-        while (server.activeExchanges() > 0 && self->clock.now() < deadline) {
+        const auto &claims = self->services->find<claim_service>("serve.claims");
+        const auto isBusy = [&] { return server.activeExchanges() > 0 || !claims.isFlushed(); };
+        while (isBusy() && self->clock.now() < deadline) {
             pause.expires_after(drainPoll);
             co_await pause.async_wait(asTuple);
         }
