Draw requests to upstreams that hold their prompt prefix, bounded by load

The choice of upstream ignored the prefix cache. Hints now come from cache events and from our own starts; a gap in an upstream's events, or a failed attempt on it, drops all hints about it. A holder is taken when it is loaded by at most a quarter of its slots more than the least loaded upstream.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -125,6 +125,8 @@
     sum.shedForLower += one.shedForLower;
     sum.shedForGuarantee += one.shedForGuarantee;
     sum.failed += one.failed;
+    sum.prefixHits += one.prefixHits;
+    sum.prefixMisses += one.prefixMisses;
     sum.retries += one.retries;
     sum.schedulerSeconds += one.schedulerSeconds;
     sum.schedulerCalls += one.schedulerCalls;
@@ -185,7 +187,9 @@
         << ",\"retries\":" << figures.retries << ",\"failed\":" << figures.failed
         << ",\"lost\":" << figures.lost
         << ",\"higher_tier_shed_for_lower\":" << figures.shedForLower
-        << ",\"higher_tier_shed_for_guarantee\":" << figures.shedForGuarantee
+        << ",\"higher_tier_shed_for_guarantee\":" << figures.shedForGuarantee << ",\"prefix_hits\":"
+        << number(ratio(static_cast<double>(figures.prefixHits),
+                        static_cast<double>(figures.prefixHits + figures.prefixMisses)))
         << ",\"steps_per_request\":"
         << number(ratio(static_cast<double>(figures.schedulerCalls),
                         static_cast<double>(figures.requests)));
--- a/bench/policy_engine.cpp
+++ b/bench/policy_engine.cpp
@@ -38,11 +38,17 @@
     const auto hit = std::find(cached.begin(), cached.end(), stream.prefix);
     if (hit != cached.end()) {
         stream.prefill *= cachedPrefillShare;
+        ++engine.cacheHits;
         cached.erase(hit);
+    } else {
+        ++engine.cacheMisses;
+        engine.cacheEvents.emplace_back(stream.prefix, true);
     }
     cached.push_back(stream.prefix);
-    if (cached.size() > cachedPrefixLimit)
+    if (cached.size() > cachedPrefixLimit) {
+        engine.cacheEvents.emplace_back(cached.front(), false);
         cached.pop_front();
+    }
     engine.milestones.emplace(firstTokenAt(stream), stream.attempt, false);
     engine.milestones.emplace(doneAt(stream), stream.attempt, true);
     const std::uint64_t attempt = stream.attempt;
--- a/bench/policy_engine.h
+++ b/bench/policy_engine.h
@@ -69,6 +69,9 @@
     std::map<std::uint64_t, engine_stream> running; ///< By attempt.
     std::deque<engine_stream> waiting;
     std::deque<std::uint64_t> cachedPrefixes;
+    std::vector<std::pair<std::uint64_t, bool>> cacheEvents; ///< Prefix, and whether stored.
+    std::uint64_t cacheHits = 0;
+    std::uint64_t cacheMisses = 0;
 
     double progress = 0; ///< Tokens made so far by a stream that ran all the time.
     instant updated{};
--- a/bench/policy_fleet.cpp
+++ b/bench/policy_fleet.cpp
@@ -25,6 +25,7 @@
 constexpr seconds drainTime{140}; // After the last arrival, so that every request ends.
 constexpr double submitBytes = 72;
 constexpr double grantBytes = 40;
+constexpr double cacheEventBytes = 10;
 constexpr double finishBytes = 40;
 constexpr double reportBytes = 28;
 constexpr double lendBytesPerEngine = 6;
@@ -81,6 +82,7 @@
     std::map<std::string, std::size_t> engineIndex;
     std::vector<std::set<std::pair<instant, std::size_t>>> oracleWaiting; ///< By demand.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> quietOrganisations;
+    std::map<std::string, std::size_t> publishedEvents;
     drain_rate oracleDrain;
     retry_schedule oracleReturns;
 };
@@ -597,27 +599,45 @@
     return report;
 }
 
+/// Delivers the engine's cache events since the last report; one in fifty is lost.
+void publishCacheEvents(fleet &world, int host, const engine_model &engine, std::size_t first)
+{
+    constexpr std::uint64_t lostOneIn = 50;
+    for (std::size_t number = first; number < engine.cacheEvents.size(); ++number) {
+        if (world.random() % lostOneIn == 0)
+            continue;
+        const auto &[prefix, stored] = engine.cacheEvents[number];
+        noteCacheEvent(world.hosts[static_cast<std::size_t>(host)].state,
+                       {engine.name, number, prefix, stored});
+        world.figures.controlBytes += cacheEventBytes;
+    }
+}
+
 void publishReport(fleet &world, std::size_t engineNumber)
 {
     const engine_model &engine = world.engines[engineNumber];
     const load_report report = reportOf(engine, world.plan.reportLag);
     const bool up = engine.up;
-    world.events.after(world.plan.reportLag, [&world, report, up, engineNumber] {
-        if (!up)
-            return;
-        const int poller = static_cast<int>(engineNumber) % world.plan.hosts;
-        for (int index = 0; index < world.plan.hosts; ++index) {
-            const bool reads = world.way == sharing_way::separate;
-            if (!reads && index != schedulerOf(world, poller))
-                continue;
-            sendMessage(world, reads ? (index + 1) % world.plan.hosts : poller, index, reportBytes,
-                        [&world, index, report] {
-                            decide(world, index, [&](pool_state &state) {
-                                return applyLoadReport(state, report, world.events.now);
+    const std::size_t firstEvent
+        = std::exchange(world.publishedEvents[engine.name], engine.cacheEvents.size());
+    world.events.after(
+        world.plan.reportLag, [&world, &engine, firstEvent, report, up, engineNumber] {
+            if (!up)
+                return;
+            const int poller = static_cast<int>(engineNumber) % world.plan.hosts;
+            for (int index = 0; index < world.plan.hosts; ++index) {
+                const bool reads = world.way == sharing_way::separate;
+                if (!reads && index != schedulerOf(world, poller))
+                    continue;
+                sendMessage(world, reads ? (index + 1) % world.plan.hosts : poller, index,
+                            reportBytes, [&world, index, report] {
+                                decide(world, index, [&](pool_state &state) {
+                                    return applyLoadReport(state, report, world.events.now);
+                                });
                             });
-                        });
-        }
-    });
+                publishCacheEvents(world, index, engine, firstEvent);
+            }
+        });
     world.events.after(reportInterval,
                        [&world, engineNumber] { publishReport(world, engineNumber); });
 }
@@ -914,6 +934,10 @@
         figures.requests += of.isReturn ? 0 : 1;
         figures.lost += of.state == request_state::waiting || of.state == request_state::running;
     }
+    for (const engine_model &engine : world.engines) {
+        figures.prefixHits += engine.cacheHits;
+        figures.prefixMisses += engine.cacheMisses;
+    }
     for (const entry_host &host : world.hosts) {
         figures.shedForLower += host.state.rule.higherTierShedForLower;
         figures.shedForGuarantee += host.state.rule.higherTierShedForGuarantee;
@@ -930,7 +954,7 @@
 fleet_figures runFleet(const scenario &plan, sharing_way way, unsigned seed)
 {
     const auto world = std::make_unique<fleet>(
-        fleet{plan, way, {}, std::mt19937_64(seed), {}, {}, {}, {}, 1, {}, {}, {}, {}, {}});
+        fleet{plan, way, {}, std::mt19937_64(seed), {}, {}, {}, {}, 1, {}, {}, {}, {}, {}, {}});
     build(*world);
     const instant end = instant{} + plan.length;
     for (const demand &of : plan.demands) {
--- a/bench/policy_fleet.h
+++ b/bench/policy_fleet.h
@@ -76,6 +76,8 @@
     std::uint64_t lost = 0; ///< Neither served nor refused at the end of the run.
     std::uint64_t shedForLower = 0;
     std::uint64_t shedForGuarantee = 0;
+    std::uint64_t prefixHits = 0; ///< Starts whose prefix the engine had in its cache.
+    std::uint64_t prefixMisses = 0;
     std::uint64_t failed = 0; ///< Ended with an error, the retry budget being used up.
     std::uint64_t retries = 0;
     double schedulerSeconds = 0; ///< Processor time in the decision functions.
--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -10,6 +10,7 @@
 constexpr double firstTokenQuantile = 0.9;
 constexpr std::uint32_t enoughTokens = 10; // To judge an upstream's rate by.
 constexpr seconds probePatience{3};
+constexpr double affinityLoadBound = 0.25; // Of an upstream's slots.
 constexpr double defaultTokens = 200; // Charged at the start of a request.
 
 bool isLocal(const work_item &item, std::string_view region)
@@ -34,6 +35,29 @@
     return mayUseLink(state.link, policy.tier == 1, now);
 }
 
+/// An upstream of the region of @p best that holds the request's prefix and is not much more
+/// loaded than @p best, or null.
+const upstream_record *holderNear(const pool_state &state, const work_item &item,
+                                  const upstream_record &best)
+{
+    const auto *holders = holdersOf(state.prefixes, item.prefixHash);
+    if (holders == nullptr)
+        return nullptr;
+    const upstream_record *chosen = nullptr;
+    for (const std::string &name : *holders) {
+        const auto found = state.upstreams.records.find(name);
+        if (found == state.upstreams.records.end() || !found->second.offered)
+            continue;
+        const upstream_record &record = found->second;
+        if (record.info.region != best.info.region || !mayServe(record, item)
+            || record.rank > best.rank + affinityLoadBound)
+            continue;
+        if (chosen == nullptr || record.rank < chosen->rank)
+            chosen = &record;
+    }
+    return chosen;
+}
+
 const upstream_record *chooseUpstream(pool_state &state, const work_item &item, bool local)
 {
     const upstream_record *best = nullptr;
@@ -46,7 +70,8 @@
         if (found != nullptr && (best == nullptr || found->rank < best->rank))
             best = found;
     }
-    return best;
+    const upstream_record *holder = best == nullptr ? nullptr : holderNear(state, item, *best);
+    return holder == nullptr ? best : holder;
 }
 
 const upstream_record *usableProbe(pool_state &state, const work_item &item, microseconds overdue,
@@ -135,6 +160,7 @@
         const double tokens = std::max(0.0, attempt.chargedTokens - attempt.item.resumeFrom);
         chargeLink(state.link, crossingBytes(attempt.item.promptTokens, tokens));
     }
+    recordPrefix(state.prefixes, candidate.upstream, attempt.item.prefixHash);
     const std::uint64_t permit = state.nextPermit++;
     out.grants.push_back({attempt.item.id, attempt.item.entryHost, permit, candidate.upstream});
     addAttempt(state.upstreams, upstream, permit, std::move(attempt), now);
@@ -257,9 +283,11 @@
                    instant now)
 {
     const double seconds = toMilliseconds(done.duration - done.firstToken) / 1000;
-    if (done.failed)
+    if (done.failed) {
         recordFailure(upstream.health, now);
-    else if (!done.stopped)
+        dropHints(state.prefixes, upstream.info.name); // It may have lost its cache.
+    }
+    if (!done.failed && !done.stopped)
         recordSuccess(upstream.health);
     if (!done.failed && !done.stopped && done.tokens >= enoughTokens && seconds > 0)
         recordRate(upstream.health, state.upstreams.usual, (done.tokens - 1) / seconds, now);
@@ -367,6 +395,11 @@
     return assigned(state, now);
 }
 
+void noteCacheEvent(pool_state &state, const cache_event &event)
+{
+    applyCacheEvent(state.prefixes, event);
+}
+
 decisions advance(pool_state &state, instant now)
 {
     decisions out;
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -6,6 +6,7 @@
 #include "policy/link_budget.h"
 #include "policy/organisation_share.h"
 #include "policy/pool_types.h"
+#include "policy/prefix_affinity.h"
 #include "policy/retry_after.h"
 #include "policy/tier_rule.h"
 #include "policy/upstream_choice.h"
@@ -29,6 +30,7 @@
     drain_rate drain;
     length_estimates lengths;
     link_budget link;
+    prefix_hints prefixes;
     retry_schedule returns;
     int lowestTier = 1;
     std::mt19937_64 random; ///< For `pool_plan::twoChoices`; seeded by the owner of the state.
@@ -56,6 +58,9 @@
 /// Takes in an upstream's report about itself.
 decisions applyLoadReport(pool_state &state, const load_report &report, instant now);
 
+/// Takes in a cache event of an upstream; see prefix_affinity.h.
+void noteCacheEvent(pool_state &state, const cache_event &event);
+
 /// Lets time pass: refuses what has waited too long and starts what has become due. To be called
 /// at least every 100 ms while requests wait.
 decisions advance(pool_state &state, instant now);
--- a/tests/policy/pool_scheduler_test.cpp
+++ b/tests/policy/pool_scheduler_test.cpp
@@ -306,6 +306,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aCachedPrefixDrawsRequestsUnlessItsHolderIsMuchMoreLoaded)
+{
+    pool_session session = makeSession(2, 4);
+    const auto start = [&session](const std::string &id, std::uint64_t prefix) {
+        work_item item;
+        item.id = id;
+        item.serviceClass = "questions";
+        item.prefixHash = prefix;
+        item.arrival = session.now;
+        session.take(submit(session.state, item, session.now));
+        return session.running[id].upstream;
+    };
+    noteCacheEvent(session.state, {"engine-2", 7, 42, true});
+    BOOST_TEST(start("a", 42) == "engine-2");
+    BOOST_TEST(start("b", 42) == "engine-2"); // One request more of 4 slots is within the bound.
+    BOOST_TEST(start("c", 42) == "engine-1");
+    BOOST_TEST(start("d", 1) == "engine-1");
+}
+
 BOOST_AUTO_TEST_CASE(randomSessionsKeepTheInvariants)
 {
     for (unsigned seed = 1; seed <= 20; ++seed) {
