--- a/src/peer/peer_mesh.h
+++ b/src/peer/peer_mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
 
@@ -14,15 +15,6 @@
 
 namespace quincefall {
 
-/// Address of a process: an IP number and a TCP port.
-struct host_address
-{
-    std::string ip;
-    std::uint16_t port = 0;
-
-    bool operator==(const host_address &) const = default;
-};
-
 /// Messages between the hosts of the fleet: calls with one request and one answer over HTTP/2
 /// streams, one connection for each pair of hosts and direction.
 class peer_mesh
@@ -37,8 +29,21 @@
         host_address listen; ///< Port 0 picks a free one.
         std::string secret; ///< Shared by the fleet; sent and compared in constant time.
         milliseconds connectTimeout{500};
+        /// A connection with pending calls that received nothing for this long is pinged.
+        milliseconds silenceInterval{500};
+        /// Without an answer to the ping within this time a new connection is tried.
+        milliseconds pingTimeout{500};
+        /// A peer's connection that received nothing for this long is closed.
+        milliseconds idleTimeout{30000};
     };
 
+    /// What the connections tell about a host.
+    enum class reachability {
+        reachable, ///< It answered over its connection or over a new one.
+        suspected, ///< Its connection is silent or gone, and a new one failed too.
+    };
+    using reachability_listener = std::function<void(const std::string &host, reachability change)>;
+
     static result<std::unique_ptr<peer_mesh>> makePeerMesh(boost::asio::io_context &context,
                                                            options settings);
     ~peer_mesh();
@@ -58,6 +63,16 @@
     boost::asio::awaitable<result<std::string>> call(std::string host, std::string path,
                                                      std::string body, milliseconds timeout);
 
+    /// Calls @p listener when what is known of a host changes. Replaces an earlier listener.
+    void onReachability(reachability_listener listener);
+
+    /// Whether @p host answers a ping over its open connection; false when there is none.
+    boost::asio::awaitable<bool> ping(std::string host);
+
+    /// Whether @p host answers a ping over a new connection. If so, calls move to that one, and
+    /// those pending on the old one fail with peerUnreachable.
+    boost::asio::awaitable<bool> reconnect(std::string host);
+
     /// Closes the connection to @p host; its pending calls fail with peerUnreachable.
     void disconnect(const std::string &host);
 
