--- a/src/operate/change_feed.cpp
+++ b/src/operate/change_feed.cpp
@@ -27,9 +27,10 @@
     m_changes.pop_front();
 }
 
-bool change_feed::reachesBack(std::uint64_t from) const
+bool change_feed::reachesBack(std::uint64_t from, std::uint64_t until) const
 {
-    return from >= m_first && from <= m_next;
+    // A state taken over from a peer is ahead of the last change taken in.
+    return from >= m_first && from <= m_next && until == m_next;
 }
 
 std::vector<feed_change> change_feed::after(std::uint64_t from) const
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -6,18 +6,20 @@
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "operate/change_feed.h"
+#include "operate/config_relay.h"
 #include "operate/config_service.h"
 #include "operate/host_metrics.h"
 #include "operate/operator_api.h"
 #include "operate/queue_status.h"
+#include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
 #include "platform/host_list_service.h"
 #include "platform/http_client.h"
 #include "platform/log_client.h"
-#include "policy/ownership.h"
 #include "serve/caller_api.h"
 #include "serve/chat_service.h"
 #include "serve/http_server.h"
+#include "serve/load_poller.h"
 #include "serve/permit_client.h"
 #include "serve/plain_call_service.h"
 #include "serve/pool_plan_builder.h"
@@ -60,7 +62,6 @@
     clock_source clock;
     std::uint64_t incarnation;
     bool isStopping = false;
-    std::vector<std::string> members;
     std::unique_ptr<kernel> services;
 
     template <typename service_type>
@@ -86,24 +87,44 @@
 
     std::string ownerOf(std::string_view key) const
     {
-        return std::string(rendezvousOwner(key, members));
+        return services->find<heartbeat_service>("peer.heartbeats").ownerOf(key);
     }
 
-    void updateMembers(const std::vector<listed_host> &listed)
+    void takeHostList(std::span<const listed_host> listed)
     {
         auto &mesh = services->find<peer_mesh>("peer.mesh");
-        members.clear();
         for (const listed_host &host : listed) {
-            if (!host.isEntry)
-                continue;
-            mesh.setAddress(host.name, host.address);
-            if (!host.isLeaving)
-                members.push_back(host.name);
+            if (host.isEntry)
+                mesh.setAddress(host.name, host.address);
+        }
+        services->find<heartbeat_service>("peer.heartbeats").setHostList(listed);
+    }
+
+    /// Queues move when members change: permits in use are told to new owners, waiting requests go
+    /// back to their entry hosts.
+    void takeMemberChange(const state_change &change)
+    {
+        auto &queues = services->find<queue_service>("serve.queues");
+        if (change.after == host_state::dead) {
+            services->find<peer_mesh>("peer.mesh").disconnect(change.host);
+            queues.dropEntryHost(change.host);
         }
         services->find<permit_client>("serve.permits").announceRunning();
-        services->find<queue_service>("serve.queues").handOver([this](std::string_view pool) {
-            return ownerOf(pool) == values.hostName;
-        });
+        queues.handOver([this](std::string_view pool) { return ownerOf(pool) == values.hostName; });
+    }
+
+    std::vector<polled_upstream> ownedUpstreams() const
+    {
+        std::vector<polled_upstream> found;
+        const config_state &config = services->find<config_service>("operate.config").state();
+        for (const auto &[key, stored] : config.resources) {
+            const auto *pool = std::get_if<upstream_pool>(&stored.spec);
+            if (pool == nullptr || ownerOf(key.name) != values.hostName)
+                continue;
+            for (const upstream &declared : pool->upstreams)
+                found.push_back({key.name, declared.name, declared.address});
+        }
+        return found;
     }
 
     void updatePools()
@@ -135,7 +156,8 @@
             = host_list_service::makeHostListService({context, client, events, values.hostList});
         auto &list = *hosts;
         add("platform.hosts", std::move(hosts), startAndStop(list));
-        auto config = config_service::makeConfigService({context, log, events, clock});
+        auto config = config_service::makeConfigService(
+            {context, log, events, clock, values.hostName, {values.checkpointEvery}});
         auto &followed = *config;
         add("operate.config", std::move(config), startAndStop(followed));
         return {};
@@ -154,6 +176,15 @@
         for (const peer_setting &peer : values.peers)
             added.setAddress(peer.name, peer.address);
         add("peer.mesh", std::move(*mesh), {{}, [&added] { added.stop(); }});
+        auto &events = services->find<timeline>("observe.timeline");
+        auto beats = heartbeat_service::makeHeartbeatService({context, added, events, clock},
+                                                             {values.hostName, incarnation, {}});
+        auto &heartbeats = *beats;
+        add("peer.heartbeats", std::move(beats), startAndStop(heartbeats));
+        auto &config = services->find<config_service>("operate.config");
+        auto relay = config_relay::makeConfigRelay({context, added, config, events});
+        auto &relayService = *relay;
+        add("operate.relay", std::move(relay), startAndStop(relayService));
         return {};
     }
 
@@ -169,6 +200,14 @@
             = queue_service::makeQueueService({context, mesh, events, clock, firstPermit + 1});
         auto &queueService = *queues;
         add("serve.queues", std::move(queues), startAndStop(queueService));
+        auto poller = load_poller::makeLoadPoller(
+            {context, services->find<http_client>("platform.http"),
+             [this] { return ownedUpstreams(); },
+             [&queueService](const std::string &pool, const load_report &report) {
+                 queueService.reportLoad(pool, report);
+             }});
+        auto &loadPoller = *poller;
+        add("serve.load", std::move(poller), startAndStop(loadPoller));
         fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
         auto &meters = services->find<metrics>("observe.metrics");
         auto permits = permit_client::makePermitClient(
@@ -183,11 +222,19 @@
         auto &permits = services->find<permit_client>("serve.permits");
         auto &config = services->find<config_service>("operate.config");
         auto &events = services->find<timeline>("observe.timeline");
-        auto &chat
-            = add("serve.chat",
-                  chat_service::makeChatService(
-                      {context, client, permits, config, events, clock, values.hostName,
-                       incarnation, services->find<metrics>("observe.metrics"), values.region}));
+        auto &mesh = services->find<peer_mesh>("peer.mesh");
+        auto &beats = services->find<heartbeat_service>("peer.heartbeats");
+        auto chatService = chat_service::makeChatService(
+            {context, client, permits, config, events, mesh, [&beats] { return beats.liveHosts(); },
+             clock, values.hostName, incarnation, services->find<metrics>("observe.metrics"),
+             values.region});
+        auto &chat = *chatService;
+        add("serve.chat", std::move(chatService),
+            {[&chat]() -> result<void> {
+                 chat.start();
+                 return {};
+             },
+             {}});
         auto &calls
             = add("serve.calls",
                   plain_call_service::makePlainCallService(
@@ -198,12 +245,26 @@
 
     std::vector<std::string> hostsWithSelf() const
     {
-        std::vector<std::string> hosts = members;
+        auto hosts = services->find<heartbeat_service>("peer.heartbeats").liveHosts();
         if (std::find(hosts.begin(), hosts.end(), values.hostName) == hosts.end())
             hosts.push_back(values.hostName);
         return hosts;
     }
 
+    /// What this host knows of the others on the platform's list.
+    boost::json::array describePeers() const
+    {
+        const auto &beats = services->find<heartbeat_service>("peer.heartbeats");
+        boost::json::array rows;
+        for (const listed_host &host :
+             services->find<host_list_service>("platform.hosts").hosts()) {
+            if (host.isEntry && host.name != values.hostName)
+                rows.push_back(boost::json::object{{"host", host.name},
+                                                   {"state", toString(beats.stateOf(host.name))}});
+        }
+        return rows;
+    }
+
     void addOperatorApi()
     {
         auto &config = services->find<config_service>("operate.config");
@@ -232,6 +293,7 @@
         auto &added = *api;
         add("operate.api", std::move(api), startAndStop(added));
         const auto &queues = services->find<queue_service>("serve.queues");
+        added.addStatusSection({"peers", [this] { return describePeers(); }});
         added.addStatusSection({"queues", [this, &queues, &config] {
                                     return describeQueues(
                                         config.state(), queues, [this](std::string_view pool) {
@@ -271,18 +333,34 @@
             [&operators](http_exchange &exchange) { return operators.handle(exchange); });
     }
 
+    /// The peers that are known before the platform's list is read.
+    std::vector<listed_host> hostsInSettings() const
+    {
+        std::vector<listed_host> hosts;
+        for (const peer_setting &peer : values.peers)
+            hosts.push_back({peer.name, true, peer.address, "", "", false});
+        return hosts;
+    }
+
     void connect()
     {
         auto &config = services->find<config_service>("operate.config");
         auto &list = services->find<host_list_service>("platform.hosts");
         config.onChange([this] { updatePools(); });
         list.onChange([this, &list] {
-            updateMembers(list.hosts());
+            takeHostList(list.hosts());
             updatePools();
         });
-        members.push_back(values.hostName);
-        for (const peer_setting &peer : values.peers)
-            members.push_back(peer.name);
+        services->find<heartbeat_service>("peer.heartbeats")
+            .onChange([this](const state_change &change) { takeMemberChange(change); });
+        takeHostList(hostsInSettings());
+        config.setCheckpointWriter([this] { return ownerOf("config") == values.hostName; });
+        services->find<heartbeat_service>("peer.heartbeats")
+            .carryOffsets(
+                [&config] { return config.state().next; },
+                [this](const std::string &host, std::uint64_t offset) {
+                    services->find<config_relay>("operate.relay").takePeerOffset(host, offset);
+                });
     }
 
     result<void> start()
@@ -303,6 +381,7 @@
     {
         auto &server = self->services->find<http_server>("serve.server");
         asio::steady_timer pause(self->context);
+        self->services->find<heartbeat_service>("peer.heartbeats").leave();
         // The balancer sees the failed ready check before connections are refused.
         server.announceClose();
         pause.expires_after(leaveDelay);
