--- a/tests/operate/pages_test.cpp
+++ b/tests/operate/pages_test.cpp
@@ -66,7 +66,7 @@
     for (const std::string &section : knownKeys("nothing: 1\n", "nothing")) {
         const std::string inner = section + ": {nothing: 1}\n";
         for (const std::string &key : knownKeys(inner, section + ".nothing"))
-            found.insert(section + "." + key);
+            found.insert(std::string(section).append(".").append(key));
     }
     return found;
 }
