--- a/src/operate/config_service.cpp
+++ b/src/operate/config_service.cpp
@@ -205,8 +205,8 @@
 {
     m_state->isStopped = true;
     m_state->listeners.clear();
-    m_state->effectListeners.clear();
     m_state->isCheckpointWriter = nullptr;
+    m_state->effectListeners.clear();
 }
 
 const config_state &config_service::state() const
--- a/src/serve/chat_service.h
+++ b/src/serve/chat_service.h
@@ -18,8 +18,8 @@
 class config_service;
 class http_client;
 class http_exchange;
-class metrics;
 class peer_mesh;
+class metrics;
 class timeline;
 
 /// Serves chat completions: waits for a permit, streams from the engine to the caller, and goes on
