--- a/src/operate/change_feed.h
+++ b/src/operate/change_feed.h
@@ -27,8 +27,8 @@
     /// Takes in what the last record folded into @p state did.
     void take(const config_state &state, const config_effect &effect);
 
-    /// True when every change after version @p from is still kept.
-    bool reachesBack(std::uint64_t from) const;
+    /// True when every change after version @p from up to version @p until is still kept.
+    bool reachesBack(std::uint64_t from, std::uint64_t until) const;
 
     /// The changes after version @p from, oldest first.
     std::vector<feed_change> after(std::uint64_t from) const;
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -276,6 +276,20 @@
         return hosts;
     }
 
+    /// What this host knows of the others on the platform's list.
+    boost::json::array describePeers() const
+    {
+        const auto &beats = services->find<heartbeat_service>("peer.heartbeats");
+        boost::json::array rows;
+        for (const listed_host &host :
+             services->find<host_list_service>("platform.hosts").hosts()) {
+            if (host.isEntry && host.name != values.hostName)
+                rows.push_back(boost::json::object{{"host", host.name},
+                                                   {"state", toString(beats.stateOf(host.name))}});
+        }
+        return rows;
+    }
+
     void addOperatorApi()
     {
         auto &config = services->find<config_service>("operate.config");
@@ -304,6 +318,7 @@
         auto &added = *api;
         add("operate.api", std::move(api), startAndStop(added));
         const auto &queues = services->find<queue_service>("serve.queues");
+        added.addStatusSection({"peers", [this] { return describePeers(); }});
         added.addStatusSection({"queues", [this, &queues, &config] {
                                     return describeQueues(
                                         config.state(), queues, [this](std::string_view pool) {
@@ -416,7 +431,7 @@
         server.stopAccepting();
         const instant deadline = self->clock.now() + self->values.drainTimeout;
         const auto &claims = self->services->find<claim_service>("serve.claims");
-        const auto isBusy = [&] { return server.activeExchanges() > 0 || !claims.isFlushed(); };
+        const auto isBusy = [&] { return server.openConnections() > 0 || !claims.isFlushed(); };
         while (isBusy() && self->clock.now() < deadline) {
             pause.expires_after(drainPoll);
             co_await pause.async_wait(asTuple);
--- a/src/operate/watch_routes.cpp
+++ b/src/operate/watch_routes.cpp
@@ -67,7 +67,7 @@
     if (state.next <= watch.version)
         return {};
     std::string lines;
-    if (!needs.changes.reachesBack(watch.version)) {
+    if (!needs.changes.reachesBack(watch.version, state.next)) {
         lines = listAll(state);
     } else {
         for (const feed_change &change : needs.changes.after(watch.version))
--- a/tests/operate/change_feed_test.cpp
+++ b/tests/operate/change_feed_test.cpp
@@ -54,8 +54,8 @@
     config.set("a", true);
     BOOST_TEST(config.namesAfter(1) == "+b-a");
     BOOST_TEST(config.namesAfter(2) == "-a");
-    BOOST_TEST(config.feed.reachesBack(1));
-    BOOST_TEST(!config.feed.reachesBack(0)); // the first change was dropped
+    BOOST_TEST(config.feed.reachesBack(1, 3));
+    BOOST_TEST(!config.feed.reachesBack(0, 3)); // the first change was dropped
 }
 
 BOOST_AUTO_TEST_CASE(aStateTakenOverFromAPeerLeavesAGap)
@@ -63,9 +63,10 @@
     fed_config config;
     config.set("a");
     config.state.next = 10;
+    BOOST_TEST(!config.feed.reachesBack(1, 10));
     config.set("b");
-    BOOST_TEST(!config.feed.reachesBack(1));
-    BOOST_TEST(config.feed.reachesBack(10));
+    BOOST_TEST(!config.feed.reachesBack(1, 11));
+    BOOST_TEST(config.feed.reachesBack(10, 11));
     BOOST_TEST(config.namesAfter(10) == "+b");
 }
 
