Keep a reused request id from getting another request's answer

Cause, found by reading: a second request with an id in use joined the running answer whatever it asked. Change: answers carry the digest of their request, on the same host and between hosts; peers are asked all at once. An engine whose header never came is told to cancel; moved and abandoned tries are marked as stopped for the owner's estimates.

--- a/src/kernel/result.cpp
+++ b/src/kernel/result.cpp
@@ -30,7 +30,7 @@
     result_info{result_code::idempotencyKeyMissing, "idempotency-key-missing", 400,
                 "The service's calls may not be repeated and need an Idempotency-Key."},
     result_info{result_code::idempotencyKeyReused, "idempotency-key-reused", 422,
-                "The Idempotency-Key was used before with a different request."},
+                "The Idempotency-Key or X-Request-Id is in use for a different request."},
     result_info{result_code::overloaded, "overloaded", 503,
                 "The queue cannot serve the request in time; come back after Retry-After."},
     result_info{result_code::deadlineUnreachable, "deadline-unreachable", 503,
--- a/src/serve/answer_relay.cpp
+++ b/src/serve/answer_relay.cpp
@@ -9,7 +9,7 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds findTimeout{300};
+constexpr milliseconds findTimeout{1000};
 constexpr milliseconds longestWait{1000};
 constexpr milliseconds callMargin{1000};
 
@@ -23,6 +23,19 @@
     answer.changed.notifyAll();
 }
 
+/// A question to all peers at once.
+struct host_search
+{
+    explicit host_search(const asio::any_io_executor &executor)
+        : changed(executor)
+    {
+    }
+
+    async_signal changed;
+    std::string found;
+    int open = 0; ///< Peers that have not answered.
+};
+
 } // namespace
 
 struct answer_relay::state
@@ -43,7 +56,8 @@
         const auto answer = needs.find(request.request_id());
         const std::uint32_t after = request.after_token();
         // Tokens before the answer's first were delivered by another host and are not kept here.
-        if (!answer || after + 1 < answer->assembly.firstToken)
+        if (!answer || answer->digest != request.digest()
+            || after + 1 < answer->assembly.firstToken)
             co_return response.SerializeAsString();
         const milliseconds wait = std::min(longestWait, milliseconds(request.wait_ms()));
         const auto isNew = [&answer, after] { return answer->assembly.delivered > after; };
@@ -59,14 +73,9 @@
     }
 
     /// Asks @p host once; fails when it does not have the answer.
-    asio::awaitable<result<wire::AnswerResponse>> ask(std::string host, std::string requestId,
-                                                      std::uint32_t afterToken, milliseconds wait,
+    asio::awaitable<result<wire::AnswerResponse>> ask(std::string host, wire::AnswerRequest request,
                                                       milliseconds timeout) const
     {
-        wire::AnswerRequest request;
-        request.set_request_id(requestId);
-        request.set_after_token(afterToken);
-        request.set_wait_ms(std::uint32_t(wait.count()));
         const auto reply
             = co_await needs.mesh.call(host, "/answer", request.SerializeAsString(), timeout);
         if (!reply)
@@ -76,6 +85,22 @@
             co_return makeError(result_code::notFound, "the host does not run the request");
         co_return response;
     }
+
+    static asio::awaitable<void> lookAt(std::shared_ptr<state> self,
+                                        std::shared_ptr<host_search> search, std::string host,
+                                        std::string requestId, std::uint64_t digest)
+    {
+        // Any token number beyond the end only asks whether the answer is there.
+        wire::AnswerRequest request;
+        request.set_request_id(requestId);
+        request.set_after_token(UINT32_MAX - 1);
+        request.set_digest(digest);
+        const auto found = co_await self->ask(host, request, findTimeout);
+        if (found && search->found.empty())
+            search->found = host;
+        --search->open;
+        search->changed.notifyAll();
+    }
 };
 
 std::unique_ptr<answer_relay> answer_relay::makeAnswerRelay(dependencies needs)
@@ -97,29 +122,32 @@
         "/answer", [self = m_state](std::string body) { return self->onRead(std::move(body)); });
 }
 
-asio::awaitable<std::string> answer_relay::findHost(std::string requestId)
+asio::awaitable<std::string> answer_relay::findHost(std::string requestId, std::uint64_t digest)
 {
     const auto self = m_state;
-    const std::vector<std::string> hosts = self->needs.liveHosts();
-    for (const std::string &host : hosts) {
+    const auto search = std::make_shared<host_search>(self->needs.context.get_executor());
+    for (const std::string &host : self->needs.liveHosts()) {
         if (host == self->needs.hostName)
             continue;
-        // Any token number beyond the end only asks whether the answer is there.
-        const auto found
-            = co_await self->ask(host, requestId, UINT32_MAX - 1, milliseconds(0), findTimeout);
-        if (found)
-            co_return host;
+        ++search->open;
+        asio::co_spawn(self->needs.context, state::lookAt(self, search, host, requestId, digest),
+                       asio::detached);
     }
-    co_return std::string();
+    while (search->found.empty() && search->open > 0)
+        co_await search->changed.wait(findTimeout);
+    co_return search->found;
 }
 
 asio::awaitable<void> answer_relay::follow(std::string host, std::shared_ptr<answer_stream> answer)
 {
     const auto self = m_state;
     while (!*answer->isAbandoned && !answer->assembly.isComplete) {
-        const auto response
-            = co_await self->ask(host, answer->assembly.requestId, answer->assembly.delivered,
-                                 longestWait, longestWait + callMargin);
+        wire::AnswerRequest request;
+        request.set_request_id(answer->assembly.requestId);
+        request.set_after_token(answer->assembly.delivered);
+        request.set_wait_ms(std::uint32_t(longestWait.count()));
+        request.set_digest(answer->digest);
+        const auto response = co_await self->ask(host, request, longestWait + callMargin);
         if (!response)
             co_return;
         addEvents(*answer, response->events());
--- a/src/serve/answer_relay.h
+++ b/src/serve/answer_relay.h
@@ -35,8 +35,8 @@
     /// Begins to answer peers.
     void start();
 
-    /// Name of the host that runs @p requestId; empty when none does.
-    boost::asio::awaitable<std::string> findHost(std::string requestId);
+    /// Name of the host that runs @p requestId with the same @p digest; empty when none does.
+    boost::asio::awaitable<std::string> findHost(std::string requestId, std::uint64_t digest);
 
     /// Copies the answer from @p host until it is over there or the host is lost.
     boost::asio::awaitable<void> follow(std::string host, std::shared_ptr<answer_stream> answer);
--- a/src/serve/answer_stream.h
+++ b/src/serve/answer_stream.h
@@ -4,6 +4,7 @@
 #include "policy/answer_assembly.h"
 #include "serve/problem.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
 
     std::string organisation;
     std::string model;
+    std::uint64_t digest = 0; ///< Of the request.
     answer_assembly assembly;
     std::optional<problem> failure; ///< Set when no whole answer will come.
     int readers = 0; ///< Callers that wait for it.
--- a/src/serve/chat_request.cpp
+++ b/src/serve/chat_request.cpp
@@ -59,6 +59,7 @@
     request.promptTokens = std::uint32_t(text->size() / bytesPerToken + 1);
     object["stream"] = true;
     request.engineBody = json::serialize(object);
+    request.digest = XXH64(request.engineBody.data(), request.engineBody.size(), 0);
     return request;
 }
 
--- a/src/serve/chat_request.h
+++ b/src/serve/chat_request.h
@@ -15,6 +15,7 @@
     bool isStreamed = false;
     std::uint64_t prefixHash = 0; ///< XXH64 of the prompt's first 256 bytes.
     std::uint32_t promptTokens = 0; ///< Estimate, at four bytes a token.
+    std::uint64_t digest = 0; ///< XXH64 of engineBody; tells requests with the same id apart.
     std::string engineBody; ///< The request for the engine, which always streams.
 };
 
--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -237,7 +237,9 @@
         }
         const upstream *target = findUpstream(job.pool, held->upstream);
         if (target == nullptr) {
-            needs.permits.release(*held, {});
+            attempt_usage unused;
+            unused.stopped = true;
+            needs.permits.release(*held, unused);
             job.excluded.push_back(held->upstream);
             co_return false;
         }
@@ -275,7 +277,8 @@
                                          std::shared_ptr<answer_stream> answer)
     {
         if (job.returnsAfter) {
-            const std::string host = co_await self->relay->findHost(job.requestId);
+            const std::string host
+                = co_await self->relay->findHost(job.requestId, job.request.digest);
             self->needs.events.record("request.returned", job.requestId, host);
             if (!host.empty())
                 co_await self->relay->follow(host, answer);
@@ -296,6 +299,7 @@
         auto answer = std::make_shared<answer_stream>(needs.context.get_executor());
         answer->organisation = job.caller.organisation;
         answer->model = job.request.model;
+        answer->digest = job.request.digest;
         answer->assembly = makeAnswerAssembly(job.requestId, job.returnsAfter.value_or(0));
         needs.events.record("request.arrived", job.requestId, job.pool,
                             {{"organisation", job.caller.organisation},
@@ -456,6 +460,14 @@
         co_return;
     }
     const auto answer = self->join(*job);
+    if (answer->digest != job->request.digest) {
+        problem reused{result_code::idempotencyKeyReused,
+                       "another request with this X-Request-Id is running",
+                       run_state::notRun,
+                       {}};
+        co_await respondProblem(exchange, std::move(reused), job->callerId);
+        co_return;
+    }
     if (job->returnsAfter.value_or(0) + 1 < answer->assembly.firstToken) {
         problem busy{result_code::callInProgress, "the request runs from a later token on",
                      run_state::partial, failedRetryAfter};
--- a/src/serve/engine_attempt.cpp
+++ b/src/serve/engine_attempt.cpp
@@ -127,10 +127,13 @@
             outcome.failure = read.error();
     }
     outcome.usage.duration = clock.now() - begin;
-    outcome.usage.failed = outcome.failure.has_value() && !outcome.wasRefused;
-    const bool isUnfinished = stream.has_value() && !answer->assembly.isComplete;
-    if (isUnfinished && !outcome.wasRefused && !outcome.isFinal) {
-        (*stream)->close();
+    outcome.usage.failed = outcome.failure.has_value() && !outcome.wasRefused && !outcome.isMoved;
+    outcome.usage.stopped = outcome.isMoved || (!outcome.failure && !answer->assembly.isComplete);
+    const bool mayRunOn = !answer->assembly.isComplete && !outcome.wasRefused && !outcome.isFinal
+        && !(outcome.failure && outcome.failure->code == result_code::upstreamUnreachable);
+    if (mayRunOn) {
+        if (stream)
+            (*stream)->close();
         asio::co_spawn(co_await asio::this_coro::executor, cancelAtEngine(client, call),
                        asio::detached);
     }
--- a/src/serve/permit_client.cpp
+++ b/src/serve/permit_client.cpp
@@ -256,6 +256,7 @@
     message.set_first_token_us(std::uint64_t(usage.firstToken.count()));
     message.set_duration_us(std::uint64_t(usage.duration.count()));
     message.set_failed(usage.failed);
+    message.set_stopped(usage.stopped);
     m_state->send(used.pool, "/release", message.SerializeAsString());
 }
 
--- a/src/serve/permit_client.h
+++ b/src/serve/permit_client.h
@@ -62,6 +62,7 @@
     microseconds firstToken{0};
     microseconds duration{0};
     bool failed = false;
+    bool stopped = false; ///< Before its end, by the caller or to go on elsewhere.
 };
 
 /// Asks the owners of queues for permits on behalf of this entry host, and keeps asking the next
--- a/src/serve/plain_call_service.cpp
+++ b/src/serve/plain_call_service.cpp
@@ -243,7 +243,9 @@
                 co_return tl::unexpected(attempt == 1 ? held.error() : last);
             const instant begin = needs.clock.now();
             if (!mayStillSend(call)) {
-                needs.permits.release(*held, {});
+                attempt_usage unused;
+                unused.stopped = true;
+                needs.permits.release(*held, unused);
                 last.code = result_code::deadlineUnreachable;
                 co_return tl::unexpected(last);
             }
--- a/src/serve/queue_service.cpp
+++ b/src/serve/queue_service.cpp
@@ -176,6 +176,7 @@
             completion done;
             done.permit = number;
             done.upstream = granted.upstream;
+            done.stopped = true;
             finishPermit(pool, queue, done);
             return;
         }
@@ -230,6 +231,7 @@
             done.firstToken = microseconds(message->first_token_us());
             done.duration = microseconds(message->duration_us());
             done.failed = message->failed();
+            done.stopped = message->stopped();
             finishPermit(pool->first, pool->second, done);
         }
         co_return emptyAnswer();
--- a/tests/process/returning_caller_test.py
+++ b/tests/process/returning_caller_test.py
@@ -64,6 +64,11 @@
         tail = "".join(client.expected_token(PROMPT, n) for n in range(26, TOKENS + 1))
         lines.append(f"return for an answer nobody runs: whole={late.text() == tail}"
                      f" end mark={late.is_done}")
+        taken, _ = take_tokens(fleet, "h2", "back-5", 5)
+        reused = client.send(fleet.hosts["h2"].caller, "POST", "/v1/chat/completions",
+                             client.chat_body("another horse", 3), fleet.headers("back-5"))
+        lines.append(f"running id reused for another prompt: {reused.status}"
+                     f" code={reused.json()['code']}")
         stranger = client.stream_chat(
             fleet.hosts["h2"].caller, PROMPT, TOKENS,
             headers={**fleet.headers(), "Last-Event-ID": "3"})
