Show the lease's holder and what is not as declared in the status

Cause: operators could not see who orders engines, what engines have loaded and why a model is missing. Ruled out: a route of its own, since the status already gathers sections of all hosts. Change: the section orders with holder, fencing number, engines and gaps; orders_test asks for it at its end.

--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -341,6 +341,11 @@
             {context, client, config, lease, events, clock, lease_rules().ttl});
         auto &orders = *ordering;
         add("operate.orders", std::move(ordering), startAndStop(orders));
+        services->find<operator_api>("operate.api").addStatusSection({"orders", [&orders] {
+                                                                          return boost::json::value(
+                                                                              describeOrders(
+                                                                                  orders.status()));
+                                                                      }});
     }
 
     result<void> addServer(const char *name, const host_address &address,
--- a/src/operate/order_service.cpp
+++ b/src/operate/order_service.cpp
@@ -106,8 +106,40 @@
     return engines;
 }
 
+json::array describeModels(const std::map<std::string, engine_model> &models)
+{
+    json::array described;
+    for (const auto &[name, model] : models) {
+        const json::array adapters(model.adapters.begin(), model.adapters.end());
+        described.push_back({{"model", name}, {"version", model.version}, {"adapters", adapters}});
+    }
+    return described;
+}
+
 } // namespace
 
+json::object describeOrders(const order_status &status)
+{
+    json::array engines;
+    for (const engine_report &engine : status.engines)
+        engines.push_back({{"engine", engine.name},
+                           {"pool", engine.pool},
+                           {"answers", engine.isReachable},
+                           {"loaded", describeModels(engine.loaded)},
+                           {"loading", describeModels(engine.loading)}});
+    json::array gaps;
+    for (const placement_gap &gap : status.gaps)
+        gaps.push_back({{"engine", gap.engine}, {"model", gap.model}, {"reason", gap.reason}});
+    return {{"holder", status.holder},
+            {"fencing", status.fence},
+            {"held_here", status.isHeldHere},
+            {"engines", std::move(engines)},
+            {"not_as_declared", std::move(gaps)},
+            {"sent", status.sent},
+            {"accepted", status.accepted},
+            {"refused", status.refused}};
+}
+
 struct order_service::state
 {
     explicit state(dependencies wanted)
--- a/src/operate/order_service.h
+++ b/src/operate/order_service.h
@@ -4,6 +4,7 @@
 #include "ledger/order_plan.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 
 #include <memory>
 #include <string>
@@ -29,6 +30,9 @@
     std::uint64_t refused = 0; ///< Refused for an old fencing number.
 };
 
+/// @p status for operators.
+boost::json::object describeOrders(const order_status &status);
+
 /// While this process holds the lease, brings engines to the declared models, versions and
 /// adapters: reads what they have, orders what is missing, reads again.
 class order_service
--- a/tests/process/orders_test.py
+++ b/tests/process/orders_test.py
@@ -6,7 +6,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from support.fleet import Fleet
+from support import client
+from support.fleet import OPERATOR_KEY, Fleet
 from support.golden import check_golden
 from support.processes import wait_for
 
@@ -51,6 +52,19 @@
     return sum(model in models_of(engine) for engine in engines)
 
 
+def holders_without_gaps(fleet):
+    """Hosts whose status says that they hold the lease and that all is as declared."""
+    holders = []
+    for name, host in fleet.hosts.items():
+        answer = client.send(host.operator, "GET", "/v1/status",
+                             headers={"Authorization": f"Bearer {OPERATOR_KEY}"})
+        own = [entry for entry in answer.json()["hosts"] if entry["host"] == name]
+        orders = own[0]["orders"]
+        if orders["held_here"] and orders["engines"] and not orders["not_as_declared"]:
+            holders.append(name)
+    return holders
+
+
 def main():
     lines = []
     with Fleet() as fleet:
@@ -94,6 +108,8 @@
         lines.append("answers of orders lost: the state is reached and read back")
         assert replicas_of(engines, "big") == 1, replicas_of(engines, "big")
         lines.append(f"fencing numbers never fall: {[fences_in_order(one) for one in engines]}")
+        wait_for(lambda: len(holders_without_gaps(fleet)) == 1, 60, "one holder without gaps")
+        lines.append("status: one host holds the lease, all is as declared")
         refused = weights.get("/admin/transfers")["refused"]
         lines.append(f"transfers refused by the weight store: {refused}")
     check_golden("orders.txt", lines)
