Read cache events, budget the link, tick only while requests wait

Cause: the decisions for cached prefixes and the link's byte budget had no input in the hosts; queues ticked fifty times a second with nothing waiting; the chat service had grown to 474 lines and two services looked up upstreams alike.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,6 +1,7 @@
 #include "cli/verbs.h"
 
 #include <gflags/gflags.h>
+#include <google/protobuf/stubs/logging.h>
 
 #include <algorithm>
 #include <iostream>
@@ -64,6 +65,8 @@
 
 int main(int argc, char **argv)
 {
+    // A message that cannot be decoded is an error of the call, not a line on stderr.
+    google::protobuf::SetLogHandler(nullptr);
     try {
         return int(run(argc, argv));
     } catch (const std::exception &failure) {
--- a/src/ledger/config_state.cpp
+++ b/src/ledger/config_state.cpp
@@ -240,6 +240,17 @@
     return outcome == state.outcomes.end() ? nullptr : &*outcome;
 }
 
+const upstream *findUpstream(const config_state &state, const std::string &pool,
+                             const std::string &name)
+{
+    const auto *declared = findSpec<upstream_pool>(state, resource_kind::pool, pool);
+    if (declared == nullptr)
+        return nullptr;
+    const auto found = std::find_if(declared->upstreams.begin(), declared->upstreams.end(),
+                                    [&name](const upstream &entry) { return entry.name == name; });
+    return found == declared->upstreams.end() ? nullptr : &*found;
+}
+
 result<void> validateChange(const config_state &state, const config_change &change)
 {
     auto checked = checkChange(state, change);
--- a/src/ledger/config_state.h
+++ b/src/ledger/config_state.h
@@ -78,6 +78,10 @@
     return entry == state.resources.end() ? nullptr : std::get_if<spec_type>(&entry->second.spec);
 }
 
+/// The declared upstream @p name of @p pool, or null.
+const upstream *findUpstream(const config_state &state, const std::string &pool,
+                             const std::string &name);
+
 /// Checks @p change against @p state as the fold will: shape, references, expected version.
 result<void> validateChange(const config_state &state, const config_change &change);
 
--- a/src/ledger/resource.cpp
+++ b/src/ledger/resource.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t longestMilliseconds = 3'600'000;
 constexpr std::size_t longestName = 63;
+constexpr double mostLinkBytesPerSecond = 1e12;
 constexpr std::size_t sha256HexDigits = 64;
 
 struct kind_name
@@ -83,6 +84,8 @@
     upstream_pool value;
     fields.objects("upstreams",
                    [&value](field_reader &item) { value.upstreams.push_back(readUpstream(item)); });
+    value.crossRegionBytesPerSecond
+        = fields.number("cross_region_bytes_per_second", 0, 0, mostLinkBytesPerSecond);
     std::set<std::string> names;
     for (const upstream &entry : value.upstreams)
         names.insert(entry.name);
--- a/src/ledger/resource.h
+++ b/src/ledger/resource.h
@@ -86,6 +86,7 @@
 struct upstream_pool
 {
     std::vector<upstream> upstreams;
+    double crossRegionBytesPerSecond = 0; ///< Budget of the link between regions; 0: no limit.
 
     bool operator==(const upstream_pool &) const = default;
 };
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -223,6 +223,9 @@
              [this] { return ownedUpstreams(); },
              [&queueService](const std::string &pool, const load_report &report) {
                  queueService.reportLoad(pool, report);
+             },
+             [&queueService](const std::string &pool, const cache_event &event) {
+                 queueService.noteCacheEvent(pool, event);
              }});
         auto &loadPoller = *poller;
         add("serve.load", std::move(poller), startAndStop(loadPoller));
--- a/src/serve/caller_api.cpp
+++ b/src/serve/caller_api.cpp
@@ -47,7 +47,6 @@
 
     dependencies needs;
     caller_directory directory;
-    bool isRefusing = false;
 
     asio::awaitable<void> route(http_exchange &exchange, caller_identity caller)
     {
@@ -91,9 +90,6 @@
 asio::awaitable<void> caller_api::handle(http_exchange &exchange)
 {
     const auto self = m_state;
-    if (self->isRefusing)
-        co_return co_await refuse(exchange, result_code::hostStopping, "the host is stopping",
-                                  notReadyRetryAfter);
     const config_service &config = self->needs.config;
     if (!config.isReady() || config.state().resources.empty())
         co_return co_await refuse(exchange, result_code::notReady,
@@ -107,9 +103,4 @@
     co_await self->route(exchange, std::move(*caller));
 }
 
-void caller_api::refuseNew()
-{
-    m_state->isRefusing = true;
-}
-
 } // namespace quincefall
--- a/src/serve/caller_api.h
+++ b/src/serve/caller_api.h
@@ -31,9 +31,6 @@
     /// Answers one request.
     boost::asio::awaitable<void> handle(http_exchange &exchange);
 
-    /// Refuses new requests with hostStopping from now on.
-    void refuseNew();
-
 private:
     struct state;
     explicit caller_api(std::shared_ptr<state> shared);
--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -9,70 +9,25 @@
 #include "policy/stream_watch.h"
 #include "serve/answer_metrics.h"
 #include "serve/answer_relay.h"
-#include "serve/chat_request.h"
+#include "serve/chat_job.h"
+#include "serve/chat_sender.h"
 #include "serve/engine_attempt.h"
 #include "serve/http_server.h"
 #include "serve/respond.h"
 
-#include <boost/lexical_cast/try_lexical_convert.hpp>
-
 #include <unordered_map>
 
 namespace quincefall {
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 constexpr int mostAttempts = 4;
-constexpr milliseconds changeWait{60'000};
-constexpr milliseconds shortestTokenLimit{1000};
-constexpr milliseconds shortestFirstTokenLimit{3000};
-constexpr int tokenLimitFactor = 10;
-constexpr int firstTokenLimitFactor = 4;
 constexpr milliseconds failedRetryAfter{1000};
 /// How long a request whose caller gave its own id runs on without a reader, and how long its
 /// whole answer is kept.
 constexpr milliseconds returnGrace{2000};
 
-/// All that one request needs until its answer is complete.
-struct chat_job
-{
-    std::string requestId; ///< Unique in the fleet.
-    std::string callerId; ///< As the caller knows it.
-    caller_identity caller;
-    chat_request request;
-    std::string pool;
-    instant arrival;
-    std::vector<std::string> excluded;
-    int attempts = 0;
-    std::optional<microseconds> firstToken; ///< From the arrival on.
-    bool wasRefused = false; ///< By the queue, for good.
-    bool mayHaveRun = false; ///< An engine may have executed a part of it.
-    bool hasOwnId = false; ///< The caller gave the id and may come back with it.
-    std::optional<std::uint32_t> returnsAfter; ///< Last token that a returning caller has.
-};
-
-json::object completionBody(const answer_stream &answer, const chat_job &job)
-{
-    json::object body{
-        {"id", job.requestId}, {"object", "chat.completion"}, {"model", job.request.model}};
-    boost::system::error_code failure;
-    const json::value finish = json::parse(finishEvent(answer.assembly), failure);
-    const json::object *object = failure ? nullptr : finish.if_object();
-    if (const json::value *usage = object == nullptr ? nullptr : object->if_contains("usage"))
-        body["usage"] = *usage;
-    json::object message{{"role", "assistant"}, {"content", joinedContent(answer.assembly)}};
-    body["choices"] = json::array{
-        json::object{{"index", 0}, {"message", std::move(message)}, {"finish_reason", "stop"}}};
-    return body;
-}
-
-std::string errorEvent(const problem &failure, const std::string &requestId)
-{
-    return "event: error\ndata: " + encodeProblem(failure, requestId) + "\n\n";
-}
-
 } // namespace
 
 struct chat_service::state : std::enable_shared_from_this<chat_service::state>
@@ -94,35 +49,6 @@
             + std::to_string(nextId++);
     }
 
-    const upstream *findUpstream(const std::string &pool, const std::string &name) const
-    {
-        const auto *declared
-            = findSpec<upstream_pool>(needs.config.state(), resource_kind::pool, pool);
-        if (declared == nullptr)
-            return nullptr;
-        const auto found
-            = std::find_if(declared->upstreams.begin(), declared->upstreams.end(),
-                           [&name](const upstream &entry) { return entry.name == name; });
-        return found == declared->upstreams.end() ? nullptr : &*found;
-    }
-
-    permit_query toQuery(const chat_job &job, const answer_stream &answer) const
-    {
-        permit_query query;
-        query.pool = job.pool;
-        query.requestId = job.requestId;
-        query.organisation = job.caller.organisation;
-        query.serviceClass = job.caller.serviceClass;
-        query.model = job.request.model;
-        query.prefixHash = job.request.prefixHash;
-        query.promptTokens = job.request.promptTokens;
-        query.resumeFrom = answer.assembly.delivered;
-        query.excluded = job.excluded;
-        query.arrival = job.arrival;
-        query.maxWait = job.caller.policy.maxWait;
-        return query;
-    }
-
     /// Watches the progress of a try: tells the queue's owner of a slow engine and leaves it when
     /// it stays slow and the retry budget allows it.
     std::function<bool(std::uint32_t)> watchProgress(const chat_job &job, const permit &held)
@@ -144,21 +70,6 @@
         };
     }
 
-    engine_call toCall(const chat_job &job, const host_address &address) const
-    {
-        const service_class &policy = job.caller.policy;
-        engine_call call;
-        call.address = address;
-        call.requestId = job.requestId;
-        call.attemptId = job.requestId + "." + std::to_string(job.attempts);
-        call.body = job.request.engineBody;
-        call.priority = policy.tier;
-        call.firstTokenLimit
-            = std::max(shortestFirstTokenLimit, policy.firstTokenTarget * firstTokenLimitFactor);
-        call.tokenLimit = std::max(shortestTokenLimit, policy.tokenGapTarget * tokenLimitFactor);
-        return call;
-    }
-
     void fail(const chat_job &job, answer_stream &answer, problem failure)
     {
         failure.run = job.mayHaveRun ? run_state::unknown : run_state::notRun;
@@ -229,14 +140,14 @@
     /// Runs one try; true when the job is over.
     asio::awaitable<bool> tryOnce(chat_job &job, std::shared_ptr<answer_stream> answer)
     {
-        auto query = toQuery(job, *answer);
+        auto query = toPermitQuery(job, answer->assembly.delivered);
         const auto held = co_await needs.permits.acquire(std::move(query), answer->isAbandoned);
         if (!held) {
             job.wasRefused = job.attempts == 0;
             fail(job, *answer, held.error());
             co_return true;
         }
-        const upstream *target = findUpstream(job.pool, held->upstream);
+        const upstream *target = findUpstream(needs.config.state(), job.pool, held->upstream);
         if (target == nullptr) {
             attempt_usage unused;
             unused.stopped = true;
@@ -245,7 +156,7 @@
             co_return false;
         }
         ++job.attempts;
-        auto call = toCall(job, target->address);
+        auto call = toEngineCall(job, target->address);
         if (job.attempts < mostAttempts)
             call.shouldMove = watchProgress(job, *held);
         const std::string region = target->region;
@@ -351,80 +262,16 @@
             abandonIfUnread(job, *answer);
     }
 
-    /// Sends the tokens to a streaming caller as they come.
-    static asio::awaitable<void> sendStream(http_exchange &exchange, const chat_job &job,
-                                            std::shared_ptr<answer_stream> answer)
-    {
-        std::size_t sent = positionAfter(answer->assembly, job.returnsAfter.value_or(0));
-        const std::vector<answer_header> headers{{"Content-Type", "text/event-stream"},
-                                                 {"Cache-Control", "no-cache"},
-                                                 {"X-Request-Id", job.callerId}};
-        while (!exchange.isGone()) {
-            const std::string &text = answer->assembly.text;
-            if (sent < text.size()) {
-                if (!exchange.hasBegun() && !co_await exchange.beginStream(200, headers))
-                    co_return;
-                // A copy: the answer grows while the write is under way.
-                const std::string piece = text.substr(sent);
-                sent += piece.size();
-                co_await exchange.write(piece);
-                continue;
-            }
-            if (answer->isDone())
-                break;
-            co_await answer->changed.wait(changeWait);
-        }
-        if (answer->assembly.isComplete) {
-            co_await exchange.endStream();
-        } else if (answer->failure && !exchange.hasBegun()) {
-            co_await respondProblem(exchange, *answer->failure, job.callerId);
-        } else if (answer->failure) {
-            co_await exchange.write(errorEvent(*answer->failure, job.callerId));
-            exchange.abort();
-        }
-    }
-
-    static asio::awaitable<void> sendWhole(http_exchange &exchange, const chat_job &job,
-                                           std::shared_ptr<answer_stream> answer)
-    {
-        while (!exchange.isGone() && !answer->isDone())
-            co_await answer->changed.wait(changeWait);
-        if (answer->assembly.isComplete)
-            co_await respondJson(exchange, 200, completionBody(*answer, job), job.callerId);
-        else if (answer->failure)
-            co_await respondProblem(exchange, *answer->failure, job.callerId);
-    }
-
     result<chat_job> makeJob(const http_exchange &exchange, caller_identity caller)
     {
-        auto request = parseChatRequest(exchange.body());
-        if (!request)
-            return tl::unexpected(request.error());
-        const std::string model = request->model.substr(0, request->model.find(':'));
-        const auto *served
-            = findSpec<quincefall::model>(needs.config.state(), resource_kind::model, model);
-        if (served == nullptr)
-            return makeError(result_code::notFound, "model \"" + model + "\" is not declared");
-        chat_job job;
-        job.callerId = std::string(exchange.header("X-Request-Id"));
-        if (job.callerId.empty())
-            job.callerId = makeId();
-        else if (!isRequestId(job.callerId))
-            return makeError(result_code::malformedRequest,
-                             "X-Request-Id: expected 1 to 64 letters, digits, '.', '_' or '-'");
-        job.hasOwnId = !exchange.header("X-Request-Id").empty();
-        if (const std::string_view last = exchange.header("Last-Event-ID"); !last.empty()) {
-            std::uint32_t number = 0;
-            if (!boost::conversion::try_lexical_convert(last, number) || !job.hasOwnId)
-                return makeError(result_code::malformedRequest,
-                                 "Last-Event-ID: expected a token number and an X-Request-Id");
-            job.returnsAfter = number;
-        }
-        job.requestId = caller.organisation + "." + job.callerId;
-        job.caller = std::move(caller);
-        job.request = std::move(*request);
-        job.pool = served->pool;
-        job.arrival = needs.clock.now();
+        const chat_headers headers{exchange.header("X-Request-Id"),
+                                   exchange.header("Last-Event-ID")};
+        auto job = makeChatJob(needs.config.state(), std::move(caller), exchange.body(), headers);
+        if (!job)
+            return job;
+        if (!job->hasOwnId)
+            setCallerId(*job, makeId());
+        job->arrival = needs.clock.now();
         return job;
     }
 };
@@ -489,9 +336,9 @@
     ++answer->readers;
     exchange.setGoneListener([answer] { answer->changed.notifyAll(); });
     if (job->request.isStreamed)
-        co_await state::sendStream(exchange, *job, answer);
+        co_await sendChatStream(exchange, *job, answer);
     else
-        co_await state::sendWhole(exchange, *job, answer);
+        co_await sendWholeChat(exchange, *job, answer);
     self->leave(*job, answer);
 }
 
--- a/src/serve/load_poller.cpp
+++ b/src/serve/load_poller.cpp
@@ -3,6 +3,8 @@
 #include "kernel/asio_headers.h"
 #include "platform/http_client.h"
 
+#include <set>
+
 namespace quincefall {
 namespace {
 
@@ -12,6 +14,7 @@
 constexpr milliseconds pollInterval{1000};
 constexpr milliseconds reportTimeout{500};
 constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -33,6 +36,27 @@
     return report;
 }
 
+result<std::vector<cache_event>> parseCacheEvents(std::string_view upstream, std::string_view body,
+                                                  std::uint64_t &next)
+{
+    std::vector<cache_event> events;
+    try {
+        const json::value parsed = json::parse(body);
+        for (const json::value &row : parsed.at("events").as_array()) {
+            cache_event event;
+            event.upstream = std::string(upstream);
+            event.sequence = row.at("seq").to_number<std::uint64_t>();
+            event.prefixHash = std::stoull(std::string(row.at("prefix").as_string()), nullptr, 16);
+            event.stored = row.at("action").as_string() == "stored";
+            events.push_back(std::move(event));
+        }
+        next = parsed.at("next").to_number<std::uint64_t>();
+    } catch (const std::exception &failure) {
+        return makeError(result_code::messageInvalid, failure.what());
+    }
+    return events;
+}
+
 struct load_poller::state
 {
     explicit state(dependencies wanted)
@@ -41,8 +65,30 @@
     }
 
     dependencies needs;
+    std::map<host_address, std::uint64_t> nextEvents; ///< Sequence number to ask from.
+    std::set<host_address> withoutEvents; ///< Upstreams that publish no cache events.
     bool isStopped = false;
 
+    static asio::awaitable<void> askEvents(std::shared_ptr<state> self, polled_upstream upstream)
+    {
+        http_request request;
+        request.target = "/cache_events?from=" + std::to_string(self->nextEvents[upstream.address]);
+        const auto reply
+            = co_await self->needs.client.send(upstream.address, std::move(request), reportTimeout);
+        if (self->isStopped || !reply)
+            co_return;
+        if (reply->status == statusNotFound)
+            self->withoutEvents.insert(upstream.address);
+        if (reply->status != statusOk)
+            co_return;
+        const auto events
+            = parseCacheEvents(upstream.name, reply->body, self->nextEvents[upstream.address]);
+        if (!events)
+            co_return;
+        for (const cache_event &event : *events)
+            self->needs.onCacheEvent(upstream.pool, event);
+    }
+
     static asio::awaitable<void> ask(std::shared_ptr<state> self, polled_upstream upstream)
     {
         http_request request;
@@ -53,6 +99,8 @@
             co_return;
         if (const auto report = parseLoadReport(upstream.name, reply->body))
             self->needs.onReport(upstream.pool, *report);
+        if (!self->withoutEvents.contains(upstream.address))
+            co_await askEvents(self, upstream);
     }
 
     /// Spreads the questions over the interval, so that they come in no burst.
--- a/src/serve/load_poller.h
+++ b/src/serve/load_poller.h
@@ -2,9 +2,11 @@
 
 #include "kernel/address.h"
 #include "policy/pool_types.h"
+#include "policy/prefix_affinity.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,8 +24,8 @@
     host_address address;
 };
 
-/// Reads the load reports of the upstreams whose pools this host owns. Reports lag, so they only
-/// correct what the scheduler counts itself.
+/// Reads the load reports and cache events of the upstreams whose pools this host owns. Reports
+/// lag, so they only correct what the scheduler counts itself; cache events are hints.
 class load_poller
 {
 public:
@@ -34,6 +36,7 @@
         /// The upstreams to ask in the next round.
         std::function<std::vector<polled_upstream>()> upstreams;
         std::function<void(const std::string &pool, const load_report &)> onReport;
+        std::function<void(const std::string &pool, const cache_event &)> onCacheEvent;
     };
 
     static std::unique_ptr<load_poller> makeLoadPoller(dependencies needs);
@@ -48,6 +51,11 @@
     std::shared_ptr<state> m_state;
 };
 
+/// Reads the body of GET /cache_events of @p upstream; @p next becomes the sequence number to ask
+/// from the next time. Fails with messageInvalid.
+result<std::vector<cache_event>> parseCacheEvents(std::string_view upstream, std::string_view body,
+                                                  std::uint64_t &next);
+
 /// Reads the body of GET /load of @p upstream. Fails with messageInvalid.
 result<load_report> parseLoadReport(std::string_view upstream, std::string_view body);
 
--- a/src/serve/plain_call_service.cpp
+++ b/src/serve/plain_call_service.cpp
@@ -132,19 +132,6 @@
         return query;
     }
 
-    const upstream *findUpstream(const std::string &pool, const std::string &name) const
-    {
-        const auto *declared
-            = findSpec<upstream_pool>(needs.config.state(), resource_kind::pool, pool);
-        if (declared == nullptr)
-            return nullptr;
-        for (const upstream &entry : declared->upstreams) {
-            if (entry.name == name)
-                return &entry;
-        }
-        return nullptr;
-    }
-
     asio::awaitable<result<http_reply>> send(const http_exchange &exchange, const plain_call &call,
                                              host_address address)
     {
@@ -249,7 +236,8 @@
                 last.code = result_code::deadlineUnreachable;
                 co_return tl::unexpected(last);
             }
-            const upstream *target = findUpstream(call.declared.pool, held->upstream);
+            const upstream *target
+                = findUpstream(needs.config.state(), call.declared.pool, held->upstream);
             result<http_reply> reply = makeError(result_code::upstreamUnreachable, "undeclared");
             if (target != nullptr)
                 reply = co_await send(exchange, call, target->address);
--- a/src/serve/pool_plan_builder.cpp
+++ b/src/serve/pool_plan_builder.cpp
@@ -47,6 +47,7 @@
             plan.organisations.push_back(toPolicy(key.name, *customer));
     }
     if (const auto *pool = findSpec<upstream_pool>(config, resource_kind::pool, name)) {
+        plan.linkBytesPerSecond = pool->crossRegionBytesPerSecond;
         for (const upstream &declared : pool->upstreams) {
             plan.upstreams.push_back(toInfo(declared));
             plan.upstreams.back().leaving = isLeaving(declared.name);
--- a/src/serve/queue_service.cpp
+++ b/src/serve/queue_service.cpp
@@ -12,6 +12,7 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds advanceInterval{20};
+constexpr milliseconds idleInterval{1000};
 constexpr milliseconds longestHold{60'000};
 /// Younger permits may not be known to their entry host yet.
 constexpr seconds reconcileAge{1};
@@ -88,10 +89,12 @@
 {
     explicit state(dependencies wanted)
         : needs(std::move(wanted))
+        , arrived(needs.context.get_executor())
     {
     }
 
     dependencies needs;
+    async_signal arrived; ///< A request waits in a queue.
     std::map<std::string, pool_queue, std::less<>> pools;
     bool isStopped = false;
 
@@ -202,6 +205,8 @@
         entry->second.pending[request->request_id()] = waiting;
         act(entry->first, entry->second,
             submit(entry->second.scheduler, toWorkItem(*request, now()), now()));
+        if (!waiting->answer)
+            arrived.notifyAll();
         const instant deadline = now() + longestHold;
         while (!waiting->answer && now() < deadline && !isStopped) {
             co_await waiting->decided.wait(longestHold);
@@ -316,6 +321,10 @@
     {
         asio::steady_timer pause(self->needs.context);
         while (!self->isStopped) {
+            if (!self->hasWaiting()) {
+                co_await self->arrived.wait(idleInterval);
+                continue;
+            }
             pause.expires_after(advanceInterval);
             co_await pause.async_wait(asTuple);
             for (auto &[name, queue] : self->pools) {
@@ -325,6 +334,13 @@
         }
     }
 
+    bool hasWaiting() const
+    {
+        return std::any_of(pools.begin(), pools.end(), [](const auto &entry) {
+            return waitingCount(entry.second.scheduler) > 0;
+        });
+    }
+
     static void sendBack(pool_queue &queue, const std::string &reason, const instant now)
     {
         const auto pending = std::move(queue.pending);
@@ -420,6 +436,12 @@
     }
 }
 
+void queue_service::noteCacheEvent(const std::string &pool, const cache_event &event)
+{
+    if (const auto entry = m_state->pools.find(pool); entry != m_state->pools.end())
+        quincefall::noteCacheEvent(entry->second.scheduler, event);
+}
+
 const pool_state *queue_service::find(std::string_view pool) const
 {
     const auto entry = m_state->pools.find(pool);
--- a/src/serve/queue_service.h
+++ b/src/serve/queue_service.h
@@ -46,6 +46,9 @@
 
     void reportLoad(const std::string &pool, const load_report &report);
 
+    /// Takes in a hint about the prefixes that an upstream of @p pool has cached.
+    void noteCacheEvent(const std::string &pool, const cache_event &event);
+
     /// Drops what a dead entry host had waiting or running.
     void dropEntryHost(std::string_view host);
 
