--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -77,6 +77,14 @@
         return added;
     }
 
+    /// Adds a service that the kernel starts and stops by its member functions.
+    template <typename service_type>
+    service_type &addRunning(const char *name, std::unique_ptr<service_type> service)
+    {
+        service_type &added = *service;
+        return add(name, std::move(service), startAndStop(added));
+    }
+
     /// Hooks of a service with the member functions start and stop.
     template <typename service_type>
     static kernel::hooks startAndStop(service_type &service)
@@ -170,14 +178,12 @@
         add("observe.metrics", metrics::makeMetrics());
         auto &client = add("platform.http", http_client::makeHttpClient(context));
         auto &log = add("platform.log", std::make_unique<log_client>(client, values.log));
-        auto hosts
-            = host_list_service::makeHostListService({context, client, events, values.hostList});
-        auto &list = *hosts;
-        add("platform.hosts", std::move(hosts), startAndStop(list));
-        auto config = config_service::makeConfigService(
-            {context, log, events, clock, values.hostName, {values.checkpointEvery}});
-        auto &followed = *config;
-        add("operate.config", std::move(config), startAndStop(followed));
+        addRunning(
+            "platform.hosts",
+            host_list_service::makeHostListService({context, client, events, values.hostList}));
+        addRunning("operate.config",
+                   config_service::makeConfigService(
+                       {context, log, events, clock, values.hostName, {values.checkpointEvery}}));
         return {};
     }
 
@@ -195,14 +201,12 @@
             added.setAddress(peer.name, peer.address);
         add("peer.mesh", std::move(*mesh), {{}, [&added] { added.stop(); }});
         auto &events = services->find<timeline>("observe.timeline");
-        auto beats = heartbeat_service::makeHeartbeatService({context, added, events, clock},
-                                                             {values.hostName, incarnation, {}});
-        auto &heartbeats = *beats;
-        add("peer.heartbeats", std::move(beats), startAndStop(heartbeats));
+        addRunning("peer.heartbeats",
+                   heartbeat_service::makeHeartbeatService({context, added, events, clock},
+                                                           {values.hostName, incarnation, {}}));
         auto &config = services->find<config_service>("operate.config");
-        auto relay = config_relay::makeConfigRelay({context, added, config, events});
-        auto &relayService = *relay;
-        add("operate.relay", std::move(relay), startAndStop(relayService));
+        addRunning("operate.relay",
+                   config_relay::makeConfigRelay({context, added, config, events}));
         return {};
     }
 
@@ -214,27 +218,24 @@
         // and the host's own hash keeps two that start together apart.
         const std::uint64_t firstPermit
             = (std::hash<std::string>()(values.hostName) ^ incarnation) << permitSpaceBits >> 1;
-        auto queues
-            = queue_service::makeQueueService({context, mesh, events, clock, firstPermit + 1});
-        auto &queueService = *queues;
-        add("serve.queues", std::move(queues), startAndStop(queueService));
-        auto poller = load_poller::makeLoadPoller(
-            {context, services->find<http_client>("platform.http"),
-             [this] { return ownedUpstreams(); },
-             [&queueService](const std::string &pool, const load_report &report) {
-                 queueService.reportLoad(pool, report);
-             },
-             [&queueService](const std::string &pool, const cache_event &event) {
-                 queueService.noteCacheEvent(pool, event);
-             }});
-        auto &loadPoller = *poller;
-        add("serve.load", std::move(poller), startAndStop(loadPoller));
+        auto &queueService = addRunning(
+            "serve.queues",
+            queue_service::makeQueueService({context, mesh, events, clock, firstPermit + 1}));
+        addRunning("serve.load",
+                   load_poller::makeLoadPoller(
+                       {context, services->find<http_client>("platform.http"),
+                        [this] { return ownedUpstreams(); },
+                        [&queueService](const std::string &pool, const load_report &report) {
+                            queueService.reportLoad(pool, report);
+                        },
+                        [&queueService](const std::string &pool, const cache_event &event) {
+                            queueService.noteCacheEvent(pool, event);
+                        }}));
         fleet_view fleet{[this](std::string_view key) { return ownerOf(key); }};
         auto &meters = services->find<metrics>("observe.metrics");
-        auto permits = permit_client::makePermitClient(
-            {context, mesh, events, clock, fleet, values.hostName, values.region, meters});
-        auto &permitClient = *permits;
-        add("serve.permits", std::move(permits), startAndStop(permitClient));
+        addRunning("serve.permits",
+                   permit_client::makePermitClient({context, mesh, events, clock, fleet,
+                                                    values.hostName, values.region, meters}));
     }
 
     void addCallerServices()
@@ -256,13 +257,13 @@
                  return {};
              },
              {}});
-        auto claiming = claim_service::makeClaimService(
-            {context, services->find<log_client>("platform.log"), mesh, events, clock,
-             values.hostName, incarnation, [this](const std::string &host, std::uint64_t process) {
-                 return mayBeAtWork(host, process);
-             }});
-        auto &claims = *claiming;
-        add("serve.claims", std::move(claiming), startAndStop(claims));
+        auto &claims = addRunning("serve.claims",
+                                  claim_service::makeClaimService(
+                                      {context, services->find<log_client>("platform.log"), mesh,
+                                       events, clock, values.hostName, incarnation,
+                                       [this](const std::string &host, std::uint64_t process) {
+                                           return mayBeAtWork(host, process);
+                                       }}));
         auto &calls
             = add("serve.calls",
                   plain_call_service::makePlainCallService({client, permits, config, claims, events,
@@ -317,9 +318,7 @@
                                [] { std::raise(SIGTERM); },
                                [this] { return hostsWithSelf(); },
                                {}};
-        auto api = operator_api::makeOperatorApi(std::move(needs));
-        auto &added = *api;
-        add("operate.api", std::move(api), startAndStop(added));
+        auto &added = addRunning("operate.api", operator_api::makeOperatorApi(std::move(needs)));
         const auto &queues = services->find<queue_service>("serve.queues");
         added.addStatusSection({"peers", [this] { return describePeers(); }});
         added.addStatusSection({"queues", [this, &queues, &config] {
@@ -336,14 +335,14 @@
         auto &log = services->find<log_client>("platform.log");
         auto &config = services->find<config_service>("operate.config");
         auto &events = services->find<timeline>("observe.timeline");
-        auto competing = lease_service::makeLeaseService(
-            {context, log, events, clock, "orders", values.hostName, incarnation, {}});
-        auto &lease = *competing;
-        add("operate.lease", std::move(competing), startAndStop(lease));
-        auto ordering = order_service::makeOrderService(
-            {context, client, config, lease, events, clock, lease_rules().ttl});
-        auto &orders = *ordering;
-        add("operate.orders", std::move(ordering), startAndStop(orders));
+        auto &lease = addRunning(
+            "operate.lease",
+            lease_service::makeLeaseService(
+                {context, log, events, clock, "orders", values.hostName, incarnation, {}}));
+        auto &orders
+            = addRunning("operate.orders",
+                         order_service::makeOrderService(
+                             {context, client, config, lease, events, clock, lease_rules().ttl}));
         services->find<operator_api>("operate.api").addStatusSection({"orders", [&orders] {
                                                                           return boost::json::value(
                                                                               describeOrders(
@@ -406,7 +405,7 @@
         config.setCheckpointWriter([this] { return ownerOf("config") == values.hostName; });
         services->find<heartbeat_service>("peer.heartbeats")
             .carryOffsets(
-                [&config] { return config.state().next; },
+                [&config] { return config.isReady() ? config.state().next : 0; },
                 [this](const std::string &host, std::uint64_t offset) {
                     services->find<config_relay>("operate.relay").takePeerOffset(host, offset);
                 });
