Ask engines only for cache events

Ruled out: the claims, whose keys each ran once. Change: only upstreams of pools that a model names are asked.

--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -29,6 +29,7 @@
 #include "serve/queue_service.h"
 
 #include <csignal>
+#include <set>
 
 namespace quincefall {
 namespace {
@@ -47,6 +48,17 @@
     return std::uint64_t(clock.wall());
 }
 
+/// Names of the pools that serve a model, whose upstreams are engines.
+std::set<std::string> poolsOfModels(const config_state &config)
+{
+    std::set<std::string> pools;
+    for (const auto &[key, stored] : config.resources) {
+        if (const auto *served = std::get_if<model>(&stored.spec))
+            pools.insert(served->pool);
+    }
+    return pools;
+}
+
 } // namespace
 
 struct host_process::state : std::enable_shared_from_this<host_process::state>
@@ -143,12 +155,14 @@
     {
         std::vector<polled_upstream> found;
         const config_state &config = services->find<config_service>("operate.config").state();
+        const std::set<std::string> enginePools = poolsOfModels(config);
         for (const auto &[key, stored] : config.resources) {
             const auto *pool = std::get_if<upstream_pool>(&stored.spec);
             if (pool == nullptr || ownerOf(key.name) != values.hostName)
                 continue;
             for (const upstream &declared : pool->upstreams)
-                found.push_back({key.name, declared.name, declared.address});
+                found.push_back(
+                    {key.name, declared.name, declared.address, enginePools.contains(key.name)});
         }
         return found;
     }
--- a/src/serve/load_poller.cpp
+++ b/src/serve/load_poller.cpp
@@ -3,8 +3,6 @@
 #include "kernel/asio_headers.h"
 #include "platform/http_client.h"
 
-#include <set>
-
 namespace quincefall {
 namespace {
 
@@ -14,7 +12,6 @@
 constexpr milliseconds pollInterval{1000};
 constexpr milliseconds reportTimeout{500};
 constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -66,7 +63,6 @@
 
     dependencies needs;
     std::map<host_address, std::uint64_t> nextEvents; ///< Sequence number to ask from.
-    std::set<host_address> withoutEvents; ///< Upstreams that publish no cache events.
     bool isStopped = false;
 
     static asio::awaitable<void> askEvents(std::shared_ptr<state> self, polled_upstream upstream)
@@ -75,11 +71,7 @@
         request.target = "/cache_events?from=" + std::to_string(self->nextEvents[upstream.address]);
         const auto reply
             = co_await self->needs.client.send(upstream.address, std::move(request), reportTimeout);
-        if (self->isStopped || !reply)
-            co_return;
-        if (reply->status == statusNotFound)
-            self->withoutEvents.insert(upstream.address);
-        if (reply->status != statusOk)
+        if (self->isStopped || !reply || reply->status != statusOk)
             co_return;
         const auto events
             = parseCacheEvents(upstream.name, reply->body, self->nextEvents[upstream.address]);
@@ -99,7 +91,7 @@
             co_return;
         if (const auto report = parseLoadReport(upstream.name, reply->body))
             self->needs.onReport(upstream.pool, *report);
-        if (!self->withoutEvents.contains(upstream.address))
+        if (upstream.isEngine)
             co_await askEvents(self, upstream);
     }
 
--- a/src/serve/load_poller.h
+++ b/src/serve/load_poller.h
@@ -22,6 +22,7 @@
     std::string pool;
     std::string name;
     host_address address;
+    bool isEngine = false; ///< Publishes cache events; a plain service is asked for its load only.
 };
 
 /// Reads the load reports and cache events of the upstreams whose pools this host owns. Reports
