--- /dev/null
+++ b/src/operate/host_pools.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "ledger/config_state.h"
+#include "serve/load_poller.h"
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace quincefall {
+
+class host_list_service;
+class queue_service;
+
+/// The upstreams of the declared pools that @p isOwned names, for their load reports.
+std::vector<polled_upstream> ownedUpstreams(const config_state &config,
+                                            const std::function<bool(std::string_view)> &isOwned);
+
+/// Gives @p queues the plan of each declared pool and drops the others.
+void configurePools(queue_service &queues, const config_state &config,
+                    const host_list_service &hosts);
+
+} // namespace quincefall
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -9,6 +9,7 @@
 #include "operate/config_relay.h"
 #include "operate/config_service.h"
 #include "operate/host_metrics.h"
+#include "operate/host_pools.h"
 #include "operate/lease_service.h"
 #include "operate/operator_api.h"
 #include "operate/order_service.h"
@@ -25,11 +26,9 @@
 #include "serve/load_poller.h"
 #include "serve/permit_client.h"
 #include "serve/plain_call_service.h"
-#include "serve/pool_plan_builder.h"
 #include "serve/queue_service.h"
 
 #include <csignal>
-#include <set>
 
 namespace quincefall {
 namespace {
@@ -48,17 +47,6 @@
     return std::uint64_t(clock.wall());
 }
 
-/// Names of the pools that serve a model, whose upstreams are engines.
-std::set<std::string> poolsOfModels(const config_state &config)
-{
-    std::set<std::string> pools;
-    for (const auto &[key, stored] : config.resources) {
-        if (const auto *served = std::get_if<model>(&stored.spec))
-            pools.insert(served->pool);
-    }
-    return pools;
-}
-
 } // namespace
 
 struct host_process::state : std::enable_shared_from_this<host_process::state>
@@ -148,41 +136,16 @@
             queues.dropEntryHost(change.host);
         }
         services->find<permit_client>("serve.permits").announceRunning();
-        queues.handOver([this](std::string_view pool) { return ownerOf(pool) == values.hostName; });
+        queues.handOver([this](std::string_view pool) { return ownsPool(pool); });
     }
 
-    std::vector<polled_upstream> ownedUpstreams() const
-    {
-        std::vector<polled_upstream> found;
-        const config_state &config = services->find<config_service>("operate.config").state();
-        const std::set<std::string> enginePools = poolsOfModels(config);
-        for (const auto &[key, stored] : config.resources) {
-            const auto *pool = std::get_if<upstream_pool>(&stored.spec);
-            if (pool == nullptr || ownerOf(key.name) != values.hostName)
-                continue;
-            for (const upstream &declared : pool->upstreams)
-                found.push_back(
-                    {key.name, declared.name, declared.address, enginePools.contains(key.name)});
-        }
-        return found;
-    }
+    bool ownsPool(std::string_view pool) const { return ownerOf(pool) == values.hostName; }
 
     void updatePools()
     {
-        const config_state &config = services->find<config_service>("operate.config").state();
-        const auto &list = services->find<host_list_service>("platform.hosts");
-        auto &queues = services->find<queue_service>("serve.queues");
-        std::vector<std::string> pools;
-        for (const auto &[key, stored] : config.resources) {
-            if (key.kind != resource_kind::pool)
-                continue;
-            pools.push_back(key.name);
-            queues.configurePool(key.name,
-                                 buildPoolPlan(config, key.name, [&list](std::string_view name) {
-                                     return list.isLeavingUpstream(name);
-                                 }));
-        }
-        queues.retainPools(pools);
+        configurePools(services->find<queue_service>("serve.queues"),
+                       services->find<config_service>("operate.config").state(),
+                       services->find<host_list_service>("platform.hosts"));
     }
 
     result<void> addPlatform()
@@ -227,6 +190,7 @@
     void addQueues()
     {
         auto &mesh = services->find<peer_mesh>("peer.mesh");
+        const auto &config = services->find<config_service>("operate.config");
         auto &events = services->find<timeline>("observe.timeline");
         // Milliseconds since the epoch, shifted: unique for each start of each host in practice,
         // and the host's own hash keeps two that start together apart.
@@ -238,7 +202,11 @@
         addRunning("serve.load",
                    load_poller::makeLoadPoller(
                        {context, services->find<http_client>("platform.http"),
-                        [this] { return ownedUpstreams(); },
+                        [this, &config] {
+                            return ownedUpstreams(config.state(), [this](std::string_view pool) {
+                                return ownsPool(pool);
+                            });
+                        },
                         [&queueService](const std::string &pool, const load_report &report) {
                             queueService.reportLoad(pool, report);
                         },
@@ -337,9 +305,8 @@
         added.addStatusSection({"peers", [this] { return describePeers(); }});
         added.addStatusSection({"queues", [this, &queues, &config] {
                                     return describeQueues(
-                                        config.state(), queues, [this](std::string_view pool) {
-                                            return ownerOf(pool) == values.hostName;
-                                        });
+                                        config.state(), queues,
+                                        [this](std::string_view pool) { return ownsPool(pool); });
                                 }});
     }
 
