--- a/bench/heartbeat_bench.cpp
+++ b/bench/heartbeat_bench.cpp
@@ -4,7 +4,7 @@
 #include "observe/timeline.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
-#include "platform/host_list_client.h"
+#include "clients/host_list_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -2,7 +2,7 @@
 // stand-ins and hosts and runs it; it prints one JSON object.
 
 #include "kernel/address.h"
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include <boost/asio.hpp>
 #include <boost/json/object.hpp>
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -2,7 +2,7 @@
 
 #include "cli/verbs.h"
 #include "kernel/address.h"
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include <boost/json/value.hpp>
 
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -29,6 +29,7 @@
 std::span<const verb> allVerbs();
 
 exit_code runServe(std::span<const std::string> arguments);
+exit_code runRoute(std::span<const std::string> arguments);
 exit_code runCheck(std::span<const std::string> arguments);
 exit_code runApply(std::span<const std::string> arguments);
 exit_code runGet(std::span<const std::string> arguments);
--- a/src/platform/host_list_client.cpp
+++ b/src/clients/host_list_client.cpp
@@ -1,6 +1,6 @@
-#include "platform/host_list_client.h"
+#include "clients/host_list_client.h"
 
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include "kernel/asio_headers.h"
 
--- a/src/platform/host_list_service.cpp
+++ b/src/clients/host_list_service.cpp
@@ -1,4 +1,4 @@
-#include "platform/host_list_service.h"
+#include "clients/host_list_service.h"
 
 #include "kernel/asio_headers.h"
 #include "observe/timeline.h"
--- a/src/platform/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include "kernel/asio_headers.h"
 
--- a/src/platform/log_client.cpp
+++ b/src/clients/log_client.cpp
@@ -1,6 +1,6 @@
-#include "platform/log_client.h"
+#include "clients/log_client.h"
 
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include "kernel/asio_headers.h"
 
--- a/src/platform/log_follower.cpp
+++ b/src/clients/log_follower.cpp
@@ -1,4 +1,4 @@
-#include "platform/log_follower.h"
+#include "clients/log_follower.h"
 
 #include "kernel/asio_headers.h"
 
--- a/src/platform/log_follower.h
+++ b/src/clients/log_follower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/log_client.h"
+#include "clients/log_client.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -25,6 +25,7 @@
     callerTimeout = 207,
     idempotencyKeyMissing = 208,
     idempotencyKeyReused = 209,
+    headerTooLarge = 210,
 
     overloaded = 301,
     deadlineUnreachable = 302,
--- a/src/observe/log_setup.cpp
+++ b/src/observe/log_setup.cpp
@@ -20,6 +20,9 @@
 log4cxx::AppenderPtr makeAppender(const std::string &target)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(linePattern);
+    if (target == "stdout")
+        return std::make_shared<log4cxx::ConsoleAppender>(layout,
+                                                          log4cxx::ConsoleAppender::getSystemOut());
     if (target == "stderr")
         return std::make_shared<log4cxx::ConsoleAppender>(layout,
                                                           log4cxx::ConsoleAppender::getSystemErr());
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -46,6 +46,8 @@
                 "Time from asking for a permit to its grant."},
     family_info{metric::firstToken, "quincefall_first_token_seconds", "histogram",
                 "Time from a request's arrival to its first token."},
+    family_info{metric::answerTime, "quincefall_answer_seconds", "histogram",
+                "Time from a request's arrival to the end of its answer."},
 };
 
 /// Buckets of the histograms: from 1 ms to 60 s, each 1.41 times the one before.
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -20,6 +20,7 @@
     crossRegionBytes,
     queueWait, ///< Histogram in seconds; label class.
     firstToken, ///< Histogram in seconds; label class.
+    answerTime, ///< Histogram in seconds; label class.
 };
 
 /// One label of a sample, such as {"class", "director"}.
--- a/src/operate/config_service.h
+++ b/src/operate/config_service.h
@@ -4,7 +4,7 @@
 #include "kernel/result.h"
 #include "ledger/checkpoint.h"
 #include "ledger/config_state.h"
-#include "platform/log_client.h"
+#include "clients/log_client.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/operate/host_pools.cpp
+++ b/src/operate/host_pools.cpp
@@ -1,6 +1,6 @@
 #include "operate/host_pools.h"
 
-#include "platform/host_list_service.h"
+#include "clients/host_list_service.h"
 #include "serve/pool_plan_builder.h"
 #include "serve/queue_service.h"
 
--- a/src/operate/lease_service.cpp
+++ b/src/operate/lease_service.cpp
@@ -3,7 +3,7 @@
 #include "kernel/asio_headers.h"
 #include "ledger/lease_competitor.h"
 #include "observe/timeline.h"
-#include "platform/log_follower.h"
+#include "clients/log_follower.h"
 
 namespace quincefall {
 namespace {
--- a/src/operate/order_service.cpp
+++ b/src/operate/order_service.cpp
@@ -5,7 +5,7 @@
 #include "observe/timeline.h"
 #include "operate/config_service.h"
 #include "operate/lease_service.h"
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 namespace quincefall {
 namespace {
--- /dev/null
+++ b/src/operate/section_reader.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/result.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quincefall {
+
+/// One mistake in a settings file.
+struct settings_mistake
+{
+    int line = 0; ///< Counts from 1; 0 when the whole file is meant.
+    std::string key; ///< Path such as "listen.caller".
+    std::string expected;
+};
+
+/// One line for people: "file:line: key: expected ...".
+std::string describe(const settings_mistake &mistake, std::string_view file);
+
+/// Reads one YAML mapping, remembers which keys were asked for and collects the mistakes.
+class section_reader
+{
+public:
+    section_reader(const YAML::Node &node, std::string path,
+                   std::vector<settings_mistake> &mistakes);
+
+    bool isMap() const { return m_node.IsDefined() && m_node.IsMap(); }
+
+    section_reader section(const std::string &key, bool isRequired);
+    void text(const std::string &key, std::string &value, bool isRequired,
+              std::size_t shortest = 1);
+    void choice(const std::string &key, std::string &value,
+                std::span<const std::string_view> options);
+    void address(const std::string &key, host_address &value);
+    void addresses(const std::string &key, std::vector<host_address> &values);
+    void each(const std::string &key, const std::function<void(section_reader &)> &function);
+
+    /// Reads an optional number; fractions are refused for whole types.
+    template <typename number_type>
+    void number(const std::string &key, number_type &value, std::int64_t lowest,
+                std::int64_t highest)
+    {
+        const std::string expected = expectedNumber(lowest, highest);
+        const YAML::Node child = scalar(key, expected, false);
+        if (!child.IsDefined())
+            return;
+        std::int64_t parsed = 0;
+        if (YAML::convert<std::int64_t>::decode(child, parsed) && parsed >= lowest
+            && parsed <= highest)
+            value = number_type(parsed);
+        else
+            reportScalar(child, key, expected);
+    }
+
+    /// Reads an optional number that may have a fraction.
+    void fraction(const std::string &key, double &value, double lowest, double highest);
+
+    /// Reports keys that nobody asked for.
+    void rejectUnknown();
+
+private:
+    static std::string expectedNumber(std::int64_t lowest, std::int64_t highest);
+    YAML::Node take(const std::string &key);
+    YAML::Node scalar(const std::string &key, const std::string &expected, bool isRequired);
+    std::string pathOf(const std::string &key) const;
+    std::string knownKeys() const;
+    void reportMissing(const std::string &key, const std::string &expected);
+    void reportScalar(const YAML::Node &child, const std::string &key, std::string expected);
+    void report(int line, std::string key, std::string expected);
+
+    YAML::Node m_node;
+    std::string m_path;
+    std::vector<settings_mistake> &m_mistakes;
+    std::set<std::string> m_known;
+};
+
+/// Parses @p yaml and hands its root mapping to @p function; unknown keys of the root are mistakes.
+std::vector<settings_mistake> readYaml(std::string_view yaml,
+                                       const std::function<void(section_reader &)> &function);
+
+/// Text of the file at @p path. Fails with settingsUnreadable.
+result<std::string> readTextFile(const std::string &path);
+
+} // namespace quincefall
--- a/src/operate/settings.h
+++ b/src/operate/settings.h
@@ -2,6 +2,7 @@
 
 #include "kernel/address.h"
 #include "kernel/clock.h"
+#include "operate/section_reader.h"
 
 #include <cstdint>
 #include <string>
@@ -46,14 +47,6 @@
     milliseconds drainTimeout{60'000}; ///< Longest wait for running requests at a stop.
 };
 
-/// One mistake in a settings file.
-struct settings_mistake
-{
-    int line = 0; ///< Counts from 1; 0 when the whole file is meant.
-    std::string key; ///< Path such as "listen.caller".
-    std::string expected;
-};
-
 /// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
 struct settings_reading
 {
@@ -67,7 +60,4 @@
 /// Reads the file at @p path; an unreadable file is one mistake.
 settings_reading readSettingsFile(const std::string &path);
 
-/// One line for people: "file:line: key: expected ...".
-std::string describe(const settings_mistake &mistake, std::string_view file);
-
 } // namespace quincefall
--- a/src/peer/heartbeat_service.cpp
+++ b/src/peer/heartbeat_service.cpp
@@ -3,7 +3,7 @@
 #include "observe/timeline.h"
 #include "peer.pb.h"
 #include "peer/peer_mesh.h"
-#include "platform/host_list_client.h"
+#include "clients/host_list_client.h"
 #include "policy/ownership.h"
 
 #include <boost/asio/co_spawn.hpp>
--- /dev/null
+++ b/src/policy/placement.cpp
@@ -0,0 +1,269 @@
+#include "policy/placement.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace quincefall {
+namespace {
+
+// Measured on engines that read prompts between tokens: a step with a long prompt takes about this.
+constexpr double mixedStepMs = 100;
+// A route is kept apart only if its own prompts are well below the largest of the service.
+constexpr double shortPromptShare = 1.0 / 3;
+constexpr double promptSmoothing = 0.05;
+constexpr double demandWindowMs = 4'000; // Bursts last some seconds.
+constexpr double apartUtilisation = 0.5; // Reading time that an engine kept apart may spend.
+constexpr double longestApartShare = 0.5;
+constexpr std::size_t fewestForApart = 3;
+constexpr std::uint64_t apartKey = 0x6170617274; // Sets their hash apart from those of parts.
+// Chance that a part's home does not hold it although this host has not used it there.
+constexpr double homeMissShare = 0.3;
+// Weight of reading a part again: it delays all others on the engine too.
+constexpr double rereadWeight = 1.5;
+// What it costs a long prompt and a gap-sensitive request to meet on one engine.
+constexpr double mixingMs = 500;
+constexpr double firstRate = 50; // Tokens per ms before any was seen.
+constexpr double firstCallMs = 20; // Before any call was seen.
+constexpr double failureMs = 800; // Cost of an attempt that fails for certain.
+constexpr double withheldShare = 0.35; // Of failed attempts, from which an upstream is avoided.
+
+double readRate(const service_pool &pool)
+{
+    return pool.promptTokensPerMs > 0 ? pool.promptTokensPerMs : firstRate;
+}
+
+std::uint64_t rendezvousScore(std::string_view upstream, std::uint64_t key)
+{
+    return XXH64(upstream.data(), upstream.size(), key);
+}
+
+/// Key of the parts that other requests share: the last shared part names all before it.
+std::uint64_t sharedKey(const prompt_outline &prompt)
+{
+    return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
+}
+
+bool mayTake(const routed_upstream &upstream, const placement_request &request)
+{
+    return !upstream.listed.isLeaving
+        && (!request.tried || !request.tried->contains(upstream.listed.id));
+}
+
+bool isWithheld(const routed_upstream &upstream, instant now)
+{
+    return upstream.health.state == upstream_health::condition::failing
+        || failureShareOf(upstream, now) > withheldShare;
+}
+
+bool isProbeDue(const routed_upstream &upstream, instant now)
+{
+    return upstream.health.probeFrom <= now;
+}
+
+double distanceMs(const routed_upstream &upstream, const placement_site &site)
+{
+    if (upstream.listed.failureDomain == site.failureDomain)
+        return 0;
+    return upstream.listed.region == site.region ? site.domainMs : site.regionMs;
+}
+
+/// Wait for a free slot.
+double slotWaitMs(const service_pool &pool, const routed_upstream &upstream, instant now)
+{
+    const double callMs = pool.callMs > 0 ? pool.callMs : firstCallMs;
+    const double slots = std::max(1U, upstream.listed.slots);
+    const double load = loadOf(upstream, now);
+    const double over = std::max(0.0, load + 1 - slots);
+    // Below full, a busier upstream is a little slower; it also spreads work among equals.
+    return callMs * (over / slots + load / slots * 0.25);
+}
+
+/// Wait for the prompts that are read before this one.
+double queueMs(const service_pool &pool, const routed_upstream &upstream, instant now)
+{
+    double excess = 0;
+    if (upstream.excessAt != instant::min())
+        excess = upstream.excessMs * std::exp2(-toMilliseconds(now - upstream.excessAt) / 700);
+    return upstream.unreadTokens / readRate(pool) + excess;
+}
+
+/// The upstreams kept for gap-sensitive requests: the first by a hash that all hosts share.
+std::set<const routed_upstream *> apartOf(std::vector<routed_upstream *> usable, unsigned count)
+{
+    const auto score = [](const routed_upstream *upstream) {
+        return rendezvousScore(upstream->listed.id, apartKey);
+    };
+    std::sort(usable.begin(), usable.end(), [&score](const auto *left, const auto *right) {
+        return score(left) > score(right);
+    });
+    usable.resize(std::min<std::size_t>(count, usable.size()));
+    return {usable.begin(), usable.end()};
+}
+
+std::vector<routed_upstream *> usableOf(service_pool &pool, const placement_request &request,
+                                        bool withWithheld, instant now)
+{
+    std::vector<routed_upstream *> usable;
+    for (auto &[id, upstream] : pool.upstreams) {
+        if (mayTake(upstream, request) && (withWithheld || !isWithheld(upstream, now)))
+            usable.push_back(&upstream);
+    }
+    return usable;
+}
+
+routed_upstream *homeOf(const std::vector<routed_upstream *> &usable,
+                        const std::set<const routed_upstream *> &apart,
+                        const placement_request &request)
+{
+    const std::uint64_t key = sharedKey(*request.prompt);
+    if (key == 0)
+        return nullptr;
+    routed_upstream *home = nullptr;
+    std::uint64_t best = 0;
+    for (routed_upstream *upstream : usable) {
+        if (apart.contains(upstream) != request.isGapSensitive)
+            continue;
+        const std::uint64_t score = rendezvousScore(upstream->listed.id, key);
+        if (!home || score > best) {
+            home = upstream;
+            best = score;
+        }
+    }
+    return home;
+}
+
+/// Tokens of the parts before the last one.
+double sharedTokens(const prompt_outline &prompt)
+{
+    double tokens = 0;
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index)
+        tokens += prompt.parts[index].tokens;
+    return tokens;
+}
+
+struct candidate_estimate
+{
+    double unread = 0;
+    double firstByteMs = 0;
+    double cost = 0;
+};
+
+candidate_estimate estimate(const service_pool &pool, const routed_upstream &upstream,
+                            const placement_request &request, const placement_site &site,
+                            bool isHome, bool isApart, instant now)
+{
+    candidate_estimate value;
+    const double failures = failureShareOf(upstream, now) * failureMs;
+    const double distance = distanceMs(upstream, site);
+    if (!request.prompt || request.prompt->promptTokens <= 0) {
+        value.firstByteMs = slotWaitMs(pool, upstream, now) + std::max(pool.callMs, 1.0);
+        value.cost = value.firstByteMs + distance + failures;
+        return value;
+    }
+    value.unread = unreadTokensOf(upstream, *request.prompt, now);
+    double reread = std::max(0.0, value.unread - (request.prompt->promptTokens
+                                                  - sharedTokens(*request.prompt)));
+    if (isHome)
+        reread *= homeMissShare;
+    const double own = std::min(value.unread, request.prompt->promptTokens
+                                    - sharedTokens(*request.prompt));
+    value.firstByteMs = queueMs(pool, upstream, now) + (own + reread) / readRate(pool);
+    value.cost = value.firstByteMs + (rereadWeight - 1) * reread / readRate(pool) + distance
+        + failures + slotWaitMs(pool, upstream, now);
+    if (isApart != request.isGapSensitive)
+        value.cost += mixingMs;
+    return value;
+}
+
+placement chooseAmong(service_pool &pool, const std::vector<routed_upstream *> &usable,
+                      const placement_request &request, const placement_site &site, unsigned hosts,
+                      instant now)
+{
+    placement best;
+    best.candidates = double(usable.size());
+    std::set<const routed_upstream *> apart;
+    routed_upstream *home = nullptr;
+    if (request.prompt && request.prompt->promptTokens > 0) {
+        apart = apartOf(usable, apartCount(pool, hosts, now));
+        home = homeOf(usable, apart, request);
+    }
+    double lowest = std::numeric_limits<double>::infinity();
+    for (routed_upstream *upstream : usable) {
+        const bool isApart = apart.empty() ? request.isGapSensitive : apart.contains(upstream);
+        const candidate_estimate value
+            = estimate(pool, *upstream, request, site, upstream == home, isApart, now);
+        if (value.cost >= lowest)
+            continue;
+        lowest = value.cost;
+        best.upstream = upstream;
+        best.estimatedMs = value.firstByteMs;
+        best.unreadTokens = value.unread;
+    }
+    best.reason = best.upstream && best.upstream == home ? "home" : "least";
+    return best;
+}
+
+} // namespace
+
+bool isGapSensitive(const route_rule &route, const engine_rule &engine, const service_pool &pool,
+                    double promptTokens)
+{
+    if (!route.isStream || route.gapTarget.count() <= 0)
+        return false;
+    const double allowedStepMs = double(route.gapTarget.count()) / engine.tokensPerEvent;
+    return allowedStepMs < mixedStepMs && promptTokens < pool.largestPrompt * shortPromptShare;
+}
+
+void recordDemand(service_pool &pool, const placement_request &request, instant now)
+{
+    const double tokens = request.prompt->promptTokens;
+    if (tokens > pool.largestPrompt)
+        pool.largestPrompt = tokens;
+    else
+        pool.largestPrompt += promptSmoothing * 0.1 * (tokens - pool.largestPrompt);
+    if (!request.isGapSensitive)
+        return;
+    double rate = pool.sensitiveMsPerSecond;
+    if (pool.sensitiveAt != instant::min())
+        rate *= std::exp(-toMilliseconds(now - pool.sensitiveAt) / demandWindowMs);
+    pool.sensitiveMsPerSecond = rate + tokens / readRate(pool) / (demandWindowMs / 1000);
+    pool.sensitiveAt = now;
+}
+
+unsigned apartCount(const service_pool &pool, unsigned hosts, instant now)
+{
+    const std::size_t upstreams = pool.upstreams.size();
+    if (upstreams < fewestForApart || pool.sensitiveAt == instant::min())
+        return 0;
+    const double share = pool.sensitiveMsPerSecond / 1000
+        * std::exp(-toMilliseconds(now - pool.sensitiveAt) / demandWindowMs);
+    const double needed = std::ceil(share * hosts / apartUtilisation);
+    return unsigned(std::clamp(needed, 1.0, std::floor(double(upstreams) * longestApartShare)));
+}
+
+placement chooseUpstream(service_pool &pool, const placement_request &request,
+                         const placement_site &site, unsigned hosts, instant now)
+{
+    for (auto &[id, upstream] : pool.upstreams) {
+        const bool isDue = isWithheld(upstream, now) && isProbeDue(upstream, now);
+        if (!request.mayProbe || !isDue || !mayTake(upstream, request))
+            continue;
+        placement probe = chooseAmong(pool, {&upstream}, request, site, hosts, now);
+        probe.reason = "probe";
+        delayProbe(upstream.health, now);
+        return probe;
+    }
+    const auto usable = usableOf(pool, request, false, now);
+    if (!usable.empty())
+        return chooseAmong(pool, usable, request, site, hosts, now);
+    placement last
+        = chooseAmong(pool, usableOf(pool, request, true, now), request, site, hosts, now);
+    last.reason = "last";
+    return last;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/routed_upstream.cpp
@@ -0,0 +1,133 @@
+#include "policy/routed_upstream.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+constexpr double healthSmoothing = 0.15; // Weight of one attempt in the failure share.
+constexpr double healthHalfLifeMs = 4'000; // A failure share without news halves in this time.
+constexpr double excessSmoothing = 0.3; // Weight of one answer in the wait beyond the estimate.
+constexpr double excessHalfLifeMs = 700; // Queues at an engine drain in about this time.
+constexpr double callSmoothing = 0.05;
+constexpr double rateRise = 0.3; // A faster reading shows the engine without others' work...
+constexpr double rateFall = 0.01; // ...a slower one mostly shows others' work.
+constexpr double firstRate = 50; // Tokens per ms before any was seen; a large engine's.
+constexpr double sampleTokens = 1'000; // Shorter prompts say little about the rate.
+constexpr milliseconds reportLife{2'000}; // Requests last about this long.
+constexpr seconds partLife{40}; // Parts used no later than this are thought to be kept.
+constexpr std::size_t mostParts = 4'096; // For each upstream; about 100 kB.
+constexpr double uncountedTokens = 1;
+
+double decayed(double value, instant since, double halfLifeMs, instant now)
+{
+    if (since == instant::min())
+        return 0;
+    return value * std::exp2(-toMilliseconds(now - since) / halfLifeMs);
+}
+
+void dropOldParts(routed_upstream &upstream, instant now)
+{
+    std::erase_if(upstream.keptParts,
+                  [now](const auto &part) { return now - part.second > partLife; });
+    if (upstream.keptParts.size() > mostParts)
+        upstream.keptParts.clear();
+}
+
+} // namespace
+
+void recordStart(routed_upstream &upstream, const prompt_outline &prompt, double unread,
+                 instant now)
+{
+    ++upstream.inFlight;
+    upstream.unreadTokens += unread;
+    for (const prompt_part &part : prompt.parts)
+        upstream.keptParts[part.id] = now;
+    if (upstream.keptParts.size() > mostParts)
+        dropOldParts(upstream, now);
+}
+
+void recordFirstByte(service_pool &pool, routed_upstream &upstream, double unread,
+                     microseconds waited, double estimatedMs, instant now)
+{
+    upstream.unreadTokens = std::max(0.0, upstream.unreadTokens - unread);
+    const double waitedMs = toMilliseconds(waited);
+    const double excess = std::max(0.0, waitedMs - estimatedMs);
+    const double before = decayed(upstream.excessMs, upstream.excessAt, excessHalfLifeMs, now);
+    upstream.excessMs = before + excessSmoothing * (excess - before);
+    upstream.excessAt = now;
+    if (pool.promptTokensPerMs <= 0)
+        pool.promptTokensPerMs = firstRate;
+    if (unread > sampleTokens && waitedMs > 1) {
+        const double sample = unread / waitedMs;
+        const double weight = sample > pool.promptTokensPerMs ? rateRise : rateFall;
+        pool.promptTokensPerMs += weight * (sample - pool.promptTokensPerMs);
+    }
+    if (unread <= uncountedTokens)
+        pool.callMs = pool.callMs <= 0 ? waitedMs
+                                       : pool.callMs + callSmoothing * (waitedMs - pool.callMs);
+}
+
+void recordEnd(routed_upstream &upstream)
+{
+    if (upstream.inFlight > 0)
+        --upstream.inFlight;
+    if (upstream.inFlight == 0)
+        upstream.unreadTokens = 0;
+}
+
+void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now)
+{
+    upstream.reported = load;
+    upstream.reportedAt = now;
+    upstream.ownAtReport = upstream.inFlight;
+}
+
+void recordOutcome(routed_upstream &upstream, bool succeeded, instant now)
+{
+    const double before
+        = decayed(upstream.failureShare, upstream.failureShareAt, healthHalfLifeMs, now);
+    upstream.failureShare = before + healthSmoothing * ((succeeded ? 0.0 : 1.0) - before);
+    upstream.failureShareAt = now;
+    if (succeeded)
+        recordSuccess(upstream.health);
+}
+
+void forgetRun(routed_upstream &upstream)
+{
+    upstream.keptParts.clear();
+    upstream.reported = {};
+    upstream.reportedAt = instant::min();
+    upstream.excessAt = instant::min();
+    upstream.failureShareAt = instant::min();
+    upstream.health = {};
+}
+
+double failureShareOf(const routed_upstream &upstream, instant now)
+{
+    return decayed(upstream.failureShare, upstream.failureShareAt, healthHalfLifeMs, now);
+}
+
+double loadOf(const routed_upstream &upstream, instant now)
+{
+    if (upstream.reportedAt == instant::min() || now - upstream.reportedAt > reportLife)
+        return upstream.inFlight;
+    const double reported = double(upstream.reported.running) + upstream.reported.waiting;
+    const double foreign = std::max(0.0, reported - upstream.ownAtReport);
+    return upstream.inFlight + foreign;
+}
+
+double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now)
+{
+    double unread = prompt.promptTokens;
+    for (const prompt_part &part : prompt.parts) {
+        const auto kept = upstream.keptParts.find(part.id);
+        if (kept == upstream.keptParts.end() || now - kept->second > partLife)
+            break;
+        unread -= part.tokens;
+    }
+    return std::max(0.0, unread);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/routed_upstream.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/clock.h"
+#include "policy/prompt.h"
+#include "policy/upstream_health.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace quincefall {
+
+/// An upstream as the platform lists it.
+struct upstream_entry
+{
+    std::string id; ///< Of one start or several; `started` tells them apart.
+    std::string service;
+    host_address address;
+    std::string failureDomain;
+    std::string region;
+    unsigned slots = 1;
+    bool isLeaving = false; ///< Takes no new work.
+    std::int64_t started = 0; ///< Unix time in milliseconds; 0 if unknown.
+};
+
+/// Load that an upstream reported with an answer.
+struct upstream_load
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+    unsigned slots = 0;
+};
+
+/// What this host knows of one upstream.
+struct routed_upstream
+{
+    upstream_entry listed;
+    upstream_load reported;
+    instant reportedAt = instant::min();
+    unsigned ownAtReport = 0; ///< `inFlight` when the report came.
+    unsigned inFlight = 0; ///< Requests of this host that run or wait there.
+    double unreadTokens = 0; ///< Prompt tokens of those whose answer has not begun.
+    std::unordered_map<std::uint64_t, instant> keptParts; ///< Prompt parts, by last use.
+    double excessMs = 0; ///< Smoothed wait for the first byte beyond the estimate.
+    instant excessAt = instant::min();
+    upstream_health health;
+    double failureShare = 0; ///< Smoothed share of attempts that failed.
+    instant failureShareAt = instant::min();
+};
+
+/// The upstreams of one service and what was learnt about them together.
+struct service_pool
+{
+    std::map<std::string, routed_upstream, std::less<>> upstreams; ///< By id.
+    double promptTokensPerMs = 0; ///< Learnt rate at which engines read prompts.
+    double callMs = 0; ///< Smoothed time of a call, where prompts don't matter.
+    double largestPrompt = 0; ///< Mean prompt of the route with the largest ones, in tokens.
+    double sensitiveMsPerSecond = 0; ///< Reading time that gap-sensitive requests ask for.
+    instant sensitiveAt = instant::min();
+};
+
+/// Records an attempt's begin, its first byte and its end.
+void recordStart(routed_upstream &upstream, const prompt_outline &prompt, double unread,
+                 instant now);
+void recordFirstByte(service_pool &pool, routed_upstream &upstream, double unread,
+                     microseconds waited, double estimatedMs, instant now);
+void recordEnd(routed_upstream &upstream);
+
+/// Takes in a load report.
+void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now);
+
+/// Takes an attempt's outcome into the upstream's health.
+void recordOutcome(routed_upstream &upstream, bool succeeded, instant now);
+
+/// Forgets what a new start of the upstream does not share with the one before.
+void forgetRun(routed_upstream &upstream);
+
+/// Share of recent attempts that failed, with older ones counting less.
+double failureShareOf(const routed_upstream &upstream, instant now);
+
+/// Requests that run or wait at the upstream, this host's and, as last reported, others'.
+double loadOf(const routed_upstream &upstream, instant now);
+
+/// Tokens of @p prompt that the upstream is not known to keep.
+double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/upstream_membership.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "kernel/clock.h"
+#include "policy/routed_upstream.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace quincefall {
+
+/// The upstreams that the platform's store lists, as this host reads them.
+///
+/// Answers outages of the store in which entries of live upstreams lapse: an upstream that went
+/// missing around an outage stays in use until it has had the time to register again.
+struct upstream_membership
+{
+    struct listing
+    {
+        upstream_entry entry;
+        std::int64_t sequence = 0; ///< Of the entry; starts anew with `started`.
+        instant doubtfulUntil = instant::max(); ///< When a missing entry is given up.
+    };
+
+    std::map<std::string, listing, std::less<>> listings; ///< By id.
+    instant lastFailure = instant::min(); ///< Of a call to the store.
+    instant backSince = instant::min(); ///< First answer after that failure.
+};
+
+/// Takes in an entry. False when it is older than what is known and changes nothing.
+bool takeEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence);
+
+/// Takes in that an entry is missing from the store. True when the upstream is gone at once.
+bool takeMissing(upstream_membership &membership, std::string_view id, instant now);
+
+/// Takes in whether a call to the store was answered.
+void takeStoreContact(upstream_membership &membership, bool answered, instant now);
+
+/// Removes the entries whose time to register again is over; returns how many.
+std::size_t dropMissing(upstream_membership &membership, instant now);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/proxy_attempt.cpp
@@ -0,0 +1,308 @@
+#include "route/proxy_attempt.h"
+
+#include "observe/log_setup.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+// Silence after which a repeatable request is tried elsewhere, in latency targets of its route.
+// Twice the target is late for certain; an upstream that is only slow rarely takes that long.
+constexpr double silentTargets = 2.0;
+constexpr milliseconds shortestSilence{400};
+// The same between events, in pauses that the route allows.
+constexpr double silentGaps = 2.0;
+constexpr milliseconds shortestGapSilence{800};
+// An attempt that ended in silence sooner than this says nothing about its upstream.
+constexpr milliseconds tellingSilence{700};
+
+/// One attempt while it runs. The upstream is looked up by id each time, since it may leave.
+struct running_attempt
+{
+    attempt_context &context;
+    proxy_job &job;
+    upstream_entry entry;
+    placement chosen;
+    std::shared_ptr<upstream_call> call;
+    instant started;
+    bool hasFirstByte = false;
+
+    routed_upstream *upstream() const
+    {
+        const auto pool = context.state.pools.find(entry.service);
+        if (pool == context.state.pools.end())
+            return nullptr;
+        const auto row = pool->second.upstreams.find(entry.id);
+        return row == pool->second.upstreams.end() ? nullptr : &row->second;
+    }
+
+    void noteFirstByte()
+    {
+        if (hasFirstByte)
+            return;
+        hasFirstByte = true;
+        const instant now = context.clock.now();
+        if (routed_upstream *target = upstream())
+            recordFirstByte(context.state.pools[entry.service], *target, chosen.unreadTokens,
+                            now - started, chosen.estimatedMs, now);
+    }
+
+    void noteOutcome(bool succeeded, bool isFault)
+    {
+        routed_upstream *target = upstream();
+        if (!target)
+            return;
+        recordOutcome(*target, succeeded, context.clock.now());
+        if (isFault)
+            recordFailure(target->health, context.clock.now());
+    }
+
+    /// Takes a failed step into the books and tells what it means for the request.
+    attempt_end fail(const error &failure)
+    {
+        job.lastFailure = failure;
+        if (job.exchange.isGone() || failure.code == result_code::cancelled)
+            return attempt_end::callerGone;
+        const bool isDeadline = context.clock.now() >= job.deadline;
+        const bool isTelling = !isDeadline || context.clock.now() - started > tellingSilence;
+        if (isTelling)
+            noteOutcome(false, true);
+        return failure.code == result_code::upstreamUnreachable ? attempt_end::notRun
+                                                                : attempt_end::failed;
+    }
+};
+
+bool mayRunAgain(const proxy_job &job)
+{
+    return job.isRepeatable() && job.runs < job.choice.route->maxAttempts;
+}
+
+/// Whether the attempt may be given up for one at another upstream; takes it from the budget.
+bool giveUpForAnother(attempt_context &context, proxy_job &job)
+{
+    if (!mayRunAgain(job) || !context.takeFurther(job))
+        return false;
+    job.hasAttemptInHand = true;
+    return true;
+}
+
+upstream_call::message makeMessage(const running_attempt &attempt)
+{
+    const proxy_job &job = attempt.job;
+    attempt_head head;
+    head.upstreamId = attempt.entry.id;
+    head.organisation = job.choice.organisation ? job.choice.organisation->name : "";
+    head.urgency = job.urgency;
+    head.left = std::chrono::floor<milliseconds>(job.deadline - attempt.started);
+    head.resumeAfter = job.events.lastId ? job.events.lastId : job.request.resumeAfter;
+    upstream_call::message message;
+    message.head = attempt.context.wire.writeAttempt(job.request, head, job.exchange.body().size());
+    message.body = job.exchange.body();
+    message.requestId = job.request.id;
+    message.isOnce = !job.isRepeatable();
+    message.hasNoAnswerBody = job.request.method == "HEAD";
+    return message;
+}
+
+std::vector<answer_header> toAnswerHeaders(std::vector<http_header> &fields)
+{
+    std::vector<answer_header> headers;
+    headers.reserve(fields.size());
+    for (auto &[name, value] : fields)
+        headers.push_back({std::move(name), std::move(value)});
+    return headers;
+}
+
+asio::awaitable<result<std::string>> readWhole(upstream_call &call)
+{
+    std::string body;
+    while (true) {
+        const auto piece = co_await call.read();
+        if (!piece)
+            co_return tl::unexpected(piece.error());
+        if (piece->empty())
+            co_return body;
+        body.append(*piece);
+    }
+}
+
+/// Passes on an answer that is not a stream once it is whole.
+asio::awaitable<attempt_end> relayWhole(running_attempt &attempt, answer_head &head)
+{
+    auto body = co_await readWhole(*attempt.call);
+    if (!body)
+        co_return attempt.fail(body.error());
+    attempt.noteOutcome(head.status < 500, false);
+    const auto headers = toAnswerHeaders(head.passedOn);
+    co_await attempt.job.exchange.respond(head.status, headers, std::move(*body));
+    co_return attempt_end::answered;
+}
+
+asio::awaitable<bool> writeEvents(proxy_job &job, answer_head &head, const std::string &events)
+{
+    if (!job.hasBegun) {
+        job.hasBegun = true;
+        const auto headers = toAnswerHeaders(head.passedOn);
+        if (!co_await job.exchange.beginStream(head.status, headers))
+            co_return false;
+    }
+    if (events.empty())
+        co_return true;
+    const bool isWritten = co_await job.exchange.write(events);
+    co_return isWritten;
+}
+
+microseconds gapSilence(const proxy_job &job)
+{
+    const auto allowed = std::chrono::duration_cast<microseconds>(
+        job.choice.route->gapTarget * silentGaps);
+    return std::max<microseconds>(allowed, shortestGapSilence);
+}
+
+/// Passes on whole events as they come.
+asio::awaitable<attempt_end> relayStream(running_attempt &attempt, answer_head &head)
+{
+    proxy_job &job = attempt.job;
+    job.events.pending.clear();
+    while (true) {
+        const auto piece = co_await attempt.call->read();
+        if (!piece)
+            co_return attempt.fail(piece.error());
+        if (piece->empty())
+            break;
+        const std::string events = takeEvents(job.events, *piece);
+        if (events.empty())
+            continue;
+        if (!job.hasBegun && job.isRepeatable())
+            attempt.call->watchSilence(gapSilence(job), [&context = attempt.context, &job] {
+                return giveUpForAnother(context, job);
+            });
+        if (!co_await writeEvents(job, head, events))
+            co_return attempt_end::callerGone;
+    }
+    attempt.noteOutcome(true, false);
+    const std::string rest = std::move(job.events.pending);
+    if (!co_await writeEvents(job, head, rest))
+        co_return attempt_end::callerGone;
+    const bool isEnded = co_await job.exchange.endStream();
+    co_return isEnded ? attempt_end::answered : attempt_end::callerGone;
+}
+
+asio::awaitable<attempt_end> rejectAttempt(running_attempt &attempt, const answer_head &head)
+{
+    // Read to its end, so that the connection can be used again.
+    const auto dropped = co_await readWhole(*attempt.call);
+    attempt.job.lastFailure = error{result_code::overloaded,
+                                    "upstream " + attempt.entry.id + " answered "
+                                        + std::to_string(head.status) + " without running it"};
+    if (head.isOtherUpstream || !dropped)
+        attempt.noteOutcome(false, true);
+    co_return attempt_end::notRun;
+}
+
+asio::awaitable<attempt_end> takeAnswer(running_attempt &attempt, answer_head &head)
+{
+    proxy_job &job = attempt.job;
+    if (head.load) {
+        if (routed_upstream *target = attempt.upstream())
+            recordLoad(*target, *head.load, attempt.context.clock.now());
+    }
+    if (head.wasNotRun || head.isOtherUpstream)
+        co_return co_await rejectAttempt(attempt, head);
+    const bool isSuccess = head.status >= 200 && head.status < 300;
+    if (isSuccess && !head.isStamped)
+        co_return attempt.fail({result_code::upstreamFailed, "answer without the upstream's mark"});
+    if (head.status >= 500 && giveUpForAnother(attempt.context, job)) {
+        const auto dropped = co_await readWhole(*attempt.call);
+        attempt.noteOutcome(false, !dropped);
+        job.lastFailure
+            = error{result_code::upstreamFailed, "status " + std::to_string(head.status)};
+        co_return attempt_end::failed;
+    }
+    if (job.hasBegun && !isSuccess)
+        co_return attempt.fail({result_code::upstreamFailed, "the stream could not be resumed"});
+    if (isSuccess && job.choice.route->isStream)
+        co_return co_await relayStream(attempt, head);
+    co_return co_await relayWhole(attempt, head);
+}
+
+microseconds firstByteSilence(const proxy_job &job)
+{
+    const auto allowed = std::chrono::duration_cast<microseconds>(
+        job.choice.route->targetLatency * silentTargets);
+    return std::max<microseconds>(allowed, shortestSilence);
+}
+
+asio::awaitable<attempt_end> sendAndRelay(running_attempt &attempt)
+{
+    proxy_job &job = attempt.job;
+    if (job.isRepeatable())
+        attempt.call->watchSilence(
+            firstByteSilence(job),
+            [&context = attempt.context, &job] { return giveUpForAnother(context, job); });
+    auto message = makeMessage(attempt);
+    auto head
+        = co_await attempt.call->begin(std::move(message), attempt.context.wire, job.deadline);
+    if (!head)
+        co_return attempt.fail(head.error());
+    attempt.noteFirstByte();
+    co_return co_await takeAnswer(attempt, *head);
+}
+
+void logAttempt(const running_attempt &attempt, attempt_end end)
+{
+    const auto took = attempt.context.clock.now() - attempt.started;
+    std::string &log = attempt.job.attemptLog;
+    log += log.empty() ? "" : ",";
+    log += attempt.entry.id + ":" + std::string(attempt.chosen.reason) + ":"
+        + std::to_string(std::lround(attempt.chosen.estimatedMs)) + "ms:"
+        + std::to_string(std::lround(toMilliseconds(took))) + "ms:" + std::string(toString(end));
+}
+
+} // namespace
+
+std::string_view toString(attempt_end end)
+{
+    switch (end) {
+    case attempt_end::answered:
+        return "answered";
+    case attempt_end::broken:
+        return "broken";
+    case attempt_end::notRun:
+        return "not-run";
+    case attempt_end::failed:
+        return "failed";
+    case attempt_end::callerGone:
+        break;
+    }
+    return "caller-gone";
+}
+
+asio::awaitable<attempt_end> runAttempt(attempt_context &context, proxy_job &job, placement chosen)
+{
+    running_attempt attempt{context, job, chosen.upstream->listed, chosen, nullptr,
+                            context.clock.now()};
+    recordStart(*chosen.upstream, job.request.prompt, chosen.unreadTokens, attempt.started);
+    attempt.call = context.connections.makeCall(attempt.entry.address);
+    job.exchange.setGoneListener([call = attempt.call] { call->cancel(); });
+    attempt_end end = co_await sendAndRelay(attempt);
+    job.exchange.setGoneListener(nullptr);
+    attempt.call->finish();
+    if (!attempt.hasFirstByte)
+        if (routed_upstream *target = attempt.upstream())
+            target->unreadTokens = std::max(0.0, target->unreadTokens - chosen.unreadTokens);
+    if (routed_upstream *target = attempt.upstream())
+        recordEnd(*target);
+    const bool isUnreachable
+        = job.lastFailure && job.lastFailure->code == result_code::upstreamUnreachable;
+    job.sends += end == attempt_end::notRun && isUnreachable ? 0 : 1;
+    job.runs += end == attempt_end::notRun ? 0 : 1;
+    logAttempt(attempt, end);
+    co_return end;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/route_process.cpp
@@ -0,0 +1,256 @@
+#include "route/route_process.h"
+
+#include "kernel/asio_headers.h"
+#include "kernel/kernel.h"
+#include "observe/log_setup.h"
+#include "observe/metrics.h"
+#include "route/feed.h"
+#include "route/proxy_service.h"
+#include "route/routing_state.h"
+#include "route/upstream_call.h"
+#include "serve/http_server.h"
+
+#include <algorithm>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+// Reads of the upstreams within the time that a leaving one allows.
+constexpr int readsPerLeaveTime = 2;
+constexpr milliseconds shortestReadInterval{200};
+// The balancer asks once a second and takes a host out after two misses.
+constexpr milliseconds leaveBalancer{2'600};
+// Time left for the process itself to end before it is killed.
+constexpr milliseconds endReserve{400};
+constexpr milliseconds stopPoll{50};
+constexpr int statusReady = 200;
+constexpr int statusNotReady = 503;
+
+feed::options feedOptions(const route_settings &values)
+{
+    feed::options options;
+    options.upstreamInterval
+        = std::max(shortestReadInterval, values.leaveTime / (readsPerLeaveTime + 1) + milliseconds(150));
+    options.desiredWait = values.applyTime;
+    return options;
+}
+
+proxy_service::options proxyOptions(const route_settings &values)
+{
+    proxy_service::options options;
+    options.site.failureDomain = values.failureDomain;
+    options.site.region = values.region;
+    options.budget.ratio = values.furtherAttemptRatio;
+    options.budget.slack = values.furtherAttemptSlack;
+    options.budget.window = seconds(values.furtherAttemptWindowSeconds);
+    return options;
+}
+
+http_server::options serverOptions(const host_address &listen, const caller_limits &limits,
+                                   const route_settings &values)
+{
+    http_server::options options;
+    options.listen = listen;
+    options.maxConnections = values.maxConnections;
+    options.maxHeaderBytes = limits.maxHeaderBytes;
+    options.maxBodyBytes = limits.maxBodyBytes;
+    options.headerTimeout = limits.headerTimeout;
+    options.requestTimeout = limits.idleTimeout;
+    options.idleTimeout = limits.idleTimeout;
+    return options;
+}
+
+} // namespace
+
+struct route_process::state
+{
+    state(asio::io_context &io, route_settings settings)
+        : context(io)
+        , values(std::move(settings))
+        , clock(makeSystemClock())
+        , services(kernel::makeKernel())
+    {
+    }
+
+    asio::io_context &context;
+    route_settings values;
+    clock_source clock;
+    routing_state routing;
+    std::unique_ptr<metrics> numbers = metrics::makeMetrics();
+    std::unique_ptr<upstream_connections> connections;
+    std::unique_ptr<kernel> services;
+    bool isStopping = false;
+
+    result<void> addServer(const char *name, const host_address &listen,
+                           http_server::handler function)
+    {
+        auto made = http_server::makeHttpServer(context, serverOptions(listen, {}, values),
+                                                std::move(function));
+        if (!made)
+            return tl::unexpected(made.error());
+        http_server &server = **made;
+        services->add(name, std::shared_ptr<http_server>(std::move(*made)),
+                      {{}, [&server] { server.stop(); }});
+        return {};
+    }
+
+    asio::awaitable<void> answerReady(http_exchange &exchange) const
+    {
+        const bool isReady = routing.isReady() && !isStopping;
+        co_await exchange.respond(isReady ? statusReady : statusNotReady, {}, "");
+    }
+
+    asio::awaitable<void> answerPeer(http_exchange &exchange) const
+    {
+        if (exchange.path() != "/metrics") {
+            co_await exchange.respond(resultInfo(result_code::notFound).httpStatus, {}, "");
+            co_return;
+        }
+        const std::vector<answer_header> headers{{"Content-Type", "text/plain; version=0.0.4"}};
+        std::string text = numbers->render();
+        co_await exchange.respond(statusReady, headers, std::move(text));
+    }
+
+    result<void> addServers()
+    {
+        auto &proxy = services->find<proxy_service>("route.proxy");
+        auto added = addServer("route.callers", values.callerListen,
+                               [&proxy](http_exchange &exchange) { return proxy.handle(exchange); });
+        if (added)
+            added = addServer("route.ready", values.readyListen, [this](http_exchange &exchange) {
+                return answerReady(exchange);
+            });
+        if (added)
+            added = addServer("route.peers", values.peerListen, [this](http_exchange &exchange) {
+                return answerPeer(exchange);
+            });
+        return added;
+    }
+
+    void addFeed(state_source source)
+    {
+        std::shared_ptr<feed> reader = feed::makeFeed(context, routing, std::move(source),
+                                                      feedOptions(values), clock);
+        reader->onChange([this] { applyLimits(); });
+        reader->onGone([this](const host_address &address) { connections->forget(address); });
+        feed &added = *reader;
+        services->add("route.feed", std::move(reader),
+                      {[&added]() -> result<void> {
+                           added.start();
+                           return {};
+                       },
+                       [&added] { added.stop(); }});
+    }
+
+    void applyLimits()
+    {
+        if (!routing.desired)
+            return;
+        services->find<http_server>("route.callers")
+            .setLimits(serverOptions(values.callerListen, routing.desired->limits, values));
+    }
+
+    void addMetrics()
+    {
+        numbers->addReadValue({"quincefall_upstream_connections_opened_total", "counter",
+                               "Connections opened to upstreams.", "",
+                               [this] { return double(connections->counts().opened); }});
+        numbers->addReadValue({"quincefall_upstream_connections_reused_total", "counter",
+                               "Requests sent on a connection that was open.", "",
+                               [this] { return double(connections->counts().reused); }});
+        numbers->addReadValue(
+            {"quincefall_desired_version", "gauge", "Version of the desired state in force.", "",
+             [this] { return routing.desired ? double(routing.desired->version) : 0.0; }});
+        numbers->addReadValue({"process_cpu_seconds_total", "counter",
+                               "Processor time of the process in user and kernel mode.", "",
+                               processCpuSeconds});
+        numbers->addReadValue({"process_resident_memory_bytes", "gauge",
+                               "Resident memory of the process.", "", processResidentBytes});
+    }
+
+    result<void> start(state_source source, wire_format wire)
+    {
+        connections = upstream_connections::makeUpstreamConnections(context);
+        addMetrics();
+        services->add<proxy_service>(
+            "route.proxy",
+            proxy_service::makeProxyService(context, routing, std::move(wire), *connections,
+                                            *numbers, clock, proxyOptions(values)));
+        if (auto added = addServers(); !added)
+            return added;
+        addFeed(std::move(source));
+        return services->start();
+    }
+
+    static asio::awaitable<void> drain(std::shared_ptr<state> self, std::function<void()> done)
+    {
+        auto &server = self->services->find<http_server>("route.callers");
+        const instant started = self->clock.now();
+        const instant end = started + self->values.stopTime - endReserve;
+        // New connections still come until the balancer has seen that the host is not ready.
+        server.announceClose();
+        asio::steady_timer pause(self->context, leaveBalancer);
+        co_await pause.async_wait(asTuple);
+        server.stopAccepting();
+        while (server.openConnections() > 0 && self->clock.now() < end) {
+            pause.expires_after(stopPoll);
+            co_await pause.async_wait(asTuple);
+        }
+        logInfo("host stopped",
+                {{"host", self->values.hostName},
+                 {"active", std::to_string(server.activeExchanges())},
+                 {"took_ms",
+                  std::to_string(std::lround(toMilliseconds(self->clock.now() - started)))}});
+        self->services->stop();
+        done();
+    }
+};
+
+result<std::unique_ptr<route_process>>
+route_process::makeRouteProcess(asio::io_context &context, route_settings values,
+                                state_source source, wire_format wire)
+{
+    auto shared = std::make_shared<state>(context, std::move(values));
+    if (auto started = shared->start(std::move(source), std::move(wire)); !started)
+        return tl::unexpected(started.error());
+    logInfo("host started",
+            {{"host", shared->values.hostName},
+             {"region", shared->values.region},
+             {"failure_domain", shared->values.failureDomain},
+             {"callers", toString(shared->values.callerListen)},
+             {"store", toString(shared->values.store)}});
+    return std::unique_ptr<route_process>(new route_process(std::move(shared)));
+}
+
+route_process::route_process(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+route_process::~route_process()
+{
+    m_state->services->stop();
+}
+
+void route_process::reload(const route_settings &values)
+{
+    m_state->values.stopTime = values.stopTime;
+    m_state->values.maxConnections = values.maxConnections;
+    m_state->applyLimits();
+    logInfo("settings reloaded", {{"host", values.hostName}});
+}
+
+void route_process::stopGracefully(std::function<void()> done)
+{
+    if (m_state->isStopping)
+        return;
+    m_state->isStopping = true;
+    logInfo("host stopping", {{"host", m_state->values.hostName}});
+    asio::co_spawn(m_state->context, state::drain(m_state, std::move(done)), asio::detached);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/route_settings.cpp
@@ -0,0 +1,89 @@
+#include "route/route_settings.h"
+
+#include <array>
+
+namespace quincefall {
+namespace {
+
+void readHost(section_reader &root, route_settings &values)
+{
+    section_reader host = root.section("host", true);
+    host.text("name", values.hostName, true);
+    host.text("region", values.region, true);
+    host.text("failure_domain", values.failureDomain, true);
+    host.rejectUnknown();
+}
+
+void readListen(section_reader &root, route_settings &values)
+{
+    section_reader listen = root.section("listen", true);
+    listen.address("caller", values.callerListen);
+    listen.address("ready", values.readyListen);
+    listen.address("peer", values.peerListen);
+    listen.rejectUnknown();
+}
+
+void readFleet(section_reader &root, route_settings &values)
+{
+    section_reader fleet = root.section("fleet", true);
+    fleet.address("store", values.store);
+    fleet.addresses("seeds", values.seeds);
+    fleet.each("failure_domains", [&values](section_reader &item) {
+        std::string name;
+        std::string region;
+        item.text("name", name, true);
+        item.text("region", region, true);
+        values.regions[name] = region;
+    });
+    fleet.rejectUnknown();
+}
+
+void readLog(section_reader &root, route_settings &values)
+{
+    static constexpr std::array<std::string_view, 5> levels{"trace", "debug", "info", "warn",
+                                                            "error"};
+    section_reader log = root.section("log", false);
+    log.text("target", values.logTarget, false);
+    log.choice("level", values.logLevel, levels);
+    log.rejectUnknown();
+}
+
+void readBounds(section_reader &root, route_settings &values)
+{
+    section_reader bounds = root.section("bounds", false);
+    bounds.number("max_connections", values.maxConnections, 1, 1'000'000);
+    bounds.number("leave_ms", values.leaveTime, 100, 600'000);
+    bounds.number("apply_ms", values.applyTime, 100, 600'000);
+    bounds.number("stop_ms", values.stopTime, 100, 600'000);
+    bounds.fraction("further_attempt_ratio", values.furtherAttemptRatio, 0, 10);
+    bounds.fraction("further_attempt_slack", values.furtherAttemptSlack, 0, 1e6);
+    bounds.number("further_attempt_window_s", values.furtherAttemptWindowSeconds, 1, 3'600);
+    bounds.rejectUnknown();
+}
+
+} // namespace
+
+route_settings_reading readRouteSettings(std::string_view yaml)
+{
+    route_settings_reading reading;
+    reading.mistakes = readYaml(yaml, [&reading](section_reader &root) {
+        readHost(root, reading.values);
+        readListen(root, reading.values);
+        readFleet(root, reading.values);
+        readLog(root, reading.values);
+        readBounds(root, reading.values);
+    });
+    return reading;
+}
+
+route_settings_reading readRouteSettingsFile(const std::string &path)
+{
+    const auto text = readTextFile(path);
+    if (text)
+        return readRouteSettings(*text);
+    route_settings_reading reading;
+    reading.mistakes.push_back({0, "", "a readable file"});
+    return reading;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/route_settings.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/clock.h"
+#include "operate/section_reader.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quincefall {
+
+/// Settings of one `quincefall route` process, read from a YAML file.
+struct route_settings
+{
+    std::string hostName;
+    std::string region;
+    std::string failureDomain;
+
+    host_address callerListen;
+    host_address readyListen;
+    host_address peerListen; ///< Other hosts and the metrics reader.
+
+    host_address store;
+    std::map<std::string, std::string> regions; ///< Region of each failure domain.
+    std::vector<host_address> seeds; ///< Peer addresses of some hosts.
+
+    std::string logTarget = "stdout"; ///< "stdout", "stderr" or a file path.
+    std::string logLevel = "info";
+
+    std::uint32_t maxConnections = 3'000;
+    milliseconds leaveTime{2'500}; ///< From a leaving upstream's entry to its last new request.
+    milliseconds applyTime{2'500}; ///< From a desired state's acceptance to its effect.
+    milliseconds stopTime{8'000}; ///< From SIGTERM to the end of the process.
+    double furtherAttemptRatio = 0.2; ///< Attempts beyond the first, for each request.
+    double furtherAttemptSlack = 50; ///< The same on top, in each window.
+    std::uint32_t furtherAttemptWindowSeconds = 10;
+};
+
+/// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
+struct route_settings_reading
+{
+    route_settings values;
+    std::vector<settings_mistake> mistakes;
+};
+
+/// Checks @p yaml against the schema and reports all mistakes at once.
+route_settings_reading readRouteSettings(std::string_view yaml);
+
+/// Reads the file at @p path; an unreadable file is one mistake.
+route_settings_reading readRouteSettingsFile(const std::string &path);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/routing_state.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "kernel/clock.h"
+#include "policy/attempt_budget.h"
+#include "policy/desired_state.h"
+#include "policy/routed_upstream.h"
+#include "policy/upstream_membership.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace quincefall {
+
+/// What a host routes by: the desired state, the upstreams, and what it learnt of them.
+struct routing_state
+{
+    std::shared_ptr<const desired_state> desired; ///< Null until the first was read.
+    std::string desiredText; ///< As the operator wrote it.
+    instant desiredContact = instant::min(); ///< When it was last known to be the newest.
+    upstream_membership membership;
+    instant upstreamContact = instant::min(); ///< When the list was last known to be whole.
+    std::map<std::string, service_pool, std::less<>> pools; ///< By service.
+    std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
+    unsigned hosts = 1; ///< Hosts of the fleet, this one included.
+
+    bool isReady() const { return desired != nullptr && upstreamContact != instant::min(); }
+};
+
+/// Takes a desired state into force unless it is older than the one in force.
+bool takeDesired(routing_state &state, desired_state desired, std::string text, instant now);
+
+/// Brings the pools in line with the membership; learnt facts of upstreams that stay are kept.
+/// Calls @p onGone with the address of each upstream that left or was replaced.
+void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/state_source.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "kernel/result.h"
+#include "policy/desired_state.h"
+#include "policy/routed_upstream.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quincefall {
+
+/// What changed about one upstream.
+struct upstream_change
+{
+    std::string id;
+    std::optional<upstream_entry> entry; ///< Empty when the platform lists it no more.
+    std::int64_t sequence = 0;
+};
+
+/// A part of the list of upstreams.
+struct upstream_page
+{
+    std::vector<upstream_change> changes;
+    std::uint64_t next = 0; ///< Where to go on.
+    bool isSnapshot = false; ///< Upstreams without a change here are not listed.
+};
+
+/// A part of the series of desired states.
+struct desired_page
+{
+    std::optional<desired_state> newest; ///< Empty when there is none newer.
+    std::string text; ///< Of `newest` as the operator wrote it, for other hosts.
+    std::uint64_t next = 0; ///< Where to go on.
+};
+
+/// Reads desired state and upstreams from the platform. Without a place to go on from, the calls
+/// read all there is now; with one, what came since. They fail with logTruncated when that is no
+/// longer kept, and with logUnavailable when the platform does not answer.
+struct state_source
+{
+    std::function<boost::asio::awaitable<result<desired_page>>(std::optional<std::uint64_t> from,
+                                                               milliseconds wait)>
+        desired;
+    std::function<boost::asio::awaitable<result<upstream_page>>(std::optional<std::uint64_t> from)>
+        upstreams;
+    std::function<result<desired_state>(const std::string &text)> decodeDesired;
+};
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/upstream_call.cpp
@@ -0,0 +1,429 @@
+#include "route/upstream_call.h"
+
+#include "kernel/asio_headers.h"
+
+#include <netinet/tcp.h>
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using answer_parser = http::response_parser<http::buffer_body>;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+constexpr milliseconds connectTimeout{400}; // A lost opening packet is sent again after a second.
+constexpr milliseconds unacknowledgedTimeout{800}; // Several round trips between regions.
+constexpr int probeIdleSeconds = 1; // Keep-alive probes of connections without traffic.
+constexpr int probeCount = 2;
+constexpr milliseconds defaultKeepAlive{2'000}; // Where an upstream does not say.
+constexpr double keepAliveShare = 0.7; // Of the upstream's limit; its answer was on its way too.
+constexpr double keepAliveShareOnce = 0.35; // For calls that may not be repeated.
+constexpr std::size_t idlePerUpstream = 24;
+constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr std::uint64_t largestAnswer = 64ULL * 1024 * 1024;
+
+/// An open connection and what may be assumed of it.
+struct upstream_connection
+{
+    explicit upstream_connection(asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    tcp::socket socket;
+    instant idleSince{};
+    milliseconds keepAlive = defaultKeepAlive;
+};
+
+using connection_ptr = std::unique_ptr<upstream_connection>;
+
+instant steadyNow()
+{
+    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
+}
+
+struct address_hash
+{
+    std::size_t operator()(const host_address &address) const
+    {
+        return std::hash<std::string>()(address.ip) ^ (std::size_t(address.port) << 16U);
+    }
+};
+
+/// Input on an idle connection is its end, or bytes that belong to no request.
+bool hasInput(tcp::socket &socket)
+{
+    boost::system::error_code code;
+    std::array<char, 1> byte{};
+    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
+    return size > 0 || code != asio::error::would_block;
+}
+
+void setOptions(tcp::socket &socket)
+{
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using probe_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using probe_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    boost::system::error_code ignored; // The options only speed up the discovery of dead paths.
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(user_timeout(int(unacknowledgedTimeout.count())), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(probe_idle(probeIdleSeconds), ignored);
+    socket.set_option(probe_interval(probeIdleSeconds), ignored);
+    socket.set_option(probes(probeCount), ignored);
+    socket.non_blocking(true, ignored);
+}
+
+std::vector<http_header> fieldsOf(const answer_parser &parser)
+{
+    std::vector<http_header> fields;
+    for (const auto &field : parser.get())
+        fields.emplace_back(field.name_string(), field.value());
+    return fields;
+}
+
+} // namespace
+
+struct upstream_connections::state
+{
+    explicit state(asio::io_context &io)
+        : context(io)
+    {
+    }
+
+    asio::io_context &context;
+    std::unordered_map<host_address, std::deque<connection_ptr>, address_hash> idle;
+    upstream_connection_counts numbers;
+
+    connection_ptr takeIdle(const host_address &address, bool isOnce)
+    {
+        const auto found = idle.find(address);
+        if (found == idle.end())
+            return nullptr;
+        auto &kept = found->second;
+        const double share = isOnce ? keepAliveShareOnce : keepAliveShare;
+        while (!kept.empty()) {
+            connection_ptr candidate = std::move(kept.back());
+            kept.pop_back();
+            const double idleMs = toMilliseconds(steadyNow() - candidate->idleSince);
+            const bool isFresh = idleMs < share * double(candidate->keepAlive.count());
+            if (isFresh && !hasInput(candidate->socket))
+                return candidate;
+            if (!isFresh && isOnce && idleMs < keepAliveShare * double(candidate->keepAlive.count())) {
+                kept.push_back(std::move(candidate));
+                return nullptr;
+            }
+        }
+        return nullptr;
+    }
+
+    void putIdle(const host_address &address, connection_ptr used)
+    {
+        auto &kept = idle[address];
+        used->idleSince = steadyNow();
+        // The oldest are dropped, since the newest are reused first.
+        while (!kept.empty()
+               && (kept.size() >= idlePerUpstream
+                   || steadyNow() - kept.front()->idleSince > kept.front()->keepAlive))
+            kept.pop_front();
+        kept.push_back(std::move(used));
+    }
+};
+
+struct upstream_call::state
+{
+    state(std::shared_ptr<upstream_connections::state> shared, host_address target)
+        : owner(std::move(shared))
+        , address(std::move(target))
+        , timer(owner->context)
+    {
+    }
+
+    std::shared_ptr<upstream_connections::state> owner;
+    host_address address;
+    connection_ptr connection;
+    asio::steady_timer timer;
+    std::optional<answer_parser> parser;
+    beast::flat_buffer buffer;
+    std::array<char, readBufferBytes> piece{};
+    message request;
+    milliseconds keepAlive = defaultKeepAlive;
+    instant deadline = instant::max();
+    instant lastByte{};
+    microseconds silence{0};
+    std::function<bool()> mayGiveUp;
+    bool isWriting = false;
+    bool isTimedOut = false;
+    bool isCancelled = false;
+    bool isOver = false;
+
+    instant silenceEnd() const
+    {
+        return mayGiveUp ? lastByte + silence : instant::max();
+    }
+
+    void cut()
+    {
+        boost::system::error_code ignored;
+        if (connection)
+            connection->socket.close(ignored);
+    }
+
+    /// Checks deadline and silence when the earlier of them is due, and waits again.
+    void arm(const std::shared_ptr<upstream_call> &call)
+    {
+        timer.expires_at(std::min(deadline, silenceEnd()));
+        timer.async_wait([weak = std::weak_ptr(call)](const boost::system::error_code &code) {
+            const auto alive = weak.lock();
+            if (code || !alive || alive->m_state->isOver)
+                return;
+            alive->m_state->checkTime(alive);
+        });
+    }
+
+    void checkTime(const std::shared_ptr<upstream_call> &call)
+    {
+        const instant now = steadyNow();
+        bool isUp = now >= deadline;
+        if (!isUp && now >= silenceEnd()) {
+            isUp = mayGiveUp();
+            mayGiveUp = nullptr;
+        }
+        if (isUp) {
+            isTimedOut = true;
+            cut();
+            return;
+        }
+        arm(call);
+    }
+
+    tl::unexpected<error> failure(const boost::system::error_code &code, result_code kind) const
+    {
+        if (isCancelled)
+            return makeError(result_code::cancelled, "the call was cancelled");
+        if (isTimedOut && kind == result_code::upstreamFailed)
+            kind = result_code::upstreamTimeout;
+        return makeError(kind,
+                         toString(address) + ": " + (isTimedOut ? "timed out" : code.message()));
+    }
+
+    asio::awaitable<boost::system::error_code> connect()
+    {
+        boost::system::error_code failed;
+        const auto ip = asio::ip::make_address(address.ip, failed);
+        if (failed)
+            co_return failed;
+        connection = std::make_unique<upstream_connection>(owner->context);
+        const tcp::endpoint endpoint(ip, address.port);
+        asio::steady_timer limit(owner->context, connectTimeout);
+        limit.async_wait([this, &limit](const boost::system::error_code &code) {
+            if (!code && limit.expiry() <= asio::steady_timer::clock_type::now())
+                cut();
+        });
+        const auto [code] = co_await connection->socket.async_connect(endpoint, asTuple);
+        limit.cancel();
+        if (!code) {
+            setOptions(connection->socket);
+            ++owner->numbers.opened;
+        }
+        co_return code;
+    }
+
+    /// Sends in the background, since an upstream may answer before it has read the whole body.
+    void startWriting(const std::shared_ptr<upstream_call> &call)
+    {
+        isWriting = true;
+        const std::array<asio::const_buffer, 2> parts{asio::buffer(request.head),
+                                                      asio::buffer(request.body)};
+        asio::async_write(connection->socket, parts,
+                          [call](const boost::system::error_code &code, std::size_t) {
+                              if (!code)
+                                  call->m_state->isWriting = false;
+                          });
+    }
+
+    /// Reads heads until one answers this request: late answers to earlier requests on the
+    /// connection and interim answers are dropped.
+    asio::awaitable<result<answer_head>> readHead(const wire_format &wire)
+    {
+        while (true) {
+            parser.emplace();
+            parser->body_limit(largestAnswer);
+            parser->skip(request.hasNoAnswerBody);
+            const auto [code, size] = co_await http::async_read_header(connection->socket, buffer,
+                                                                       *parser, asTuple);
+            if (code)
+                co_return failure(code, result_code::upstreamFailed);
+            lastByte = steadyNow();
+            const int status = int(parser->get().result_int());
+            const auto fields = fieldsOf(*parser);
+            answer_head head = wire.readAnswer(status, fields);
+            const bool isInterim = status < 200;
+            const bool isOthers = !head.requestId.empty() && head.requestId != request.requestId;
+            if (!isInterim && !isOthers) {
+                keepAlive = head.keepAlive.value_or(defaultKeepAlive);
+                co_return head;
+            }
+            if (auto dropped = co_await dropBody(); !dropped)
+                co_return tl::unexpected(dropped.error());
+        }
+    }
+
+    asio::awaitable<result<void>> dropBody()
+    {
+        while (true) {
+            const auto bytes = co_await readPiece();
+            if (!bytes)
+                co_return tl::unexpected(bytes.error());
+            if (bytes->empty())
+                co_return result<void>();
+        }
+    }
+
+    /// Adds chunks that were received already, so that many small ones cost one turn of the loop.
+    void parseBuffered()
+    {
+        boost::system::error_code code;
+        while (!code && !parser->is_done() && buffer.size() > 0
+               && parser->get().body().size > 0) {
+            const std::size_t used = parser->put(buffer.data(), code);
+            buffer.consume(used);
+        }
+    }
+
+    asio::awaitable<result<std::string_view>> readPiece()
+    {
+        while (!parser->is_done()) {
+            auto &body = parser->get().body();
+            body.data = piece.data();
+            body.size = piece.size();
+            body.more = true;
+            const auto [code, size]
+                = co_await http::async_read_some(connection->socket, buffer, *parser, asTuple);
+            if (code && code != http::error::need_buffer)
+                co_return failure(code, result_code::upstreamFailed);
+            lastByte = steadyNow();
+            parseBuffered();
+            const std::size_t filled = piece.size() - body.size;
+            if (filled > 0)
+                co_return std::string_view(piece.data(), filled);
+        }
+        co_return std::string_view();
+    }
+
+    bool isReusable() const
+    {
+        return connection && !isCancelled && !isTimedOut && !isWriting && parser
+            && parser->is_done() && parser->keep_alive() && !parser->need_eof()
+            && buffer.size() == 0 && connection->socket.is_open();
+    }
+};
+
+std::unique_ptr<upstream_connections>
+upstream_connections::makeUpstreamConnections(asio::io_context &context)
+{
+    return std::unique_ptr<upstream_connections>(
+        new upstream_connections(std::make_shared<state>(context)));
+}
+
+upstream_connections::upstream_connections(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+upstream_connections::~upstream_connections() = default;
+
+std::shared_ptr<upstream_call> upstream_connections::makeCall(const host_address &address)
+{
+    return std::shared_ptr<upstream_call>(
+        new upstream_call(std::make_unique<upstream_call::state>(m_state, address)));
+}
+
+void upstream_connections::forget(const host_address &address)
+{
+    m_state->idle.erase(address);
+}
+
+upstream_connection_counts upstream_connections::counts() const
+{
+    upstream_connection_counts numbers = m_state->numbers;
+    for (const auto &[address, kept] : m_state->idle)
+        numbers.idle += kept.size();
+    return numbers;
+}
+
+upstream_call::upstream_call(std::unique_ptr<state> owned)
+    : m_state(std::move(owned))
+{
+}
+
+upstream_call::~upstream_call()
+{
+    m_state->isOver = true;
+    m_state->timer.cancel();
+    if (!m_state->isReusable())
+        return;
+    m_state->connection->keepAlive = m_state->keepAlive;
+    m_state->owner->putIdle(m_state->address, std::move(m_state->connection));
+}
+
+asio::awaitable<result<answer_head>> upstream_call::begin(message request, const wire_format &wire,
+                                                          instant deadline)
+{
+    state &self = *m_state;
+    const auto keep = shared_from_this();
+    self.request = std::move(request);
+    self.deadline = deadline;
+    self.lastByte = steadyNow();
+    self.connection = self.owner->takeIdle(self.address, self.request.isOnce);
+    if (self.connection) {
+        ++self.owner->numbers.reused;
+    } else {
+        const auto code = co_await self.connect();
+        if (code || self.isCancelled)
+            co_return self.failure(code, result_code::upstreamUnreachable);
+    }
+    self.lastByte = steadyNow();
+    self.arm(keep);
+    self.startWriting(keep);
+    auto head = co_await self.readHead(wire);
+    co_return head;
+}
+
+asio::awaitable<result<std::string_view>> upstream_call::read()
+{
+    const auto keep = shared_from_this();
+    auto piece = co_await m_state->readPiece();
+    co_return piece;
+}
+
+void upstream_call::watchSilence(microseconds silence, std::function<bool()> mayGiveUp)
+{
+    m_state->silence = silence;
+    m_state->mayGiveUp = std::move(mayGiveUp);
+    m_state->lastByte = steadyNow();
+    m_state->arm(shared_from_this());
+}
+
+void upstream_call::cancel()
+{
+    m_state->isCancelled = true;
+    m_state->cut();
+}
+
+void upstream_call::finish()
+{
+    if (m_state->isWriting)
+        m_state->cut();
+}
+
+} // namespace quincefall
--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -4,7 +4,7 @@
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "operate/config_service.h"
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 #include "policy/retry_budget.h"
 #include "policy/stream_watch.h"
 #include "serve/answer_metrics.h"
--- a/src/serve/claim_service.cpp
+++ b/src/serve/claim_service.cpp
@@ -4,7 +4,7 @@
 #include "kernel/async_signal.h"
 #include "observe/timeline.h"
 #include "peer/peer_mesh.h"
-#include "platform/log_follower.h"
+#include "clients/log_follower.h"
 #include "serve/caller_directory.h"
 
 #include <set>
--- a/src/serve/engine_attempt.cpp
+++ b/src/serve/engine_attempt.cpp
@@ -1,7 +1,7 @@
 #include "serve/engine_attempt.h"
 
 #include "kernel/asio_headers.h"
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 namespace quincefall {
 namespace {
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -38,7 +38,9 @@
 
 result_code parseFailureCode(const boost::system::error_code &code)
 {
-    if (code == http::error::body_limit || code == http::error::header_limit)
+    if (code == http::error::header_limit)
+        return result_code::headerTooLarge;
+    if (code == http::error::body_limit)
         return result_code::requestTooLarge;
     if (code == beast::error::timeout)
         return result_code::callerTimeout;
@@ -99,7 +101,7 @@
     void prepare(http::response<body_type> &answer, std::span<const answer_header> headers)
     {
         for (const answer_header &header : headers)
-            answer.set(header.name, header.value);
+            answer.insert(header.name, header.value);
         keepAlive = request.keep_alive() && !core->isClosing;
         answer.keep_alive(keepAlive);
         hasBegun = true;
@@ -145,6 +147,13 @@
     return m_state->request[name];
 }
 
+void http_exchange::eachHeader(
+    const std::function<void(std::string_view, std::string_view)> &function) const
+{
+    for (const auto &field : m_state->request)
+        function(field.name_string(), field.value());
+}
+
 const std::string &http_exchange::body() const
 {
     return m_state->request.body();
@@ -232,6 +241,7 @@
     static asio::awaitable<void> accept(std::shared_ptr<state> self);
     static asio::awaitable<void> closeIdle(std::shared_ptr<state> self);
     void acceptQueued();
+    void cancelIdle();
     void startServing(tcp::socket socket);
     static asio::awaitable<void> serve(core_ptr core, tcp::socket socket);
     static asio::awaitable<bool> serveOne(core_ptr core, beast::tcp_stream &stream,
@@ -277,8 +287,12 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(core->settings.maxHeaderBytes);
     parser.body_limit(core->settings.maxBodyBytes);
-    stream.expires_after(core->settings.requestTimeout);
-    const auto [code, size] = co_await http::async_read(stream, buffer, parser, asTuple);
+    stream.expires_after(core->settings.headerTimeout);
+    auto [code, size] = co_await http::async_read_header(stream, buffer, parser, asTuple);
+    if (!code) {
+        stream.expires_after(core->settings.requestTimeout);
+        std::tie(code, size) = co_await http::async_read(stream, buffer, parser, asTuple);
+    }
     if (code == http::error::end_of_stream || code == asio::error::connection_reset)
         co_return false;
     if (code) {
@@ -370,7 +384,12 @@
 {
     asio::steady_timer grace(self->context, self->core->settings.closeGrace);
     co_await grace.async_wait(asTuple);
-    const auto idle = self->core->idle;
+    self->cancelIdle();
+}
+
+void http_server::state::cancelIdle()
+{
+    const auto idle = core->idle;
     for (beast::tcp_stream *stream : idle)
         stream->cancel();
 }
@@ -437,6 +456,21 @@
     asio::co_spawn(m_state->context, state::closeIdle(m_state), asio::detached);
 }
 
+void http_server::setLimits(const options &limits)
+{
+    options &settings = m_state->core->settings;
+    settings.maxHeaderBytes = limits.maxHeaderBytes;
+    settings.maxBodyBytes = limits.maxBodyBytes;
+    settings.headerTimeout = limits.headerTimeout;
+    settings.requestTimeout = limits.requestTimeout;
+    settings.idleTimeout = limits.idleTimeout;
+}
+
+void http_server::closeIdle()
+{
+    m_state->cancelIdle();
+}
+
 std::size_t http_server::openConnections() const
 {
     return m_state->core->open.size() + m_state->core->starting;
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -37,6 +37,9 @@
     std::string query(std::string_view name) const;
     std::string_view header(std::string_view name) const;
     const std::string &body() const;
+    /// Hands all header fields to @p function, in order and as the caller sent them.
+    void eachHeader(
+        const std::function<void(std::string_view name, std::string_view value)> &function) const;
 
     /// Sends a whole answer.
     boost::asio::awaitable<bool> respond(int status, std::span<const answer_header> headers,
@@ -75,7 +78,8 @@
         std::uint32_t maxHeaderBytes = 16 * 1024;
         std::uint32_t maxBodyBytes = 4 * 1024 * 1024;
         std::uint32_t maxConnections = 4096;
-        milliseconds requestTimeout{10'000}; ///< For a begun request to arrive, and for a write.
+        milliseconds headerTimeout{10'000}; ///< For the header of a begun request to arrive.
+        milliseconds requestTimeout{10'000}; ///< For its body to arrive, and for a write.
         milliseconds idleTimeout{60'000}; ///< For the next request on an open connection.
         milliseconds closeGrace{1000}; ///< For the same after stopAccepting.
     };
@@ -86,6 +90,9 @@
 
     std::uint16_t port() const;
 
+    /// Replaces the limits for requests that begin from now on; address and connections stay.
+    void setLimits(const options &limits);
+
     /// Requests whose answer is not complete.
     std::size_t activeExchanges() const;
 
@@ -96,6 +103,9 @@
     /// the grace of the settings is closed.
     void stopAccepting();
 
+    /// Closes connections that wait for their next request.
+    void closeIdle();
+
     /// Connections that callers have open.
     std::size_t openConnections() const;
 
--- a/tests/peer/heartbeat_service_test.cpp
+++ b/tests/peer/heartbeat_service_test.cpp
@@ -3,7 +3,7 @@
 #include "observe/timeline.h"
 #include "peer/mesh_fixture.h"
 #include "peer/tcp_relay.h"
-#include "platform/host_list_client.h"
+#include "clients/host_list_client.h"
 #include "policy/ownership.h"
 
 #include <algorithm>
--- a/tests/peer/malformed_input_test.cpp
+++ b/tests/peer/malformed_input_test.cpp
@@ -4,7 +4,7 @@
 #include "peer/heartbeat_service.h"
 #include "peer/http2_session.h"
 #include "peer/mesh_fixture.h"
-#include "platform/host_list_client.h"
+#include "clients/host_list_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
