--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -45,6 +45,7 @@
     std::unordered_map<std::uint64_t, instant> keptParts; ///< Prompt parts, by last use.
     double excessMs = 0; ///< Smoothed wait for the first byte beyond the estimate.
     instant excessAt = instant::min();
+    instant lastHeard = instant::min(); ///< Last byte of any answer.
     upstream_health health;
     double failureShare = 0; ///< Smoothed share of attempts that failed.
     instant failureShareAt = instant::min();
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -17,6 +17,8 @@
 // The same between events, in pauses that the route allows.
 constexpr double silentGaps = 2.0;
 constexpr milliseconds shortestGapSilence{800};
+// An upstream that answers others but not this request is given up after this many limits.
+constexpr int busyPatience = 4;
 // An attempt that ended in silence sooner than this says nothing about its upstream.
 constexpr milliseconds tellingSilence{700};
 
@@ -40,6 +42,23 @@
         return row == pool->second.upstreams.end() ? nullptr : &row->second;
     }
 
+    void noteHeard()
+    {
+        if (routed_upstream *target = upstream())
+            target->lastHeard = context.clock.now();
+    }
+
+    /// Whether the upstream has been silent towards all requests of this host. One that answers
+    /// others is only busy: to ask another one then adds load where there is too much already.
+    bool isSilent(microseconds limit) const
+    {
+        const routed_upstream *target = upstream();
+        const instant now = context.clock.now();
+        const bool isHeard = target && target->lastHeard > started
+            && now - target->lastHeard < limit;
+        return !isHeard || now - started > limit * busyPatience;
+    }
+
     void noteFirstByte()
     {
         if (hasFirstByte)
@@ -76,13 +95,14 @@
     }
 };
 
+/// Whether the request may run once more after the attempt that runs now.
 bool mayRunAgain(const proxy_job &job)
 {
-    return job.isRepeatable() && job.runs < job.choice.route->maxAttempts;
+    return job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
 }
 
-/// Whether the attempt may be given up for one at another upstream; takes it from the budget.
-bool giveUpForAnother(attempt_context &context, proxy_job &job)
+/// Takes one more attempt from the budget if the request may run again.
+bool reserveAnother(attempt_context &context, proxy_job &job)
 {
     if (!mayRunAgain(job) || !context.takeFurther(job))
         return false;
@@ -174,12 +194,13 @@
             co_return attempt.fail(piece.error());
         if (piece->empty())
             break;
+        attempt.noteHeard();
         const std::string events = takeEvents(job.events, *piece);
         if (events.empty())
             continue;
         if (!job.hasBegun && job.isRepeatable())
-            attempt.call->watchSilence(gapSilence(job), [&context = attempt.context, &job] {
-                return giveUpForAnother(context, job);
+            attempt.call->watchSilence(gapSilence(job), [&attempt, &job] {
+                return attempt.isSilent(gapSilence(job)) && reserveAnother(attempt.context, job);
             });
         if (!co_await writeEvents(job, head, events))
             co_return attempt_end::callerGone;
@@ -216,7 +237,7 @@
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && !head.isStamped)
         co_return attempt.fail({result_code::upstreamFailed, "answer without the upstream's mark"});
-    if (head.status >= 500 && giveUpForAnother(attempt.context, job)) {
+    if (head.status >= 500 && reserveAnother(attempt.context, job)) {
         const auto dropped = co_await readWhole(*attempt.call);
         attempt.noteOutcome(false, !dropped);
         job.lastFailure
@@ -241,14 +262,15 @@
 {
     proxy_job &job = attempt.job;
     if (job.isRepeatable())
-        attempt.call->watchSilence(
-            firstByteSilence(job),
-            [&context = attempt.context, &job] { return giveUpForAnother(context, job); });
+        attempt.call->watchSilence(firstByteSilence(job), [&attempt, &job] {
+            return attempt.isSilent(firstByteSilence(job)) && reserveAnother(attempt.context, job);
+        });
     auto message = makeMessage(attempt);
     auto head
         = co_await attempt.call->begin(std::move(message), attempt.context.wire, job.deadline);
     if (!head)
         co_return attempt.fail(head.error());
+    attempt.noteHeard();
     attempt.noteFirstByte();
     co_return co_await takeAnswer(attempt, *head);
 }
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -60,7 +60,7 @@
 
     bool takeFurther(proxy_job &job)
     {
-        return takeAttempt(routing.budgets[job.service()], settings.budget, routing.hosts,
+        return takeAttempt(routing.budgets[job.service()], settings.budget, routing.hosts(),
                            clock.now());
     }
 
@@ -130,7 +130,7 @@
         wanted.isGapSensitive = job.isGapSensitive;
         wanted.tried = &job.tried;
         wanted.mayProbe = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
-        return chooseUpstream(routing.pools[job.service()], wanted, settings.site, routing.hosts,
+        return chooseUpstream(routing.pools[job.service()], wanted, settings.site, routing.hosts(),
                               clock.now());
     }
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -5,6 +5,7 @@
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/feed.h"
+#include "route/peer_relay.h"
 #include "route/proxy_service.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
@@ -106,6 +107,10 @@
 
     asio::awaitable<void> answerPeer(http_exchange &exchange) const
     {
+        if (exchange.path() == peerDesiredPath) {
+            co_await answerDesired(exchange, routing, clock.now());
+            co_return;
+        }
         if (exchange.path() != "/metrics") {
             co_await exchange.respond(resultInfo(result_code::notFound).httpStatus, {}, "");
             co_return;
@@ -133,6 +138,7 @@
 
     void addFeed(state_source source)
     {
+        addPeers(source);
         std::shared_ptr<feed> reader = feed::makeFeed(context, routing, std::move(source),
                                                       feedOptions(values), clock);
         reader->onChange([this] { applyLimits(); });
@@ -146,6 +152,22 @@
                        [&added] { added.stop(); }});
     }
 
+    void addPeers(const state_source &source)
+    {
+        host_announcement own{values.peerListen, values.failureDomain, 0};
+        std::shared_ptr<peer_relay> relay
+            = peer_relay::makePeerRelay(context, routing, source, std::move(own), values.seeds,
+                                        clock);
+        relay->onChange([this] { applyLimits(); });
+        peer_relay &added = *relay;
+        services->add("route.relay", std::move(relay),
+                      {[&added]() -> result<void> {
+                           added.start();
+                           return {};
+                       },
+                       [&added] { added.stop(); }});
+    }
+
     void applyLimits()
     {
         if (!routing.desired)
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -3,6 +3,7 @@
 #include "kernel/clock.h"
 #include "policy/attempt_budget.h"
 #include "policy/desired_state.h"
+#include "policy/fleet_members.h"
 #include "policy/routed_upstream.h"
 #include "policy/upstream_membership.h"
 
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace quincefall {
 
@@ -23,7 +25,14 @@
     instant upstreamContact = instant::min(); ///< When the list was last known to be whole.
     std::map<std::string, service_pool, std::less<>> pools; ///< By service.
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
-    unsigned hosts = 1; ///< Hosts of the fleet, this one included.
+    std::vector<host_announcement> peers; ///< Other hosts of the fleet.
+    bool arePeersKnown = false; ///< `peers` was read at least once.
+
+    /// Hosts of the fleet, this one included.
+    unsigned hosts() const { return arePeersKnown ? unsigned(peers.size()) + 1 : assumedHosts; }
+
+    /// Until the others are known; a fleet that is smaller only retries less.
+    static constexpr unsigned assumedHosts = 20;
 
     bool isReady() const { return desired != nullptr && upstreamContact != instant::min(); }
 };
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -2,6 +2,7 @@
 
 #include "kernel/result.h"
 #include "policy/desired_state.h"
+#include "policy/fleet_members.h"
 #include "policy/routed_upstream.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -49,6 +50,10 @@
     std::function<boost::asio::awaitable<result<upstream_page>>(std::optional<std::uint64_t> from)>
         upstreams;
     std::function<result<desired_state>(const std::string &text)> decodeDesired;
+    /// Announces this host to the others. A failed call may have taken effect.
+    std::function<boost::asio::awaitable<result<void>>(host_announcement own)> announce;
+    /// All announcements that were not withdrawn.
+    std::function<boost::asio::awaitable<result<std::vector<host_announcement>>>()> hosts;
 };
 
 } // namespace quincefall
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -158,6 +158,7 @@
     message request;
     milliseconds keepAlive = defaultKeepAlive;
     instant deadline = instant::max();
+    instant connectEnd = instant::max();
     instant lastByte{};
     microseconds silence{0};
     std::function<bool()> mayGiveUp;
@@ -181,7 +182,7 @@
     /// Checks deadline and silence when the earlier of them is due, and waits again.
     void arm(const std::shared_ptr<upstream_call> &call)
     {
-        timer.expires_at(std::min(deadline, silenceEnd()));
+        timer.expires_at(std::min({deadline, connectEnd, silenceEnd()}));
         timer.async_wait([weak = std::weak_ptr(call)](const boost::system::error_code &code) {
             const auto alive = weak.lock();
             if (code || !alive || alive->m_state->isOver)
@@ -193,10 +194,10 @@
     void checkTime(const std::shared_ptr<upstream_call> &call)
     {
         const instant now = steadyNow();
-        bool isUp = now >= deadline;
+        bool isUp = now >= deadline || now >= connectEnd;
         if (!isUp && now >= silenceEnd()) {
             isUp = mayGiveUp();
-            mayGiveUp = nullptr;
+            lastByte = now; // Asked again after the same time.
         }
         if (isUp) {
             isTimedOut = true;
@@ -216,7 +217,7 @@
                          toString(address) + ": " + (isTimedOut ? "timed out" : code.message()));
     }
 
-    asio::awaitable<boost::system::error_code> connect()
+    asio::awaitable<boost::system::error_code> connect(std::shared_ptr<upstream_call> call)
     {
         boost::system::error_code failed;
         const auto ip = asio::ip::make_address(address.ip, failed);
@@ -224,13 +225,10 @@
             co_return failed;
         connection = std::make_unique<upstream_connection>(owner->context);
         const tcp::endpoint endpoint(ip, address.port);
-        asio::steady_timer limit(owner->context, connectTimeout);
-        limit.async_wait([this, &limit](const boost::system::error_code &code) {
-            if (!code && limit.expiry() <= asio::steady_timer::clock_type::now())
-                cut();
-        });
+        connectEnd = steadyNow() + connectTimeout;
+        arm(call);
         const auto [code] = co_await connection->socket.async_connect(endpoint, asTuple);
-        limit.cancel();
+        connectEnd = instant::max();
         if (!code) {
             setOptions(connection->socket);
             ++owner->numbers.opened;
@@ -388,7 +386,7 @@
     if (self.connection) {
         ++self.owner->numbers.reused;
     } else {
-        const auto code = co_await self.connect();
+        const auto code = co_await self.connect(keep);
         if (code || self.isCancelled)
             co_return self.failure(code, result_code::upstreamUnreachable);
     }
@@ -411,7 +409,8 @@
     m_state->silence = silence;
     m_state->mayGiveUp = std::move(mayGiveUp);
     m_state->lastByte = steadyNow();
-    m_state->arm(shared_from_this());
+    if (m_state->connection)
+        m_state->arm(shared_from_this());
 }
 
 void upstream_call::cancel()
@@ -422,6 +421,10 @@
 
 void upstream_call::finish()
 {
+    // A write that is under way keeps the call alive, but no longer its caller.
+    m_state->isOver = true;
+    m_state->mayGiveUp = nullptr;
+    m_state->timer.cancel();
     if (m_state->isWriting)
         m_state->cut();
 }
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -72,8 +72,8 @@
     /// The next piece of the body; empty at its end. Fails when the connection ends before it.
     boost::asio::awaitable<result<std::string_view>> read();
 
-    /// Asks @p mayGiveUp once when no byte has come for @p silence; true cuts the call with
-    /// upstreamTimeout. Each byte starts the time anew.
+    /// Asks @p mayGiveUp each time that no byte has come for @p silence; true cuts the call with
+    /// upstreamTimeout.
     void watchSilence(microseconds silence, std::function<bool()> mayGiveUp);
 
     /// Cuts the connection; a pending operation fails.
