Refuse what comes long after SIGTERM; hold parts to their home more strictly

Change: once the balancer has taken the host out, further requests are refused as not run; durations of the settings may have fractions; reading a part again weighs 8, and the log names the load an answer told.

--- a/src/policy/attempt_budget.h
+++ b/src/policy/attempt_budget.h
@@ -9,7 +9,7 @@
 {
     double ratio = 0.2; ///< Further attempts for each request.
     double slack = 0; ///< Further attempts in each window on top.
-    seconds window{10};
+    milliseconds window{10'000};
 };
 
 /// One host's part of the fleet's budget for further attempts at one service.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -23,7 +23,7 @@
 // Chance that a part's home does not hold it although this host has not used it there.
 constexpr double homeMissShare = 0.3;
 // Weight of reading a part again: it delays all others on the engine too.
-constexpr double rereadWeight = 3;
+constexpr double rereadWeight = 8;
 // What it costs a long prompt and a gap-sensitive request to meet on one engine.
 constexpr double mixingMs = 500;
 constexpr double firstRate = 50; // Tokens per ms before any was seen.
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -32,6 +32,7 @@
     std::shared_ptr<upstream_call> call;
     instant started;
     bool hasFirstByte = false;
+    std::optional<upstream_load> load; ///< As the answer told it.
 
     routed_upstream *upstream() const
     {
@@ -228,6 +229,7 @@
 asio::awaitable<attempt_end> takeAnswer(running_attempt &attempt, answer_head &head)
 {
     proxy_job &job = attempt.job;
+    attempt.load = head.load;
     if (head.load) {
         if (routed_upstream *target = attempt.upstream())
             recordLoad(*target, *head.load, attempt.context.clock.now());
@@ -283,6 +285,8 @@
     log += attempt.entry.id + ":" + std::string(attempt.chosen.reason) + ":"
         + std::to_string(std::lround(attempt.chosen.estimatedMs)) + "ms:"
         + std::to_string(std::lround(toMilliseconds(took))) + "ms:" + std::string(toString(end));
+    if (const auto &load = attempt.load)
+        log += ":load=" + std::to_string(load->running) + "/" + std::to_string(load->waiting);
 }
 
 } // namespace
@@ -307,7 +311,7 @@
 asio::awaitable<attempt_end> runAttempt(attempt_context &context, proxy_job &job, placement chosen)
 {
     running_attempt attempt{context, job, chosen.upstream->listed, chosen, nullptr,
-                            context.clock.now()};
+                            context.clock.now(), false, std::nullopt};
     recordStart(*chosen.upstream, job.request.prompt, chosen.unreadTokens, attempt.started);
     attempt.call = context.connections.makeCall(attempt.entry.address);
     job.exchange.setGoneListener([call = attempt.call] { call->cancel(); });
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -12,6 +12,7 @@
 #include "serve/http_server.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quincefall {
 namespace {
@@ -20,8 +21,8 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-// Reads of the upstreams within the time that a leaving one allows.
-constexpr int readsPerLeaveTime = 2;
+// Of the time that a leaving upstream allows: two reads fall into it, the second after a failure.
+constexpr double readIntervalShare = 0.4;
 constexpr milliseconds shortestReadInterval{200};
 // The balancer asks once a second and takes a host out after two misses.
 constexpr milliseconds leaveBalancer{2'600};
@@ -31,12 +32,17 @@
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
+milliseconds toTime(double ms)
+{
+    return milliseconds(std::llround(ms));
+}
+
 feed::options feedOptions(const route_settings &values)
 {
     feed::options options;
     options.upstreamInterval
-        = std::max(shortestReadInterval, values.leaveTime / (readsPerLeaveTime + 1) + milliseconds(150));
-    options.desiredWait = values.applyTime;
+        = std::max(shortestReadInterval, toTime(values.leaveMs * readIntervalShare));
+    options.desiredWait = toTime(values.applyMs);
     return options;
 }
 
@@ -47,7 +53,7 @@
     options.site.region = values.region;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
-    options.budget.window = seconds(values.furtherAttemptWindowSeconds);
+    options.budget.window = toTime(values.furtherAttemptWindowSeconds * 1000);
     return options;
 }
 
@@ -212,11 +218,13 @@
     {
         auto &server = self->services->find<http_server>("route.callers");
         const instant started = self->clock.now();
-        const instant end = started + self->values.stopTime - endReserve;
+        const instant end = started + toTime(self->values.stopSeconds * 1000) - endReserve;
         // New connections still come until the balancer has seen that the host is not ready.
         server.announceClose();
         asio::steady_timer pause(self->context, leaveBalancer);
         co_await pause.async_wait(asTuple);
+        // What comes later on an open connection may not be done before the end.
+        self->services->find<proxy_service>("route.proxy").refuseNew();
         server.stopAccepting();
         while (server.openConnections() > 0 && self->clock.now() < end) {
             pause.expires_after(stopPoll);
@@ -260,7 +268,7 @@
 
 void route_process::reload(const route_settings &values)
 {
-    m_state->values.stopTime = values.stopTime;
+    m_state->values.stopSeconds = values.stopSeconds;
     m_state->values.maxConnections = values.maxConnections;
     m_state->applyLimits();
     logInfo("settings reloaded", {{"host", values.hostName}});
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -52,12 +52,12 @@
 {
     section_reader bounds = root.section("bounds", false);
     bounds.number("max_connections", values.maxConnections, 1, 1'000'000);
-    bounds.number("leave_ms", values.leaveTime, 100, 600'000);
-    bounds.number("apply_ms", values.applyTime, 100, 600'000);
-    bounds.number("stop_ms", values.stopTime, 100, 600'000);
+    bounds.fraction("leave_ms", values.leaveMs, 100, 600'000);
+    bounds.fraction("apply_ms", values.applyMs, 100, 600'000);
+    bounds.fraction("stop_s", values.stopSeconds, 0.1, 600);
     bounds.fraction("further_attempt_ratio", values.furtherAttemptRatio, 0, 10);
     bounds.fraction("further_attempt_slack", values.furtherAttemptSlack, 0, 1e6);
-    bounds.number("further_attempt_window_s", values.furtherAttemptWindowSeconds, 1, 3'600);
+    bounds.fraction("further_attempt_window_s", values.furtherAttemptWindowSeconds, 0.1, 3'600);
     bounds.rejectUnknown();
 }
 
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -31,12 +31,12 @@
     std::string logLevel = "info";
 
     std::uint32_t maxConnections = 3'000;
-    milliseconds leaveTime{2'500}; ///< From a leaving upstream's entry to its last new request.
-    milliseconds applyTime{2'500}; ///< From a desired state's acceptance to its effect.
-    milliseconds stopTime{8'000}; ///< From SIGTERM to the end of the process.
+    double leaveMs = 2'500; ///< From a leaving upstream's entry to its last new request.
+    double applyMs = 2'500; ///< From a desired state's acceptance to its effect.
+    double stopSeconds = 8; ///< From SIGTERM to the end of the process.
     double furtherAttemptRatio = 0.2; ///< Attempts beyond the first, for each request.
     double furtherAttemptSlack = 50; ///< The same on top, in each window.
-    std::uint32_t furtherAttemptWindowSeconds = 10;
+    double furtherAttemptWindowSeconds = 10;
 };
 
 /// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
