Turn away what would be late for certain; hosts tell each other what they have under way

Ruled out: slots (20 of 64 ran). Change: hosts exchange in-flight requests and unread prompt tokens of each engine over UDP; Little's law at 75 % reading gives the requests an engine keeps in step; a request whose wait would exceed its objective is refused at once with a Retry-After from that wait; a returning caller is taken while its answer can still be whole.

--- /dev/null
+++ b/src/policy/fleet_load.cpp
@@ -0,0 +1,85 @@
+#include "policy/fleet_load.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace quincefall {
+namespace {
+
+constexpr milliseconds shortestInterval{200};
+constexpr milliseconds intervalPerHost{8}; // At most 125 messages a second to and from each host.
+
+void addWork(upstream_work &sum, const upstream_work &work)
+{
+    sum.inFlight += work.inFlight;
+    for (std::size_t urgency = 0; urgency < urgencyLevels; ++urgency)
+        sum.unreadTokens[urgency] += work.unreadTokens[urgency];
+}
+
+void sumUp(fleet_load &load)
+{
+    if (load.isSummed)
+        return;
+    load.isSummed = true;
+    load.upstreams.clear();
+    load.demands.clear();
+    for (const auto &[host, entry] : load.hosts) {
+        for (const upstream_work &work : entry.hint.upstreams)
+            addWork(load.upstreams[work.upstream], work);
+        for (const service_demand &demand : entry.hint.demands)
+            load.demands[demand.service] += demand.sensitiveMsPerSecond;
+    }
+}
+
+} // namespace
+
+std::uint64_t hintHash(std::string_view name)
+{
+    return XXH64(name.data(), name.size(), 0);
+}
+
+bool takeHint(fleet_load &load, load_hint hint, instant now)
+{
+    const auto known = load.hosts.find(hint.host);
+    if (known != load.hosts.end()) {
+        const load_hint &current = known->second.hint;
+        const auto age = std::pair(hint.started, hint.sequence);
+        if (age <= std::pair(current.started, current.sequence))
+            return false;
+    }
+    const std::uint64_t host = hint.host;
+    load.hosts[host] = {std::move(hint), now};
+    load.isSummed = false;
+    return true;
+}
+
+void dropOldHints(fleet_load &load, microseconds life, instant now)
+{
+    const auto dropped = std::erase_if(
+        load.hosts, [life, now](const auto &row) { return now - row.second.received > life; });
+    if (dropped > 0)
+        load.isSummed = false;
+}
+
+const upstream_work &workOfOthers(fleet_load &load, std::uint64_t upstream)
+{
+    static const upstream_work nothing;
+    sumUp(load);
+    const auto row = load.upstreams.find(upstream);
+    return row == load.upstreams.end() ? nothing : row->second;
+}
+
+double demandOfOthers(fleet_load &load, std::uint64_t service)
+{
+    sumUp(load);
+    const auto row = load.demands.find(service);
+    return row == load.demands.end() ? 0 : row->second;
+}
+
+milliseconds hintInterval(unsigned hosts)
+{
+    return std::max(shortestInterval, intervalPerHost * hosts);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/fleet_load.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace quincefall {
+
+/// Urgencies that are told apart; 0 is first.
+inline constexpr std::size_t urgencyLevels = 10;
+
+/// Prompt tokens still to be read, by urgency of their requests.
+using urgency_tokens = std::array<double, urgencyLevels>;
+
+/// Work at one upstream.
+struct upstream_work
+{
+    std::uint64_t upstream = 0; ///< Hash of its id.
+    double inFlight = 0;
+    urgency_tokens unreadTokens{};
+};
+
+/// Demand of gap-sensitive requests for one service, in milliseconds of reading per second.
+struct service_demand
+{
+    std::uint64_t service = 0; ///< Hash of its name.
+    double sensitiveMsPerSecond = 0;
+};
+
+/// What one host has under way.
+struct load_hint
+{
+    std::uint64_t host = 0; ///< Hash of its peer address.
+    std::uint64_t started = 0; ///< Unix time of its start in milliseconds.
+    std::uint64_t sequence = 0;
+    std::vector<upstream_work> upstreams;
+    std::vector<service_demand> demands;
+};
+
+/// Work of the other hosts, summed.
+///
+/// Answers a burst that all hosts place at the same moment: each sees only a part of an engine's
+/// queue in its own requests, and engines' reports come with answers, after the wait itself.
+struct fleet_load
+{
+    struct entry
+    {
+        load_hint hint;
+        instant received;
+    };
+
+    std::unordered_map<std::uint64_t, entry> hosts;
+    std::unordered_map<std::uint64_t, upstream_work> upstreams; ///< Sum over `hosts`.
+    std::unordered_map<std::uint64_t, double> demands; ///< Sum over `hosts`.
+    bool isSummed = true;
+};
+
+/// Hash that hosts use to name an upstream, a service or a host to each other.
+std::uint64_t hintHash(std::string_view name);
+
+/// Takes in another host's hint. False when it is older than the one known.
+bool takeHint(fleet_load &load, load_hint hint, instant now);
+
+/// Drops hints that were not renewed within @p life.
+void dropOldHints(fleet_load &load, microseconds life, instant now);
+
+/// Work of the other hosts at an upstream.
+const upstream_work &workOfOthers(fleet_load &load, std::uint64_t upstream);
+
+/// Demand of the other hosts for a service, in milliseconds of reading per second.
+double demandOfOthers(fleet_load &load, std::uint64_t service);
+
+/// Time between two hints of one host, so that the messages of a large fleet stay bounded.
+milliseconds hintInterval(unsigned hosts);
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/overload.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <map>
+#include <string>
+
+namespace quincefall {
+
+/// A request and the wait that its best upstream has for it.
+struct overload_view
+{
+    double delayMs = 0; ///< Due to work before this request.
+    double targetMs = 0; ///< Latency objective; counts from the caller's first attempt.
+    double leftMs = 0; ///< Until the caller or its route gives up.
+    bool isReturning = false; ///< It was turned away before.
+};
+
+/// Whether a request is taken, and if not, when its caller should come back.
+struct overload_decision
+{
+    bool isAdmitted = true;
+    milliseconds returnAfter{0};
+};
+
+/// Turns away at once what would be late for certain, while a later attempt may still be served.
+///
+/// Answers a burst beyond what the engines can read: requests that wait past their objective take
+/// the place of those that could still be on time, and then all are late. A returning caller is
+/// late already; it is served as long as its answer can be whole in time.
+overload_decision decideOverload(const overload_view &view);
+
+/// Longest wait that callers of each route were seen to set, by route name.
+struct caller_patience
+{
+    std::map<std::string, double, std::less<>> longestMs;
+};
+
+/// Learns from a caller's wait, and tells whether it is so short that the caller has been turned
+/// away before.
+bool isReturning(caller_patience &patience, const std::string &route, milliseconds wait);
+
+} // namespace quincefall
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -25,7 +25,12 @@
 // Weight of reading a part again: it delays all others on the engine too.
 constexpr double rereadWeight = 8;
 // What it costs a long prompt and a gap-sensitive request to meet on one engine.
-constexpr double mixingMs = 500;
+constexpr double mixingMs = 5'000;
+// Share of its time that an engine may read: the rest makes the tokens of what runs.
+constexpr double usefulUtilisation = 0.75;
+constexpr double fewestInFlight = 4;
+constexpr double firstReadMs = 100; // Before any prompt was read.
+constexpr double firstStreamMs = 600; // Before any stream ended.
 constexpr double firstRate = 50; // Tokens per ms before any was seen.
 constexpr double firstCallMs = 20; // Before any call was seen.
 constexpr double failureMs = 800; // Cost of an attempt that fails for certain.
@@ -72,23 +77,38 @@
 }
 
 /// Wait for a free slot.
-double slotWaitMs(const service_pool &pool, const routed_upstream &upstream, instant now)
+double slotWaitMs(const service_pool &pool, const routed_upstream &upstream, fleet_load &others,
+                  instant now)
 {
     const double callMs = pool.callMs > 0 ? pool.callMs : firstCallMs;
     const double slots = std::max(1U, upstream.listed.slots);
-    const double load = loadOf(upstream, now);
+    const double load = loadOf(upstream, others, now);
     const double over = std::max(0.0, load + 1 - slots);
     // Below full, a busier upstream is a little slower; it also spreads work among equals.
     return callMs * (over / slots + load / slots * 0.25);
 }
 
-/// Wait for the prompts that are read before this one.
-double queueMs(const service_pool &pool, const routed_upstream &upstream, instant now)
+/// Wait for the prompts that are read before one of this urgency.
+double queueMs(const service_pool &pool, const routed_upstream &upstream, int urgency,
+               fleet_load &others, instant now)
 {
+    const upstream_work &foreign = workOfOthers(others, hintHash(upstream.listed.id));
+    double tokens = 0;
+    for (std::size_t level = 0; level < urgencyLevels && int(level) <= urgency; ++level)
+        tokens += upstream.unreadTokens[level] + foreign.unreadTokens[level];
     double excess = 0;
     if (upstream.excessAt != instant::min())
         excess = upstream.excessMs * std::exp2(-toMilliseconds(now - upstream.excessAt) / 700);
-    return upstream.unreadTokens / readRate(pool) + excess;
+    return std::max(tokens / readRate(pool), excess);
+}
+
+/// Wait until no more requests are under way than the engine keeps in step.
+double crowdMs(const service_pool &pool, const routed_upstream &upstream, fleet_load &others,
+               instant now)
+{
+    const double over = loadOf(upstream, others, now) + 1
+        - usefulInFlight(pool, upstream.listed.slots);
+    return std::max(0.0, over) * std::max(pool.readMs, 1.0) / usefulUtilisation;
 }
 
 /// The upstreams kept for gap-sensitive requests: the first by a hash that all hosts share.
@@ -145,62 +165,88 @@
     return tokens;
 }
 
+double fleetDemand(const service_pool &pool, const std::vector<routed_upstream *> &usable,
+                   fleet_load &others, instant now)
+{
+    const double own = ownDemand(pool, now);
+    return own + demandOfOthers(others, hintHash(usable.front()->listed.service));
+}
+
 struct candidate_estimate
 {
     double unread = 0;
     double firstByteMs = 0;
+    double delayMs = 0;
     double cost = 0;
 };
 
+candidate_estimate estimateCall(const service_pool &pool, const routed_upstream &upstream,
+                                fleet_load &others, instant now)
+{
+    candidate_estimate value;
+    value.delayMs = slotWaitMs(pool, upstream, others, now);
+    value.firstByteMs = value.delayMs + std::max(pool.callMs, 1.0);
+    value.cost = value.firstByteMs;
+    return value;
+}
+
+candidate_estimate estimatePrompt(const service_pool &pool, const routed_upstream &upstream,
+                                  const placement_request &request, bool isHome,
+                                  fleet_load &others, instant now)
+{
+    candidate_estimate value;
+    const double all = request.prompt->promptTokens;
+    const double alone = all - sharedTokens(*request.prompt);
+    const double unread = unreadTokensOf(upstream, *request.prompt, now);
+    const double reread = std::max(0.0, unread - alone) * (isHome ? homeMissShare : 1.0);
+    value.unread = std::min(unread, alone) + reread;
+    const double rate = readRate(pool);
+    value.delayMs = queueMs(pool, upstream, request.urgency, others, now);
+    if (!request.isGapSensitive)
+        value.delayMs += crowdMs(pool, upstream, others, now);
+    value.firstByteMs = value.delayMs + value.unread / rate;
+    value.cost = value.firstByteMs + (rereadWeight - 1) * reread / rate
+        + slotWaitMs(pool, upstream, others, now);
+    return value;
+}
+
 candidate_estimate estimate(const service_pool &pool, const routed_upstream &upstream,
                             const placement_request &request, const placement_site &site,
-                            bool isHome, bool isApart, instant now)
+                            bool isHome, bool isApart, fleet_load &others, instant now)
 {
-    candidate_estimate value;
-    const double failures = failureShareOf(upstream, now) * failureMs;
-    const double distance = distanceMs(upstream, site);
-    if (!request.prompt || request.prompt->promptTokens <= 0) {
-        value.firstByteMs = slotWaitMs(pool, upstream, now) + std::max(pool.callMs, 1.0);
-        value.cost = value.firstByteMs + distance + failures;
-        return value;
-    }
-    value.unread = unreadTokensOf(upstream, *request.prompt, now);
-    double reread = std::max(0.0, value.unread - (request.prompt->promptTokens
-                                                  - sharedTokens(*request.prompt)));
-    if (isHome)
-        reread *= homeMissShare;
-    const double own = std::min(value.unread, request.prompt->promptTokens
-                                    - sharedTokens(*request.prompt));
-    value.firstByteMs = queueMs(pool, upstream, now) + (own + reread) / readRate(pool);
-    value.cost = value.firstByteMs + (rereadWeight - 1) * reread / readRate(pool) + distance
-        + failures + slotWaitMs(pool, upstream, now);
-    if (isApart != request.isGapSensitive)
+    const bool hasPrompt = request.prompt && request.prompt->promptTokens > 0;
+    candidate_estimate value = hasPrompt
+        ? estimatePrompt(pool, upstream, request, isHome, others, now)
+        : estimateCall(pool, upstream, others, now);
+    value.cost += distanceMs(upstream, site) + failureShareOf(upstream, now) * failureMs;
+    if (hasPrompt && isApart != request.isGapSensitive)
         value.cost += mixingMs;
     return value;
 }
 
 placement chooseAmong(service_pool &pool, const std::vector<routed_upstream *> &usable,
-                      const placement_request &request, const placement_site &site, unsigned hosts,
-                      instant now)
+                      const placement_request &request, const placement_site &site,
+                      fleet_load &others, instant now)
 {
     placement best;
     best.candidates = double(usable.size());
     std::set<const routed_upstream *> apart;
     routed_upstream *home = nullptr;
-    if (request.prompt && request.prompt->promptTokens > 0) {
-        apart = apartOf(usable, apartCount(pool, hosts, now));
+    if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
+        apart = apartOf(usable, apartCount(usable.size(), fleetDemand(pool, usable, others, now)));
         home = homeOf(usable, apart, request);
     }
     double lowest = std::numeric_limits<double>::infinity();
     for (routed_upstream *upstream : usable) {
         const bool isApart = apart.empty() ? request.isGapSensitive : apart.contains(upstream);
         const candidate_estimate value
-            = estimate(pool, *upstream, request, site, upstream == home, isApart, now);
+            = estimate(pool, *upstream, request, site, upstream == home, isApart, others, now);
         if (value.cost >= lowest)
             continue;
         lowest = value.cost;
         best.upstream = upstream;
         best.estimatedMs = value.firstByteMs;
+        best.delayMs = value.delayMs;
         best.unreadTokens = value.unread;
     }
     best.reason = best.upstream && best.upstream == home ? "home" : "least";
@@ -234,34 +280,48 @@
     pool.sensitiveAt = now;
 }
 
-unsigned apartCount(const service_pool &pool, unsigned hosts, instant now)
+double ownDemand(const service_pool &pool, instant now)
 {
-    const std::size_t upstreams = pool.upstreams.size();
-    if (upstreams < fewestForApart || pool.sensitiveAt == instant::min())
+    if (pool.sensitiveAt == instant::min())
         return 0;
-    const double share = pool.sensitiveMsPerSecond / 1000
+    return pool.sensitiveMsPerSecond
         * std::exp(-toMilliseconds(now - pool.sensitiveAt) / demandWindowMs);
-    const double needed = std::ceil(share * hosts / apartUtilisation);
+}
+
+unsigned apartCount(std::size_t upstreams, double demand)
+{
+    if (upstreams < fewestForApart || demand <= 0)
+        return 0;
+    const double needed = std::ceil(demand / 1000 / apartUtilisation);
     return unsigned(std::clamp(needed, 1.0, std::floor(double(upstreams) * longestApartShare)));
 }
 
+double usefulInFlight(const service_pool &pool, unsigned slots)
+{
+    const double readMs = pool.readMs > 0 ? pool.readMs : firstReadMs;
+    const double streamMs = pool.streamMs > 0 ? pool.streamMs : firstStreamMs;
+    // By Little's law: requests a ms at that share of reading, times the time that each stays.
+    const double stayMs = readMs + streamMs / (1 - usefulUtilisation);
+    return std::clamp(usefulUtilisation / readMs * stayMs, fewestInFlight, double(slots));
+}
+
 placement chooseUpstream(service_pool &pool, const placement_request &request,
-                         const placement_site &site, unsigned hosts, instant now)
+                         const placement_site &site, fleet_load &others, instant now)
 {
     for (auto &[id, upstream] : pool.upstreams) {
         const bool isDue = isWithheld(upstream, now) && isProbeDue(upstream, now);
         if (!request.mayProbe || !isDue || !mayTake(upstream, request))
             continue;
-        placement probe = chooseAmong(pool, {&upstream}, request, site, hosts, now);
+        placement probe = chooseAmong(pool, {&upstream}, request, site, others, now);
         probe.reason = "probe";
         delayProbe(upstream.health, now);
         return probe;
     }
     const auto usable = usableOf(pool, request, false, now);
     if (!usable.empty())
-        return chooseAmong(pool, usable, request, site, hosts, now);
+        return chooseAmong(pool, usable, request, site, others, now);
     placement last
-        = chooseAmong(pool, usableOf(pool, request, true, now), request, site, hosts, now);
+        = chooseAmong(pool, usableOf(pool, request, true, now), request, site, others, now);
     last.reason = "last";
     return last;
 }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/desired_state.h"
+#include "policy/fleet_load.h"
 #include "policy/routed_upstream.h"
 
 #include <set>
@@ -22,6 +23,7 @@
 struct placement_request
 {
     const prompt_outline *prompt = nullptr;
+    int urgency = 0;
     bool isGapSensitive = false; ///< See isGapSensitive().
     const std::set<std::string, std::less<>> *tried = nullptr; ///< Upstreams left out, by id.
     bool mayProbe = false; ///< It can be repeated if a failing upstream fails it too.
@@ -32,6 +34,7 @@
 {
     routed_upstream *upstream = nullptr; ///< Null when none may take the request.
     double estimatedMs = 0; ///< To the first byte, without the distance.
+    double delayMs = 0; ///< Part of it that is due to work before this request.
     double unreadTokens = 0;
     double candidates = 0; ///< Upstreams that were compared.
     std::string_view reason; ///< "home", "kept", "least", "probe" or "last".
@@ -48,8 +51,18 @@
 /// Takes a request's reading time into the demand of its kind.
 void recordDemand(service_pool &pool, const placement_request &request, instant now);
 
-/// Number of upstreams kept for gap-sensitive requests.
-unsigned apartCount(const service_pool &pool, unsigned hosts, instant now);
+/// This host's demand of gap-sensitive requests, in milliseconds of reading per second.
+double ownDemand(const service_pool &pool, instant now);
+
+/// Number of upstreams kept for gap-sensitive requests when all hosts together ask for
+/// @p demand milliseconds of reading per second.
+unsigned apartCount(std::size_t upstreams, double demand);
+
+/// Requests that an engine may have under way so that it still reads and writes in step.
+///
+/// Answers a lasting burst of long prompts: an engine that reads without a pause makes hardly any
+/// tokens, its streams miss their deadline, and all that was read for them is lost.
+double usefulInFlight(const service_pool &pool, unsigned slots);
 
 /// Chooses by the estimated time to the first byte.
 ///
@@ -57,6 +70,6 @@
 /// all hosts compute alike, and is read elsewhere only when the home's queue costs more than
 /// reading it again. Failing upstreams get single probes while others are at hand.
 placement chooseUpstream(service_pool &pool, const placement_request &request,
-                         const placement_site &site, unsigned hosts, instant now);
+                         const placement_site &site, fleet_load &others, instant now);
 
 } // namespace quincefall
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -13,6 +13,9 @@
 constexpr double callSmoothing = 0.05;
 constexpr double rateRise = 0.3; // A faster reading shows the engine without others' work...
 constexpr double rateFall = 0.01; // ...a slower one mostly shows others' work.
+constexpr double readSmoothing = 0.05;
+constexpr double streamFall = 0.3;
+constexpr double streamRise = 0.01;
 constexpr double firstRate = 50; // Tokens per ms before any was seen; a large engine's.
 constexpr double sampleTokens = 1'000; // Shorter prompts say little about the rate.
 constexpr milliseconds reportLife{2'000}; // Requests last about this long.
@@ -27,6 +30,29 @@
     return value * std::exp2(-toMilliseconds(now - since) / halfLifeMs);
 }
 
+std::size_t levelOf(const attempt_work &work)
+{
+    return std::min(urgencyLevels - 1, std::size_t(std::max(0, work.urgency)));
+}
+
+void learn(double &value, double sample, double weight)
+{
+    value = value <= 0 ? sample : value + weight * (sample - value);
+}
+
+void learnReading(service_pool &pool, const attempt_work &work, double waitedMs)
+{
+    if (pool.promptTokensPerMs <= 0)
+        pool.promptTokensPerMs = firstRate;
+    if (work.unreadTokens > sampleTokens && waitedMs > 1) {
+        const double sample = work.unreadTokens / waitedMs;
+        learn(pool.promptTokensPerMs, sample,
+              sample > pool.promptTokensPerMs ? rateRise : rateFall);
+    }
+    if (!work.isGapSensitive)
+        learn(pool.readMs, work.unreadTokens / pool.promptTokensPerMs, readSmoothing);
+}
+
 void dropOldParts(routed_upstream &upstream, instant now)
 {
     std::erase_if(upstream.keptParts,
@@ -37,36 +63,41 @@
 
 } // namespace
 
-void recordStart(routed_upstream &upstream, const prompt_outline &prompt, double unread,
+void recordStart(routed_upstream &upstream, const prompt_outline &prompt, const attempt_work &work,
                  instant now)
 {
     ++upstream.inFlight;
-    upstream.unreadTokens += unread;
+    upstream.unreadTokens[levelOf(work)] += work.unreadTokens;
     for (const prompt_part &part : prompt.parts)
         upstream.keptParts[part.id] = now;
     if (upstream.keptParts.size() > mostParts)
         dropOldParts(upstream, now);
 }
 
-void recordFirstByte(service_pool &pool, routed_upstream &upstream, double unread,
-                     microseconds waited, double estimatedMs, instant now)
+void recordFirstByte(service_pool &pool, routed_upstream &upstream, const attempt_work &work,
+                     std::optional<microseconds> waited, instant now)
 {
-    upstream.unreadTokens = std::max(0.0, upstream.unreadTokens - unread);
-    const double waitedMs = toMilliseconds(waited);
-    const double excess = std::max(0.0, waitedMs - estimatedMs);
+    double &unread = upstream.unreadTokens[levelOf(work)];
+    unread = std::max(0.0, unread - work.unreadTokens);
+    if (!waited)
+        return;
+    const double waitedMs = toMilliseconds(*waited);
+    const double excess = std::max(0.0, waitedMs - work.estimatedMs);
     const double before = decayed(upstream.excessMs, upstream.excessAt, excessHalfLifeMs, now);
     upstream.excessMs = before + excessSmoothing * (excess - before);
     upstream.excessAt = now;
-    if (pool.promptTokensPerMs <= 0)
-        pool.promptTokensPerMs = firstRate;
-    if (unread > sampleTokens && waitedMs > 1) {
-        const double sample = unread / waitedMs;
-        const double weight = sample > pool.promptTokensPerMs ? rateRise : rateFall;
-        pool.promptTokensPerMs += weight * (sample - pool.promptTokensPerMs);
-    }
-    if (unread <= uncountedTokens)
-        pool.callMs = pool.callMs <= 0 ? waitedMs
-                                       : pool.callMs + callSmoothing * (waitedMs - pool.callMs);
+    if (work.unreadTokens <= uncountedTokens)
+        learn(pool.callMs, waitedMs, callSmoothing);
+    else
+        learnReading(pool, work, waitedMs);
+}
+
+void recordStream(service_pool &pool, microseconds took)
+{
+    const double tookMs = toMilliseconds(took);
+    // Most streams share their engine with others' reading; the short ones tell of an idle one.
+    const double weight = tookMs < pool.streamMs ? streamFall : streamRise;
+    learn(pool.streamMs, tookMs, weight);
 }
 
 void recordEnd(routed_upstream &upstream)
@@ -74,7 +105,7 @@
     if (upstream.inFlight > 0)
         --upstream.inFlight;
     if (upstream.inFlight == 0)
-        upstream.unreadTokens = 0;
+        upstream.unreadTokens.fill(0);
 }
 
 void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now)
@@ -109,13 +140,14 @@
     return decayed(upstream.failureShare, upstream.failureShareAt, healthHalfLifeMs, now);
 }
 
-double loadOf(const routed_upstream &upstream, instant now)
+double loadOf(const routed_upstream &upstream, fleet_load &others, instant now)
 {
-    if (upstream.reportedAt == instant::min() || now - upstream.reportedAt > reportLife)
-        return upstream.inFlight;
-    const double reported = double(upstream.reported.running) + upstream.reported.waiting;
-    const double foreign = std::max(0.0, reported - upstream.ownAtReport);
-    return upstream.inFlight + foreign;
+    double foreign = workOfOthers(others, hintHash(upstream.listed.id)).inFlight;
+    if (upstream.reportedAt != instant::min() && now - upstream.reportedAt < reportLife) {
+        const double reported = double(upstream.reported.running) + upstream.reported.waiting;
+        foreign = std::max(foreign, reported - upstream.ownAtReport);
+    }
+    return upstream.inFlight + std::max(0.0, foreign);
 }
 
 double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now)
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -2,11 +2,13 @@
 
 #include "kernel/address.h"
 #include "kernel/clock.h"
+#include "policy/fleet_load.h"
 #include "policy/prompt.h"
 #include "policy/upstream_health.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -41,7 +43,7 @@
     instant reportedAt = instant::min();
     unsigned ownAtReport = 0; ///< `inFlight` when the report came.
     unsigned inFlight = 0; ///< Requests of this host that run or wait there.
-    double unreadTokens = 0; ///< Prompt tokens of those whose answer has not begun.
+    urgency_tokens unreadTokens{}; ///< Prompt tokens of those whose answer has not begun.
     std::unordered_map<std::uint64_t, instant> keptParts; ///< Prompt parts, by last use.
     double excessMs = 0; ///< Smoothed wait for the first byte beyond the estimate.
     instant excessAt = instant::min();
@@ -57,18 +59,33 @@
     std::map<std::string, routed_upstream, std::less<>> upstreams; ///< By id.
     double promptTokensPerMs = 0; ///< Learnt rate at which engines read prompts.
     double callMs = 0; ///< Smoothed time of a call, where prompts don't matter.
+    double readMs = 0; ///< Smoothed reading time of one prompt, of requests that aren't sensitive.
+    double streamMs = 0; ///< Time from first to last byte of a stream at an idle engine, learnt.
     double largestPrompt = 0; ///< Mean prompt of the route with the largest ones, in tokens.
     double sensitiveMsPerSecond = 0; ///< Reading time that gap-sensitive requests ask for.
     instant sensitiveAt = instant::min();
 };
 
-/// Records an attempt's begin, its first byte and its end.
-void recordStart(routed_upstream &upstream, const prompt_outline &prompt, double unread,
+/// One attempt, as far as an upstream's load is concerned.
+struct attempt_work
+{
+    double unreadTokens = 0; ///< Prompt tokens that the upstream has to read.
+    double estimatedMs = 0; ///< To the first byte.
+    int urgency = 0;
+    bool isGapSensitive = false;
+};
+
+/// Records an attempt's begin, its first byte and its end. An attempt without a first byte passes
+/// an empty @p waited.
+void recordStart(routed_upstream &upstream, const prompt_outline &prompt, const attempt_work &work,
                  instant now);
-void recordFirstByte(service_pool &pool, routed_upstream &upstream, double unread,
-                     microseconds waited, double estimatedMs, instant now);
+void recordFirstByte(service_pool &pool, routed_upstream &upstream, const attempt_work &work,
+                     std::optional<microseconds> waited, instant now);
 void recordEnd(routed_upstream &upstream);
 
+/// Takes in the time from first to last byte of a whole stream.
+void recordStream(service_pool &pool, microseconds took);
+
 /// Takes in a load report.
 void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now);
 
@@ -81,8 +98,9 @@
 /// Share of recent attempts that failed, with older ones counting less.
 double failureShareOf(const routed_upstream &upstream, instant now);
 
-/// Requests that run or wait at the upstream, this host's and, as last reported, others'.
-double loadOf(const routed_upstream &upstream, instant now);
+/// Requests that run or wait at the upstream: this host's and the others', as they told or, where
+/// that is more, as the upstream last reported.
+double loadOf(const routed_upstream &upstream, fleet_load &others, instant now);
 
 /// Tokens of @p prompt that the upstream is not known to keep.
 double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now);
--- /dev/null
+++ b/src/route/load_exchange.cpp
@@ -0,0 +1,226 @@
+#include "route/load_exchange.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/log_setup.h"
+#include "peer.pb.h"
+#include "policy/placement.h"
+
+#include <array>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t largestDatagram = 16 * 1024;
+constexpr std::size_t mostUpstreams = 400; // In one message, to stay below the limit above.
+// A host that missed this many messages is gone or cut off; its work is not counted any more.
+constexpr int missedMessages = 5;
+constexpr milliseconds shortestHintLife{1'200};
+constexpr double tokensPerUnit = 16; // Unread tokens are sent in these units, to save bytes.
+
+upstream_work ownWork(const routed_upstream &upstream)
+{
+    return {hintHash(upstream.listed.id), double(upstream.inFlight), upstream.unreadTokens};
+}
+
+load_hint ownHint(const routing_state &routing, instant now)
+{
+    load_hint hint;
+    for (const auto &[service, pool] : routing.pools) {
+        for (const auto &[id, upstream] : pool.upstreams) {
+            if (upstream.inFlight > 0 && hint.upstreams.size() < mostUpstreams)
+                hint.upstreams.push_back(ownWork(upstream));
+        }
+        const double demand = ownDemand(pool, now);
+        if (demand > 0)
+            hint.demands.push_back({hintHash(service), demand});
+    }
+    return hint;
+}
+
+} // namespace
+
+std::string encodeHint(const load_hint &hint)
+{
+    wire::LoadHint message;
+    message.set_host(hint.host);
+    message.set_started_ms(hint.started);
+    message.set_sequence(hint.sequence);
+    for (const upstream_work &work : hint.upstreams) {
+        wire::UpstreamWork *row = message.add_upstreams();
+        row->set_upstream(work.upstream);
+        row->set_in_flight(std::uint32_t(std::lround(work.inFlight)));
+        std::size_t levels = urgencyLevels;
+        while (levels > 0 && work.unreadTokens[levels - 1] <= 0)
+            --levels;
+        for (std::size_t urgency = 0; urgency < levels; ++urgency)
+            row->add_unread_tokens(
+                std::uint32_t(std::ceil(work.unreadTokens[urgency] / tokensPerUnit)));
+    }
+    for (const service_demand &demand : hint.demands) {
+        wire::ServiceDemand *row = message.add_demands();
+        row->set_service(demand.service);
+        row->set_sensitive_us_per_s(std::uint32_t(std::lround(demand.sensitiveMsPerSecond * 1000)));
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<load_hint> decodeHint(std::string_view bytes)
+{
+    wire::LoadHint message;
+    if (!message.ParseFromArray(bytes.data(), int(bytes.size())) || message.host() == 0)
+        return std::nullopt;
+    load_hint hint;
+    hint.host = message.host();
+    hint.started = message.started_ms();
+    hint.sequence = message.sequence();
+    for (const wire::UpstreamWork &row : message.upstreams()) {
+        upstream_work work;
+        work.upstream = row.upstream();
+        work.inFlight = row.in_flight();
+        const auto levels = std::min(urgencyLevels, std::size_t(row.unread_tokens_size()));
+        for (std::size_t urgency = 0; urgency < levels; ++urgency)
+            work.unreadTokens[urgency] = row.unread_tokens(int(urgency)) * tokensPerUnit;
+        hint.upstreams.push_back(work);
+    }
+    for (const wire::ServiceDemand &row : message.demands())
+        hint.demands.push_back({row.service(), row.sensitive_us_per_s() / 1000.0});
+    return hint;
+}
+
+struct load_exchange::state
+{
+    state(asio::io_context &io, routing_state &target, const host_address &peer,
+          clock_source clocks)
+        : context(io)
+        , routing(target)
+        , socket(io)
+        , host(hintHash(toString(peer)))
+        , clock(std::move(clocks))
+        , started(std::uint64_t(clock.wall()))
+    {
+    }
+
+    asio::io_context &context;
+    routing_state &routing;
+    udp::socket socket;
+    std::uint64_t host;
+    clock_source clock;
+    std::uint64_t started;
+    std::uint64_t sequence = 0;
+    std::uint16_t port = 0;
+    counts numbers;
+    bool isStopped = false;
+
+    void sendAll()
+    {
+        load_hint hint = ownHint(routing, clock.now());
+        hint.host = host;
+        hint.started = started;
+        hint.sequence = ++sequence;
+        const std::string bytes = encodeHint(hint);
+        for (const host_announcement &peer : routing.peers) {
+            boost::system::error_code code;
+            const auto ip = asio::ip::make_address(peer.peer.ip, code);
+            if (code)
+                continue;
+            // A datagram that finds no room is dropped; the next one replaces it.
+            socket.send_to(asio::buffer(bytes), udp::endpoint(ip, port), 0, code);
+            if (!code)
+                numbers.sentBytes += bytes.size();
+        }
+    }
+
+    static asio::awaitable<void> send(std::shared_ptr<state> self)
+    {
+        asio::steady_timer timer(self->context);
+        while (!self->isStopped) {
+            const milliseconds interval = hintInterval(self->routing.hosts());
+            timer.expires_after(interval);
+            co_await timer.async_wait(asTuple);
+            const milliseconds life = std::max(shortestHintLife, interval * missedMessages);
+            dropOldHints(self->routing.others, life, self->clock.now());
+            self->sendAll();
+        }
+    }
+
+    void take(std::string_view bytes)
+    {
+        numbers.receivedBytes += bytes.size();
+        auto hint = decodeHint(bytes);
+        if (!hint)
+            ++numbers.unreadable;
+        else if (hint->host != host)
+            takeHint(routing.others, std::move(*hint), clock.now());
+    }
+
+    static asio::awaitable<void> receive(std::shared_ptr<state> self)
+    {
+        std::vector<char> buffer(largestDatagram);
+        udp::endpoint sender;
+        while (!self->isStopped) {
+            const auto [code, size]
+                = co_await self->socket.async_receive_from(asio::buffer(buffer), sender, asTuple);
+            if (code == asio::error::operation_aborted || !self->socket.is_open())
+                co_return;
+            if (!code)
+                self->take({buffer.data(), size});
+        }
+    }
+};
+
+result<std::unique_ptr<load_exchange>>
+load_exchange::makeLoadExchange(asio::io_context &context, routing_state &target,
+                                const host_address &listen, const host_address &peer,
+                                clock_source clock)
+{
+    auto shared = std::make_shared<state>(context, target, peer, std::move(clock));
+    boost::system::error_code code;
+    const auto ip = asio::ip::make_address(listen.ip, code);
+    const udp::endpoint endpoint(ip, listen.port);
+    if (!code)
+        shared->socket.open(endpoint.protocol(), code);
+    if (!code)
+        shared->socket.bind(endpoint, code);
+    if (!code)
+        shared->socket.non_blocking(true, code);
+    if (code)
+        return makeError(result_code::settingsInvalid,
+                         "no datagrams on " + toString(listen) + ": " + code.message());
+    shared->port = shared->socket.local_endpoint().port();
+    return std::unique_ptr<load_exchange>(new load_exchange(std::move(shared)));
+}
+
+load_exchange::load_exchange(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+load_exchange::~load_exchange()
+{
+    stop();
+}
+
+void load_exchange::start()
+{
+    asio::co_spawn(m_state->context, state::send(m_state), asio::detached);
+    asio::co_spawn(m_state->context, state::receive(m_state), asio::detached);
+}
+
+void load_exchange::stop()
+{
+    m_state->isStopped = true;
+    boost::system::error_code ignored;
+    m_state->socket.close(ignored);
+}
+
+load_exchange::counts load_exchange::numbers() const
+{
+    return m_state->numbers;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/load_exchange.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/clock.h"
+#include "kernel/result.h"
+#include "policy/fleet_load.h"
+#include "route/routing_state.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace quincefall {
+
+/// Message text of a hint.
+std::string encodeHint(const load_hint &hint);
+
+/// Reads a hint; empty when @p bytes are not one.
+std::optional<load_hint> decodeHint(std::string_view bytes);
+
+/// Tells the other hosts over UDP what this one has under way, and takes in what they tell.
+class load_exchange
+{
+public:
+    struct counts
+    {
+        std::uint64_t sentBytes = 0;
+        std::uint64_t receivedBytes = 0;
+        std::uint64_t unreadable = 0;
+    };
+
+    /// All hosts listen on the same port, that of @p listen. Fails with settingsInvalid.
+    static result<std::unique_ptr<load_exchange>>
+    makeLoadExchange(boost::asio::io_context &context, routing_state &state,
+                     const host_address &listen, const host_address &peer, clock_source clock);
+    ~load_exchange();
+
+    void start();
+    void stop();
+    counts numbers() const;
+
+private:
+    struct state;
+    explicit load_exchange(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -32,7 +32,10 @@
     std::shared_ptr<upstream_call> call;
     instant started;
     bool hasFirstByte = false;
-    std::optional<upstream_load> load; ///< As the answer told it.
+    instant firstByte{};
+    instant lastEvents{}; ///< When the last whole events came.
+    microseconds longestGap{0}; ///< Between events.
+    std::optional<upstream_load> load{}; ///< As the answer told it.
 
     routed_upstream *upstream() const
     {
@@ -67,8 +70,21 @@
         hasFirstByte = true;
         const instant now = context.clock.now();
         if (routed_upstream *target = upstream())
-            recordFirstByte(context.state.pools[entry.service], *target, chosen.unreadTokens,
-                            now - started, chosen.estimatedMs, now);
+            recordFirstByte(context.state.pools[entry.service], *target, work(), now - started, now);
+        firstByte = now;
+    }
+
+    void noteEvents()
+    {
+        const instant now = context.clock.now();
+        if (lastEvents != instant{})
+            longestGap = std::max<microseconds>(longestGap, now - lastEvents);
+        lastEvents = now;
+    }
+
+    attempt_work work() const
+    {
+        return {chosen.unreadTokens, chosen.estimatedMs, job.urgency, job.isGapSensitive};
     }
 
     void noteOutcome(bool succeeded, bool isFault)
@@ -199,6 +215,7 @@
         const std::string events = takeEvents(job.events, *piece);
         if (events.empty())
             continue;
+        attempt.noteEvents();
         if (!job.hasBegun && job.isRepeatable())
             attempt.call->watchSilence(gapSilence(job), [&attempt, &job] {
                 return attempt.isSilent(gapSilence(job)) && reserveAnother(attempt.context, job);
@@ -207,6 +224,9 @@
             co_return attempt_end::callerGone;
     }
     attempt.noteOutcome(true, false);
+    if (!job.isGapSensitive)
+        recordStream(attempt.context.state.pools[attempt.entry.service],
+                     attempt.context.clock.now() - attempt.firstByte);
     const std::string rest = std::move(job.events.pending);
     if (!co_await writeEvents(job, head, rest))
         co_return attempt_end::callerGone;
@@ -277,14 +297,23 @@
     co_return co_await takeAnswer(attempt, *head);
 }
 
+std::string milliText(microseconds time)
+{
+    return std::to_string(std::lround(toMilliseconds(time))) + "ms";
+}
+
 void logAttempt(const running_attempt &attempt, attempt_end end)
 {
-    const auto took = attempt.context.clock.now() - attempt.started;
+    const microseconds took = attempt.context.clock.now() - attempt.started;
     std::string &log = attempt.job.attemptLog;
     log += log.empty() ? "" : ",";
     log += attempt.entry.id + ":" + std::string(attempt.chosen.reason) + ":"
-        + std::to_string(std::lround(attempt.chosen.estimatedMs)) + "ms:"
-        + std::to_string(std::lround(toMilliseconds(took))) + "ms:" + std::string(toString(end));
+        + std::to_string(std::lround(attempt.chosen.estimatedMs)) + "ms:" + milliText(took) + ":"
+        + std::string(toString(end));
+    if (attempt.hasFirstByte)
+        log += ":first=" + milliText(attempt.firstByte - attempt.started);
+    if (attempt.longestGap.count() > 0)
+        log += ":gap=" + milliText(attempt.longestGap);
     if (const auto &load = attempt.load)
         log += ":load=" + std::to_string(load->running) + "/" + std::to_string(load->waiting);
 }
@@ -311,18 +340,19 @@
 asio::awaitable<attempt_end> runAttempt(attempt_context &context, proxy_job &job, placement chosen)
 {
     running_attempt attempt{context, job, chosen.upstream->listed, chosen, nullptr,
-                            context.clock.now(), false, std::nullopt};
-    recordStart(*chosen.upstream, job.request.prompt, chosen.unreadTokens, attempt.started);
+                            context.clock.now()};
+    recordStart(*chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
     attempt.call = context.connections.makeCall(attempt.entry.address);
     job.exchange.setGoneListener([call = attempt.call] { call->cancel(); });
     attempt_end end = co_await sendAndRelay(attempt);
     job.exchange.setGoneListener(nullptr);
     attempt.call->finish();
-    if (!attempt.hasFirstByte)
-        if (routed_upstream *target = attempt.upstream())
-            target->unreadTokens = std::max(0.0, target->unreadTokens - chosen.unreadTokens);
-    if (routed_upstream *target = attempt.upstream())
+    if (routed_upstream *target = attempt.upstream()) {
+        if (!attempt.hasFirstByte)
+            recordFirstByte(context.state.pools[attempt.entry.service], *target, attempt.work(),
+                            std::nullopt, context.clock.now());
         recordEnd(*target);
+    }
     const bool isUnreachable
         = job.lastFailure && job.lastFailure->code == result_code::upstreamUnreachable;
     job.sends += end == attempt_end::notRun && isUnreachable ? 0 : 1;
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -35,6 +35,7 @@
     instant deadline;
     int urgency = 0;
     bool isGapSensitive = false;
+    bool isReturning = false; ///< Its caller was turned away before.
 
     std::set<std::string, std::less<>> tried{}; ///< Upstreams not to be chosen again, by id.
     int runs = 0; ///< Attempts that may have run.
@@ -42,6 +43,7 @@
     bool hasAttemptInHand = false; ///< A further attempt was taken from the budget already.
     bool hasBegun = false; ///< The answer's head went to the caller.
     event_splitter events{}; ///< Of a stream, over all attempts.
+    std::optional<milliseconds> returnAfter{}; ///< Told to a caller that is turned away.
     std::optional<error> lastFailure{};
     std::string attemptLog{}; ///< One word an attempt: upstream, reason, estimate, time, end.
 
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdio>
 
 namespace quincefall {
@@ -114,23 +115,29 @@
             limit = std::min(limit, *job.request.deadline);
         job.deadline = job.arrived + limit;
         job.urgency = urgencyOf(*job.desired, job.choice, wire.lowestUrgency);
+        if (job.request.deadline)
+            job.isReturning = isReturning(routing.patience, route.name, *job.request.deadline);
         earnAttempt(routing.budgets[job.service()], settings.budget);
         if (!job.choice.service->engine || job.request.prompt.promptTokens <= 0)
             return;
         service_pool &pool = routing.pools[job.service()];
         job.isGapSensitive = isGapSensitive(route, *job.choice.service->engine, pool,
                                             job.request.prompt.promptTokens);
-        recordDemand(pool, {&job.request.prompt, job.isGapSensitive, nullptr, false}, job.arrived);
+        placement_request wanted;
+        wanted.prompt = &job.request.prompt;
+        wanted.isGapSensitive = job.isGapSensitive;
+        recordDemand(pool, wanted, job.arrived);
     }
 
     placement choose(proxy_job &job)
     {
         placement_request wanted;
         wanted.prompt = &job.request.prompt;
+        wanted.urgency = job.urgency;
         wanted.isGapSensitive = job.isGapSensitive;
         wanted.tried = &job.tried;
         wanted.mayProbe = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
-        return chooseUpstream(routing.pools[job.service()], wanted, settings.site, routing.hosts(),
+        return chooseUpstream(routing.pools[job.service()], wanted, settings.site, routing.others,
                               clock.now());
     }
 
@@ -149,6 +156,24 @@
         return takeFurther(job);
     }
 
+    bool isWorthWaiting(proxy_job &job, const placement &chosen) const
+    {
+        overload_view view;
+        view.delayMs = chosen.delayMs;
+        view.targetMs = double(job.choice.route->targetLatency.count());
+        view.leftMs = toMilliseconds(job.deadline - clock.now());
+        view.isReturning = job.isReturning;
+        const overload_decision decision = decideOverload(view);
+        if (decision.isAdmitted)
+            return true;
+        job.returnAfter = decision.returnAfter;
+        job.lastFailure = error{result_code::overloaded,
+                                "the wait of " + std::to_string(std::lround(view.delayMs))
+                                    + " ms at " + chosen.upstream->listed.id
+                                    + " is longer than the request allows"};
+        return false;
+    }
+
     asio::awaitable<attempt_end> run(proxy_job &job)
     {
         attempt_end end = attempt_end::notRun;
@@ -160,6 +185,8 @@
                                             "service " + job.service() + " has no upstream to use"};
                 co_return job.runs > 0 ? attempt_end::failed : end;
             }
+            if (job.sends == 0 && !isWorthWaiting(job, chosen))
+                co_return attempt_end::notRun;
             job.tried.insert(chosen.upstream->listed.id);
             end = co_await runAttempt(attempts, job, chosen);
             if (end != attempt_end::notRun && end != attempt_end::failed)
@@ -187,7 +214,8 @@
         }
         const std::string detail = job.lastFailure ? job.lastFailure->detail : "";
         if (end == attempt_end::notRun) {
-            const auto wait = std::chrono::ceil<milliseconds>(returnTime(job));
+            const milliseconds wait = job.returnAfter.value_or(
+                std::chrono::ceil<milliseconds>(returnTime(job)));
             problem refusal{result_code::overloaded, detail, run_state::notRun, wait};
             co_await refuse(job.exchange, job.request.id, refusal);
             co_return;
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -5,6 +5,7 @@
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/feed.h"
+#include "route/load_exchange.h"
 #include "route/peer_relay.h"
 #include "route/proxy_service.h"
 #include "route/routing_state.h"
@@ -174,6 +175,22 @@
                        [&added] { added.stop(); }});
     }
 
+    result<void> addExchange()
+    {
+        auto made = load_exchange::makeLoadExchange(context, routing, values.exchangeListen,
+                                                    values.peerListen, clock);
+        if (!made)
+            return tl::unexpected(made.error());
+        load_exchange &added = **made;
+        services->add("route.exchange", std::shared_ptr<load_exchange>(std::move(*made)),
+                      {[&added]() -> result<void> {
+                           added.start();
+                           return {};
+                       },
+                       [&added] { added.stop(); }});
+        return {};
+    }
+
     void applyLimits()
     {
         if (!routing.desired)
@@ -210,6 +227,8 @@
                                             *numbers, clock, proxyOptions(values)));
         if (auto added = addServers(); !added)
             return added;
+        if (auto added = addExchange(); !added)
+            return added;
         addFeed(std::move(source));
         return services->start();
     }
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -20,6 +20,7 @@
     listen.address("caller", values.callerListen);
     listen.address("ready", values.readyListen);
     listen.address("peer", values.peerListen);
+    listen.address("exchange", values.exchangeListen);
     listen.rejectUnknown();
 }
 
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -22,6 +22,7 @@
     host_address callerListen;
     host_address readyListen;
     host_address peerListen; ///< Other hosts and the metrics reader.
+    host_address exchangeListen; ///< Other hosts' datagrams; the same port on all hosts.
 
     host_address store;
     std::map<std::string, std::string> regions; ///< Region of each failure domain.
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -3,7 +3,9 @@
 #include "kernel/clock.h"
 #include "policy/attempt_budget.h"
 #include "policy/desired_state.h"
+#include "policy/fleet_load.h"
 #include "policy/fleet_members.h"
+#include "policy/overload.h"
 #include "policy/routed_upstream.h"
 #include "policy/upstream_membership.h"
 
@@ -25,6 +27,8 @@
     instant upstreamContact = instant::min(); ///< When the list was last known to be whole.
     std::map<std::string, service_pool, std::less<>> pools; ///< By service.
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
+    caller_patience patience;
+    fleet_load others; ///< What the other hosts have under way.
     std::vector<host_announcement> peers; ///< Other hosts of the fleet.
     bool arePeersKnown = false; ///< `peers` was read at least once.
 
