Count work under way by urgency

Change: hints and placement count in-flight requests by urgency; a request waits for those as urgent as itself or more.

--- a/src/policy/fleet_load.cpp
+++ b/src/policy/fleet_load.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <numeric>
 
 namespace quincefall {
 namespace {
@@ -12,9 +13,10 @@
 
 void addWork(upstream_work &sum, const upstream_work &work)
 {
-    sum.inFlight += work.inFlight;
-    for (std::size_t urgency = 0; urgency < urgencyLevels; ++urgency)
+    for (std::size_t urgency = 0; urgency < urgencyLevels; ++urgency) {
+        sum.inFlight[urgency] += work.inFlight[urgency];
         sum.unreadTokens[urgency] += work.unreadTokens[urgency];
+    }
 }
 
 void sumUp(fleet_load &load)
@@ -34,6 +36,12 @@
 
 } // namespace
 
+double sumUpTo(const by_urgency &amounts, int urgency)
+{
+    const auto end = std::min(urgencyLevels, std::size_t(std::max(0, urgency)) + 1);
+    return std::accumulate(amounts.begin(), amounts.begin() + std::ptrdiff_t(end), 0.0);
+}
+
 std::uint64_t hintHash(std::string_view name)
 {
     return XXH64(name.data(), name.size(), 0);
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -13,15 +13,18 @@
 /// Urgencies that are told apart; 0 is first.
 inline constexpr std::size_t urgencyLevels = 10;
 
-/// Prompt tokens still to be read, by urgency of their requests.
-using urgency_tokens = std::array<double, urgencyLevels>;
+/// An amount for the requests of each urgency.
+using by_urgency = std::array<double, urgencyLevels>;
+
+/// Sum over all requests that are as urgent as @p urgency or more.
+double sumUpTo(const by_urgency &amounts, int urgency);
 
 /// Work at one upstream.
 struct upstream_work
 {
     std::uint64_t upstream = 0; ///< Hash of its id.
-    double inFlight = 0;
-    urgency_tokens unreadTokens{};
+    by_urgency inFlight{};
+    by_urgency unreadTokens{}; ///< Prompt tokens still to be read.
 };
 
 /// Demand of gap-sensitive requests for one service, in milliseconds of reading per second.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -93,21 +93,22 @@
                fleet_load &others, instant now)
 {
     const upstream_work &foreign = workOfOthers(others, hintHash(upstream.listed.id));
-    double tokens = 0;
-    for (std::size_t level = 0; level < urgencyLevels && int(level) <= urgency; ++level)
-        tokens += upstream.unreadTokens[level] + foreign.unreadTokens[level];
+    const double tokens
+        = sumUpTo(upstream.unreadTokens, urgency) + sumUpTo(foreign.unreadTokens, urgency);
     double excess = 0;
     if (upstream.excessAt != instant::min())
         excess = upstream.excessMs * std::exp2(-toMilliseconds(now - upstream.excessAt) / 700);
     return std::max(tokens / readRate(pool), excess);
 }
 
-/// Wait until no more requests are under way than the engine keeps in step.
-double crowdMs(const service_pool &pool, const routed_upstream &upstream, fleet_load &others,
-               instant now)
+/// Wait until no more requests of this urgency are under way than the engine keeps in step.
+double crowdMs(const service_pool &pool, const routed_upstream &upstream, int urgency,
+               fleet_load &others)
 {
-    const double over = loadOf(upstream, others, now) + 1
-        - usefulInFlight(pool, upstream.listed.slots);
+    const upstream_work &foreign = workOfOthers(others, hintHash(upstream.listed.id));
+    const double load
+        = sumUpTo(upstream.inFlight, urgency) + sumUpTo(foreign.inFlight, urgency);
+    const double over = load + 1 - usefulInFlight(pool, upstream.listed.slots);
     return std::max(0.0, over) * std::max(pool.readMs, 1.0) / usefulUtilisation;
 }
 
@@ -203,7 +204,7 @@
     const double rate = readRate(pool);
     value.delayMs = queueMs(pool, upstream, request.urgency, others, now);
     if (!request.isGapSensitive)
-        value.delayMs += crowdMs(pool, upstream, others, now);
+        value.delayMs += crowdMs(pool, upstream, request.urgency, others);
     value.firstByteMs = value.delayMs + value.unread / rate;
     value.cost = value.firstByteMs + (rereadWeight - 1) * reread / rate
         + slotWaitMs(pool, upstream, others, now);
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -66,7 +66,7 @@
 void recordStart(routed_upstream &upstream, const prompt_outline &prompt, const attempt_work &work,
                  instant now)
 {
-    ++upstream.inFlight;
+    upstream.inFlight[levelOf(work)] += 1;
     upstream.unreadTokens[levelOf(work)] += work.unreadTokens;
     for (const prompt_part &part : prompt.parts)
         upstream.keptParts[part.id] = now;
@@ -100,19 +100,19 @@
     learn(pool.streamMs, tookMs, weight);
 }
 
-void recordEnd(routed_upstream &upstream)
+void recordEnd(routed_upstream &upstream, const attempt_work &work)
 {
-    if (upstream.inFlight > 0)
-        --upstream.inFlight;
-    if (upstream.inFlight == 0)
-        upstream.unreadTokens.fill(0);
+    double &count = upstream.inFlight[levelOf(work)];
+    count = std::max(0.0, count - 1);
+    if (count == 0)
+        upstream.unreadTokens[levelOf(work)] = 0;
 }
 
 void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now)
 {
     upstream.reported = load;
     upstream.reportedAt = now;
-    upstream.ownAtReport = upstream.inFlight;
+    upstream.ownAtReport = ownInFlight(upstream);
 }
 
 void recordOutcome(routed_upstream &upstream, bool succeeded, instant now)
@@ -142,12 +142,18 @@
 
 double loadOf(const routed_upstream &upstream, fleet_load &others, instant now)
 {
-    double foreign = workOfOthers(others, hintHash(upstream.listed.id)).inFlight;
+    const by_urgency &told = workOfOthers(others, hintHash(upstream.listed.id)).inFlight;
+    double foreign = sumUpTo(told, urgencyLevels);
     if (upstream.reportedAt != instant::min() && now - upstream.reportedAt < reportLife) {
         const double reported = double(upstream.reported.running) + upstream.reported.waiting;
         foreign = std::max(foreign, reported - upstream.ownAtReport);
     }
-    return upstream.inFlight + std::max(0.0, foreign);
+    return ownInFlight(upstream) + std::max(0.0, foreign);
+}
+
+double ownInFlight(const routed_upstream &upstream)
+{
+    return sumUpTo(upstream.inFlight, urgencyLevels);
 }
 
 double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now)
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -41,9 +41,9 @@
     upstream_entry listed;
     upstream_load reported;
     instant reportedAt = instant::min();
-    unsigned ownAtReport = 0; ///< `inFlight` when the report came.
-    unsigned inFlight = 0; ///< Requests of this host that run or wait there.
-    urgency_tokens unreadTokens{}; ///< Prompt tokens of those whose answer has not begun.
+    double ownAtReport = 0; ///< Sum of `inFlight` when the report came.
+    by_urgency inFlight{}; ///< Requests of this host that run or wait there.
+    by_urgency unreadTokens{}; ///< Prompt tokens of those whose answer has not begun.
     std::unordered_map<std::uint64_t, instant> keptParts; ///< Prompt parts, by last use.
     double excessMs = 0; ///< Smoothed wait for the first byte beyond the estimate.
     instant excessAt = instant::min();
@@ -81,7 +81,7 @@
                  instant now);
 void recordFirstByte(service_pool &pool, routed_upstream &upstream, const attempt_work &work,
                      std::optional<microseconds> waited, instant now);
-void recordEnd(routed_upstream &upstream);
+void recordEnd(routed_upstream &upstream, const attempt_work &work);
 
 /// Takes in the time from first to last byte of a whole stream.
 void recordStream(service_pool &pool, microseconds took);
@@ -102,6 +102,9 @@
 /// that is more, as the upstream last reported.
 double loadOf(const routed_upstream &upstream, fleet_load &others, instant now);
 
+/// All requests of this host at the upstream.
+double ownInFlight(const routed_upstream &upstream);
+
 /// Tokens of @p prompt that the upstream is not known to keep.
 double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now);
 
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -22,9 +22,28 @@
 constexpr milliseconds shortestHintLife{1'200};
 constexpr double tokensPerUnit = 16; // Unread tokens are sent in these units, to save bytes.
 
+/// Urgencies up to the last one with an amount.
+std::size_t levelsInUse(const by_urgency &amounts)
+{
+    std::size_t levels = urgencyLevels;
+    while (levels > 0 && amounts[levels - 1] <= 0)
+        --levels;
+    return levels;
+}
+
+template <typename field_type>
+by_urgency toAmounts(const field_type &field, double unit)
+{
+    by_urgency amounts{};
+    const auto levels = std::min(urgencyLevels, std::size_t(field.size()));
+    for (std::size_t urgency = 0; urgency < levels; ++urgency)
+        amounts[urgency] = field.Get(int(urgency)) * unit;
+    return amounts;
+}
+
 upstream_work ownWork(const routed_upstream &upstream)
 {
-    return {hintHash(upstream.listed.id), double(upstream.inFlight), upstream.unreadTokens};
+    return {hintHash(upstream.listed.id), upstream.inFlight, upstream.unreadTokens};
 }
 
 load_hint ownHint(const routing_state &routing, instant now)
@@ -32,7 +51,7 @@
     load_hint hint;
     for (const auto &[service, pool] : routing.pools) {
         for (const auto &[id, upstream] : pool.upstreams) {
-            if (upstream.inFlight > 0 && hint.upstreams.size() < mostUpstreams)
+            if (ownInFlight(upstream) > 0 && hint.upstreams.size() < mostUpstreams)
                 hint.upstreams.push_back(ownWork(upstream));
         }
         const double demand = ownDemand(pool, now);
@@ -53,11 +72,9 @@
     for (const upstream_work &work : hint.upstreams) {
         wire::UpstreamWork *row = message.add_upstreams();
         row->set_upstream(work.upstream);
-        row->set_in_flight(std::uint32_t(std::lround(work.inFlight)));
-        std::size_t levels = urgencyLevels;
-        while (levels > 0 && work.unreadTokens[levels - 1] <= 0)
-            --levels;
-        for (std::size_t urgency = 0; urgency < levels; ++urgency)
+        for (std::size_t urgency = 0; urgency < levelsInUse(work.inFlight); ++urgency)
+            row->add_in_flight(std::uint32_t(std::lround(work.inFlight[urgency])));
+        for (std::size_t urgency = 0; urgency < levelsInUse(work.unreadTokens); ++urgency)
             row->add_unread_tokens(
                 std::uint32_t(std::ceil(work.unreadTokens[urgency] / tokensPerUnit)));
     }
@@ -81,10 +98,8 @@
     for (const wire::UpstreamWork &row : message.upstreams()) {
         upstream_work work;
         work.upstream = row.upstream();
-        work.inFlight = row.in_flight();
-        const auto levels = std::min(urgencyLevels, std::size_t(row.unread_tokens_size()));
-        for (std::size_t urgency = 0; urgency < levels; ++urgency)
-            work.unreadTokens[urgency] = row.unread_tokens(int(urgency)) * tokensPerUnit;
+        work.inFlight = toAmounts(row.in_flight(), 1);
+        work.unreadTokens = toAmounts(row.unread_tokens(), tokensPerUnit);
         hint.upstreams.push_back(work);
     }
     for (const wire::ServiceDemand &row : message.demands())
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -351,7 +351,7 @@
         if (!attempt.hasFirstByte)
             recordFirstByte(context.state.pools[attempt.entry.service], *target, attempt.work(),
                             std::nullopt, context.clock.now());
-        recordEnd(*target);
+        recordEnd(*target, attempt.work());
     }
     const bool isUnreachable
         = job.lastFailure && job.lastFailure->code == result_code::upstreamUnreachable;
