Learn the reading rate from idle engines; keep as many engines apart as slots ask for

Change: only idle engines teach the rate, with even weight; the number also follows requests in flight and falls slowly.

--- a/src/policy/fleet_load.cpp
+++ b/src/policy/fleet_load.cpp
@@ -29,8 +29,11 @@
     for (const auto &[host, entry] : load.hosts) {
         for (const upstream_work &work : entry.hint.upstreams)
             addWork(load.upstreams[work.upstream], work);
-        for (const service_demand &demand : entry.hint.demands)
-            load.demands[demand.service] += demand.sensitiveMsPerSecond;
+        for (const service_demand &demand : entry.hint.demands) {
+            service_demand &sum = load.demands[demand.service];
+            sum.msPerSecond += demand.msPerSecond;
+            sum.inFlight += demand.inFlight;
+        }
     }
 }
 
@@ -78,11 +81,11 @@
     return row == load.upstreams.end() ? nothing : row->second;
 }
 
-double demandOfOthers(fleet_load &load, std::uint64_t service)
+service_demand demandOfOthers(fleet_load &load, std::uint64_t service)
 {
     sumUp(load);
     const auto row = load.demands.find(service);
-    return row == load.demands.end() ? 0 : row->second;
+    return row == load.demands.end() ? service_demand() : row->second;
 }
 
 milliseconds hintInterval(unsigned hosts)
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -27,11 +27,12 @@
     by_urgency unreadTokens{}; ///< Prompt tokens still to be read.
 };
 
-/// Demand of gap-sensitive requests for one service, in milliseconds of reading per second.
+/// What gap-sensitive requests ask of one service.
 struct service_demand
 {
     std::uint64_t service = 0; ///< Hash of its name.
-    double sensitiveMsPerSecond = 0;
+    double msPerSecond = 0; ///< Reading time.
+    double inFlight = 0; ///< Requests that run or wait.
 };
 
 /// What one host has under way.
@@ -58,7 +59,7 @@
 
     std::unordered_map<std::uint64_t, entry> hosts;
     std::unordered_map<std::uint64_t, upstream_work> upstreams; ///< Sum over `hosts`.
-    std::unordered_map<std::uint64_t, double> demands; ///< Sum over `hosts`.
+    std::unordered_map<std::uint64_t, service_demand> demands; ///< Sum over `hosts`.
     bool isSummed = true;
 };
 
@@ -74,8 +75,8 @@
 /// Work of the other hosts at an upstream.
 const upstream_work &workOfOthers(fleet_load &load, std::uint64_t upstream);
 
-/// Demand of the other hosts for a service, in milliseconds of reading per second.
-double demandOfOthers(fleet_load &load, std::uint64_t service);
+/// What the other hosts' gap-sensitive requests ask of a service.
+service_demand demandOfOthers(fleet_load &load, std::uint64_t service);
 
 /// Time between two hints of one host, so that the messages of a large fleet stay bounded.
 milliseconds hintInterval(unsigned hosts);
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -17,6 +17,8 @@
 constexpr double promptSmoothing = 0.05;
 constexpr double demandWindowMs = 4'000; // Bursts last some seconds.
 constexpr double apartUtilisation = 0.5; // Reading time that an engine kept apart may spend.
+constexpr double apartSlotShare = 0.6; // Of an upstream's slots that may be in use.
+constexpr double apartHalfLifeMs = 8'000; // Bursts return after some seconds.
 constexpr double longestApartShare = 0.5;
 constexpr std::size_t fewestForApart = 3;
 constexpr std::uint64_t apartKey = 0x6170617274; // Sets their hash apart from those of parts.
@@ -166,11 +168,14 @@
     return tokens;
 }
 
-double fleetDemand(const service_pool &pool, const std::vector<routed_upstream *> &usable,
-                   fleet_load &others, instant now)
+service_demand fleetDemand(const service_pool &pool, const routed_upstream &any,
+                           fleet_load &others, instant now)
 {
-    const double own = ownDemand(pool, now);
-    return own + demandOfOthers(others, hintHash(usable.front()->listed.service));
+    service_demand demand = ownDemand(pool, now);
+    const service_demand foreign = demandOfOthers(others, hintHash(any.listed.service));
+    demand.msPerSecond += foreign.msPerSecond;
+    demand.inFlight += foreign.inFlight;
+    return demand;
 }
 
 struct candidate_estimate
@@ -234,7 +239,10 @@
     std::set<const routed_upstream *> apart;
     routed_upstream *home = nullptr;
     if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
-        apart = apartOf(usable, apartCount(usable.size(), fleetDemand(pool, usable, others, now)));
+        const routed_upstream &any = *usable.front();
+        const double needed
+            = apartNeeded(fleetDemand(pool, any, others, now), any.listed.slots);
+        apart = apartOf(usable, keepApart(pool, usable.size(), needed, now));
         home = homeOf(usable, apart, request);
     }
     double lowest = std::numeric_limits<double>::infinity();
@@ -281,20 +289,34 @@
     pool.sensitiveAt = now;
 }
 
-double ownDemand(const service_pool &pool, instant now)
+service_demand ownDemand(const service_pool &pool, instant now)
 {
-    if (pool.sensitiveAt == instant::min())
-        return 0;
-    return pool.sensitiveMsPerSecond
-        * std::exp(-toMilliseconds(now - pool.sensitiveAt) / demandWindowMs);
+    service_demand demand;
+    demand.inFlight = pool.sensitiveInFlight;
+    if (pool.sensitiveAt != instant::min())
+        demand.msPerSecond = pool.sensitiveMsPerSecond
+            * std::exp(-toMilliseconds(now - pool.sensitiveAt) / demandWindowMs);
+    return demand;
+}
+
+double apartNeeded(const service_demand &demand, unsigned slots)
+{
+    const double reading = demand.msPerSecond / 1000 / apartUtilisation;
+    const double places = demand.inFlight / (std::max(1U, slots) * apartSlotShare);
+    return std::max(reading, places);
 }
 
-unsigned apartCount(std::size_t upstreams, double demand)
+unsigned keepApart(service_pool &pool, std::size_t usable, double needed, instant now)
 {
-    if (upstreams < fewestForApart || demand <= 0)
+    if (usable < fewestForApart || needed <= 0)
         return 0;
-    const double needed = std::ceil(demand / 1000 / apartUtilisation);
-    return unsigned(std::clamp(needed, 1.0, std::floor(double(upstreams) * longestApartShare)));
+    double level = pool.apartLevel;
+    if (pool.apartAt != instant::min())
+        level *= std::exp2(-toMilliseconds(now - pool.apartAt) / apartHalfLifeMs);
+    pool.apartLevel = std::max(needed, level);
+    pool.apartAt = now;
+    const double most = std::max(1.0, std::floor(double(usable) * longestApartShare));
+    return unsigned(std::clamp(std::ceil(pool.apartLevel), 1.0, most));
 }
 
 double usefulInFlight(const service_pool &pool, unsigned slots)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -51,12 +51,17 @@
 /// Takes a request's reading time into the demand of its kind.
 void recordDemand(service_pool &pool, const placement_request &request, instant now);
 
-/// This host's demand of gap-sensitive requests, in milliseconds of reading per second.
-double ownDemand(const service_pool &pool, instant now);
+/// What this host's gap-sensitive requests ask of the pool.
+service_demand ownDemand(const service_pool &pool, instant now);
 
-/// Number of upstreams kept for gap-sensitive requests when all hosts together ask for
-/// @p demand milliseconds of reading per second.
-unsigned apartCount(std::size_t upstreams, double demand);
+/// Number of upstreams needed by gap-sensitive requests with the demand of all hosts together.
+double apartNeeded(const service_demand &demand, unsigned slots);
+
+/// Number of upstreams of @p usable kept for gap-sensitive requests.
+///
+/// Answers demand that swings: an upstream that joins those kept apart is of use only when the long
+/// streams it had are over, so the number follows a rise at once and a fall slowly.
+unsigned keepApart(service_pool &pool, std::size_t usable, double needed, instant now);
 
 /// Requests that an engine may have under way so that it still reads and writes in step.
 ///
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -11,8 +11,9 @@
 constexpr double excessSmoothing = 0.3; // Weight of one answer in the wait beyond the estimate.
 constexpr double excessHalfLifeMs = 700; // Queues at an engine drain in about this time.
 constexpr double callSmoothing = 0.05;
-constexpr double rateRise = 0.3; // A faster reading shows the engine without others' work...
-constexpr double rateFall = 0.01; // ...a slower one mostly shows others' work.
+constexpr double rateSmoothing = 0.05;
+constexpr double mostRateStep = 3; // A part that was kept after all looks like fast reading.
+constexpr double idleDelayMs = 5; // Expected wait up to which an engine counts as idle.
 constexpr double readSmoothing = 0.05;
 constexpr double streamFall = 0.3;
 constexpr double streamRise = 0.01;
@@ -44,10 +45,11 @@
 {
     if (pool.promptTokensPerMs <= 0)
         pool.promptTokensPerMs = firstRate;
-    if (work.unreadTokens > sampleTokens && waitedMs > 1) {
+    // Only an engine without other work shows how fast it reads.
+    if (work.unreadTokens > sampleTokens && work.delayMs < idleDelayMs && waitedMs > 1) {
         const double sample = work.unreadTokens / waitedMs;
-        learn(pool.promptTokensPerMs, sample,
-              sample > pool.promptTokensPerMs ? rateRise : rateFall);
+        learn(pool.promptTokensPerMs, std::min(sample, pool.promptTokensPerMs * mostRateStep),
+              rateSmoothing);
     }
     if (!work.isGapSensitive)
         learn(pool.readMs, work.unreadTokens / pool.promptTokensPerMs, readSmoothing);
@@ -63,9 +65,11 @@
 
 } // namespace
 
-void recordStart(routed_upstream &upstream, const prompt_outline &prompt, const attempt_work &work,
-                 instant now)
+void recordStart(service_pool &pool, routed_upstream &upstream, const prompt_outline &prompt,
+                 const attempt_work &work, instant now)
 {
+    if (work.isGapSensitive)
+        pool.sensitiveInFlight += 1;
     upstream.inFlight[levelOf(work)] += 1;
     upstream.unreadTokens[levelOf(work)] += work.unreadTokens;
     for (const prompt_part &part : prompt.parts)
@@ -100,12 +104,16 @@
     learn(pool.streamMs, tookMs, weight);
 }
 
-void recordEnd(routed_upstream &upstream, const attempt_work &work)
+void recordEnd(service_pool &pool, routed_upstream *upstream, const attempt_work &work)
 {
-    double &count = upstream.inFlight[levelOf(work)];
+    if (work.isGapSensitive)
+        pool.sensitiveInFlight = std::max(0.0, pool.sensitiveInFlight - 1);
+    if (!upstream)
+        return;
+    double &count = upstream->inFlight[levelOf(work)];
     count = std::max(0.0, count - 1);
     if (count == 0)
-        upstream.unreadTokens[levelOf(work)] = 0;
+        upstream->unreadTokens[levelOf(work)] = 0;
 }
 
 void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now)
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -64,6 +64,9 @@
     double largestPrompt = 0; ///< Mean prompt of the route with the largest ones, in tokens.
     double sensitiveMsPerSecond = 0; ///< Reading time that gap-sensitive requests ask for.
     instant sensitiveAt = instant::min();
+    double sensitiveInFlight = 0; ///< This host's gap-sensitive requests that run or wait.
+    double apartLevel = 0; ///< Upstreams kept for them; falls slowly, see keepApart().
+    instant apartAt = instant::min();
 };
 
 /// One attempt, as far as an upstream's load is concerned.
@@ -71,17 +74,18 @@
 {
     double unreadTokens = 0; ///< Prompt tokens that the upstream has to read.
     double estimatedMs = 0; ///< To the first byte.
+    double delayMs = 0; ///< Part of it that is due to work before this one.
     int urgency = 0;
     bool isGapSensitive = false;
 };
 
 /// Records an attempt's begin, its first byte and its end. An attempt without a first byte passes
-/// an empty @p waited.
-void recordStart(routed_upstream &upstream, const prompt_outline &prompt, const attempt_work &work,
-                 instant now);
+/// an empty @p waited; one whose upstream left meanwhile has no upstream at its end.
+void recordStart(service_pool &pool, routed_upstream &upstream, const prompt_outline &prompt,
+                 const attempt_work &work, instant now);
 void recordFirstByte(service_pool &pool, routed_upstream &upstream, const attempt_work &work,
                      std::optional<microseconds> waited, instant now);
-void recordEnd(routed_upstream &upstream, const attempt_work &work);
+void recordEnd(service_pool &pool, routed_upstream *upstream, const attempt_work &work);
 
 /// Takes in the time from first to last byte of a whole stream.
 void recordStream(service_pool &pool, microseconds took);
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -54,9 +54,10 @@
             if (ownInFlight(upstream) > 0 && hint.upstreams.size() < mostUpstreams)
                 hint.upstreams.push_back(ownWork(upstream));
         }
-        const double demand = ownDemand(pool, now);
-        if (demand > 0)
-            hint.demands.push_back({hintHash(service), demand});
+        service_demand demand = ownDemand(pool, now);
+        demand.service = hintHash(service);
+        if (demand.msPerSecond > 0 || demand.inFlight > 0)
+            hint.demands.push_back(demand);
     }
     return hint;
 }
@@ -81,7 +82,8 @@
     for (const service_demand &demand : hint.demands) {
         wire::ServiceDemand *row = message.add_demands();
         row->set_service(demand.service);
-        row->set_sensitive_us_per_s(std::uint32_t(std::lround(demand.sensitiveMsPerSecond * 1000)));
+        row->set_sensitive_us_per_s(std::uint32_t(std::lround(demand.msPerSecond * 1000)));
+        row->set_sensitive_in_flight(std::uint32_t(std::lround(demand.inFlight)));
     }
     return message.SerializeAsString();
 }
@@ -103,7 +105,8 @@
         hint.upstreams.push_back(work);
     }
     for (const wire::ServiceDemand &row : message.demands())
-        hint.demands.push_back({row.service(), row.sensitive_us_per_s() / 1000.0});
+        hint.demands.push_back({row.service(), row.sensitive_us_per_s() / 1000.0,
+                                double(row.sensitive_in_flight())});
     return hint;
 }
 
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -84,7 +84,8 @@
 
     attempt_work work() const
     {
-        return {chosen.unreadTokens, chosen.estimatedMs, job.urgency, job.isGapSensitive};
+        return {chosen.unreadTokens, chosen.estimatedMs, chosen.delayMs, job.urgency,
+                job.isGapSensitive};
     }
 
     void noteOutcome(bool succeeded, bool isFault)
@@ -341,18 +342,17 @@
 {
     running_attempt attempt{context, job, chosen.upstream->listed, chosen, nullptr,
                             context.clock.now()};
-    recordStart(*chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
+    service_pool &pool = context.state.pools[attempt.entry.service];
+    recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
     attempt.call = context.connections.makeCall(attempt.entry.address);
     job.exchange.setGoneListener([call = attempt.call] { call->cancel(); });
     attempt_end end = co_await sendAndRelay(attempt);
     job.exchange.setGoneListener(nullptr);
     attempt.call->finish();
-    if (routed_upstream *target = attempt.upstream()) {
-        if (!attempt.hasFirstByte)
-            recordFirstByte(context.state.pools[attempt.entry.service], *target, attempt.work(),
-                            std::nullopt, context.clock.now());
-        recordEnd(*target, attempt.work());
-    }
+    routed_upstream *target = attempt.upstream();
+    if (target && !attempt.hasFirstByte)
+        recordFirstByte(pool, *target, attempt.work(), std::nullopt, context.clock.now());
+    recordEnd(pool, target, attempt.work());
     const bool isUnreachable
         = job.lastFailure && job.lastFailure->code == result_code::upstreamUnreachable;
     job.sends += end == attempt_end::notRun && isUnreachable ? 0 : 1;
