Let a few hosts read the store and the others hear from them

Change: hints carry the desired version, the offset of the last change of the upstreams and the age of both; three hosts by rendezvous hash read, the others ask the best informed host when it knows more, and read themselves when the readers fall silent (planFeed, free function).

--- a/src/policy/fleet_load.cpp
+++ b/src/policy/fleet_load.cpp
@@ -59,7 +59,7 @@
         if (age <= std::pair(current.started, current.sequence))
             return false;
     }
-    const std::uint64_t host = hint.host;
+    const host_address host = hint.host;
     load.hosts[host] = {std::move(hint), now};
     load.isSummed = false;
     return true;
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "kernel/address.h"
 #include "kernel/clock.h"
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -38,11 +40,15 @@
 /// What one host has under way.
 struct load_hint
 {
-    std::uint64_t host = 0; ///< Hash of its peer address.
+    host_address host; ///< Its peer address.
     std::uint64_t started = 0; ///< Unix time of its start in milliseconds.
     std::uint64_t sequence = 0;
     std::vector<upstream_work> upstreams;
     std::vector<service_demand> demands;
+    std::uint64_t desiredVersion = 0;
+    milliseconds desiredAge{0}; ///< Since that version was known to be the newest.
+    std::uint64_t upstreamsChanged = 0; ///< Offset after the last change of the list.
+    milliseconds upstreamsAge{0}; ///< Since the list was known to be whole.
 };
 
 /// Work of the other hosts, summed.
@@ -57,7 +63,7 @@
         instant received;
     };
 
-    std::unordered_map<std::uint64_t, entry> hosts;
+    std::map<host_address, entry> hosts;
     std::unordered_map<std::uint64_t, upstream_work> upstreams; ///< Sum over `hosts`.
     std::unordered_map<std::uint64_t, service_demand> demands; ///< Sum over `hosts`.
     bool isSummed = true;
--- a/src/policy/fleet_members.h
+++ b/src/policy/fleet_members.h
@@ -24,6 +24,6 @@
                                          const host_address &own, wall_milliseconds now);
 
 /// Interval between announcements of one host.
-inline constexpr seconds announceInterval{15};
+inline constexpr seconds announceInterval{60};
 
 } // namespace quincefall
--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -1,6 +1,7 @@
 #include "policy/upstream_membership.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace quincefall {
@@ -10,6 +11,7 @@
 constexpr milliseconds returnTime{2'300};
 // An entry that goes missing this long after an outage may still have lapsed in it.
 constexpr milliseconds doubtAfterReturn{2'500};
+constexpr std::size_t mostRemoved = 256;
 
 bool isInDoubt(const upstream_membership &membership, instant now)
 {
@@ -25,25 +27,49 @@
     return isAway ? instant::max() - microseconds(1) : membership.backSince + returnTime;
 }
 
+using listing_row = decltype(upstream_membership::listings)::iterator;
+
+void remove(upstream_membership &membership, listing_row row, std::uint64_t next)
+{
+    // Others ask for changes within seconds; older removals need not be known.
+    if (membership.removed.size() >= mostRemoved)
+        membership.removed.erase(std::min_element(
+            membership.removed.begin(), membership.removed.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; }));
+    membership.removed[row->first] = next;
+    membership.lastChange = std::max(membership.lastChange, next);
+    membership.listings.erase(row);
+}
+
 } // namespace
 
-bool takeEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence)
+bool takeEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence,
+               std::uint64_t next)
 {
     const auto known = membership.listings.find(entry.id);
-    if (known != membership.listings.end()) {
-        const upstream_membership::listing &current = known->second;
+    bool isChange = known == membership.listings.end();
+    if (!isChange) {
+        upstream_membership::listing &current = known->second;
         const bool isOlderRun = entry.started < current.entry.started;
         const bool isOlderEntry
             = entry.started == current.entry.started && sequence < current.sequence;
         if (isOlderRun || isOlderEntry)
             return false;
+        current.doubtfulUntil = instant::max();
+        current.sequence = sequence;
+        isChange = entry != current.entry;
     }
+    if (!isChange)
+        return false;
+    membership.lastChange = std::max(membership.lastChange, next);
+    membership.removed.erase(entry.id);
     const std::string id = entry.id;
-    membership.listings[id] = {std::move(entry), sequence, instant::max()};
+    membership.listings[id] = {std::move(entry), sequence, next, instant::max()};
     return true;
 }
 
-bool takeMissing(upstream_membership &membership, std::string_view id, instant now)
+bool takeMissing(upstream_membership &membership, std::string_view id, std::uint64_t next,
+                 instant now)
 {
     const auto known = membership.listings.find(id);
     if (known == membership.listings.end())
@@ -52,7 +78,16 @@
         known->second.doubtfulUntil = giveUpTime(membership);
         return false;
     }
-    membership.listings.erase(known);
+    remove(membership, known, next);
+    return true;
+}
+
+bool takeRemoved(upstream_membership &membership, std::string_view id, std::uint64_t changed)
+{
+    const auto known = membership.listings.find(id);
+    if (known == membership.listings.end() || known->second.changed >= changed)
+        return false;
+    remove(membership, known, changed);
     return true;
 }
 
@@ -73,8 +108,16 @@
 
 std::size_t dropMissing(upstream_membership &membership, instant now)
 {
-    return std::erase_if(membership.listings,
-                         [now](const auto &row) { return row.second.doubtfulUntil <= now; });
+    std::size_t dropped = 0;
+    for (auto row = membership.listings.begin(); row != membership.listings.end();) {
+        const auto next = std::next(row);
+        if (row->second.doubtfulUntil <= now) {
+            remove(membership, row, membership.next);
+            ++dropped;
+        }
+        row = next;
+    }
+    return dropped;
 }
 
 } // namespace quincefall
--- a/src/policy/upstream_membership.h
+++ b/src/policy/upstream_membership.h
@@ -21,19 +21,28 @@
     {
         upstream_entry entry;
         std::int64_t sequence = 0; ///< Of the entry; starts anew with `started`.
+        std::uint64_t changed = 0; ///< Offset after the record that changed it last.
         instant doubtfulUntil = instant::max(); ///< When a missing entry is given up.
     };
 
     std::map<std::string, listing, std::less<>> listings; ///< By id.
+    std::map<std::string, std::uint64_t, std::less<>> removed; ///< Change offset, by id.
+    std::uint64_t next = 0; ///< Offset up to which the list is known.
+    std::uint64_t lastChange = 0; ///< Largest change offset.
     instant lastFailure = instant::min(); ///< Of a call to the store.
     instant backSince = instant::min(); ///< First answer after that failure.
 };
 
-/// Takes in an entry. False when it is older than what is known and changes nothing.
-bool takeEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence);
+/// Takes in an entry read up to offset @p next. True when it changes more than the sequence.
+bool takeEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence,
+               std::uint64_t next);
 
 /// Takes in that an entry is missing from the store. True when the upstream is gone at once.
-bool takeMissing(upstream_membership &membership, std::string_view id, instant now);
+bool takeMissing(upstream_membership &membership, std::string_view id, std::uint64_t next,
+                 instant now);
+
+/// Takes in that another host has given up an upstream. True when it was listed here.
+bool takeRemoved(upstream_membership &membership, std::string_view id, std::uint64_t changed);
 
 /// Takes in whether a call to the store was answered.
 void takeStoreContact(upstream_membership &membership, bool answered, instant now);
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -2,6 +2,8 @@
 
 #include "kernel/asio_headers.h"
 #include "observe/log_setup.h"
+#include "policy/feed_plan.h"
+#include "route/peer_calls.h"
 
 #include <set>
 
@@ -11,6 +13,7 @@
 namespace asio = boost::asio;
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds planInterval{100}; // Between looks at what other hosts know.
 constexpr milliseconds firstPause{100}; // After a failed read.
 constexpr milliseconds longestPause{500}; // Keeps the return of the store quick to notice.
 
@@ -19,25 +22,40 @@
     return std::min(pause * 2, longestPause);
 }
 
+std::uint64_t largestChange(const peer_upstreams &known)
+{
+    std::uint64_t largest = 0;
+    for (const upstream_membership::listing &listing : known.listings)
+        largest = std::max(largest, listing.changed);
+    for (const peer_upstreams::removal &removal : known.removed)
+        largest = std::max(largest, removal.changed);
+    return largest;
+}
+
 } // namespace
 
 struct feed::state
 {
     state(asio::io_context &io, routing_state &routing, state_source reader, options values,
-          clock_source clocks)
+          host_address address, clock_source clocks)
         : target(routing)
         , source(std::move(reader))
         , settings(values)
+        , own(std::move(address))
         , clock(std::move(clocks))
         , context(io)
+        , client(http_client::makeHttpClient(io))
     {
     }
 
     routing_state &target;
     state_source source;
     options settings;
+    host_address own;
     clock_source clock;
     asio::io_context &context;
+    std::unique_ptr<http_client> client;
+    instant upstreamsRead = instant::min();
     std::function<void()> changeListener;
     std::function<void(const host_address &)> goneListener;
     bool isStopped = false;
@@ -77,29 +95,79 @@
             publish();
     }
 
+    milliseconds ageOf(instant contact) const
+    {
+        return contact == instant::min() ? milliseconds::max()
+                                         : std::chrono::floor<milliseconds>(clock.now() - contact);
+    }
+
+    feed_view desiredView()
+    {
+        feed_view view;
+        view.known = target.desired ? target.desired->version : 0;
+        view.interval = settings.desiredWait;
+        view.sinceRead = settings.desiredWait; // A read waits by itself, so the next is always due.
+        target.desiredContact
+            = std::max(target.desiredContact, freshestContact(view, target.others));
+        view.age = ageOf(target.desiredContact);
+        return view;
+    }
+
+    /// One read of the store; false when the next should wait for a while.
+    asio::awaitable<bool> readDesired(std::optional<std::uint64_t> &from)
+    {
+        auto page = co_await source.desired(from, settings.desiredWait);
+        const bool isTruncated = !page && page.error().code == result_code::logTruncated;
+        target.isDesiredServed = page.has_value() || isTruncated;
+        noteContact(target.isDesiredServed, page ? nullptr : &page.error());
+        if (isTruncated)
+            from.reset();
+        if (!page)
+            co_return isTruncated;
+        from = page->next;
+        takePage(*page);
+        // Without any desired state a read does not wait for the first.
+        co_return target.desired != nullptr;
+    }
+
+    asio::awaitable<void> askForDesired(host_address host)
+    {
+        const std::uint64_t known = target.desired ? target.desired->version : 0;
+        auto answer = co_await askDesired(*client, host, known);
+        if (!answer) {
+            logWarning("host not asked", {{"host", toString(host)},
+                                          {"cause", answer.error().detail}});
+            co_return;
+        }
+        if (answer->text) {
+            auto desired = source.decodeDesired(*answer->text);
+            if (!desired) {
+                logWarning("desired state of a host ignored",
+                           {{"host", toString(host)}, {"cause", desired.error().detail}});
+                co_return;
+            }
+            if (takeDesired(target, std::move(*desired), std::move(*answer->text), clock.now()))
+                publish();
+        }
+        target.desiredContact = std::max(target.desiredContact, clock.now() - answer->age);
+    }
+
     static asio::awaitable<void> followDesired(std::shared_ptr<state> self)
     {
         std::optional<std::uint64_t> from;
         milliseconds wait = firstPause;
         while (!self->isStopped) {
-            auto page = co_await self->source.desired(from, self->settings.desiredWait);
-            const bool isTruncated = !page && page.error().code == result_code::logTruncated;
-            self->noteContact(page.has_value() || isTruncated, page ? nullptr : &page.error());
-            if (page) {
-                from = page->next;
-                self->takePage(*page);
-                wait = firstPause;
-                // Without any desired state a read does not wait for the first.
-                if (!self->target.desired)
-                    co_await self->pause(firstPause);
-                continue;
-            }
-            if (isTruncated) {
-                from.reset();
-                continue;
-            }
-            co_await self->pause(wait);
-            wait = nextPause(wait);
+            const feed_step step = planFeed(self->desiredView(), self->target.others, self->own,
+                                            self->clock.now());
+            bool isDone = true;
+            if (step.action == feed_step::kind::readStore)
+                isDone = co_await self->readDesired(from);
+            else if (step.action == feed_step::kind::askHost)
+                co_await self->askForDesired(step.host);
+            wait = isDone ? firstPause : nextPause(wait);
+            const bool isReading = step.action == feed_step::kind::readStore && isDone;
+            if (!isReading)
+                co_await self->pause(isDone ? planInterval : wait);
         }
     }
 
@@ -107,25 +175,26 @@
     {
         const instant now = clock.now();
         target.upstreamContact = now;
+        target.membership.next = std::max(target.membership.next, page.next);
         std::set<std::string> listed;
         bool isChanged = false;
         for (const upstream_change &change : page.changes) {
             if (change.entry) {
                 listed.insert(change.id);
-                isChanged = takeEntry(target.membership, *change.entry, change.sequence)
+                isChanged = takeEntry(target.membership, *change.entry, change.sequence, page.next)
                     || isChanged;
             } else {
-                isChanged = takeMissing(target.membership, change.id, now) || isChanged;
+                isChanged = takeMissing(target.membership, change.id, page.next, now) || isChanged;
             }
         }
         if (page.isSnapshot)
-            isChanged = takeUnlisted(listed, now) || isChanged;
+            isChanged = takeUnlisted(listed, page.next, now) || isChanged;
         isChanged = dropMissing(target.membership, now) > 0 || isChanged;
         if (isChanged)
             publish();
     }
 
-    bool takeUnlisted(const std::set<std::string> &listed, instant now)
+    bool takeUnlisted(const std::set<std::string> &listed, std::uint64_t next, instant now)
     {
         std::vector<std::string> missing;
         for (const auto &[id, listing] : target.membership.listings) {
@@ -134,41 +203,91 @@
         }
         bool isChanged = false;
         for (const std::string &id : missing)
-            isChanged = takeMissing(target.membership, id, now) || isChanged;
+            isChanged = takeMissing(target.membership, id, next, now) || isChanged;
         return isChanged;
     }
 
-    static asio::awaitable<void> followUpstreams(std::shared_ptr<state> self)
+    feed_view upstreamsView()
+    {
+        feed_view view;
+        view.isUpstreams = true;
+        view.known = target.membership.lastChange;
+        view.interval = settings.upstreamInterval;
+        view.sinceRead = ageOf(upstreamsRead);
+        if (target.upstreamContact != instant::min())
+            target.upstreamContact
+                = std::max(target.upstreamContact, freshestContact(view, target.others));
+        view.age = ageOf(target.upstreamContact);
+        return view;
+    }
+
+    /// One read of the store; false when the next should wait for a while.
+    asio::awaitable<void> readUpstreams(bool &isSnapshotNeeded)
     {
         std::optional<std::uint64_t> from;
-        milliseconds wait = firstPause;
+        if (!isSnapshotNeeded)
+            from = target.membership.next;
+        const auto page = co_await source.upstreams(from);
+        upstreamsRead = clock.now();
+        const bool isTruncated = !page && page.error().code == result_code::logTruncated;
+        target.isUpstreamServed = page.has_value() || isTruncated;
+        noteContact(target.isUpstreamServed, page ? nullptr : &page.error());
+        if (page)
+            takePage(*page);
+        isSnapshotNeeded = isTruncated || (isSnapshotNeeded && !page);
+        if (isTruncated || target.membership.listings.empty())
+            upstreamsRead = instant::min(); // The next read is due at once.
+    }
+
+    void take(const peer_upstreams &known)
+    {
+        upstream_membership &membership = target.membership;
+        bool isChanged = false;
+        for (const upstream_membership::listing &listing : known.listings)
+            isChanged = takeEntry(membership, listing.entry, listing.sequence, listing.changed)
+                || isChanged;
+        for (const peer_upstreams::removal &removal : known.removed)
+            isChanged = takeRemoved(membership, removal.id, removal.changed) || isChanged;
+        membership.next = std::max(membership.next, known.next);
+        membership.lastChange = std::max(membership.lastChange, largestChange(known));
+        target.upstreamContact = std::max(target.upstreamContact, clock.now() - known.age);
+        if (isChanged)
+            publish();
+    }
+
+    asio::awaitable<void> askForUpstreams(host_address host)
+    {
+        const auto known = co_await askUpstreams(*client, host, target.membership.lastChange);
+        if (known)
+            take(*known);
+        else
+            logWarning("host not asked",
+                       {{"host", toString(host)}, {"cause", known.error().detail}});
+    }
+
+    static asio::awaitable<void> followUpstreams(std::shared_ptr<state> self)
+    {
+        bool isSnapshotNeeded = true;
         while (!self->isStopped) {
-            const auto page = co_await self->source.upstreams(from);
-            const bool isTruncated = !page && page.error().code == result_code::logTruncated;
-            self->noteContact(page.has_value() || isTruncated, page ? nullptr : &page.error());
-            if (page) {
-                from = page->next;
-                self->takePage(*page);
-                wait = firstPause;
-                const bool isEmpty = self->target.membership.listings.empty();
-                co_await self->pause(isEmpty ? firstPause : self->settings.upstreamInterval);
-                continue;
-            }
-            if (isTruncated) {
-                from.reset();
-                continue;
-            }
-            co_await self->pause(wait);
-            wait = nextPause(wait);
+            const feed_step step = planFeed(self->upstreamsView(), self->target.others, self->own,
+                                            self->clock.now());
+            if (step.action == feed_step::kind::readStore)
+                co_await self->readUpstreams(isSnapshotNeeded);
+            else if (step.action == feed_step::kind::askHost)
+                co_await self->askForUpstreams(step.host);
+            if (dropMissing(self->target.membership, self->clock.now()) > 0)
+                self->publish();
+            co_await self->pause(planInterval);
         }
     }
 };
 
 std::unique_ptr<feed> feed::makeFeed(asio::io_context &context, routing_state &target,
-                                     state_source source, options settings, clock_source clock)
+                                     state_source source, options settings,
+                                     const host_address &own, clock_source clock)
 {
     return std::unique_ptr<feed>(new feed(std::make_shared<state>(
-        context, target, std::move(source), settings, std::move(clock))));
+        context, target, std::move(source), settings, own, std::move(clock))));
 }
 
 feed::feed(std::shared_ptr<state> shared)
--- a/src/route/feed.h
+++ b/src/route/feed.h
@@ -11,7 +11,8 @@
 
 namespace quincefall {
 
-/// Keeps the routing state in step with the platform.
+/// Keeps the routing state in step with the platform, by reads of its store or by other hosts that
+/// read it; planFeed() decides which.
 class feed
 {
 public:
@@ -23,7 +24,7 @@
 
     static std::unique_ptr<feed> makeFeed(boost::asio::io_context &context, routing_state &state,
                                           state_source source, options settings,
-                                          clock_source clock);
+                                          const host_address &own, clock_source clock);
     ~feed();
 
     /// Called after each change of the desired state or the upstreams.
--- /dev/null
+++ b/src/route/host_directory.cpp
@@ -0,0 +1,133 @@
+#include "route/host_directory.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/log_setup.h"
+
+#include <algorithm>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds firstRead{1'500}; // When all hosts of a start have announced themselves.
+constexpr milliseconds retryPause{1'000};
+
+} // namespace
+
+struct host_directory::state
+{
+    state(asio::io_context &io, routing_state &target, state_source reader,
+          host_announcement announcement, std::vector<host_address> settingsSeeds,
+          clock_source clocks)
+        : context(io)
+        , routing(target)
+        , source(std::move(reader))
+        , own(std::move(announcement))
+        , seeds(std::move(settingsSeeds))
+        , clock(std::move(clocks))
+    {
+    }
+
+    asio::io_context &context;
+    routing_state &routing;
+    state_source source;
+    host_announcement own;
+    std::vector<host_address> seeds;
+    clock_source clock;
+    bool isStopped = false;
+
+    asio::awaitable<void> pause(microseconds time)
+    {
+        asio::steady_timer timer(context, time);
+        co_await timer.async_wait(asTuple);
+    }
+
+    asio::awaitable<bool> announceOwn()
+    {
+        own.announced = clock.wall();
+        const auto done = co_await source.announce(own);
+        if (!done)
+            logWarning("host not announced", {{"cause", done.error().detail}});
+        co_return done.has_value();
+    }
+
+    /// Adds the hosts that are not known yet.
+    void addPeers(const std::vector<host_announcement> &hosts)
+    {
+        for (const host_announcement &host : hosts) {
+            const bool isKnown = std::any_of(
+                routing.peers.begin(), routing.peers.end(),
+                [&host](const host_announcement &peer) { return peer.peer == host.peer; });
+            if (!isKnown && host.peer != own.peer)
+                routing.peers.push_back(host);
+        }
+    }
+
+    asio::awaitable<bool> readOthers()
+    {
+        const auto hosts = co_await source.hosts();
+        if (!hosts) {
+            logWarning("hosts not read", {{"cause", hosts.error().detail}});
+            co_return false;
+        }
+        routing.peers = liveHosts(*hosts, own.peer, clock.wall());
+        routing.arePeersKnown = true;
+        logInfo("hosts known", {{"others", std::to_string(routing.peers.size())}});
+        co_return true;
+    }
+
+    void takeSeeds()
+    {
+        std::vector<host_announcement> hosts;
+        for (const host_address &seed : seeds)
+            hosts.push_back({seed, "", clock.wall()});
+        addPeers(hosts);
+    }
+
+    static asio::awaitable<void> run(std::shared_ptr<state> self)
+    {
+        while (!self->isStopped) {
+            bool isDone = co_await self->announceOwn();
+            co_await self->pause(firstRead);
+            if (isDone)
+                isDone = co_await self->readOthers();
+            if (!isDone && !self->routing.arePeersKnown)
+                self->takeSeeds();
+            co_await self->pause(isDone ? microseconds(announceInterval) : microseconds(retryPause));
+        }
+    }
+};
+
+std::unique_ptr<host_directory>
+host_directory::makeHostDirectory(asio::io_context &context, routing_state &target,
+                                  state_source source, host_announcement own,
+                                  std::vector<host_address> seeds, clock_source clock)
+{
+    return std::unique_ptr<host_directory>(new host_directory(
+        std::make_shared<state>(context, target, std::move(source), std::move(own),
+                                std::move(seeds), std::move(clock))));
+}
+
+host_directory::host_directory(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+host_directory::~host_directory()
+{
+    stop();
+}
+
+void host_directory::start()
+{
+    asio::co_spawn(m_state->context, state::run(m_state), asio::detached);
+}
+
+void host_directory::stop()
+{
+    m_state->isStopped = true;
+}
+
+} // namespace quincefall
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -5,7 +5,7 @@
 #include "peer.pb.h"
 #include "policy/placement.h"
 
-#include <array>
+#include <algorithm>
 #include <cmath>
 
 namespace quincefall {
@@ -20,6 +20,7 @@
 // A host that missed this many messages is gone or cut off; its work is not counted any more.
 constexpr int missedMessages = 5;
 constexpr milliseconds shortestHintLife{1'200};
+constexpr milliseconds notServedAge{60'000};
 constexpr double tokensPerUnit = 16; // Unread tokens are sent in these units, to save bytes.
 
 /// Urgencies up to the last one with an amount.
@@ -46,9 +47,22 @@
     return {hintHash(upstream.listed.id), upstream.inFlight, upstream.unreadTokens};
 }
 
+/// Age of what is known. A host whose last read failed tells a long one at once, so that others
+/// do not wait for it.
+milliseconds servedAge(instant contact, bool isServed, instant now)
+{
+    if (contact == instant::min() || !isServed)
+        return notServedAge;
+    return std::chrono::ceil<milliseconds>(now - contact);
+}
+
 load_hint ownHint(const routing_state &routing, instant now)
 {
     load_hint hint;
+    hint.desiredVersion = routing.desired ? routing.desired->version : 0;
+    hint.desiredAge = servedAge(routing.desiredContact, routing.isDesiredServed, now);
+    hint.upstreamsChanged = routing.membership.lastChange;
+    hint.upstreamsAge = servedAge(routing.upstreamContact, routing.isUpstreamServed, now);
     for (const auto &[service, pool] : routing.pools) {
         for (const auto &[id, upstream] : pool.upstreams) {
             if (ownInFlight(upstream) > 0 && hint.upstreams.size() < mostUpstreams)
@@ -67,7 +81,7 @@
 std::string encodeHint(const load_hint &hint)
 {
     wire::LoadHint message;
-    message.set_host(hint.host);
+    message.set_host(toString(hint.host));
     message.set_started_ms(hint.started);
     message.set_sequence(hint.sequence);
     for (const upstream_work &work : hint.upstreams) {
@@ -85,16 +99,27 @@
         row->set_sensitive_us_per_s(std::uint32_t(std::lround(demand.msPerSecond * 1000)));
         row->set_sensitive_in_flight(std::uint32_t(std::lround(demand.inFlight)));
     }
+    message.set_desired_version(hint.desiredVersion);
+    message.set_desired_age_ms(std::uint32_t(hint.desiredAge.count()));
+    message.set_upstreams_changed(hint.upstreamsChanged);
+    message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
     return message.SerializeAsString();
 }
 
 std::optional<load_hint> decodeHint(std::string_view bytes)
 {
     wire::LoadHint message;
-    if (!message.ParseFromArray(bytes.data(), int(bytes.size())) || message.host() == 0)
+    if (!message.ParseFromArray(bytes.data(), int(bytes.size())))
+        return std::nullopt;
+    const auto host = parseAddress(message.host());
+    if (!host)
         return std::nullopt;
     load_hint hint;
-    hint.host = message.host();
+    hint.host = *host;
+    hint.desiredVersion = message.desired_version();
+    hint.desiredAge = milliseconds(message.desired_age_ms());
+    hint.upstreamsChanged = message.upstreams_changed();
+    hint.upstreamsAge = milliseconds(message.upstreams_age_ms());
     hint.started = message.started_ms();
     hint.sequence = message.sequence();
     for (const wire::UpstreamWork &row : message.upstreams()) {
@@ -117,7 +142,7 @@
         : context(io)
         , routing(target)
         , socket(io)
-        , host(hintHash(toString(peer)))
+        , host(peer)
         , clock(std::move(clocks))
         , started(std::uint64_t(clock.wall()))
     {
@@ -126,7 +151,7 @@
     asio::io_context &context;
     routing_state &routing;
     udp::socket socket;
-    std::uint64_t host;
+    host_address host;
     clock_source clock;
     std::uint64_t started;
     std::uint64_t sequence = 0;
@@ -173,7 +198,20 @@
         if (!hint)
             ++numbers.unreadable;
         else if (hint->host != host)
-            takeHint(routing.others, std::move(*hint), clock.now());
+            takeFrom(std::move(*hint));
+    }
+
+    /// A host that this one did not know yet is told of this one's work from now on, too.
+    void takeFrom(load_hint hint)
+    {
+        const bool isKnown = std::any_of(
+            routing.peers.begin(), routing.peers.end(),
+            [&hint](const host_announcement &peer) { return peer.peer == hint.host; });
+        if (!isKnown) {
+            logInfo("host known", {{"host", toString(hint.host)}});
+            routing.peers.push_back({hint.host, "", clock.wall()});
+        }
+        takeHint(routing.others, std::move(hint), clock.now());
     }
 
     static asio::awaitable<void> receive(std::shared_ptr<state> self)
--- /dev/null
+++ b/src/route/peer_calls.cpp
@@ -0,0 +1,161 @@
+#include "route/peer_calls.h"
+
+#include "kernel/asio_headers.h"
+#include "peer.pb.h"
+
+#include <charconv>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view ageField = "X-Known-Age-Ms"; // Age of the answering host's knowledge.
+constexpr milliseconds askTimeout{600}; // Several round trips between regions.
+constexpr int statusOk = 200;
+constexpr int statusNoContent = 204; // Nothing newer is known.
+constexpr int statusUnavailable = 503;
+
+std::optional<std::uint64_t> wholeNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || text.empty())
+        return std::nullopt;
+    return value;
+}
+
+milliseconds ageAt(instant known, instant now)
+{
+    return std::chrono::ceil<milliseconds>(now - known);
+}
+
+void writeListing(wire::UpstreamListing &row, const upstream_membership::listing &listing)
+{
+    row.set_id(listing.entry.id);
+    row.set_service(listing.entry.service);
+    row.set_address(toString(listing.entry.address));
+    row.set_failure_domain(listing.entry.failureDomain);
+    row.set_region(listing.entry.region);
+    row.set_slots(listing.entry.slots);
+    row.set_leaving(listing.entry.isLeaving);
+    row.set_started_ms(listing.entry.started);
+    row.set_sequence(listing.sequence);
+    row.set_changed(listing.changed);
+}
+
+std::optional<upstream_membership::listing> readListing(const wire::UpstreamListing &row)
+{
+    const auto address = parseAddress(row.address());
+    if (!address || row.id().empty())
+        return std::nullopt;
+    upstream_membership::listing listing;
+    listing.entry = {row.id(),   row.service(), *address,      row.failure_domain(),
+                     row.region(), row.slots(),   row.leaving(), row.started_ms()};
+    listing.sequence = row.sequence();
+    listing.changed = row.changed();
+    return listing;
+}
+
+result<peer_upstreams> readChanges(const std::string &body)
+{
+    wire::UpstreamChanges message;
+    if (!message.ParseFromString(body))
+        return makeError(result_code::messageInvalid, "a host's list of upstreams can't be read");
+    peer_upstreams known;
+    known.next = message.next();
+    known.age = milliseconds(message.age_ms());
+    for (const wire::UpstreamListing &row : message.listings()) {
+        if (auto listing = readListing(row))
+            known.listings.push_back(std::move(*listing));
+    }
+    for (const wire::RemovedUpstream &row : message.removed())
+        known.removed.push_back({row.id(), row.changed()});
+    return known;
+}
+
+asio::awaitable<result<http_reply>> ask(http_client &client, host_address host,
+                                        std::string_view path, std::uint64_t after)
+{
+    http_request request;
+    request.target = std::string(path) + "?after=" + std::to_string(after);
+    auto reply = co_await client.send(std::move(host), std::move(request), askTimeout);
+    if (!reply)
+        co_return makeError(result_code::peerUnreachable, reply.error().detail);
+    if (reply->status != statusOk && reply->status != statusNoContent)
+        co_return makeError(result_code::peerUnreachable,
+                            "the host answered " + std::to_string(reply->status));
+    co_return reply;
+}
+
+} // namespace
+
+asio::awaitable<void> answerDesired(http_exchange &exchange, const routing_state &state,
+                                    instant now)
+{
+    if (!state.desired) {
+        co_await exchange.respond(statusUnavailable, {}, "");
+        co_return;
+    }
+    std::vector<answer_header> headers;
+    const auto age = ageAt(state.desiredContact, now);
+    headers.push_back({std::string(ageField), std::to_string(age.count())});
+    const auto known = wholeNumber(exchange.query("after")).value_or(0);
+    const bool isNewer = state.desired->version > known;
+    std::string text = isNewer ? state.desiredText : "";
+    co_await exchange.respond(isNewer ? statusOk : statusNoContent, headers, std::move(text));
+}
+
+asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
+                                      instant now)
+{
+    if (state.upstreamContact == instant::min()) {
+        co_await exchange.respond(statusUnavailable, {}, "");
+        co_return;
+    }
+    const auto after = wholeNumber(exchange.query("after")).value_or(0);
+    wire::UpstreamChanges message;
+    message.set_next(state.membership.next);
+    message.set_age_ms(std::uint32_t(ageAt(state.upstreamContact, now).count()));
+    for (const auto &[id, listing] : state.membership.listings) {
+        if (listing.changed > after)
+            writeListing(*message.add_listings(), listing);
+    }
+    for (const auto &[id, changed] : state.membership.removed) {
+        if (changed <= after)
+            continue;
+        wire::RemovedUpstream *row = message.add_removed();
+        row->set_id(id);
+        row->set_changed(changed);
+    }
+    std::string body = message.SerializeAsString();
+    co_await exchange.respond(statusOk, {}, std::move(body));
+}
+
+asio::awaitable<result<peer_desired>> askDesired(http_client &client, host_address host,
+                                                 std::uint64_t after)
+{
+    const auto reply = co_await ask(client, std::move(host), peerDesiredPath, after);
+    if (!reply)
+        co_return tl::unexpected(reply.error());
+    const auto age = wholeNumber(reply->header(ageField));
+    if (!age)
+        co_return makeError(result_code::messageInvalid, "a host's answer tells no age");
+    peer_desired known;
+    known.age = milliseconds(std::int64_t(*age));
+    if (reply->status == statusOk)
+        known.text = reply->body;
+    co_return known;
+}
+
+asio::awaitable<result<peer_upstreams>> askUpstreams(http_client &client, host_address host,
+                                                     std::uint64_t after)
+{
+    const auto reply = co_await ask(client, std::move(host), peerUpstreamsPath, after);
+    if (!reply)
+        co_return tl::unexpected(reply.error());
+    auto known = readChanges(reply->body);
+    co_return known;
+}
+
+} // namespace quincefall
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -5,8 +5,9 @@
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/feed.h"
+#include "route/host_directory.h"
 #include "route/load_exchange.h"
-#include "route/peer_relay.h"
+#include "route/peer_calls.h"
 #include "route/proxy_service.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
@@ -118,6 +119,10 @@
             co_await answerDesired(exchange, routing, clock.now());
             co_return;
         }
+        if (exchange.path() == peerUpstreamsPath) {
+            co_await answerUpstreams(exchange, routing, clock.now());
+            co_return;
+        }
         if (exchange.path() != "/metrics") {
             co_await exchange.respond(resultInfo(result_code::notFound).httpStatus, {}, "");
             co_return;
@@ -147,7 +152,7 @@
     {
         addPeers(source);
         std::shared_ptr<feed> reader = feed::makeFeed(context, routing, std::move(source),
-                                                      feedOptions(values), clock);
+                                                      feedOptions(values), values.peerListen, clock);
         reader->onChange([this] { applyLimits(); });
         reader->onGone([this](const host_address &address) { connections->forget(address); });
         feed &added = *reader;
@@ -162,12 +167,10 @@
     void addPeers(const state_source &source)
     {
         host_announcement own{values.peerListen, values.failureDomain, 0};
-        std::shared_ptr<peer_relay> relay
-            = peer_relay::makePeerRelay(context, routing, source, std::move(own), values.seeds,
-                                        clock);
-        relay->onChange([this] { applyLimits(); });
-        peer_relay &added = *relay;
-        services->add("route.relay", std::move(relay),
+        std::shared_ptr<host_directory> directory = host_directory::makeHostDirectory(
+            context, routing, source, std::move(own), values.seeds, clock);
+        host_directory &added = *directory;
+        services->add("route.directory", std::move(directory),
                       {[&added]() -> result<void> {
                            added.start();
                            return {};
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -23,7 +23,9 @@
     std::shared_ptr<const desired_state> desired; ///< Null until the first was read.
     std::string desiredText; ///< As the operator wrote it.
     instant desiredContact = instant::min(); ///< When it was last known to be the newest.
+    bool isDesiredServed = false; ///< The store answered the last read of it.
     upstream_membership membership;
+    bool isUpstreamServed = false; ///< The store answered the last read of the list.
     instant upstreamContact = instant::min(); ///< When the list was last known to be whole.
     std::map<std::string, service_pool, std::less<>> pools; ///< By service.
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
