Test the decisions of the platform path, and replay its loads in a model

Change: bench/route_model plays bursts, losses and mixes of long and short prompts over the same decision functions in virtual time (route_bench prints five ways of placement); tests for route choice, event split, attempt budget, membership, placement, overload, feed plan, hints, codecs and settings, with damaged inputs. The overload and placement replays compare with the decision left out, so they fail without it.

--- a/bench/heartbeat_bench.cpp
+++ b/bench/heartbeat_bench.cpp
@@ -1,10 +1,10 @@
 // Measures the bytes of a fleet's heartbeats and how soon a killed or paused host is noticed;
 // prints one JSON object. All hosts run in this process, each with an event loop of its own.
 
+#include "clients/host_list_client.h"
 #include "observe/timeline.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
-#include "clients/host_list_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -1,8 +1,8 @@
 // Load client for the way of a request through quincefall. `scripts/measure path` starts the
 // stand-ins and hosts and runs it; it prints one JSON object.
 
-#include "kernel/address.h"
 #include "clients/http_client.h"
+#include "kernel/address.h"
 
 #include <boost/asio.hpp>
 #include <boost/json/object.hpp>
--- /dev/null
+++ b/bench/route_model.cpp
@@ -0,0 +1,461 @@
+#include "route_model.h"
+
+#include "policy/overload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+
+namespace quincefall::model {
+namespace {
+
+// The model's engine: it reads a part of the waiting prompts between two tokens of what runs.
+constexpr double stepMs = 3.8;
+constexpr double stepMsPerRequest = 0.03;
+constexpr double readTokensPerMs = 56.6;
+constexpr double chunkTokens = 4'500; // Read in one step at most.
+constexpr double cacheTokens = 700'000;
+constexpr unsigned tokensPerEvent = 4;
+constexpr double tickMs = 1;
+constexpr double shortestUsefulMs = 50;
+
+instant at(double ms)
+{
+    return instant(microseconds(std::int64_t(ms * 1000)));
+}
+
+/// One request from its arrival to its end.
+struct request_run
+{
+    const request_kind *kind = nullptr;
+    kind_result *result = nullptr;
+    prompt_outline prompt;
+    int urgency = 0;
+    double arrivedMs = 0;
+    double deadlineMs = 0;
+    unsigned host = 0;
+    unsigned tries = 0;
+    attempt_work work;
+    bool isSensitive = false;
+    // At the engine.
+    double unreadTokens = 0;
+    double tokensLeft = 0;
+    double lastEventMs = 0;
+    double longestGapMs = 0;
+    double firstMs = -1;
+    double placedMs = 0;
+};
+
+using run_ptr = std::shared_ptr<request_run>;
+
+struct engine
+{
+    std::string id;
+    std::deque<run_ptr> waiting; ///< In order of urgency, then arrival.
+    std::vector<run_ptr> running;
+    std::map<std::uint64_t, double> kept; ///< Time of the last use, by part.
+    std::map<std::uint64_t, double> keptTokens;
+    double usedTokens = 0;
+    double freeAtMs = 0;
+    bool isLost = false;
+
+    void keep(const prompt_part &part, double nowMs)
+    {
+        if (!kept.contains(part.id)) {
+            keptTokens[part.id] = part.tokens;
+            usedTokens += part.tokens;
+        }
+        kept[part.id] = nowMs;
+        while (usedTokens > cacheTokens) {
+            const auto oldest = std::min_element(
+                kept.begin(), kept.end(),
+                [](const auto &left, const auto &right) { return left.second < right.second; });
+            usedTokens -= keptTokens[oldest->first];
+            keptTokens.erase(oldest->first);
+            kept.erase(oldest);
+        }
+    }
+};
+
+struct host
+{
+    service_pool pool;
+    fleet_load others;
+    unsigned nextEngine = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// A request that was turned away and comes back.
+struct later_try
+{
+    double atMs = 0;
+    run_ptr run;
+
+    bool operator>(const later_try &other) const { return atMs > other.atMs; }
+};
+
+class fleet
+{
+public:
+    explicit fleet(const scenario &wanted)
+        : m_scenario(wanted)
+        , m_random(wanted.seed)
+        , m_hosts(wanted.hosts)
+        , m_engines(wanted.engines)
+    {
+        for (unsigned index = 0; index < wanted.engines; ++index) {
+            m_engines[index].id = "engine-" + std::to_string(index);
+            for (host &one : m_hosts)
+                addUpstream(one, m_engines[index].id);
+        }
+        m_rule.slots = wanted.slots;
+        m_rule.tokensPerEvent = tokensPerEvent;
+    }
+
+    day_result play()
+    {
+        double nextHints = 0;
+        for (double now = 0; now < m_scenario.lengthMs; now += tickMs) {
+            arrive(now);
+            while (!m_later.empty() && m_later.top().atMs <= now) {
+                const run_ptr run = m_later.top().run;
+                m_later.pop();
+                tryOnce(run, now);
+            }
+            if (m_scenario.hasHints && now >= nextHints) {
+                exchangeHints(now);
+                nextHints = now + double(hintInterval(m_scenario.hosts).count());
+            }
+            if (now >= m_scenario.lengthMs / 4 && !m_hasLost)
+                loseEngines();
+            for (engine &one : m_engines)
+                step(one, now);
+        }
+        return m_result;
+    }
+
+private:
+    void addUpstream(host &one, const std::string &id) const
+    {
+        routed_upstream &upstream = one.pool.upstreams[id];
+        upstream.listed.id = id;
+        upstream.listed.service = "model";
+        upstream.listed.slots = m_scenario.slots;
+    }
+
+    double rateOf(const request_kind &kind, double now) const
+    {
+        double rate = kind.perSecond;
+        for (const burst &one : m_scenario.bursts) {
+            if (one.kind == kind.name && now >= one.fromMs && now < one.toMs)
+                rate *= one.factor;
+        }
+        return rate;
+    }
+
+    void arrive(double now)
+    {
+        for (const request_kind &kind : m_scenario.kinds) {
+            std::poisson_distribution<int> count(rateOf(kind, now) * tickMs / 1000);
+            for (int left = count(m_random); left > 0; --left)
+                tryOnce(makeRun(kind, now), now);
+        }
+    }
+
+    run_ptr makeRun(const request_kind &kind, double now)
+    {
+        auto run = std::make_shared<request_run>();
+        run->kind = &kind;
+        run->result = &m_result.kinds[kind.name];
+        ++run->result->asked;
+        const std::uint64_t subject = m_random() % kind.subjects;
+        const std::uint64_t shared = hintHash(kind.name + std::to_string(subject));
+        run->prompt.parts = {{shared, kind.sharedTokens}, {++m_lastPart, kind.ownTokens}};
+        run->prompt.promptTokens = kind.sharedTokens + kind.ownTokens;
+        run->urgency = kind.route.priority;
+        run->arrivedMs = now;
+        run->deadlineMs = now + double(kind.route.timeout.count());
+        run->host = unsigned(m_random() % m_hosts.size());
+        return run;
+    }
+
+    engine *engineOf(const std::string &id)
+    {
+        const auto found = std::find_if(m_engines.begin(), m_engines.end(),
+                                        [&id](const engine &one) { return one.id == id; });
+        return found == m_engines.end() ? nullptr : &*found;
+    }
+
+    placement chooseSimply(host &one)
+    {
+        placement chosen;
+        auto row = one.pool.upstreams.begin();
+        if (m_scenario.way == placement_way::roundRobin) {
+            std::advance(row, one.nextEngine++ % one.pool.upstreams.size());
+        } else {
+            row = std::min_element(one.pool.upstreams.begin(), one.pool.upstreams.end(),
+                                   [](const auto &left, const auto &right) {
+                                       return ownInFlight(left.second) < ownInFlight(right.second);
+                                   });
+        }
+        chosen.upstream = &row->second;
+        return chosen;
+    }
+
+    placement choose(host &one, const run_ptr &run, double now)
+    {
+        if (m_scenario.way != placement_way::decided)
+            return chooseSimply(one);
+        placement_request wanted;
+        wanted.prompt = &run->prompt;
+        wanted.urgency = run->urgency;
+        wanted.isGapSensitive = run->isSensitive;
+        return chooseUpstream(one.pool, wanted, {}, one.others, at(now));
+    }
+
+    bool isAdmitted(const run_ptr &run, const placement &chosen, double now)
+    {
+        if (!m_scenario.hasRefusals || m_scenario.way != placement_way::decided)
+            return true;
+        overload_view view;
+        view.delayMs = chosen.delayMs;
+        view.targetMs = double(run->kind->route.targetLatency.count());
+        view.leftMs = run->deadlineMs - now;
+        view.isReturning = run->tries > 0;
+        const overload_decision decision = decideOverload(view);
+        if (decision.isAdmitted)
+            return true;
+        // Callers come back once.
+        if (run->tries++ > 0)
+            ++run->result->refused;
+        else
+            m_later.push({now + double(decision.returnAfter.count()), run});
+        return false;
+    }
+
+    void tryOnce(const run_ptr &run, double now)
+    {
+        host &one = m_hosts[run->host];
+        placement_request wanted;
+        wanted.prompt = &run->prompt;
+        run->isSensitive
+            = isGapSensitive(run->kind->route, m_rule, one.pool, run->prompt.promptTokens);
+        wanted.isGapSensitive = run->isSensitive;
+        recordDemand(one.pool, wanted, at(now));
+        const placement chosen = choose(one, run, now);
+        if (!chosen.upstream || !isAdmitted(run, chosen, now))
+            return;
+        run->work = {chosen.unreadTokens, chosen.estimatedMs, chosen.delayMs, run->urgency,
+                     run->isSensitive};
+        run->placedMs = now;
+        recordStart(one.pool, *chosen.upstream, run->prompt, run->work, at(now));
+        enqueue(*engineOf(chosen.upstream->listed.id), run);
+    }
+
+    static void enqueue(engine &target, const run_ptr &run)
+    {
+        const auto place
+            = std::find_if(target.waiting.begin(), target.waiting.end(),
+                           [&run](const run_ptr &other) { return other->urgency > run->urgency; });
+        run->unreadTokens = -1; // Looked up when its reading begins.
+        run->tokensLeft = run->kind->answerTokens;
+        target.waiting.insert(place, run);
+    }
+
+    void exchangeHints(double now)
+    {
+        for (unsigned from = 0; from < m_hosts.size(); ++from) {
+            load_hint hint = hintOf(m_hosts[from], now);
+            hint.host.port = std::uint16_t(from + 1);
+            for (unsigned to = 0; to < m_hosts.size(); ++to) {
+                if (to != from)
+                    takeHint(m_hosts[to].others, hint, at(now));
+            }
+        }
+    }
+
+    static load_hint hintOf(host &one, double now)
+    {
+        load_hint hint;
+        hint.sequence = ++one.sequence;
+        for (const auto &[id, upstream] : one.pool.upstreams)
+            hint.upstreams.push_back({hintHash(id), upstream.inFlight, upstream.unreadTokens});
+        service_demand demand = ownDemand(one.pool, at(now));
+        demand.service = hintHash("model");
+        hint.demands.push_back(demand);
+        return hint;
+    }
+
+    void loseEngines()
+    {
+        m_hasLost = true;
+        for (unsigned index = 0; index < m_scenario.enginesLost; ++index) {
+            engine &lost = m_engines[index];
+            lost.isLost = true;
+            for (const run_ptr &run : lost.waiting)
+                end(lost, run, false, 0);
+            for (const run_ptr &run : lost.running)
+                end(lost, run, false, 0);
+            for (host &one : m_hosts)
+                one.pool.upstreams.erase(lost.id);
+        }
+    }
+
+    /// One step: some reading, and one token for each running request.
+    void step(engine &one, double now)
+    {
+        if (one.isLost || now < one.freeAtMs || (one.waiting.empty() && one.running.empty()))
+            return;
+        double room = chunkTokens;
+        while (room > 0 && !one.waiting.empty() && one.running.size() < m_scenario.slots) {
+            const run_ptr run = one.waiting.front();
+            if (run->unreadTokens < 0)
+                run->unreadTokens = beginReading(one, *run, now);
+            const double part = std::min(room, run->unreadTokens);
+            run->unreadTokens -= part;
+            room -= part;
+            m_result.tokensRead += part;
+            if (run->unreadTokens > 0)
+                break;
+            one.waiting.pop_front();
+            one.running.push_back(run);
+            for (const prompt_part &kept : run->prompt.parts)
+                one.keep(kept, now);
+        }
+        const double took = stepMs + stepMsPerRequest * double(one.running.size())
+            + (chunkTokens - room) / readTokensPerMs;
+        one.freeAtMs = now + took;
+        makeTokens(one, one.freeAtMs);
+    }
+
+    double beginReading(engine &one, const request_run &run, double now)
+    {
+        const prompt_part &shared = run.prompt.parts.front();
+        if (one.kept.contains(shared.id)) {
+            one.kept[shared.id] = now;
+            return run.kind->ownTokens;
+        }
+        if (!m_readParts.insert(shared.id).second)
+            m_result.tokensReadAgain += shared.tokens;
+        return run.prompt.promptTokens;
+    }
+
+    void makeTokens(engine &one, double now)
+    {
+        std::vector<run_ptr> still;
+        for (const run_ptr &run : one.running) {
+            run->tokensLeft -= 1;
+            noteProgress(one, *run, now);
+            if (now > run->deadlineMs)
+                end(one, run, false, now);
+            else if (run->tokensLeft <= 0)
+                end(one, run, true, now);
+            else
+                still.push_back(run);
+        }
+        one.running = std::move(still);
+        std::erase_if(one.waiting, [&](const run_ptr &run) {
+            const bool isOver = now + shortestUsefulMs > run->deadlineMs;
+            if (isOver)
+                end(one, run, false, now);
+            return isOver;
+        });
+    }
+
+    void noteProgress(engine &one, request_run &run, double now)
+    {
+        const auto made = std::int64_t(run.kind->answerTokens - run.tokensLeft);
+        if (run.firstMs < 0) {
+            run.firstMs = now;
+            run.lastEventMs = now;
+            host &entry = m_hosts[run.host];
+            const auto row = entry.pool.upstreams.find(one.id);
+            if (row != entry.pool.upstreams.end())
+                recordFirstByte(entry.pool, row->second, run.work,
+                                microseconds(std::int64_t((now - run.placedMs) * 1000)), at(now));
+        } else if (made % tokensPerEvent == 0) {
+            run.longestGapMs = std::max(run.longestGapMs, now - run.lastEventMs);
+            run.lastEventMs = now;
+        }
+    }
+
+    void end(engine &one, const run_ptr &run, bool isWhole, double now)
+    {
+        host &entry = m_hosts[run->host];
+        const auto row = entry.pool.upstreams.find(one.id);
+        routed_upstream *upstream = row == entry.pool.upstreams.end() ? nullptr : &row->second;
+        if (upstream && run->firstMs < 0)
+            recordFirstByte(entry.pool, *upstream, run->work, std::nullopt, at(now));
+        recordEnd(entry.pool, upstream, run->work);
+        if (!isWhole) {
+            ++run->result->failed;
+            return;
+        }
+        if (!run->isSensitive)
+            recordStream(entry.pool, microseconds(std::int64_t((now - run->firstMs) * 1000)));
+        const route_rule &route = run->kind->route;
+        const bool isOnTime = run->firstMs - run->arrivedMs <= double(route.targetLatency.count())
+            && run->longestGapMs <= double(route.gapTarget.count());
+        ++(isOnTime ? run->result->onTime : run->result->late);
+    }
+
+    const scenario &m_scenario;
+    std::mt19937_64 m_random;
+    std::vector<host> m_hosts;
+    std::vector<engine> m_engines;
+    engine_rule m_rule;
+    std::priority_queue<later_try, std::vector<later_try>, std::greater<>> m_later;
+    std::set<std::uint64_t> m_readParts;
+    std::uint64_t m_lastPart = 0;
+    bool m_hasLost = false;
+    day_result m_result;
+};
+
+request_kind makeKind(const char *name, int priority, int targetMs, int gapMs, int timeoutMs)
+{
+    request_kind kind;
+    kind.name = name;
+    kind.route.name = name;
+    kind.route.isStream = true;
+    kind.route.priority = priority;
+    kind.route.targetLatency = milliseconds(targetMs);
+    kind.route.gapTarget = milliseconds(gapMs);
+    kind.route.timeout = milliseconds(timeoutMs);
+    return kind;
+}
+
+} // namespace
+
+std::vector<request_kind> usualKinds(double perSecond)
+{
+    request_kind plan = makeKind("plan", 2, 2'000, 1'200, 10'000);
+    plan.perSecond = perSecond * 0.36;
+    plan.sharedTokens = 13'300;
+    plan.ownTokens = 3'720;
+    plan.answerTokens = 120;
+    plan.subjects = 140;
+    request_kind digest = makeKind("digest", 1, 800, 500, 5'000);
+    digest.perSecond = perSecond * 0.25;
+    digest.sharedTokens = 6'300;
+    digest.ownTokens = 2'890;
+    digest.answerTokens = 52;
+    digest.subjects = 100;
+    request_kind query = makeKind("query", 0, 500, 300, 12'000);
+    query.perSecond = perSecond * 0.39;
+    query.sharedTokens = 350;
+    query.ownTokens = 1'110;
+    query.answerTokens = 172;
+    query.subjects = 70;
+    return {plan, digest, query};
+}
+
+day_result playDay(const scenario &wanted)
+{
+    return fleet(wanted).play();
+}
+
+} // namespace quincefall::model
--- a/scripts/tidy.py
+++ b/scripts/tidy.py
@@ -24,7 +24,7 @@
         if not line.startswith('#include "'):
             continue
         name = line.split('"')[1]
-        for folder in ("src", "tests", "tools", "bench"):
+        for folder in ("src", "tests", "tools", "bench", "."):
             header = ROOT / folder / name
             if header.exists() and header not in seen:
                 seen.add(header)
--- a/src/cli/operator_client.h
+++ b/src/cli/operator_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cli/verbs.h"
-#include "kernel/address.h"
 #include "clients/http_client.h"
+#include "kernel/address.h"
 
 #include <boost/json/value.hpp>
 
--- a/src/clients/host_list_service.h
+++ b/src/clients/host_list_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "kernel/address.h"
 #include "clients/host_list_client.h"
+#include "kernel/address.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/operate/config_service.h
+++ b/src/operate/config_service.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "clients/log_client.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
 #include "ledger/checkpoint.h"
 #include "ledger/config_state.h"
-#include "clients/log_client.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -1,5 +1,8 @@
 #include "operate/host_process.h"
 
+#include "clients/host_list_service.h"
+#include "clients/http_client.h"
+#include "clients/log_client.h"
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
 #include "observe/log_setup.h"
@@ -16,9 +19,6 @@
 #include "operate/queue_status.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
-#include "clients/host_list_service.h"
-#include "clients/http_client.h"
-#include "clients/log_client.h"
 #include "serve/caller_api.h"
 #include "serve/chat_service.h"
 #include "serve/claim_service.h"
--- a/src/operate/lease_service.cpp
+++ b/src/operate/lease_service.cpp
@@ -1,9 +1,9 @@
 #include "operate/lease_service.h"
 
+#include "clients/log_follower.h"
 #include "kernel/asio_headers.h"
 #include "ledger/lease_competitor.h"
 #include "observe/timeline.h"
-#include "clients/log_follower.h"
 
 namespace quincefall {
 namespace {
--- a/src/operate/order_service.cpp
+++ b/src/operate/order_service.cpp
@@ -1,11 +1,11 @@
 #include "operate/order_service.h"
 
+#include "clients/http_client.h"
 #include "kernel/asio_headers.h"
 #include "kernel/async_signal.h"
 #include "observe/timeline.h"
 #include "operate/config_service.h"
 #include "operate/lease_service.h"
-#include "clients/http_client.h"
 
 namespace quincefall {
 namespace {
--- a/src/peer/heartbeat_service.cpp
+++ b/src/peer/heartbeat_service.cpp
@@ -1,9 +1,9 @@
 #include "peer/heartbeat_service.h"
 
+#include "clients/host_list_client.h"
 #include "observe/timeline.h"
 #include "peer.pb.h"
 #include "peer/peer_mesh.h"
-#include "clients/host_list_client.h"
 #include "policy/ownership.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/policy/attempt_budget.cpp
+++ b/src/policy/attempt_budget.cpp
@@ -26,7 +26,8 @@
     if (budget.refilled == instant::min())
         budget.balance = part;
     else
-        budget.balance += part * toMilliseconds(now - budget.refilled) / double(rule.window.count());
+        budget.balance
+            += part * toMilliseconds(now - budget.refilled) / double(rule.window.count());
     budget.refilled = now;
     budget.balance = std::min(budget.balance, std::max(1.0, part * (1 + longestSavings)));
     if (budget.balance < 1)
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -13,8 +13,7 @@
 
 milliseconds ageOf(const feed_view &view, const fleet_load::entry &entry, instant now)
 {
-    const milliseconds told
-        = view.isUpstreams ? entry.hint.upstreamsAge : entry.hint.desiredAge;
+    const milliseconds told = view.isUpstreams ? entry.hint.upstreamsAge : entry.hint.desiredAge;
     return told + std::chrono::duration_cast<milliseconds>(now - entry.received);
 }
 
@@ -48,8 +47,7 @@
     return freshest;
 }
 
-bool isReader(const feed_view &view, const fleet_load &others, const host_address &own,
-              instant now)
+bool isReader(const feed_view &view, const fleet_load &others, const host_address &own, instant now)
 {
     const auto score = [](const host_address &host) { return hintHash(toString(host)); };
     std::size_t before = 0;
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -108,8 +108,7 @@
                fleet_load &others)
 {
     const upstream_work &foreign = workOfOthers(others, hintHash(upstream.listed.id));
-    const double load
-        = sumUpTo(upstream.inFlight, urgency) + sumUpTo(foreign.inFlight, urgency);
+    const double load = sumUpTo(upstream.inFlight, urgency) + sumUpTo(foreign.inFlight, urgency);
     const double over = load + 1 - usefulInFlight(pool, upstream.listed.slots);
     return std::max(0.0, over) * std::max(pool.readMs, 1.0) / usefulUtilisation;
 }
@@ -120,9 +119,8 @@
     const auto score = [](const routed_upstream *upstream) {
         return rendezvousScore(upstream->listed.id, apartKey);
     };
-    std::sort(usable.begin(), usable.end(), [&score](const auto *left, const auto *right) {
-        return score(left) > score(right);
-    });
+    std::sort(usable.begin(), usable.end(),
+              [&score](const auto *left, const auto *right) { return score(left) > score(right); });
     usable.resize(std::min<std::size_t>(count, usable.size()));
     return {usable.begin(), usable.end()};
 }
@@ -168,8 +166,8 @@
     return tokens;
 }
 
-service_demand fleetDemand(const service_pool &pool, const routed_upstream &any,
-                           fleet_load &others, instant now)
+service_demand fleetDemand(const service_pool &pool, const routed_upstream &any, fleet_load &others,
+                           instant now)
 {
     service_demand demand = ownDemand(pool, now);
     const service_demand foreign = demandOfOthers(others, hintHash(any.listed.service));
@@ -197,8 +195,8 @@
 }
 
 candidate_estimate estimatePrompt(const service_pool &pool, const routed_upstream &upstream,
-                                  const placement_request &request, bool isHome,
-                                  fleet_load &others, instant now)
+                                  const placement_request &request, bool isHome, fleet_load &others,
+                                  instant now)
 {
     candidate_estimate value;
     const double all = request.prompt->promptTokens;
@@ -240,8 +238,7 @@
     routed_upstream *home = nullptr;
     if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
         const routed_upstream &any = *usable.front();
-        const double needed
-            = apartNeeded(fleetDemand(pool, any, others, now), any.listed.slots);
+        const double needed = apartNeeded(fleetDemand(pool, any, others, now), any.listed.slots);
         apart = apartOf(usable, keepApart(pool, usable.size(), needed, now));
         home = homeOf(usable, apart, request);
     }
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -135,8 +135,8 @@
         const std::uint64_t known = target.desired ? target.desired->version : 0;
         auto answer = co_await askDesired(*client, host, known);
         if (!answer) {
-            logWarning("host not asked", {{"host", toString(host)},
-                                          {"cause", answer.error().detail}});
+            logWarning("host not asked",
+                       {{"host", toString(host)}, {"cause", answer.error().detail}});
             co_return;
         }
         if (answer->text) {
@@ -157,8 +157,8 @@
         std::optional<std::uint64_t> from;
         milliseconds wait = firstPause;
         while (!self->isStopped) {
-            const feed_step step = planFeed(self->desiredView(), self->target.others, self->own,
-                                            self->clock.now());
+            const feed_step step
+                = planFeed(self->desiredView(), self->target.others, self->own, self->clock.now());
             bool isDone = true;
             if (step.action == feed_step::kind::readStore)
                 isDone = co_await self->readDesired(from);
@@ -283,8 +283,8 @@
 };
 
 std::unique_ptr<feed> feed::makeFeed(asio::io_context &context, routing_state &target,
-                                     state_source source, options settings,
-                                     const host_address &own, clock_source clock)
+                                     state_source source, options settings, const host_address &own,
+                                     clock_source clock)
 {
     return std::unique_ptr<feed>(new feed(std::make_shared<state>(
         context, target, std::move(source), settings, own, std::move(clock))));
--- a/src/route/host_directory.cpp
+++ b/src/route/host_directory.cpp
@@ -95,7 +95,8 @@
                 isDone = co_await self->readOthers();
             if (!isDone && !self->routing.arePeersKnown)
                 self->takeSeeds();
-            co_await self->pause(isDone ? microseconds(announceInterval) : microseconds(retryPause));
+            co_await self->pause(isDone ? microseconds(announceInterval)
+                                        : microseconds(retryPause));
         }
     }
 };
@@ -105,9 +106,8 @@
                                   state_source source, host_announcement own,
                                   std::vector<host_address> seeds, clock_source clock)
 {
-    return std::unique_ptr<host_directory>(new host_directory(
-        std::make_shared<state>(context, target, std::move(source), std::move(own),
-                                std::move(seeds), std::move(clock))));
+    return std::unique_ptr<host_directory>(new host_directory(std::make_shared<state>(
+        context, target, std::move(source), std::move(own), std::move(seeds), std::move(clock))));
 }
 
 host_directory::host_directory(std::shared_ptr<state> shared)
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -130,8 +130,8 @@
         hint.upstreams.push_back(work);
     }
     for (const wire::ServiceDemand &row : message.demands())
-        hint.demands.push_back({row.service(), row.sensitive_us_per_s() / 1000.0,
-                                double(row.sensitive_in_flight())});
+        hint.demands.push_back(
+            {row.service(), row.sensitive_us_per_s() / 1000.0, double(row.sensitive_in_flight())});
     return hint;
 }
 
@@ -229,10 +229,11 @@
     }
 };
 
-result<std::unique_ptr<load_exchange>>
-load_exchange::makeLoadExchange(asio::io_context &context, routing_state &target,
-                                const host_address &listen, const host_address &peer,
-                                clock_source clock)
+result<std::unique_ptr<load_exchange>> load_exchange::makeLoadExchange(asio::io_context &context,
+                                                                       routing_state &target,
+                                                                       const host_address &listen,
+                                                                       const host_address &peer,
+                                                                       clock_source clock)
 {
     auto shared = std::make_shared<state>(context, target, peer, std::move(clock));
     boost::system::error_code code;
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -50,7 +50,7 @@
     if (!address || row.id().empty())
         return std::nullopt;
     upstream_membership::listing listing;
-    listing.entry = {row.id(),   row.service(), *address,      row.failure_domain(),
+    listing.entry = {row.id(),     row.service(), *address,      row.failure_domain(),
                      row.region(), row.slots(),   row.leaving(), row.started_ms()};
     listing.sequence = row.sequence();
     listing.changed = row.changed();
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -58,8 +58,8 @@
     {
         const routed_upstream *target = upstream();
         const instant now = context.clock.now();
-        const bool isHeard = target && target->lastHeard > started
-            && now - target->lastHeard < limit;
+        const bool isHeard
+            = target && target->lastHeard > started && now - target->lastHeard < limit;
         return !isHeard || now - started > limit * busyPatience;
     }
 
@@ -70,7 +70,8 @@
         hasFirstByte = true;
         const instant now = context.clock.now();
         if (routed_upstream *target = upstream())
-            recordFirstByte(context.state.pools[entry.service], *target, work(), now - started, now);
+            recordFirstByte(context.state.pools[entry.service], *target, work(), now - started,
+                            now);
         firstByte = now;
     }
 
@@ -196,8 +197,8 @@
 
 microseconds gapSilence(const proxy_job &job)
 {
-    const auto allowed = std::chrono::duration_cast<microseconds>(
-        job.choice.route->gapTarget * silentGaps);
+    const auto allowed
+        = std::chrono::duration_cast<microseconds>(job.choice.route->gapTarget * silentGaps);
     return std::max<microseconds>(allowed, shortestGapSilence);
 }
 
@@ -276,8 +277,8 @@
 
 microseconds firstByteSilence(const proxy_job &job)
 {
-    const auto allowed = std::chrono::duration_cast<microseconds>(
-        job.choice.route->targetLatency * silentTargets);
+    const auto allowed
+        = std::chrono::duration_cast<microseconds>(job.choice.route->targetLatency * silentTargets);
     return std::max<microseconds>(allowed, shortestSilence);
 }
 
@@ -340,8 +341,8 @@
 
 asio::awaitable<attempt_end> runAttempt(attempt_context &context, proxy_job &job, placement chosen)
 {
-    running_attempt attempt{context, job, chosen.upstream->listed, chosen, nullptr,
-                            context.clock.now()};
+    running_attempt attempt{context, job,     chosen.upstream->listed,
+                            chosen,  nullptr, context.clock.now()};
     service_pool &pool = context.state.pools[attempt.entry.service];
     recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
     attempt.call = context.connections.makeCall(attempt.entry.address);
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -65,10 +65,7 @@
                            clock.now());
     }
 
-    bool isStale() const
-    {
-        return clock.now() - routing.desiredContact > settings.staleAfter;
-    }
+    bool isStale() const { return clock.now() - routing.desiredContact > settings.staleAfter; }
 
     asio::awaitable<void> refuse(http_exchange &exchange, std::string requestId, problem failure)
     {
@@ -88,8 +85,8 @@
                  {"upstreams_age_ms",
                   routing.upstreamContact == instant::min()
                       ? "none"
-                      : std::to_string(std::lround(
-                          toMilliseconds(clock.now() - routing.upstreamContact)))}});
+                      : std::to_string(
+                          std::lround(toMilliseconds(clock.now() - routing.upstreamContact)))}});
     }
 
     /// The refusal that the desired state asks for, if any.
@@ -167,10 +164,10 @@
         if (decision.isAdmitted)
             return true;
         job.returnAfter = decision.returnAfter;
-        job.lastFailure = error{result_code::overloaded,
-                                "the wait of " + std::to_string(std::lround(view.delayMs))
-                                    + " ms at " + chosen.upstream->listed.id
-                                    + " is longer than the request allows"};
+        job.lastFailure
+            = error{result_code::overloaded,
+                    "the wait of " + std::to_string(std::lround(view.delayMs)) + " ms at "
+                        + chosen.upstream->listed.id + " is longer than the request allows"};
         return false;
     }
 
@@ -214,8 +211,8 @@
         }
         const std::string detail = job.lastFailure ? job.lastFailure->detail : "";
         if (end == attempt_end::notRun) {
-            const milliseconds wait = job.returnAfter.value_or(
-                std::chrono::ceil<milliseconds>(returnTime(job)));
+            const milliseconds wait
+                = job.returnAfter.value_or(std::chrono::ceil<milliseconds>(returnTime(job)));
             problem refusal{result_code::overloaded, detail, run_state::notRun, wait};
             co_await refuse(job.exchange, job.request.id, refusal);
             co_return;
@@ -232,20 +229,20 @@
         numbers.add(metric::answers,
                     {{"class", job.choice.route->name}, {"outcome", toString(end)}});
         numbers.observe(metric::answerTime, {{"class", job.choice.route->name}}, tookMs / 1000);
-        logInfo("request ended",
-                {{"request", job.request.id},
-                 {"route", job.choice.route->name},
-                 {"service", job.service()},
-                 {"version", std::to_string(job.desired->version)},
-                 {"urgency", std::to_string(job.urgency)},
-                 {"end", std::string(toString(end))},
-                 {"took_ms", std::to_string(std::lround(tookMs))},
-                 {"limit_ms",
-                  std::to_string(std::lround(toMilliseconds(job.deadline - job.arrived)))},
-                 {"attempts", job.attemptLog},
-                 {"cause", end == attempt_end::answered || !job.lastFailure
-                      ? std::string("none")
-                      : job.lastFailure->detail}});
+        logInfo(
+            "request ended",
+            {{"request", job.request.id},
+             {"route", job.choice.route->name},
+             {"service", job.service()},
+             {"version", std::to_string(job.desired->version)},
+             {"urgency", std::to_string(job.urgency)},
+             {"end", std::string(toString(end))},
+             {"took_ms", std::to_string(std::lround(tookMs))},
+             {"limit_ms", std::to_string(std::lround(toMilliseconds(job.deadline - job.arrived)))},
+             {"attempts", job.attemptLog},
+             {"cause",
+              end == attempt_end::answered || !job.lastFailure ? std::string("none")
+                                                               : job.lastFailure->detail}});
     }
 
     asio::awaitable<void> handle(http_exchange &exchange)
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -23,13 +23,15 @@
     {
         placement_site site;
         attempt_budget_rule budget;
-        milliseconds staleAfter{4'000}; ///< Age of the last contact from which 401 and 404 are unsafe.
+        milliseconds staleAfter{
+            4'000}; ///< Age of the last contact from which 401 and 404 are unsafe.
     };
 
-    static std::unique_ptr<proxy_service>
-    makeProxyService(boost::asio::io_context &context, routing_state &state, wire_format wire,
-                     upstream_connections &connections, metrics &numbers, clock_source clock,
-                     options settings);
+    static std::unique_ptr<proxy_service> makeProxyService(boost::asio::io_context &context,
+                                                           routing_state &state, wire_format wire,
+                                                           upstream_connections &connections,
+                                                           metrics &numbers, clock_source clock,
+                                                           options settings);
     ~proxy_service();
 
     /// Answers one request.
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -135,24 +135,23 @@
     result<void> addServers()
     {
         auto &proxy = services->find<proxy_service>("route.proxy");
-        auto added = addServer("route.callers", values.callerListen,
-                               [&proxy](http_exchange &exchange) { return proxy.handle(exchange); });
+        auto added
+            = addServer("route.callers", values.callerListen,
+                        [&proxy](http_exchange &exchange) { return proxy.handle(exchange); });
         if (added)
-            added = addServer("route.ready", values.readyListen, [this](http_exchange &exchange) {
-                return answerReady(exchange);
-            });
+            added = addServer("route.ready", values.readyListen,
+                              [this](http_exchange &exchange) { return answerReady(exchange); });
         if (added)
-            added = addServer("route.peers", values.peerListen, [this](http_exchange &exchange) {
-                return answerPeer(exchange);
-            });
+            added = addServer("route.peers", values.peerListen,
+                              [this](http_exchange &exchange) { return answerPeer(exchange); });
         return added;
     }
 
     void addFeed(state_source source)
     {
         addPeers(source);
-        std::shared_ptr<feed> reader = feed::makeFeed(context, routing, std::move(source),
-                                                      feedOptions(values), values.peerListen, clock);
+        std::shared_ptr<feed> reader = feed::makeFeed(
+            context, routing, std::move(source), feedOptions(values), values.peerListen, clock);
         reader->onChange([this] { applyLimits(); });
         reader->onGone([this](const host_address &address) { connections->forget(address); });
         feed &added = *reader;
@@ -262,9 +261,10 @@
     }
 };
 
-result<std::unique_ptr<route_process>>
-route_process::makeRouteProcess(asio::io_context &context, route_settings values,
-                                state_source source, wire_format wire)
+result<std::unique_ptr<route_process>> route_process::makeRouteProcess(asio::io_context &context,
+                                                                       route_settings values,
+                                                                       state_source source,
+                                                                       wire_format wire)
 {
     auto shared = std::make_shared<state>(context, std::move(values));
     if (auto started = shared->start(std::move(source), std::move(wire)); !started)
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -118,7 +118,8 @@
             const bool isFresh = idleMs < share * double(candidate->keepAlive.count());
             if (isFresh && !hasInput(candidate->socket))
                 return candidate;
-            if (!isFresh && isOnce && idleMs < keepAliveShare * double(candidate->keepAlive.count())) {
+            if (!isFresh && isOnce
+                && idleMs < keepAliveShare * double(candidate->keepAlive.count())) {
                 kept.push_back(std::move(candidate));
                 return nullptr;
             }
@@ -167,10 +168,7 @@
     bool isCancelled = false;
     bool isOver = false;
 
-    instant silenceEnd() const
-    {
-        return mayGiveUp ? lastByte + silence : instant::max();
-    }
+    instant silenceEnd() const { return mayGiveUp ? lastByte + silence : instant::max(); }
 
     void cut()
     {
@@ -257,8 +255,8 @@
             parser.emplace();
             parser->body_limit(largestAnswer);
             parser->skip(request.hasNoAnswerBody);
-            const auto [code, size] = co_await http::async_read_header(connection->socket, buffer,
-                                                                       *parser, asTuple);
+            const auto [code, size]
+                = co_await http::async_read_header(connection->socket, buffer, *parser, asTuple);
             if (code)
                 co_return failure(code, result_code::upstreamFailed);
             lastByte = steadyNow();
@@ -291,8 +289,7 @@
     void parseBuffered()
     {
         boost::system::error_code code;
-        while (!code && !parser->is_done() && buffer.size() > 0
-               && parser->get().body().size > 0) {
+        while (!code && !parser->is_done() && buffer.size() > 0 && parser->get().body().size > 0) {
             const std::size_t used = parser->put(buffer.data(), code);
             buffer.consume(used);
         }
--- a/src/serve/chat_service.cpp
+++ b/src/serve/chat_service.cpp
@@ -1,10 +1,10 @@
 #include "serve/chat_service.h"
 
+#include "clients/http_client.h"
 #include "kernel/asio_headers.h"
 #include "observe/metrics.h"
 #include "observe/timeline.h"
 #include "operate/config_service.h"
-#include "clients/http_client.h"
 #include "policy/retry_budget.h"
 #include "policy/stream_watch.h"
 #include "serve/answer_metrics.h"
--- a/src/serve/claim_service.cpp
+++ b/src/serve/claim_service.cpp
@@ -1,10 +1,10 @@
 #include "serve/claim_service.h"
 
+#include "clients/log_follower.h"
 #include "kernel/asio_headers.h"
 #include "kernel/async_signal.h"
 #include "observe/timeline.h"
 #include "peer/peer_mesh.h"
-#include "clients/log_follower.h"
 #include "serve/caller_directory.h"
 
 #include <set>
--- a/src/serve/load_poller.cpp
+++ b/src/serve/load_poller.cpp
@@ -1,7 +1,7 @@
 #include "serve/load_poller.h"
 
-#include "kernel/asio_headers.h"
 #include "clients/http_client.h"
+#include "kernel/asio_headers.h"
 
 namespace quincefall {
 namespace {
--- a/src/serve/plain_call_service.cpp
+++ b/src/serve/plain_call_service.cpp
@@ -1,9 +1,9 @@
 #include "serve/plain_call_service.h"
 
+#include "clients/http_client.h"
 #include "kernel/asio_headers.h"
 #include "observe/timeline.h"
 #include "operate/config_service.h"
-#include "clients/http_client.h"
 #include "serve/chat_request.h"
 #include "serve/claim_service.h"
 #include "serve/http_server.h"
--- a/tests/peer/heartbeat_service_test.cpp
+++ b/tests/peer/heartbeat_service_test.cpp
@@ -1,9 +1,9 @@
 #include "peer/heartbeat_service.h"
 
+#include "clients/host_list_client.h"
 #include "observe/timeline.h"
 #include "peer/mesh_fixture.h"
 #include "peer/tcp_relay.h"
-#include "clients/host_list_client.h"
 #include "policy/ownership.h"
 
 #include <algorithm>
--- a/tests/peer/malformed_input_test.cpp
+++ b/tests/peer/malformed_input_test.cpp
@@ -1,10 +1,10 @@
+#include "clients/host_list_client.h"
 #include "observe/timeline.h"
 #include "peer.pb.h"
 #include "peer/byte_mutation.h"
 #include "peer/heartbeat_service.h"
 #include "peer/http2_session.h"
 #include "peer/mesh_fixture.h"
-#include "clients/host_list_client.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
--- /dev/null
+++ b/tests/policy/event_split_test.cpp
@@ -0,0 +1,53 @@
+#include "policy/event_split.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(event_split_tests)
+
+BOOST_AUTO_TEST_CASE(half_an_event_waits_for_its_rest)
+{
+    event_splitter splitter;
+    BOOST_TEST(takeEvents(splitter, "id: 1\ndata: a\n").empty());
+    BOOST_TEST(takeEvents(splitter, "\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    BOOST_TEST(splitter.pending == "id: 2\nda");
+    BOOST_TEST(takeEvents(splitter, "ta: b\n\n") == "id: 2\ndata: b\n\n");
+    BOOST_TEST(*splitter.lastId == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(events_pass_whatever_the_pieces_they_come_in)
+{
+    const std::string stream
+        = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid:3\n\n";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        event_splitter splitter;
+        std::string passed;
+        for (std::size_t start = 0; start < stream.size(); start += size)
+            passed += takeEvents(splitter, std::string_view(stream).substr(start, size));
+        BOOST_TEST(passed == stream);
+        BOOST_TEST(splitter.pending.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_does_not_repeat_events)
+{
+    event_splitter splitter;
+    takeEvents(splitter, "id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\nda");
+    splitter.pending.clear(); // The first upstream broke off.
+    BOOST_TEST(takeEvents(splitter, "id: 5\ndata: b\n\nid: 6\ndata: c\n\n")
+               == "id: 6\ndata: c\n\n");
+}
+
+BOOST_AUTO_TEST_CASE(an_event_without_an_id_passes)
+{
+    event_splitter splitter;
+    BOOST_TEST(takeEvents(splitter, "data: x\n\nid: none\n\n") == "data: x\n\nid: none\n\n");
+    BOOST_TEST(!splitter.lastId.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- /dev/null
+++ b/tests/policy/feed_plan_test.cpp
@@ -0,0 +1,120 @@
+#include "policy/feed_plan.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+constexpr milliseconds interval{1'000};
+
+host_address hostAt(int port)
+{
+    return {"10.0.0.1", std::uint16_t(port)};
+}
+
+struct other_host
+{
+    int port;
+    std::uint64_t known;
+    milliseconds age;
+};
+
+fleet_load makeOthers(std::initializer_list<other_host> hosts, instant now)
+{
+    fleet_load others;
+    for (const other_host &host : hosts) {
+        load_hint hint;
+        hint.host = hostAt(host.port);
+        hint.sequence = 1;
+        hint.upstreamsChanged = host.known;
+        hint.upstreamsAge = host.age;
+        takeHint(others, hint, now);
+    }
+    return others;
+}
+
+feed_view makeView(std::uint64_t known, milliseconds age, milliseconds sinceRead)
+{
+    return {known, age, true, interval, sinceRead};
+}
+
+BOOST_AUTO_TEST_SUITE(feed_plan_tests)
+
+BOOST_AUTO_TEST_CASE(three_hosts_of_many_read_the_store)
+{
+    const instant now = instant{} + seconds(100);
+    int readers = 0;
+    for (int own = 1; own <= 20; ++own) {
+        fleet_load others;
+        for (int port = 1; port <= 20; ++port) {
+            load_hint hint;
+            hint.host = hostAt(port);
+            hint.sequence = 1;
+            hint.upstreamsChanged = 5;
+            if (port != own)
+                takeHint(others, hint, now);
+        }
+        const feed_step step
+            = planFeed(makeView(5, milliseconds(0), seconds(2)), others, hostAt(own), now);
+        readers += step.action == feed_step::kind::readStore ? 1 : 0;
+    }
+    BOOST_TEST(readers == 3);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_others_reads_by_itself)
+{
+    const fleet_load nobody;
+    const auto due = planFeed(makeView(5, seconds(1), seconds(1)), nobody, hostAt(1), instant{});
+    BOOST_TEST((due.action == feed_step::kind::readStore));
+    const auto soon
+        = planFeed(makeView(5, seconds(0), milliseconds(10)), nobody, hostAt(1), instant{});
+    BOOST_TEST((soon.action == feed_step::kind::wait));
+}
+
+BOOST_AUTO_TEST_CASE(the_best_informed_host_is_asked)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load others = makeOthers(
+        {{2, 7, milliseconds(0)}, {3, 9, milliseconds(0)}, {4, 8, milliseconds(0)}}, now);
+    const auto step
+        = planFeed(makeView(5, milliseconds(0), milliseconds(0)), others, hostAt(1), now);
+    BOOST_TEST((step.action == feed_step::kind::askHost));
+    BOOST_TEST(step.host.port == 3);
+}
+
+BOOST_AUTO_TEST_CASE(readers_that_lost_the_store_are_replaced)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load lost = makeOthers({{2, 5, seconds(60)},
+                                        {3, 5, seconds(60)},
+                                        {4, 5, seconds(60)},
+                                        {5, 5, seconds(60)},
+                                        {6, 5, seconds(60)}},
+                                       now);
+    BOOST_TEST(isReader(makeView(5, seconds(0), seconds(2)), lost, hostAt(1), now));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_the_store_refuses_still_asks_between_its_reads)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load others = makeOthers({{2, 9, milliseconds(0)}}, now);
+    const auto between
+        = planFeed(makeView(5, seconds(30), milliseconds(100)), others, hostAt(1), now);
+    BOOST_TEST((between.action == feed_step::kind::askHost));
+    const auto due = planFeed(makeView(5, seconds(30), seconds(1)), others, hostAt(1), now);
+    BOOST_TEST((due.action == feed_step::kind::readStore));
+}
+
+BOOST_AUTO_TEST_CASE(what_others_are_sure_of_is_as_fresh_here)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load others = makeOthers({{2, 5, milliseconds(300)}, {3, 6, milliseconds(0)}}, now);
+    BOOST_TEST(
+        (freshestContact(makeView(5, seconds(9), seconds(9)), others) == now - milliseconds(300)));
+    BOOST_TEST((freshestContact(makeView(4, seconds(9), seconds(9)), others) == instant::min()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- /dev/null
+++ b/tests/policy/overload_test.cpp
@@ -0,0 +1,91 @@
+#include "policy/overload.h"
+
+#include "route_model.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+/// A burst of long prompts beyond what the engines can read, with two engines lost in it.
+model::scenario makeBurst(std::uint64_t seed)
+{
+    model::scenario day;
+    day.hosts = 9;
+    day.engines = 9;
+    day.enginesLost = 2;
+    day.kinds = model::usualKinds(45);
+    day.bursts = {{"plan", 500, 9'500, 2.3}};
+    day.seed = seed;
+    return day;
+}
+
+BOOST_AUTO_TEST_SUITE(overload_tests)
+
+BOOST_AUTO_TEST_CASE(a_first_try_is_refused_when_it_would_be_late)
+{
+    const auto late = decideOverload({2'500, 2'000, 10'000, false});
+    BOOST_TEST(!late.isAdmitted);
+    BOOST_TEST(late.returnAfter.count() > 100);
+    BOOST_TEST(late.returnAfter.count() <= 3'334);
+    BOOST_TEST(decideOverload({1'000, 2'000, 10'000, false}).isAdmitted);
+}
+
+BOOST_AUTO_TEST_CASE(a_returning_caller_is_served_late_rather_than_not_at_all)
+{
+    BOOST_TEST(decideOverload({2'500, 2'000, 7'000, true}).isAdmitted);
+    BOOST_TEST(!decideOverload({3'500, 2'000, 7'000, true}).isAdmitted);
+}
+
+BOOST_AUTO_TEST_CASE(a_route_without_a_target_never_refuses)
+{
+    BOOST_TEST(decideOverload({60'000, 0, 100, false}).isAdmitted);
+}
+
+BOOST_AUTO_TEST_CASE(a_much_shorter_wait_shows_a_returning_caller)
+{
+    caller_patience patience;
+    for (int index = 0; index < 40; ++index)
+        BOOST_TEST(!isReturning(patience, "plan", milliseconds(9'600 + index * 20)));
+    BOOST_TEST(isReturning(patience, "plan", milliseconds(7'000)));
+    BOOST_TEST(!isReturning(patience, "query", milliseconds(7'000)));
+}
+
+BOOST_AUTO_TEST_CASE(refusals_serve_more_in_a_burst)
+{
+    double with = 0;
+    double without = 0;
+    unsigned failedWith = 0;
+    unsigned failedWithout = 0;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        model::scenario day = makeBurst(seed);
+        const model::day_result refusing = model::playDay(day);
+        day.hasRefusals = false;
+        const model::day_result taking = model::playDay(day);
+        for (const auto &[name, kind] : refusing.kinds) {
+            with += kind.onTimeShare();
+            failedWith += kind.failed;
+        }
+        for (const auto &[name, kind] : taking.kinds) {
+            without += kind.onTimeShare();
+            failedWithout += kind.failed;
+        }
+    }
+    BOOST_TEST(with > without);
+    BOOST_TEST(failedWith < failedWithout);
+}
+
+BOOST_AUTO_TEST_CASE(an_urgent_kind_is_not_refused_for_less_urgent_ones)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        const model::day_result day = model::playDay(makeBurst(seed));
+        const double plan = day.kinds.at("plan").servedShare();
+        BOOST_TEST(day.kinds.at("digest").servedShare() >= plan);
+        BOOST_TEST(day.kinds.at("query").servedShare() >= plan);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- /dev/null
+++ b/tests/route/route_settings_test.cpp
@@ -0,0 +1,69 @@
+#include "route/route_settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+constexpr std::string_view validYaml = R"(host: {name: h1, region: north, failure_domain: a}
+listen:
+  caller: 127.0.0.1:8001
+  ready: 127.0.0.1:8002
+  peer: 127.0.0.1:8003
+  exchange: 127.0.0.1:8004
+fleet:
+  store: 127.0.0.1:8005
+  seeds: ["127.0.0.1:8003", "127.0.0.2:8003"]
+  failure_domains:
+    - {name: a, region: north}
+    - {name: b, region: south}
+bounds: {leave_ms: 2500, stop_s: 7.5, further_attempt_slack: 54.0}
+)";
+
+std::vector<std::string> mistakesOf(const std::string &yaml)
+{
+    std::vector<std::string> lines;
+    for (const settings_mistake &mistake : readRouteSettings(yaml).mistakes)
+        lines.push_back(describe(mistake, "f"));
+    return lines;
+}
+
+BOOST_AUTO_TEST_SUITE(route_settings_tests)
+
+BOOST_AUTO_TEST_CASE(valid_settings_are_read)
+{
+    const route_settings_reading reading = readRouteSettings(validYaml);
+    BOOST_TEST_REQUIRE(reading.mistakes.empty());
+    const route_settings &values = reading.values;
+    BOOST_TEST(values.callerListen.port == 8001);
+    BOOST_TEST(values.exchangeListen.port == 8004);
+    BOOST_TEST(values.seeds.size() == 2U);
+    BOOST_TEST(values.regions.at("b") == "south");
+    BOOST_TEST(values.stopSeconds == 7.5);
+    BOOST_TEST(values.furtherAttemptSlack == 54);
+    BOOST_TEST(values.furtherAttemptRatio == 0.2);
+}
+
+BOOST_AUTO_TEST_CASE(each_mistake_is_named_with_its_line_and_key)
+{
+    std::string yaml(validYaml);
+    yaml.replace(yaml.find("127.0.0.1:8002"), 14, "somewhere");
+    yaml.replace(yaml.find("stop_s: 7.5"), 11, "stop_s: soon");
+    yaml += "colour: blue\n";
+    const auto mistakes = mistakesOf(yaml);
+    BOOST_TEST(mistakes.size() == 3U);
+    BOOST_TEST(mistakes.at(0) == "f:4: listen.ready: expected an address of the form ip:port");
+    BOOST_TEST(mistakes.at(1) == "f:13: bounds.stop_s: expected a number from 0.1 to 600");
+    BOOST_TEST(mistakes.at(2) == "f:14: colour: expected one of bounds fleet host listen log");
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_section_is_a_mistake)
+{
+    const auto mistakes = mistakesOf("host: {name: h1, region: north, failure_domain: a}\n");
+    BOOST_TEST(!mistakes.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
