Read a shared part again only when its home is far behind

Cause: re-reading was the largest price on the grown deployments and took a third of the engines' reading time in bursts, since a home with a wait of 2 s was left for an engine that had to read 13,300 tokens again. Ruled out: too few homes (each part fits once). Change: reading a part again weighs 40 instead of 8.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -25,7 +25,7 @@
 // Chance that a part's home does not hold it although this host has not used it there.
 constexpr double homeMissShare = 0.3;
 // Weight of reading a part again: it delays all others on the engine too.
-constexpr double rereadWeight = 8;
+constexpr double rereadWeight = 40;
 // What it costs a long prompt and a gap-sensitive request to meet on one engine.
 constexpr double mixingMs = 5'000;
 // Share of its time that an engine may read: the rest makes the tokens of what runs.
