Give a shared part that gets much of the traffic several homes

Cause: with weight 40 the home of a hot subject would turn most of its requests away. Change: each host counts the lately seen uses of a part; from three on, the fleet's rate gives the number of homes, all found by the same hash.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <limits>
+#include <numbers>
 #include <vector>
 
 namespace quincefall {
@@ -26,6 +28,11 @@
 constexpr double homeMissShare = 0.3;
 // Weight of reading a part again: it delays all others on the engine too.
 constexpr double rereadWeight = 40;
+constexpr double partHalfLifeMs = 4'000; // A subject that gets much traffic gets it for seconds.
+constexpr double fewestHotUses = 3; // Of one host: fewer may be chance.
+constexpr double homeUtilisation = 0.5; // Reading time that one part may ask of a home.
+constexpr double mostHomesShare = 0.25; // Of the upstreams.
+constexpr std::size_t mostPartUses = 8'192; // About 300 kB.
 // What it costs a long prompt and a gap-sensitive request to meet on one engine.
 constexpr double mixingMs = 5'000;
 // Share of its time that an engine may read: the rest makes the tokens of what runs.
@@ -38,6 +45,8 @@
 constexpr double failureMs = 800; // Cost of an attempt that fails for certain.
 constexpr double withheldShare = 0.35; // Of failed attempts, from which an upstream is avoided.
 
+using upstream_set = std::set<const routed_upstream *>;
+
 double readRate(const service_pool &pool)
 {
     return pool.promptTokensPerMs > 0 ? pool.promptTokensPerMs : firstRate;
@@ -114,7 +123,7 @@
 }
 
 /// The upstreams kept for gap-sensitive requests: the first by a hash that all hosts share.
-std::set<const routed_upstream *> apartOf(std::vector<routed_upstream *> usable, unsigned count)
+upstream_set apartOf(std::vector<routed_upstream *> usable, unsigned count)
 {
     const auto score = [](const routed_upstream *upstream) {
         return rendezvousScore(upstream->listed.id, apartKey);
@@ -136,25 +145,23 @@
     return usable;
 }
 
-routed_upstream *homeOf(const std::vector<routed_upstream *> &usable,
-                        const std::set<const routed_upstream *> &apart,
-                        const placement_request &request)
+/// The first @p count engines of the request's group by a hash of its shared part.
+upstream_set homesOf(const std::vector<routed_upstream *> &usable, const upstream_set &apart,
+                     const placement_request &request, unsigned count)
 {
     const std::uint64_t key = sharedKey(*request.prompt);
     if (key == 0)
-        return nullptr;
-    routed_upstream *home = nullptr;
-    std::uint64_t best = 0;
-    for (routed_upstream *upstream : usable) {
-        if (apart.contains(upstream) != request.isGapSensitive)
-            continue;
-        const std::uint64_t score = rendezvousScore(upstream->listed.id, key);
-        if (!home || score > best) {
-            home = upstream;
-            best = score;
-        }
+        return {};
+    std::vector<std::pair<std::uint64_t, const routed_upstream *>> ranked;
+    for (const routed_upstream *upstream : usable) {
+        if (apart.contains(upstream) == request.isGapSensitive)
+            ranked.emplace_back(rendezvousScore(upstream->listed.id, key), upstream);
     }
-    return home;
+    const auto end = ranked.begin() + std::ptrdiff_t(std::min<std::size_t>(count, ranked.size()));
+    std::partial_sort(ranked.begin(), end, ranked.end(), std::greater<>());
+    upstream_set homes;
+    std::for_each(ranked.begin(), end, [&homes](const auto &row) { homes.insert(row.second); });
+    return homes;
 }
 
 /// Tokens of the parts before the last one.
@@ -166,6 +173,28 @@
     return tokens;
 }
 
+double recentUses(const part_use &use, instant now)
+{
+    if (use.at == instant::min())
+        return 0;
+    return use.count * std::exp2(-toMilliseconds(now - use.at) / partHalfLifeMs);
+}
+
+void recordPart(service_pool &pool, const prompt_outline &prompt, instant now)
+{
+    const std::uint64_t key = sharedKey(prompt);
+    if (key == 0)
+        return;
+    if (pool.partUses.size() >= mostPartUses)
+        std::erase_if(pool.partUses,
+                      [now](const auto &row) { return recentUses(row.second, now) < 1; });
+    if (pool.partUses.size() >= mostPartUses)
+        pool.partUses.clear();
+    part_use &use = pool.partUses[key];
+    use.count = recentUses(use, now) + 1;
+    use.at = now;
+}
+
 service_demand fleetDemand(const service_pool &pool, const routed_upstream &any, fleet_load &others,
                            instant now)
 {
@@ -234,19 +263,20 @@
 {
     placement best;
     best.candidates = double(usable.size());
-    std::set<const routed_upstream *> apart;
-    routed_upstream *home = nullptr;
+    upstream_set apart;
+    upstream_set homes;
     if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
         const routed_upstream &any = *usable.front();
         const double needed = apartNeeded(fleetDemand(pool, any, others, now), any.listed.slots);
         apart = apartOf(usable, keepApart(pool, usable.size(), needed, now));
-        home = homeOf(usable, apart, request);
+        const unsigned hosts = unsigned(others.hosts.size()) + 1;
+        homes = homesOf(usable, apart, request, homesNeeded(pool, *request.prompt, hosts, now));
     }
     double lowest = std::numeric_limits<double>::infinity();
     for (routed_upstream *upstream : usable) {
         const bool isApart = apart.empty() ? request.isGapSensitive : apart.contains(upstream);
         const candidate_estimate value
-            = estimate(pool, *upstream, request, site, upstream == home, isApart, others, now);
+            = estimate(pool, *upstream, request, site, homes.contains(upstream), isApart, others, now);
         if (value.cost >= lowest)
             continue;
         lowest = value.cost;
@@ -255,7 +285,7 @@
         best.delayMs = value.delayMs;
         best.unreadTokens = value.unread;
     }
-    best.reason = best.upstream && best.upstream == home ? "home" : "least";
+    best.reason = best.upstream && homes.contains(best.upstream) ? "home" : "least";
     return best;
 }
 
@@ -270,6 +300,23 @@
     return allowedStepMs < mixedStepMs && promptTokens < pool.largestPrompt * shortPromptShare;
 }
 
+unsigned homesNeeded(const service_pool &pool, const prompt_outline &prompt, unsigned hosts,
+                     instant now)
+{
+    const auto use = pool.partUses.find(sharedKey(prompt));
+    if (use == pool.partUses.end())
+        return 1;
+    const double count = recentUses(use->second, now);
+    if (count < fewestHotUses)
+        return 1;
+    // A count that halves each half-life stands for this time of arrivals.
+    const double perMs = count * hosts / (partHalfLifeMs / std::numbers::ln2);
+    const double ownTokens = prompt.promptTokens - sharedTokens(prompt);
+    const double engines = perMs * ownTokens / readRate(pool) / homeUtilisation;
+    const double most = std::max(1.0, double(pool.upstreams.size()) * mostHomesShare);
+    return unsigned(std::clamp(std::ceil(engines), 1.0, most));
+}
+
 void recordDemand(service_pool &pool, const placement_request &request, instant now)
 {
     const double tokens = request.prompt->promptTokens;
@@ -277,6 +324,7 @@
         pool.largestPrompt = tokens;
     else
         pool.largestPrompt += promptSmoothing * 0.1 * (tokens - pool.largestPrompt);
+    recordPart(pool, *request.prompt, now);
     if (!request.isGapSensitive)
         return;
     double rate = pool.sensitiveMsPerSecond;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -48,7 +48,13 @@
 bool isGapSensitive(const route_rule &route, const engine_rule &engine, const service_pool &pool,
                     double promptTokens);
 
-/// Takes a request's reading time into the demand of its kind.
+/// Number of engines that a shared part needs at the rate at which it is asked for.
+///
+/// Answers one subject that gets much of the traffic: its home alone would turn most of it away.
+unsigned homesNeeded(const service_pool &pool, const prompt_outline &prompt, unsigned hosts,
+                     instant now);
+
+/// Takes a request into the demand of its kind and of its shared part.
 void recordDemand(service_pool &pool, const placement_request &request, instant now);
 
 /// What this host's gap-sensitive requests ask of the pool.
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -55,11 +55,19 @@
     instant failureShareAt = instant::min();
 };
 
+/// How often this host lately saw a prompt part.
+struct part_use
+{
+    double count = 0; ///< Falls by half in some seconds.
+    instant at = instant::min();
+};
+
 /// The upstreams of one service and what was learnt about them together.
 struct service_pool
 {
     std::map<std::string, routed_upstream, std::less<>> upstreams; ///< By id.
     double promptTokensPerMs = 0; ///< Learnt rate at which engines read prompts.
+    std::unordered_map<std::uint64_t, part_use> partUses; ///< Of the last shared part, by id.
     double callMs = 0; ///< Smoothed time of a call, where prompts don't matter.
     double readMs = 0; ///< Smoothed reading time of one prompt, of requests that aren't sensitive.
     double streamMs = 0; ///< Time from first to last byte of a stream at an idle engine, learnt.
