--- a/src/observe/log_setup.cpp
+++ b/src/observe/log_setup.cpp
@@ -1,5 +1,7 @@
 #include "observe/log_setup.h"
 
+#include "observe/output_appender.h"
+
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -21,8 +23,7 @@
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(linePattern);
     if (target == "stdout")
-        return std::make_shared<log4cxx::ConsoleAppender>(layout,
-                                                          log4cxx::ConsoleAppender::getSystemOut());
+        return makeOutputAppender(layout);
     if (target == "stderr")
         return std::make_shared<log4cxx::ConsoleAppender>(layout,
                                                           log4cxx::ConsoleAppender::getSystemErr());
--- a/src/observe/log_setup.h
+++ b/src/observe/log_setup.h
@@ -11,8 +11,9 @@
 
 using log_fields = std::vector<std::pair<std::string_view, std::string>>;
 
-/// Directs the process's log to @p target ("stderr" or a file path) from @p level on: trace,
-/// debug, info, warn or error. Fails with settingsInvalid.
+/// Directs the process's log to @p target ("stdout", "stderr" or a file path) from @p level on:
+/// trace, debug, info, warn or error. Lines to stdout are bounded and never block; see
+/// makeOutputAppender(). Fails with settingsInvalid.
 result<void> setUpLog(const std::string &target, const std::string &level);
 
 /// Writes one line for a change of state: the text, then the fields as name=value.
--- a/src/policy/fleet_load.cpp
+++ b/src/policy/fleet_load.cpp
@@ -73,6 +73,12 @@
         load.isSummed = false;
 }
 
+void dropHint(fleet_load &load, const host_address &host)
+{
+    if (load.hosts.erase(host) > 0)
+        load.isSummed = false;
+}
+
 const upstream_work &workOfOthers(fleet_load &load, std::uint64_t upstream)
 {
     static const upstream_work nothing;
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -78,6 +78,9 @@
 /// Drops hints that were not renewed within @p life.
 void dropOldHints(fleet_load &load, microseconds life, instant now);
 
+/// Drops the hint of a host that did not answer; its next one counts again.
+void dropHint(fleet_load &load, const host_address &host);
+
 /// Work of the other hosts at an upstream.
 const upstream_work &workOfOthers(fleet_load &load, std::uint64_t upstream);
 
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -275,8 +275,8 @@
     double lowest = std::numeric_limits<double>::infinity();
     for (routed_upstream *upstream : usable) {
         const bool isApart = apart.empty() ? request.isGapSensitive : apart.contains(upstream);
-        const candidate_estimate value
-            = estimate(pool, *upstream, request, site, homes.contains(upstream), isApart, others, now);
+        const candidate_estimate value = estimate(pool, *upstream, request, site,
+                                                  homes.contains(upstream), isApart, others, now);
         if (value.cost >= lowest)
             continue;
         lowest = value.cost;
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -95,6 +95,13 @@
             publish();
     }
 
+    /// The next step asks another host, if one knows as much.
+    void noteSilentHost(const host_address &host, const error &cause)
+    {
+        dropHint(target.others, host);
+        logWarning("host did not answer", {{"host", toString(host)}, {"cause", cause.detail}});
+    }
+
     milliseconds ageOf(instant contact) const
     {
         return contact == instant::min() ? milliseconds::max()
@@ -135,8 +142,7 @@
         const std::uint64_t known = target.desired ? target.desired->version : 0;
         auto answer = co_await askDesired(*client, host, known);
         if (!answer) {
-            logWarning("host not asked",
-                       {{"host", toString(host)}, {"cause", answer.error().detail}});
+            noteSilentHost(host, answer.error());
             co_return;
         }
         if (answer->text) {
@@ -261,8 +267,7 @@
         if (known)
             take(*known);
         else
-            logWarning("host not asked",
-                       {{"host", toString(host)}, {"cause", known.error().detail}});
+            noteSilentHost(host, known.error());
     }
 
     static asio::awaitable<void> followUpstreams(std::shared_ptr<state> self)
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -82,6 +82,16 @@
     BOOST_TEST(step.host.port == 3);
 }
 
+BOOST_AUTO_TEST_CASE(a_host_that_did_not_answer_is_not_asked_again_at_once)
+{
+    const instant now = instant{} + seconds(100);
+    fleet_load others = makeOthers({{2, 7, milliseconds(0)}, {3, 9, milliseconds(0)}}, now);
+    dropHint(others, hostAt(3));
+    const auto step
+        = planFeed(makeView(5, milliseconds(0), milliseconds(0)), others, hostAt(1), now);
+    BOOST_TEST(step.host.port == 2);
+}
+
 BOOST_AUTO_TEST_CASE(readers_that_lost_the_store_are_replaced)
 {
     const instant now = instant{} + seconds(100);
