Read a part again rather than refuse while many engines are idle

Change: where the home has no room and two fifths of the engines have less than one prompt before the request, the soonest engine takes it.

--- a/src/policy/overload.cpp
+++ b/src/policy/overload.cpp
@@ -12,6 +12,7 @@
 constexpr double returningWaitShare = 0.4;
 // Callers honour a Retry-After up to a third of the time they have left.
 constexpr double longestReturnShare = 0.32;
+constexpr double idleShare = 0.4; // Of the upstreams.
 constexpr double shortestReturnMs = 100;
 // Callers of a route set waits that differ by a tenth or so; a shorter one was used up before.
 constexpr double returningShare = 0.8;
@@ -32,6 +33,11 @@
     return decision;
 }
 
+bool mayReadAgain(double idle, double upstreams)
+{
+    return idle > 0 && idle >= upstreams * idleShare;
+}
+
 bool isReturning(caller_patience &patience, const std::string &route, milliseconds wait)
 {
     const auto sample = double(wait.count());
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -40,6 +40,7 @@
 constexpr double fewestInFlight = 4;
 constexpr double firstReadMs = 100; // Before any prompt was read.
 constexpr double firstStreamMs = 600; // Before any stream ended.
+constexpr double idleDelayMs = 60; // About one prompt whose shared part is kept.
 constexpr double firstRate = 50; // Tokens per ms before any was seen.
 constexpr double firstCallMs = 20; // Before any call was seen.
 constexpr double failureMs = 800; // Cost of an attempt that fails for certain.
@@ -238,7 +239,8 @@
     if (!request.isGapSensitive)
         value.delayMs += crowdMs(pool, upstream, request.urgency, others);
     value.firstByteMs = value.delayMs + value.unread / rate;
-    value.cost = value.firstByteMs + (rereadWeight - 1) * reread / rate
+    const double weight = request.isSoonestWanted ? 1 : rereadWeight;
+    value.cost = value.firstByteMs + (weight - 1) * reread / rate
         + slotWaitMs(pool, upstream, others, now);
     return value;
 }
@@ -277,6 +279,7 @@
         const bool isApart = apart.empty() ? request.isGapSensitive : apart.contains(upstream);
         const candidate_estimate value = estimate(pool, *upstream, request, site,
                                                   homes.contains(upstream), isApart, others, now);
+        best.idleCandidates += value.delayMs <= idleDelayMs ? 1 : 0;
         if (value.cost >= lowest)
             continue;
         lowest = value.cost;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -26,6 +26,7 @@
     int urgency = 0;
     bool isGapSensitive = false; ///< See isGapSensitive().
     const std::set<std::string, std::less<>> *tried = nullptr; ///< Upstreams left out, by id.
+    bool isSoonestWanted = false; ///< Reading shared parts again costs no more than its time.
     bool mayProbe = false; ///< It can be repeated if a failing upstream fails it too.
 };
 
@@ -37,6 +38,7 @@
     double delayMs = 0; ///< Part of it that is due to work before this request.
     double unreadTokens = 0;
     double candidates = 0; ///< Upstreams that were compared.
+    double idleCandidates = 0; ///< Those without work before this request.
     std::string_view reason; ///< "home", "kept", "least", "probe" or "last".
 };
 
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -126,12 +126,13 @@
         recordDemand(pool, wanted, job.arrived);
     }
 
-    placement choose(proxy_job &job)
+    placement choose(proxy_job &job, bool isSoonestWanted = false)
     {
         placement_request wanted;
         wanted.prompt = &job.request.prompt;
         wanted.urgency = job.urgency;
         wanted.isGapSensitive = job.isGapSensitive;
+        wanted.isSoonestWanted = isSoonestWanted;
         wanted.tried = &job.tried;
         wanted.mayProbe = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
         return chooseUpstream(routing.pools[job.service()], wanted, settings.site, routing.others,
@@ -153,37 +154,50 @@
         return takeFurther(job);
     }
 
-    bool isWorthWaiting(proxy_job &job, const placement &chosen) const
+    overload_view viewOf(const proxy_job &job, const placement &chosen) const
     {
         overload_view view;
         view.delayMs = chosen.delayMs;
         view.targetMs = double(job.choice.route->targetLatency.count());
         view.leftMs = toMilliseconds(job.deadline - clock.now());
         view.isReturning = job.isReturning;
+        return view;
+    }
+
+    /// The upstream for a first attempt; none when the request should rather come back later.
+    placement chooseOrRefuse(proxy_job &job)
+    {
+        const placement chosen = choose(job);
+        if (!chosen.upstream)
+            return chosen;
+        const overload_view view = viewOf(job, chosen);
         const overload_decision decision = decideOverload(view);
         if (decision.isAdmitted)
-            return true;
+            return chosen;
+        if (mayReadAgain(chosen.idleCandidates, chosen.candidates)) {
+            const placement soonest = choose(job, true);
+            if (decideOverload(viewOf(job, soonest)).isAdmitted)
+                return soonest;
+        }
         job.returnAfter = decision.returnAfter;
-        job.lastFailure
-            = error{result_code::overloaded,
-                    "the wait of " + std::to_string(std::lround(view.delayMs)) + " ms at "
-                        + chosen.upstream->listed.id + " is longer than the request allows"};
-        return false;
+        job.lastFailure = error{result_code::overloaded,
+                                "the wait of " + std::to_string(std::lround(view.delayMs))
+                                    + " ms at " + chosen.upstream->listed.id
+                                    + " is longer than the request allows"};
+        return {};
     }
 
     asio::awaitable<attempt_end> run(proxy_job &job)
     {
         attempt_end end = attempt_end::notRun;
         while (true) {
-            const placement chosen = choose(job);
+            const placement chosen = job.sends == 0 ? chooseOrRefuse(job) : choose(job);
             if (!chosen.upstream) {
                 if (!job.lastFailure)
                     job.lastFailure = error{result_code::noUpstream,
                                             "service " + job.service() + " has no upstream to use"};
                 co_return job.runs > 0 ? attempt_end::failed : end;
             }
-            if (job.sends == 0 && !isWorthWaiting(job, chosen))
-                co_return attempt_end::notRun;
             job.tried.insert(chosen.upstream->listed.id);
             end = co_await runAttempt(attempts, job, chosen);
             if (end != attempt_end::notRun && end != attempt_end::failed)
--- a/tests/policy/overload_test.cpp
+++ b/tests/policy/overload_test.cpp
@@ -42,6 +42,13 @@
     BOOST_TEST(decideOverload({60'000, 0, 100, false}).isAdmitted);
 }
 
+BOOST_AUTO_TEST_CASE(parts_are_read_again_only_while_engines_are_idle)
+{
+    BOOST_TEST(mayReadAgain(5, 9));
+    BOOST_TEST(!mayReadAgain(2, 9));
+    BOOST_TEST(!mayReadAgain(0, 0));
+}
+
 BOOST_AUTO_TEST_CASE(a_much_shorter_wait_shows_a_returning_caller)
 {
     caller_patience patience;
