--- a/src/cli/route_verb.cpp
+++ b/src/cli/route_verb.cpp
@@ -14,6 +14,7 @@
 #include <iostream>
 
 DECLARE_string(config);
+DEFINE_bool(check, false, "read the settings and end");
 
 namespace quincefall {
 namespace {
@@ -86,7 +87,13 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     const auto values = loadRouteSettings();
-    return values ? route(*values) : exit_code::settings;
+    if (!values)
+        return exit_code::settings;
+    if (FLAGS_check) {
+        std::cout << settingsPath() << ": valid\n";
+        return exit_code::success;
+    }
+    return route(*values);
 }
 
 } // namespace quincefall
--- a/src/cli/verbs.cpp
+++ b/src/cli/verbs.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::array verbs{
     verb{"serve", "--config FILE", "Runs a host of the fleet until SIGTERM or SIGINT.", runServe},
-    verb{"route", "[--config FILE]",
+    verb{"route", "[--config FILE] [--check]",
          "Runs an entry host on a prepared platform until SIGTERM or SIGINT.", runRoute},
     verb{"check", "--config FILE", "Checks a settings file and reports every mistake.", runCheck},
     verb{"apply", "-f FILE --host IP:PORT[,...] [--dry-run] [--wait] [--operation ID]",
--- a/src/observe/log_setup.cpp
+++ b/src/observe/log_setup.cpp
@@ -12,7 +12,7 @@
 namespace quincefall {
 namespace {
 
-constexpr const char *linePattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %-5p %m%n";
+constexpr const char *linePattern = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %m%n";
 
 log4cxx::LoggerPtr rootLogger()
 {
--- /dev/null
+++ b/tests/process/route_soak_test.py
@@ -0,0 +1,10 @@
+"""A short run of the fault soak with fixed seeds, and with those that failed once."""
+
+import sys
+
+from route_soak import REGRESSION_SEEDS, run_seed
+
+if __name__ == "__main__":
+    results = [run_seed(seed, 5) for seed in [1, 2, *REGRESSION_SEEDS]]
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    sys.exit(0 if all(results) else 1)
--- /dev/null
+++ b/tests/process/support/platform_standin.py
@@ -0,0 +1,244 @@
+"""The users' platform on loopback: a store with keyed topics, engines and calls, in one thread.
+
+Speaks the published protocol as far as the tests need it. Faults are set as attributes while it
+runs; all of its state is read from the test's thread.
+"""
+
+import asyncio
+import base64
+import collections
+import json
+import struct
+import threading
+import time
+import urllib.parse
+
+
+def read_heading(data):
+    """Method, target and header fields of a request's head."""
+    lines = data.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    fields = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            fields[name.strip().lower()] = value.strip()
+    return method, target, fields
+
+
+class LoopThread:
+    """An event loop in a thread of its own."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    async def cancel_all(self):
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def stop(self):
+        self.call(self.cancel_all())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
+
+
+class HttpServer:
+    """One listening port; `answer` gets each request and writes to the connection."""
+
+    def __init__(self, loop, answer):
+        self.loop = loop
+        self.answer = answer
+        self.port = 0
+        self.server = None
+        self.connections = set()
+
+    async def listen(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                method, target, fields = read_heading(head[:-4])
+                body = await reader.readexactly(int(fields.get("content-length", 0)))
+                if not await self.answer(writer, method, target, fields, body):
+                    break
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, OSError):
+            pass  # The connection or the test is over.
+        finally:
+            self.connections.discard(writer)
+            writer.close()
+
+
+def answer_bytes(status, body=b"", fields=()):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in fields)
+    return head.encode() + b"\r\n" + body
+
+
+class Store:
+    """A log in which topics keep the newest record of each key. `mode` is "ok", "refuse" (503) or
+    "silent"; `calls` counts what was asked."""
+
+    def __init__(self, loop, topics=None):
+        self.server = HttpServer(loop, self.answer)
+        self.topics = collections.defaultdict(list) if topics is None else topics
+        self.mode = "ok"
+        self.calls = collections.Counter()
+
+    def put(self, topic, key, value):
+        """Appends a record; None drops the key."""
+        self.topics[topic].append((key, None if value is None else json.dumps(value).encode()))
+
+    def newest(self, topic):
+        items = {}
+        for offset, (key, value) in enumerate(self.topics[topic]):
+            items[key] = (value, offset)
+        return [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                for key, (value, offset) in items.items() if value is not None]
+
+    async def read(self, topic, start, wait_ms):
+        deadline = time.monotonic() + wait_ms / 1000
+        while len(self.topics[topic]) <= start and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        records = self.topics[topic][start:]
+        body = struct.pack(">QQ", len(self.topics[topic]), 0)
+        for key, value in records:
+            content = bytes([len(key)]) + key.encode() + (value or b"")
+            body += struct.pack(">I", len(content)) + content
+        return body
+
+    async def answer(self, writer, method, target, fields, body):
+        url = urllib.parse.urlsplit(target)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self.calls[url.path] += 1
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        if self.mode == "refuse":
+            writer.write(answer_bytes(503))
+        elif url.path == "/-/log-newest":
+            page = {"items": self.newest(query["topic"]), "more": False,
+                    "end": len(self.topics[query["topic"]])}
+            writer.write(answer_bytes(200, json.dumps(page).encode()))
+        elif url.path == "/-/log-read":
+            wait_ms = int(query.get("wait_ms", 0))
+            writer.write(answer_bytes(
+                200, await self.read(query["topic"], int(query["from"]), wait_ms)))
+        elif url.path == "/-/log-append":
+            content = body[4:]
+            size = content[0]
+            self.topics[query["topic"]].append(
+                (content[1:1 + size].decode(), content[1 + size:] or None))
+            writer.write(answer_bytes(200, b'{"offset":0,"end":1}'))
+        else:
+            writer.write(answer_bytes(404))
+        await writer.drain()
+        return True
+
+
+class Engine:
+    """An engine or a plain service. Streams have `events` events. `fault` is None or one of
+    "break" (cut in the middle of the third event), "mute" (no answer), "error" (runs, then 500),
+    "full" (503, not run), "lost" (runs, then resets), "crossed" (another request's answer first)
+    and "unstamped". `faults_left` bounds how often it shows."""
+
+    def __init__(self, loop, identity, service):
+        self.server = HttpServer(loop, self.answer)
+        self.identity = identity
+        self.service = service
+        self.listed_port = 0
+        self.events = 6
+        self.event_seconds = 0.02
+        self.fault = None
+        self.faults_left = 10 ** 9
+        self.runs = collections.Counter()
+        self.heads = {}
+        self.cut_off = collections.Counter()
+
+    def entry(self, state="ready", sequence=1):
+        return {"service": self.service, "address": f"127.0.0.1:{self.listed_port}",
+                "zone": "a", "version": "v1", "slots": 8, "state": state,
+                "cold_remaining_ms": 0, "sequence": sequence, "born": 1700000000000}
+
+    def take_fault(self):
+        if self.fault is None or self.faults_left <= 0:
+            return None
+        self.faults_left -= 1
+        return self.fault
+
+    async def answer(self, writer, method, target, fields, body):
+        request = fields.get("quincefall-request-id", "")
+        if fields.get("quincefall-expect-instance") != self.identity:
+            writer.write(answer_bytes(421, b"", [("Quincefall-Instance-Id", self.identity)]))
+            await writer.drain()
+            return True
+        fault = self.take_fault()
+        if fault == "full":
+            writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")]))
+            await writer.drain()
+            return True
+        self.runs[request] += 1
+        self.heads[request] = dict(fields, method=method, target=target, body=body)
+        echo = [("Quincefall-Request-Id", request)]
+        stamp = [] if fault == "unstamped" else [
+            ("Quincefall-Response-Stamp", f"{self.identity}.{request}")]
+        if fault == "mute":
+            await asyncio.sleep(3600)
+        if fault == "lost":
+            writer.transport.abort()
+            return False
+        if fault == "crossed":
+            writer.write(answer_bytes(200, b"not yours", [
+                ("Quincefall-Request-Id", "other"), ("Quincefall-Response-Stamp", "x")]))
+        if fault == "error":
+            writer.write(answer_bytes(500, b"failed", echo + stamp))
+        elif target.startswith("/stream/"):
+            return await self.stream(writer, fields, request, echo + stamp, fault)
+        else:
+            writer.write(answer_bytes(200, b"done:" + request.encode() + body, echo + stamp))
+        await writer.drain()
+        return True
+
+    async def stream(self, writer, fields, request, headers, fault):
+        first = int(fields.get("last-event-id", 0)) + 1
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in headers)
+        writer.write(head.encode() + b"\r\n")
+        for number in range(first, self.events + 1):
+            event = f"id: {number}\ndata: {number}-of-{self.service}\n\n".encode()
+            if fault == "break" and number == first + 2:
+                half = event[:len(event) // 2]
+                writer.write(b"%x\r\n%s\r\n" % (len(half), half))
+                await writer.drain()
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+                return False
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            try:
+                await writer.drain()
+            except ConnectionError:
+                self.cut_off[request] += 1
+                return False
+            await asyncio.sleep(self.event_seconds)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+def whole_stream(events=6, service="engines"):
+    """Body of a stream that is complete."""
+    return "".join(f"id: {n}\ndata: {n}-of-{service}\n\n" for n in range(1, events + 1))
--- /dev/null
+++ b/tests/process/support/route_fleet.py
@@ -0,0 +1,198 @@
+"""Hosts of `quincefall route` as real processes before the platform stand-in."""
+
+import http.client
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+from support.platform_standin import Engine, LoopThread, Store
+
+KEY = "key-of-stable"
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def desired_state(version, **changes):
+    """A desired state with one stream, one call that may be repeated and one that may not."""
+    def route(name, prefix, kind, service, **more):
+        fields = {"name": name, "authority": "rounds.example", "path_prefix": prefix,
+                  "route_type": kind, "timeout_ms": 4000, "target_latency_ms": 1000,
+                  "priority": 1, "service": service, "max_attempts": 2, "auth_exempt": False}
+        return dict(fields, **more)
+
+    state = {
+        "version": version,
+        "routes": [
+            route("plans", "/stream/", "streaming", "engines", stream_resume=True, gap_aim_ms=500),
+            route("read", "/read/", "idempotent", "desk"),
+            route("book", "/book/", "non_idempotent", "desk"),
+        ],
+        "services": [{"name": "engines", "max_connections": 50},
+                     {"name": "desk", "max_connections": 50}],
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 1000,
+                   "idle_timeout_ms": 5000},
+        "tenants": [{"name": "stable", "api_keys": [KEY], "priority": 1}],
+    }
+    state.update(changes)
+    return state
+
+
+class Answer:
+    """What a caller got: status 0 stands for a connection that ended without an answer."""
+
+    def __init__(self, status, fields, body, is_whole):
+        self.status = status
+        self.fields = fields
+        self.body = body
+        self.is_whole = is_whole
+
+
+def ask(port, request_id, path="/read/1", method="GET", body=None, key=KEY, deadline_ms=4000,
+        fields=None, timeout=10):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    headers = {"Host": "rounds.example", "Quincefall-Request-Id": request_id,
+               "Quincefall-Deadline-Ms": str(deadline_ms), "Quincefall-Credential": key}
+    headers.update(fields or {})
+    try:
+        connection.request(method, path, body=body, headers=headers)
+        answer = connection.getresponse()
+        try:
+            text = answer.read()
+            return Answer(answer.status, dict(answer.getheaders()), text.decode(), True)
+        except (http.client.HTTPException, OSError) as failure:
+            part = getattr(failure, "partial", b"")
+            return Answer(answer.status, dict(answer.getheaders()), part.decode(), False)
+    except (http.client.HTTPException, OSError):
+        return Answer(0, {}, "", False)
+    finally:
+        connection.close()
+
+
+class RouteHost:
+    def __init__(self, name, store_port, seeds, exchange_port, ip="127.0.0.1"):
+        self.name = name
+        self.ip = ip
+        self.caller, self.ready, self.peer = free_ports(3)
+        self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
+        self.settings = tempfile.NamedTemporaryFile("w", suffix=".yaml")
+        self.settings.write(f"""host: {{name: {name}, region: north, failure_domain: a}}
+listen:
+  caller: 127.0.0.1:{self.caller}
+  ready: 127.0.0.1:{self.ready}
+  peer: {ip}:{self.peer}
+  exchange: {ip}:{exchange_port}
+fleet:
+  store: 127.0.0.1:{store_port}
+  seeds: [{', '.join(f'"{seed}"' for seed in seeds)}]
+  failure_domains: [{{name: a, region: north}}]
+bounds: {{leave_ms: 1000, apply_ms: 1000, stop_s: 4}}
+""")
+        self.settings.flush()
+        self.process = None
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [os.environ["QUINCEFALL_BIN"], "route", "--config", self.settings.name],
+            stdout=self.log, stderr=subprocess.STDOUT)
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
+            connection.request("GET", "/-/ready")
+            return connection.getresponse().status == 200
+        except (http.client.HTTPException, OSError):
+            return False
+
+    def lines(self):
+        with open(self.log.name, encoding="utf-8", errors="replace") as file:
+            return file.read().splitlines()
+
+    def send(self, number):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def stop(self):
+        if not self.process:
+            return None
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            return self.process.wait(10)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait(5)
+
+
+def wait_for(condition, what, seconds=15):
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise AssertionError("waited in vain for " + what)
+        time.sleep(0.02)
+
+
+class RouteFleet:
+    """A store, two engines, two desks and some hosts, each with a loopback address of its own.
+
+    The last `own_stores` hosts reach the same records through a store of their own, which can
+    refuse them alone. `link` may put something between a port and those who connect to it.
+    """
+
+    def __init__(self, hosts=1, own_stores=0, link=lambda port: port, thread=None):
+        self.thread = thread or LoopThread()
+        self.store = Store(self.thread.loop)
+        self.thread.call(self.store.server.listen())
+        self.own_stores = [Store(self.thread.loop, self.store.topics) for _ in range(own_stores)]
+        for store in self.own_stores:
+            self.thread.call(store.server.listen())
+        self.link = link
+        self.engines = {}
+        for name, service in (("e1", "engines"), ("e2", "engines"),
+                              ("d1", "desk"), ("d2", "desk")):
+            self.add_engine(name, service)
+        self.store.put("keyed.op", "config", desired_state(1))
+        exchange = free_ports(1)[0]
+        self.hosts = []
+        for index in range(hosts):
+            own = index - (hosts - own_stores)
+            port = link((self.own_stores[own] if own >= 0 else self.store).server.port)
+            seeds = [f"{host.ip}:{host.peer}" for host in self.hosts]
+            self.hosts.append(
+                RouteHost(f"h{index + 1}", port, seeds, exchange, f"127.0.0.{index + 2}"))
+
+    def add_engine(self, name, service):
+        engine = Engine(self.thread.loop, name, service)
+        self.thread.call(engine.server.listen())
+        engine.listed_port = self.link(engine.server.port)
+        self.engines[name] = engine
+        self.store.put("keyed.servers", name, engine.entry())
+
+    def __enter__(self):
+        for host in self.hosts:
+            host.start()
+        for host in self.hosts:
+            wait_for(host.is_ready, f"{host.name} to be ready")
+        return self
+
+    def __exit__(self, *_):
+        codes = [host.stop() for host in self.hosts]
+        for engine in self.engines.values():
+            self.thread.call(engine.server.close())
+        for store in [self.store, *self.own_stores]:
+            self.thread.call(store.server.close())
+        self.thread.stop()
+        self.codes = codes
+
+    def runs(self, request_id):
+        return sum(engine.runs[request_id] for engine in self.engines.values())
