--- a/src/policy/overload.h
+++ b/src/policy/overload.h
@@ -30,9 +30,9 @@
 /// late already; it is served as long as its answer can be whole in time.
 overload_decision decideOverload(const overload_view &view);
 
-/// Whether a request that its home has no room for may be read again elsewhere rather than be turned
-/// away, with @p idle of @p upstreams without work. While many are busy, reading again would only
-/// move the queue and take the time of what could be read once.
+/// Whether a request that its home has no room for may be read again elsewhere rather than be
+/// turned away, with @p idle of @p upstreams without work. While many are busy, reading again would
+/// only move the queue and take the time of what could be read once.
 bool mayReadAgain(double idle, double upstreams);
 
 /// Longest wait that callers of each route were seen to set, by route name.
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -15,7 +15,7 @@
 using udp = asio::ip::udp;
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t largestDatagram = 16 * 1024;
+constexpr std::size_t largestDatagram = 16'384;
 constexpr std::size_t mostUpstreams = 400; // In one message, to stay below the limit above.
 // A host that missed this many messages is gone or cut off; its work is not counted any more.
 constexpr int missedMessages = 5;
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -180,10 +180,10 @@
                 return soonest;
         }
         job.returnAfter = decision.returnAfter;
-        job.lastFailure = error{result_code::overloaded,
-                                "the wait of " + std::to_string(std::lround(view.delayMs))
-                                    + " ms at " + chosen.upstream->listed.id
-                                    + " is longer than the request allows"};
+        job.lastFailure
+            = error{result_code::overloaded,
+                    "the wait of " + std::to_string(std::lround(view.delayMs)) + " ms at "
+                        + chosen.upstream->listed.id + " is longer than the request allows"};
         return {};
     }
 
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -27,7 +27,7 @@
 constexpr double keepAliveShare = 0.7; // Of the upstream's limit; its answer was on its way too.
 constexpr double keepAliveShareOnce = 0.35; // For calls that may not be repeated.
 constexpr std::size_t idlePerUpstream = 24;
-constexpr std::size_t readBufferBytes = 16 * 1024;
+constexpr std::size_t readBufferBytes = 16'384;
 constexpr std::uint64_t largestAnswer = 64ULL * 1024 * 1024;
 
 /// An open connection and what may be assumed of it.
