Leave out an engine that turned slow

Change: two pauses beyond twice the longest mixed step within 3 s mark an engine slow for 3 s, unless more than a quarter are. Test: a_slow_engine_is_left_out_while_few_are_slow.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -14,6 +14,8 @@
 
 // Measured on engines that read prompts between tokens: a step with a long prompt takes about this.
 constexpr double mixedStepMs = 100;
+constexpr double longPauseSteps = 2; // Steps as long as this for every token of an event.
+constexpr double mostSlowShare = 0.25; // More at once are slow for another reason.
 // A route is kept apart only if its own prompts are well below the largest of the service.
 constexpr double shortPromptShare = 1.0 / 3;
 constexpr double promptSmoothing = 0.05;
@@ -70,6 +72,19 @@
         && (!request.tried || !request.tried->contains(upstream.listed.id));
 }
 
+bool isSlow(const routed_upstream &upstream, instant now)
+{
+    return upstream.slowUntil > now;
+}
+
+/// Whether so few upstreams are slow that it is they, and not this host's links.
+bool areSlowOnesFew(const service_pool &pool, instant now)
+{
+    const auto slow = std::count_if(pool.upstreams.begin(), pool.upstreams.end(),
+                                    [now](const auto &row) { return isSlow(row.second, now); });
+    return double(slow) <= mostSlowShare * double(pool.upstreams.size());
+}
+
 bool isWithheld(const routed_upstream &upstream, instant now)
 {
     return upstream.health.state == upstream_health::condition::failing
@@ -139,8 +154,11 @@
                                         bool withWithheld, instant now)
 {
     std::vector<routed_upstream *> usable;
+    const bool leavesOutSlow = areSlowOnesFew(pool, now);
     for (auto &[id, upstream] : pool.upstreams) {
-        if (mayTake(upstream, request) && (withWithheld || !isWithheld(upstream, now)))
+        const bool isLeftOut
+            = isWithheld(upstream, now) || (leavesOutSlow && isSlow(upstream, now));
+        if (mayTake(upstream, request) && (withWithheld || !isLeftOut))
             usable.push_back(&upstream);
     }
     return usable;
@@ -294,6 +312,12 @@
 
 } // namespace
 
+microseconds longPause(const engine_rule &engine)
+{
+    const double pauseMs = mixedStepMs * engine.tokensPerEvent * longPauseSteps;
+    return microseconds(std::llround(pauseMs * 1000));
+}
+
 bool isGapSensitive(const route_rule &route, const engine_rule &engine, const service_pool &pool,
                     double promptTokens)
 {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -50,6 +50,9 @@
 bool isGapSensitive(const route_rule &route, const engine_rule &engine, const service_pool &pool,
                     double promptTokens);
 
+/// Pause between two events beyond which an engine is slow rather than busy.
+microseconds longPause(const engine_rule &engine);
+
 /// Number of engines that a shared part needs at the rate at which it is asked for.
 ///
 /// Answers one subject that gets much of the traffic: its home alone would turn most of it away.
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds reportLife{2'000}; // Requests last about this long.
 constexpr seconds partLife{40}; // Parts used no later than this are thought to be kept.
 constexpr std::size_t mostParts = 4'096; // For each upstream; about 100 kB.
+constexpr seconds slowMemory{3}; // Slow times last some seconds; streams tell of them each second.
 constexpr double uncountedTokens = 1;
 
 double decayed(double value, instant since, double halfLifeMs, instant now)
@@ -123,6 +124,17 @@
     upstream.ownAtReport = ownInFlight(upstream);
 }
 
+void recordLongPause(routed_upstream &upstream, instant now)
+{
+    const bool isRepeated
+        = upstream.longPauseAt != instant::min() && now - upstream.longPauseAt < slowMemory;
+    upstream.longPauseAt = now;
+    if (!isRepeated)
+        return;
+    upstream.slowUntil = now + slowMemory;
+    upstream.health.probeFrom = upstream.slowUntil;
+}
+
 void recordOutcome(routed_upstream &upstream, bool succeeded, instant now)
 {
     const double before
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -51,6 +51,8 @@
     instant excessAt = instant::min();
     instant lastHeard = instant::min(); ///< Last byte of any answer.
     upstream_health health;
+    instant longPauseAt = instant::min(); ///< Last pause that only a slow upstream makes.
+    instant slowUntil = instant::min(); ///< It made several such pauses lately.
     double failureShare = 0; ///< Smoothed share of attempts that failed.
     instant failureShareAt = instant::min();
 };
@@ -103,6 +105,12 @@
 /// Takes in a load report.
 void recordLoad(routed_upstream &upstream, const upstream_load &load, instant now);
 
+/// Takes in a pause between two events that is longer than any that reading a prompt explains.
+///
+/// Answers an engine that turned slow: its reports and its first events look like those of a busy
+/// one, its pauses do not. A single pause may be the link's.
+void recordLongPause(routed_upstream &upstream, instant now);
+
 /// Takes an attempt's outcome into the upstream's health.
 void recordOutcome(routed_upstream &upstream, bool succeeded, instant now);
 
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -78,8 +78,13 @@
     void noteEvents()
     {
         const instant now = context.clock.now();
-        if (lastEvents != instant{})
-            longestGap = std::max<microseconds>(longestGap, now - lastEvents);
+        const microseconds gap = lastEvents == instant{} ? microseconds(0) : now - lastEvents;
+        longestGap = std::max(longestGap, gap);
+        const auto &engine = job.choice.service->engine;
+        if (engine && gap > longPause(*engine)) {
+            if (routed_upstream *target = upstream())
+                recordLongPause(*target, now);
+        }
         lastEvents = now;
     }
 
--- a/tests/policy/placement_test.cpp
+++ b/tests/policy/placement_test.cpp
@@ -110,6 +110,29 @@
     BOOST_TEST(chooseUpstream(pool, wanted, {}, others, now).reason == "last");
 }
 
+BOOST_AUTO_TEST_CASE(a_slow_engine_is_left_out_while_few_are_slow)
+{
+    service_pool pool = makePool(8);
+    const prompt_outline prompt = makePrompt(1, 2);
+    placement_request wanted;
+    wanted.prompt = &prompt;
+    fleet_load others;
+    const instant now = instant{} + seconds(100);
+    const std::string home = chooseUpstream(pool, wanted, {}, others, now).upstream->listed.id;
+    recordLongPause(pool.upstreams.at(home), now);
+    BOOST_TEST(chooseUpstream(pool, wanted, {}, others, now).upstream->listed.id == home);
+    recordLongPause(pool.upstreams.at(home), now + seconds(1));
+    const instant later = now + seconds(2);
+    BOOST_TEST(chooseUpstream(pool, wanted, {}, others, later).upstream->listed.id != home);
+    const instant over = now + seconds(9);
+    BOOST_TEST(chooseUpstream(pool, wanted, {}, others, over).upstream->listed.id == home);
+    for (auto &[id, upstream] : pool.upstreams) {
+        recordLongPause(upstream, later);
+        recordLongPause(upstream, later);
+    }
+    BOOST_TEST(chooseUpstream(pool, wanted, {}, others, later).upstream->listed.id == home);
+}
+
 BOOST_AUTO_TEST_CASE(work_of_other_hosts_counts)
 {
     service_pool pool = makePool(2);
