--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -18,7 +18,7 @@
 constexpr double mostSlowShare = 0.25; // More at once are slow for another reason.
 // A route is kept apart only if its own prompts are well below the largest of the service.
 constexpr double shortPromptShare = 1.0 / 3;
-constexpr double promptSmoothing = 0.05;
+constexpr double promptSmoothing = 0.005; // Prompts of all routes pass; the largest stay.
 constexpr double demandWindowMs = 4'000; // Bursts last some seconds.
 constexpr double apartUtilisation = 0.5; // Reading time that an engine kept apart may spend.
 constexpr double apartSlotShare = 0.6; // Of an upstream's slots that may be in use.
@@ -44,6 +44,7 @@
 constexpr double firstStreamMs = 600; // Before any stream ended.
 constexpr double idleDelayMs = 60; // About one prompt whose shared part is kept.
 constexpr double firstRate = 50; // Tokens per ms before any was seen.
+constexpr double loadShare = 0.25; // Of a call's time that a full upstream adds to it.
 constexpr double firstCallMs = 20; // Before any call was seen.
 constexpr double failureMs = 800; // Cost of an attempt that fails for certain.
 constexpr double withheldShare = 0.35; // Of failed attempts, from which an upstream is avoided.
@@ -112,7 +113,7 @@
     const double load = loadOf(upstream, others, now);
     const double over = std::max(0.0, load + 1 - slots);
     // Below full, a busier upstream is a little slower; it also spreads work among equals.
-    return callMs * (over / slots + load / slots * 0.25);
+    return callMs * (over / slots + load / slots * loadShare);
 }
 
 /// Wait for the prompts that are read before one of this urgency.
@@ -122,10 +123,7 @@
     const upstream_work &foreign = workOfOthers(others, hintHash(upstream.listed.id));
     const double tokens
         = sumUpTo(upstream.unreadTokens, urgency) + sumUpTo(foreign.unreadTokens, urgency);
-    double excess = 0;
-    if (upstream.excessAt != instant::min())
-        excess = upstream.excessMs * std::exp2(-toMilliseconds(now - upstream.excessAt) / 700);
-    return std::max(tokens / readRate(pool), excess);
+    return std::max(tokens / readRate(pool), recentExcessMs(upstream, now));
 }
 
 /// Wait until no more requests of this urgency are under way than the engine keeps in step.
@@ -350,7 +348,7 @@
     if (tokens > pool.largestPrompt)
         pool.largestPrompt = tokens;
     else
-        pool.largestPrompt += promptSmoothing * 0.1 * (tokens - pool.largestPrompt);
+        pool.largestPrompt += promptSmoothing * (tokens - pool.largestPrompt);
     recordPart(pool, *request.prompt, now);
     if (!request.isGapSensitive)
         return;
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -88,7 +88,7 @@
         return;
     const double waitedMs = toMilliseconds(*waited);
     const double excess = std::max(0.0, waitedMs - work.estimatedMs);
-    const double before = decayed(upstream.excessMs, upstream.excessAt, excessHalfLifeMs, now);
+    const double before = recentExcessMs(upstream, now);
     upstream.excessMs = before + excessSmoothing * (excess - before);
     upstream.excessAt = now;
     if (work.unreadTokens <= uncountedTokens)
@@ -176,6 +176,11 @@
     return sumUpTo(upstream.inFlight, urgencyLevels);
 }
 
+double recentExcessMs(const routed_upstream &upstream, instant now)
+{
+    return decayed(upstream.excessMs, upstream.excessAt, excessHalfLifeMs, now);
+}
+
 double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now)
 {
     double unread = prompt.promptTokens;
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -127,6 +127,9 @@
 /// All requests of this host at the upstream.
 double ownInFlight(const routed_upstream &upstream);
 
+/// Wait for the first byte beyond the estimate, as lately seen, in milliseconds.
+double recentExcessMs(const routed_upstream &upstream, instant now);
+
 /// Tokens of @p prompt that the upstream is not known to keep.
 double unreadTokensOf(const routed_upstream &upstream, const prompt_outline &prompt, instant now);
 
