Ask the others when the store refuses a reader; keep serve's answer to a long header

In a fleet of three all are readers, and a reader whose reads fail never asked the others: it read in vain. The test had passed before only when a read was already waiting at the store. (2) caller_fuzz_test: the shared server answered 431 instead of 413 to callers of `quincefall serve`, whose interface must stay. Ruled out: load, since the stricter test fails without it. Change: a refused reader asks a host that knows more; the code for a long header is an option of the server.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -63,13 +63,14 @@
                    instant now)
 {
     feed_step step;
+    const fleet_load::entry *informed = bestInformed(view, others);
     const bool isDue = view.sinceRead >= view.interval;
     const bool isCutOff = view.known > 0 && view.age >= view.interval * missedReads;
-    if (isDue && (view.known == 0 || isCutOff || isReader(view, others, own, now))) {
+    const bool mayRead = view.known == 0 || isCutOff || isReader(view, others, own, now);
+    // A reader that the store refuses would only read in vain while another host knows more.
+    if (isDue && mayRead && (view.isServed || !informed)) {
         step.action = feed_step::kind::readStore;
-        return step;
-    }
-    if (const fleet_load::entry *informed = bestInformed(view, others)) {
+    } else if (informed) {
         step.action = feed_step::kind::askHost;
         step.host = informed->hint.host;
     }
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -27,6 +27,7 @@
     std::uint64_t known = 0; ///< Version or change offset; 0 when nothing is known.
     milliseconds age{0}; ///< Since what is known was known to be the newest.
     bool isUpstreams = false; ///< Otherwise the desired state.
+    bool isServed = true; ///< The store answered this host's last read.
     milliseconds interval{1'000}; ///< Between two reads of one reader.
     milliseconds sinceRead{0}; ///< Since this host's last read of the store, also a failed one.
 };
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -112,6 +112,7 @@
     {
         feed_view view;
         view.known = target.desired ? target.desired->version : 0;
+        view.isServed = target.isDesiredServed || target.desiredContact == instant::min();
         view.interval = settings.desiredWait;
         view.sinceRead = settings.desiredWait; // A read waits by itself, so the next is always due.
         target.desiredContact
@@ -218,6 +219,7 @@
         feed_view view;
         view.isUpstreams = true;
         view.known = target.membership.lastChange;
+        view.isServed = target.isUpstreamServed || target.upstreamContact == instant::min();
         view.interval = settings.upstreamInterval;
         view.sinceRead = ageOf(upstreamsRead);
         if (target.upstreamContact != instant::min())
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -65,6 +65,7 @@
     http_server::options options;
     options.listen = listen;
     options.maxConnections = values.maxConnections;
+    options.headerLimitCode = result_code::headerTooLarge;
     options.maxHeaderBytes = limits.maxHeaderBytes;
     options.maxBodyBytes = limits.maxBodyBytes;
     options.headerTimeout = limits.headerTimeout;
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -36,10 +36,11 @@
 
 using core_ptr = std::shared_ptr<server_core>;
 
-result_code parseFailureCode(const boost::system::error_code &code)
+result_code parseFailureCode(const boost::system::error_code &code,
+                             const http_server::options &settings)
 {
     if (code == http::error::header_limit)
-        return result_code::headerTooLarge;
+        return settings.headerLimitCode;
     if (code == http::error::body_limit)
         return result_code::requestTooLarge;
     if (code == beast::error::timeout)
@@ -296,7 +297,8 @@
     if (code == http::error::end_of_stream || code == asio::error::connection_reset)
         co_return false;
     if (code) {
-        const auto answer = problemResponse({parseFailureCode(code), code.message(), {}, {}});
+        const auto answer
+            = problemResponse({parseFailureCode(code, core->settings), code.message(), {}, {}});
         stream.expires_after(core->settings.requestTimeout);
         co_await http::async_write(stream, answer, asTuple);
         co_return false;
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -77,6 +77,8 @@
         host_address listen; ///< Port 0 picks a free one.
         std::uint32_t maxHeaderBytes = 16 * 1024;
         std::uint32_t maxBodyBytes = 4 * 1024 * 1024;
+        result_code headerLimitCode
+            = result_code::requestTooLarge; ///< For a header over its limit.
         std::uint32_t maxConnections = 4096;
         milliseconds headerTimeout{10'000}; ///< For the header of a begun request to arrive.
         milliseconds requestTimeout{10'000}; ///< For its body to arrive, and for a write.
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -35,7 +35,7 @@
 
 feed_view makeView(std::uint64_t known, milliseconds age, milliseconds sinceRead)
 {
-    return {known, age, true, interval, sinceRead};
+    return {known, age, true, true, interval, sinceRead};
 }
 
 BOOST_AUTO_TEST_SUITE(feed_plan_tests)
@@ -115,6 +115,19 @@
     BOOST_TEST((due.action == feed_step::kind::readStore));
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_that_the_store_refuses_asks_a_host_that_knows_more)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load others = makeOthers({{2, 9, milliseconds(0)}}, now);
+    feed_view refused = makeView(5, milliseconds(0), seconds(1));
+    refused.isServed = false;
+    const auto step = planFeed(refused, others, hostAt(1), now);
+    BOOST_TEST((step.action == feed_step::kind::askHost));
+    refused.known = 9;
+    const auto informed = planFeed(refused, others, hostAt(1), now);
+    BOOST_TEST((informed.action == feed_step::kind::readStore));
+}
+
 BOOST_AUTO_TEST_CASE(what_others_are_sure_of_is_as_fresh_here)
 {
     const instant now = instant{} + seconds(100);
--- a/tests/process/route_test.py
+++ b/tests/process/route_test.py
@@ -219,7 +219,10 @@
             wait_for(lambda: all(any("hosts known others=2" in line for line in host.lines())
                                  for host in fleet.hosts), "the hosts to know each other")
             fleet.own_stores[0].mode = "refuse"
-            time.sleep(0.5)
+            # A read that already waited there would still bring the change.
+            wait_for(lambda: any("store lost" in line for line in fleet.hosts[2].lines()),
+                     "the host to be refused")
+            time.sleep(2)
             fleet.store.put("keyed.servers", "d1", fleet.engines["d1"].entry("draining", 9))
             state = desired_state(2)
             state["routes"] = state["routes"][1:]
