Do not pass on a list of upstreams with an entry in doubt

Ruled out: missed reads and lost hints, since the other hosts knew within 0.5 s. Change: while an entry is in doubt a host tells no change offset and does not answer for its list, so others ask a better host or read the store. Test: a_list_with_an_entry_in_doubt_is_not_passed_on.

--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -91,6 +91,14 @@
     return true;
 }
 
+std::uint64_t toldChange(const upstream_membership &membership)
+{
+    const bool hasDoubt
+        = std::any_of(membership.listings.begin(), membership.listings.end(),
+                      [](const auto &row) { return row.second.doubtfulUntil != instant::max(); });
+    return hasDoubt ? 0 : membership.lastChange;
+}
+
 void takeStoreContact(upstream_membership &membership, bool answered, instant now)
 {
     if (!answered) {
--- a/src/policy/upstream_membership.h
+++ b/src/policy/upstream_membership.h
@@ -44,6 +44,10 @@
 /// Takes in that another host has given up an upstream. True when it was listed here.
 bool takeRemoved(upstream_membership &membership, std::string_view id, std::uint64_t changed);
 
+/// The change offset to tell other hosts; 0 while an entry is in doubt. A host that took the rest
+/// of such a list would never hear of the removal, which has the same offset.
+std::uint64_t toldChange(const upstream_membership &membership);
+
 /// Takes in whether a call to the store was answered.
 void takeStoreContact(upstream_membership &membership, bool answered, instant now);
 
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -61,8 +61,9 @@
     load_hint hint;
     hint.desiredVersion = routing.desired ? routing.desired->version : 0;
     hint.desiredAge = servedAge(routing.desiredContact, routing.isDesiredServed, now);
-    hint.upstreamsChanged = routing.membership.lastChange;
-    hint.upstreamsAge = servedAge(routing.upstreamContact, routing.isUpstreamServed, now);
+    hint.upstreamsChanged = toldChange(routing.membership);
+    hint.upstreamsAge = servedAge(routing.upstreamContact,
+                                  routing.isUpstreamServed && hint.upstreamsChanged > 0, now);
     for (const auto &[service, pool] : routing.pools) {
         for (const auto &[id, upstream] : pool.upstreams) {
             if (ownInFlight(upstream) > 0 && hint.upstreams.size() < mostUpstreams)
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -109,7 +109,7 @@
 asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
                                       instant now)
 {
-    if (state.upstreamContact == instant::min()) {
+    if (state.upstreamContact == instant::min() || toldChange(state.membership) == 0) {
         co_await exchange.respond(statusUnavailable, {}, "");
         co_return;
     }
--- a/tests/policy/upstream_membership_test.cpp
+++ b/tests/policy/upstream_membership_test.cpp
@@ -74,6 +74,21 @@
     BOOST_TEST(!membership.listings.contains("gone"));
 }
 
+BOOST_AUTO_TEST_CASE(a_list_with_an_entry_in_doubt_is_not_passed_on)
+{
+    upstream_membership membership;
+    takeEntry(membership, makeEntry("doubtful"), 1, 10);
+    takeStoreContact(membership, false, at(1000));
+    takeStoreContact(membership, true, at(2000));
+    BOOST_TEST(toldChange(membership) == 10U);
+    takeMissing(membership, "doubtful", 20, at(2010));
+    takeEntry(membership, makeEntry("new"), 1, 20);
+    BOOST_TEST(toldChange(membership) == 0U);
+    membership.next = 20;
+    BOOST_TEST(dropMissing(membership, at(4400)) == 1U);
+    BOOST_TEST(toldChange(membership) == 20U);
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_that_said_it_leaves_is_not_in_doubt)
 {
     upstream_membership membership;
