--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -16,6 +16,7 @@
 #include "operate/lease_service.h"
 #include "operate/operator_api.h"
 #include "operate/order_service.h"
+#include "operate/peer_status.h"
 #include "operate/queue_status.h"
 #include "peer/heartbeat_service.h"
 #include "peer/peer_mesh.h"
@@ -262,20 +263,6 @@
         return hosts;
     }
 
-    /// What this host knows of the others on the platform's list.
-    boost::json::array describePeers() const
-    {
-        const auto &beats = services->find<heartbeat_service>("peer.heartbeats");
-        boost::json::array rows;
-        for (const listed_host &host :
-             services->find<host_list_service>("platform.hosts").hosts()) {
-            if (host.isEntry && host.name != values.hostName)
-                rows.push_back(boost::json::object{{"host", host.name},
-                                                   {"state", toString(beats.stateOf(host.name))}});
-        }
-        return rows;
-    }
-
     void addOperatorApi()
     {
         auto &config = services->find<config_service>("operate.config");
@@ -302,7 +289,11 @@
                                {}};
         auto &added = addRunning("operate.api", operator_api::makeOperatorApi(std::move(needs)));
         const auto &queues = services->find<queue_service>("serve.queues");
-        added.addStatusSection({"peers", [this] { return describePeers(); }});
+        const auto &list = services->find<host_list_service>("platform.hosts");
+        const auto &beats = services->find<heartbeat_service>("peer.heartbeats");
+        added.addStatusSection({"peers", [this, &list, &beats] {
+                                    return describePeers(list.hosts(), beats, values.hostName);
+                                }});
         added.addStatusSection({"queues", [this, &queues, &config] {
                                     return describeQueues(
                                         config.state(), queues,
@@ -362,15 +353,6 @@
             [&operators](http_exchange &exchange) { return operators.handle(exchange); });
     }
 
-    /// The peers that are known before the platform's list is read.
-    std::vector<listed_host> hostsInSettings() const
-    {
-        std::vector<listed_host> hosts;
-        for (const peer_setting &peer : values.peers)
-            hosts.push_back({peer.name, true, peer.address, "", "", false});
-        return hosts;
-    }
-
     void connect()
     {
         auto &config = services->find<config_service>("operate.config");
@@ -382,7 +364,7 @@
         });
         services->find<heartbeat_service>("peer.heartbeats")
             .onChange([this](const state_change &change) { takeMemberChange(change); });
-        takeHostList(hostsInSettings());
+        takeHostList(hostsInSettings(values.peers));
         config.setCheckpointWriter([this] { return ownerOf("config") == values.hostName; });
         services->find<heartbeat_service>("peer.heartbeats")
             .carryOffsets(
--- a/src/operate/section_reader.cpp
+++ b/src/operate/section_reader.cpp
@@ -1,6 +1,7 @@
 #include "operate/section_reader.h"
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -204,6 +205,16 @@
     return mistakes;
 }
 
+void readLogSection(section_reader &root, std::string &target, std::string &level)
+{
+    static constexpr std::array<std::string_view, 5> levels{"trace", "debug", "info", "warn",
+                                                            "error"};
+    section_reader log = root.section("log", false);
+    log.text("target", target, false);
+    log.choice("level", level, levels);
+    log.rejectUnknown();
+}
+
 result<std::string> readTextFile(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
--- a/src/operate/section_reader.h
+++ b/src/operate/section_reader.h
@@ -87,7 +87,30 @@
 std::vector<settings_mistake> readYaml(std::string_view yaml,
                                        const std::function<void(section_reader &)> &function);
 
+/// Reads the section `log`, which the settings of all kinds of process share.
+void readLogSection(section_reader &root, std::string &target, std::string &level);
+
 /// Text of the file at @p path. Fails with settingsUnreadable.
 result<std::string> readTextFile(const std::string &path);
 
+/// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
+template <typename settings_type>
+struct checked_settings
+{
+    settings_type values;
+    std::vector<settings_mistake> mistakes;
+};
+
+/// Hands the text of the file at @p path to @p read; an unreadable file is one mistake.
+template <typename settings_type>
+checked_settings<settings_type>
+readSettingsText(const std::string &path,
+                 const std::function<checked_settings<settings_type>(std::string_view)> &read)
+{
+    const auto text = readTextFile(path);
+    if (text)
+        return read(*text);
+    return {{}, {{0, "", "a readable file"}}};
+}
+
 } // namespace quincefall
--- a/src/operate/settings.cpp
+++ b/src/operate/settings.cpp
@@ -1,7 +1,5 @@
 #include "operate/settings.h"
 
-#include <array>
-
 namespace quincefall {
 namespace {
 
@@ -48,16 +46,6 @@
     platform.rejectUnknown();
 }
 
-void readLog(section_reader &root, settings &values)
-{
-    static constexpr std::array<std::string_view, 5> levels{"trace", "debug", "info", "warn",
-                                                            "error"};
-    section_reader log = root.section("log", false);
-    log.text("target", values.logTarget, false);
-    log.choice("level", values.logLevel, levels);
-    log.rejectUnknown();
-}
-
 void readLimits(section_reader &root, settings &values)
 {
     section_reader limits = root.section("limits", false);
@@ -79,7 +67,7 @@
         readListen(root, reading.values);
         readFleet(root, reading.values);
         readPlatform(root, reading.values);
-        readLog(root, reading.values);
+        readLogSection(root, reading.values.logTarget, reading.values.logLevel);
         readLimits(root, reading.values);
     });
     return reading;
@@ -87,12 +75,7 @@
 
 settings_reading readSettingsFile(const std::string &path)
 {
-    const auto text = readTextFile(path);
-    if (text)
-        return readSettings(*text);
-    settings_reading reading;
-    reading.mistakes.push_back({0, "", "a readable file"});
-    return reading;
+    return readSettingsText<settings>(path, readSettings);
 }
 
 } // namespace quincefall
--- a/src/operate/settings.h
+++ b/src/operate/settings.h
@@ -47,12 +47,7 @@
     milliseconds drainTimeout{60'000}; ///< Longest wait for running requests at a stop.
 };
 
-/// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
-struct settings_reading
-{
-    settings values;
-    std::vector<settings_mistake> mistakes;
-};
+using settings_reading = checked_settings<settings>;
 
 /// Checks @p yaml against the schema and reports all mistakes at once.
 settings_reading readSettings(std::string_view yaml);
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -1,7 +1,5 @@
 #include "route/route_settings.h"
 
-#include <array>
-
 namespace quincefall {
 namespace {
 
@@ -39,16 +37,6 @@
     fleet.rejectUnknown();
 }
 
-void readLog(section_reader &root, route_settings &values)
-{
-    static constexpr std::array<std::string_view, 5> levels{"trace", "debug", "info", "warn",
-                                                            "error"};
-    section_reader log = root.section("log", false);
-    log.text("target", values.logTarget, false);
-    log.choice("level", values.logLevel, levels);
-    log.rejectUnknown();
-}
-
 void readBounds(section_reader &root, route_settings &values)
 {
     section_reader bounds = root.section("bounds", false);
@@ -71,7 +59,7 @@
         readHost(root, reading.values);
         readListen(root, reading.values);
         readFleet(root, reading.values);
-        readLog(root, reading.values);
+        readLogSection(root, reading.values.logTarget, reading.values.logLevel);
         readBounds(root, reading.values);
     });
     return reading;
@@ -79,12 +67,7 @@
 
 route_settings_reading readRouteSettingsFile(const std::string &path)
 {
-    const auto text = readTextFile(path);
-    if (text)
-        return readRouteSettings(*text);
-    route_settings_reading reading;
-    reading.mistakes.push_back({0, "", "a readable file"});
-    return reading;
+    return readSettingsText<route_settings>(path, readRouteSettings);
 }
 
 } // namespace quincefall
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -40,12 +40,7 @@
     double furtherAttemptWindowSeconds = 10;
 };
 
-/// Outcome of reading a settings file: the mistakes are empty when the settings can be used.
-struct route_settings_reading
-{
-    route_settings values;
-    std::vector<settings_mistake> mistakes;
-};
+using route_settings_reading = checked_settings<route_settings>;
 
 /// Checks @p yaml against the schema and reports all mistakes at once.
 route_settings_reading readRouteSettings(std::string_view yaml);
--- /dev/null
+++ b/src/serve/http_exchange.cpp
@@ -0,0 +1,132 @@
+#include "serve/http_exchange_state.h"
+
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+http_exchange::http_exchange(std::unique_ptr<state> owned)
+    : m_state(std::move(owned))
+{
+}
+
+http_exchange::~http_exchange() = default;
+
+std::string_view http_exchange::method() const
+{
+    return m_state->request.method_string();
+}
+
+std::string_view http_exchange::target() const
+{
+    return m_state->request.target();
+}
+
+std::string_view http_exchange::path() const
+{
+    const std::string_view whole = target();
+    return whole.substr(0, whole.find('?'));
+}
+
+std::string http_exchange::query(std::string_view name) const
+{
+    const auto url = boost::urls::parse_origin_form(target());
+    if (!url)
+        return {};
+    const auto parameters = url->params();
+    const auto entry = parameters.find(name);
+    return entry == parameters.end() ? std::string() : std::string((*entry).value);
+}
+
+std::string_view http_exchange::header(std::string_view name) const
+{
+    return m_state->request[name];
+}
+
+void http_exchange::eachHeader(
+    const std::function<void(std::string_view, std::string_view)> &function) const
+{
+    for (const auto &field : m_state->request)
+        function(field.name_string(), field.value());
+}
+
+const std::string &http_exchange::body() const
+{
+    return m_state->request.body();
+}
+
+asio::awaitable<bool> http_exchange::respond(int status, std::span<const answer_header> headers,
+                                             std::string body)
+{
+    http::response<http::string_body> answer(http::int_to_status(unsigned(status)), 11);
+    m_state->prepare(answer, headers);
+    answer.body() = std::move(body);
+    answer.prepare_payload();
+    const auto [code, size] = co_await http::async_write(m_state->stream, answer, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+asio::awaitable<bool> http_exchange::beginStream(int status, std::span<const answer_header> headers)
+{
+    http::response<http::empty_body> answer(http::int_to_status(unsigned(status)), 11);
+    m_state->prepare(answer, headers);
+    answer.chunked(true);
+    http::response_serializer<http::empty_body> serializer(answer);
+    const auto [code, size]
+        = co_await http::async_write_header(m_state->stream, serializer, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+asio::awaitable<bool> http_exchange::write(std::string_view piece)
+{
+    if (m_state->isGone)
+        co_return false;
+    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
+    const auto chunk = http::make_chunk(asio::buffer(piece));
+    const auto [code, size] = co_await asio::async_write(m_state->stream, chunk, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+asio::awaitable<bool> http_exchange::endStream()
+{
+    if (m_state->isGone)
+        co_return false;
+    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
+    const auto last = http::make_chunk_last();
+    const auto [code, size] = co_await asio::async_write(m_state->stream, last, asTuple);
+    co_return m_state->finishWrite(code);
+}
+
+void http_exchange::abort()
+{
+    m_state->keepAlive = false;
+    // Without the last chunk the caller sees a broken answer. An orderly close lets it read what
+    // was written before; a reset would discard that for a slow caller.
+    m_state->stream.close();
+    m_state->markGone();
+}
+
+bool http_exchange::hasBegun() const
+{
+    return m_state->hasBegun;
+}
+
+bool http_exchange::isGone() const
+{
+    return m_state->isGone;
+}
+
+void http_exchange::setGoneListener(std::function<void()> listener)
+{
+    m_state->goneListener = std::move(listener);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/serve/http_exchange_state.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "kernel/asio_headers.h"
+#include "serve/http_server.h"
+
+#include <set>
+
+namespace quincefall {
+
+/// What the connections of one HTTP server share.
+struct http_server_core
+{
+    http_server::options settings;
+    http_server::handler function;
+    std::set<boost::beast::tcp_stream *> idle;
+    std::set<boost::beast::tcp_stream *> open;
+    std::size_t starting = 0; ///< Accepted connections whose coroutine has not begun.
+    std::size_t active = 0;
+    bool isClosing = false;
+    bool isStopped = false;
+};
+
+struct http_exchange::state
+{
+    boost::beast::tcp_stream &stream;
+    std::shared_ptr<http_server_core> core;
+    boost::beast::http::request<boost::beast::http::string_body> request;
+    std::function<void()> goneListener;
+    bool keepAlive = false;
+    bool hasBegun = false;
+    bool isGone = false;
+
+    void markGone()
+    {
+        if (isGone)
+            return;
+        isGone = true;
+        if (goneListener)
+            goneListener();
+    }
+
+    bool finishWrite(const boost::system::error_code &code)
+    {
+        if (code)
+            markGone();
+        return !code;
+    }
+
+    template <typename body_type>
+    void prepare(boost::beast::http::response<body_type> &answer,
+                 std::span<const answer_header> headers)
+    {
+        for (const answer_header &header : headers)
+            answer.insert(header.name, header.value);
+        keepAlive = request.keep_alive() && !core->isClosing;
+        answer.keep_alive(keepAlive);
+        hasBegun = true;
+        stream.expires_after(core->settings.requestTimeout);
+    }
+};
+
+} // namespace quincefall
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -1,13 +1,9 @@
 #include "serve/http_server.h"
 
-#include "kernel/asio_headers.h"
+#include "serve/http_exchange_state.h"
 #include "serve/problem.h"
 
-#include <boost/url/parse.hpp>
-#include <boost/url/url_view.hpp>
-
 #include <array>
-#include <set>
 
 namespace quincefall {
 namespace {
@@ -21,20 +17,7 @@
 constexpr milliseconds acceptPause{20};
 constexpr std::size_t firstReadBytes = 4096;
 
-/// What the connections of one server share.
-struct server_core
-{
-    http_server::options settings;
-    http_server::handler function;
-    std::set<beast::tcp_stream *> idle;
-    std::set<beast::tcp_stream *> open;
-    std::size_t starting = 0; ///< Accepted connections whose coroutine has not begun.
-    std::size_t active = 0;
-    bool isClosing = false;
-    bool isStopped = false;
-};
-
-using core_ptr = std::shared_ptr<server_core>;
+using core_ptr = std::shared_ptr<http_server_core>;
 
 result_code parseFailureCode(const boost::system::error_code &code,
                              const http_server::options &settings)
@@ -72,160 +55,6 @@
 
 } // namespace
 
-struct http_exchange::state
-{
-    beast::tcp_stream &stream;
-    core_ptr core;
-    http::request<http::string_body> request;
-    std::function<void()> goneListener;
-    bool keepAlive = false;
-    bool hasBegun = false;
-    bool isGone = false;
-
-    void markGone()
-    {
-        if (isGone)
-            return;
-        isGone = true;
-        if (goneListener)
-            goneListener();
-    }
-
-    bool finishWrite(const boost::system::error_code &code)
-    {
-        if (code)
-            markGone();
-        return !code;
-    }
-
-    template <typename body_type>
-    void prepare(http::response<body_type> &answer, std::span<const answer_header> headers)
-    {
-        for (const answer_header &header : headers)
-            answer.insert(header.name, header.value);
-        keepAlive = request.keep_alive() && !core->isClosing;
-        answer.keep_alive(keepAlive);
-        hasBegun = true;
-        stream.expires_after(core->settings.requestTimeout);
-    }
-};
-
-http_exchange::http_exchange(std::unique_ptr<state> owned)
-    : m_state(std::move(owned))
-{
-}
-
-http_exchange::~http_exchange() = default;
-
-std::string_view http_exchange::method() const
-{
-    return m_state->request.method_string();
-}
-
-std::string_view http_exchange::target() const
-{
-    return m_state->request.target();
-}
-
-std::string_view http_exchange::path() const
-{
-    const std::string_view whole = target();
-    return whole.substr(0, whole.find('?'));
-}
-
-std::string http_exchange::query(std::string_view name) const
-{
-    const auto url = boost::urls::parse_origin_form(target());
-    if (!url)
-        return {};
-    const auto parameters = url->params();
-    const auto entry = parameters.find(name);
-    return entry == parameters.end() ? std::string() : std::string((*entry).value);
-}
-
-std::string_view http_exchange::header(std::string_view name) const
-{
-    return m_state->request[name];
-}
-
-void http_exchange::eachHeader(
-    const std::function<void(std::string_view, std::string_view)> &function) const
-{
-    for (const auto &field : m_state->request)
-        function(field.name_string(), field.value());
-}
-
-const std::string &http_exchange::body() const
-{
-    return m_state->request.body();
-}
-
-asio::awaitable<bool> http_exchange::respond(int status, std::span<const answer_header> headers,
-                                             std::string body)
-{
-    http::response<http::string_body> answer(http::int_to_status(unsigned(status)), 11);
-    m_state->prepare(answer, headers);
-    answer.body() = std::move(body);
-    answer.prepare_payload();
-    const auto [code, size] = co_await http::async_write(m_state->stream, answer, asTuple);
-    co_return m_state->finishWrite(code);
-}
-
-asio::awaitable<bool> http_exchange::beginStream(int status, std::span<const answer_header> headers)
-{
-    http::response<http::empty_body> answer(http::int_to_status(unsigned(status)), 11);
-    m_state->prepare(answer, headers);
-    answer.chunked(true);
-    http::response_serializer<http::empty_body> serializer(answer);
-    const auto [code, size]
-        = co_await http::async_write_header(m_state->stream, serializer, asTuple);
-    co_return m_state->finishWrite(code);
-}
-
-asio::awaitable<bool> http_exchange::write(std::string_view piece)
-{
-    if (m_state->isGone)
-        co_return false;
-    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
-    const auto chunk = http::make_chunk(asio::buffer(piece));
-    const auto [code, size] = co_await asio::async_write(m_state->stream, chunk, asTuple);
-    co_return m_state->finishWrite(code);
-}
-
-asio::awaitable<bool> http_exchange::endStream()
-{
-    if (m_state->isGone)
-        co_return false;
-    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
-    const auto last = http::make_chunk_last();
-    const auto [code, size] = co_await asio::async_write(m_state->stream, last, asTuple);
-    co_return m_state->finishWrite(code);
-}
-
-void http_exchange::abort()
-{
-    m_state->keepAlive = false;
-    // Without the last chunk the caller sees a broken answer. An orderly close lets it read what
-    // was written before; a reset would discard that for a slow caller.
-    m_state->stream.close();
-    m_state->markGone();
-}
-
-bool http_exchange::hasBegun() const
-{
-    return m_state->hasBegun;
-}
-
-bool http_exchange::isGone() const
-{
-    return m_state->isGone;
-}
-
-void http_exchange::setGoneListener(std::function<void()> listener)
-{
-    m_state->goneListener = std::move(listener);
-}
-
 struct http_server::state
 {
     state(asio::io_context &io, core_ptr shared)
@@ -399,7 +228,7 @@
 result<std::unique_ptr<http_server>> http_server::makeHttpServer(asio::io_context &context,
                                                                  options settings, handler function)
 {
-    auto core = std::make_shared<server_core>();
+    auto core = std::make_shared<http_server_core>();
     core->settings = settings;
     core->function = std::move(function);
     auto shared = std::make_shared<state>(context, std::move(core));
--- a/src/serve/queue_service.cpp
+++ b/src/serve/queue_service.cpp
@@ -3,8 +3,8 @@
 #include "kernel/asio_headers.h"
 #include "kernel/async_signal.h"
 #include "observe/timeline.h"
-#include "peer.pb.h"
 #include "peer/peer_mesh.h"
+#include "serve/permit_messages.h"
 
 namespace quincefall {
 namespace {
@@ -52,23 +52,6 @@
     std::map<std::uint64_t, granted_permit> granted;
 };
 
-work_item toWorkItem(const wire::PermitRequest &request, instant now)
-{
-    work_item item;
-    item.id = request.request_id();
-    item.entryHost = request.entry_host();
-    item.entryRegion = request.entry_region();
-    item.organisation = request.organisation();
-    item.serviceClass = request.service_class();
-    item.model = request.model();
-    item.prefixHash = request.prefix_hash();
-    item.promptTokens = request.prompt_tokens();
-    item.resumeFrom = request.resume_from();
-    item.arrival = now - microseconds(request.waited_us());
-    item.excluded.assign(request.excluded().begin(), request.excluded().end());
-    return item;
-}
-
 template <typename message_type>
 result<message_type> decode(const std::string &body)
 {
@@ -228,17 +211,8 @@
         const auto message = decode<wire::ReleaseRequest>(body);
         if (!message)
             co_return tl::unexpected(message.error());
-        if (const auto pool = pools.find(message->pool()); pool != pools.end()) {
-            completion done;
-            done.permit = message->number();
-            done.upstream = message->upstream();
-            done.tokens = message->tokens();
-            done.firstToken = microseconds(message->first_token_us());
-            done.duration = microseconds(message->duration_us());
-            done.failed = message->failed();
-            done.stopped = message->stopped();
-            finishPermit(pool->first, pool->second, done);
-        }
+        if (const auto pool = pools.find(message->pool()); pool != pools.end())
+            finishPermit(pool->first, pool->second, toCompletion(*message));
         co_return emptyAnswer();
     }
 
@@ -305,14 +279,7 @@
     void adoptOne(const std::string &pool, pool_queue &queue, const std::string &entryHost,
                   const wire::RunningPermit &running)
     {
-        running_attempt attempt;
-        attempt.id = running.request_id();
-        attempt.entryHost = entryHost;
-        attempt.permit = running.number();
-        attempt.upstream = running.upstream();
-        attempt.serviceClass = running.service_class();
-        attempt.organisation = running.organisation();
-        attempt.running = microseconds(running.running_us());
+        const running_attempt attempt = toRunningAttempt(running, entryHost);
         queue.granted[attempt.permit] = {attempt.id, entryHost, attempt.upstream, now()};
         act(pool, queue, adoptRunning(queue.scheduler, attempt, now()));
     }
