Connect to what is cut off before a request is sent there; avoid silent engines

Change: an upstream whose connections went silent or did not open gets attempts to connect, in the background, and a request only once one opened; the request with the most time to spare probes, and gives up early enough to be served elsewhere in time. An engine that is silent for longer than its work explains costs more in the choice. Connections are in a file of their own, apart from calls.

The new process test fails without the change (5 slow requests instead of 1).

--- a/bench/route_model.cpp
+++ b/bench/route_model.cpp
@@ -369,18 +369,22 @@
     void noteProgress(engine &one, request_run &run, double now)
     {
         const auto made = std::int64_t(run.kind->answerTokens - run.tokensLeft);
-        if (run.firstMs < 0) {
+        const bool isFirst = run.firstMs < 0;
+        if (!isFirst && made % tokensPerEvent != 0)
+            return;
+        host &entry = m_hosts[run.host];
+        const auto row = entry.pool.upstreams.find(one.id);
+        if (row != entry.pool.upstreams.end())
+            row->second.lastHeard = at(now);
+        if (isFirst) {
             run.firstMs = now;
-            run.lastEventMs = now;
-            host &entry = m_hosts[run.host];
-            const auto row = entry.pool.upstreams.find(one.id);
             if (row != entry.pool.upstreams.end())
                 recordFirstByte(entry.pool, row->second, run.work,
                                 microseconds(std::int64_t((now - run.placedMs) * 1000)), at(now));
-        } else if (made % tokensPerEvent == 0) {
+        } else {
             run.longestGapMs = std::max(run.longestGapMs, now - run.lastEventMs);
-            run.lastEventMs = now;
         }
+        run.lastEventMs = now;
     }
 
     void end(engine &one, const run_ptr &run, bool isWhole, double now)
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -46,8 +46,11 @@
 constexpr double firstRate = 50; // Tokens per ms before any was seen.
 constexpr double loadShare = 0.25; // Of a call's time that a full upstream adds to it.
 constexpr double firstCallMs = 20; // Before any call was seen.
+// Between two events of an engine that reads a prompt in between, or of one call.
+constexpr double usualSilenceMs = 300;
+// Moves prompts off their home when half a second is unexplained; reading again weighs that much.
+constexpr double suspicionWeight = 10;
 constexpr double failureMs = 800; // Cost of an attempt that fails for certain.
-constexpr double withheldShare = 0.35; // Of failed attempts, from which an upstream is avoided.
 
 using upstream_set = std::set<const routed_upstream *>;
 
@@ -86,17 +89,6 @@
     return double(slow) <= mostSlowShare * double(pool.upstreams.size());
 }
 
-bool isWithheld(const routed_upstream &upstream, instant now)
-{
-    return upstream.health.state == upstream_health::condition::failing
-        || failureShareOf(upstream, now) > withheldShare;
-}
-
-bool isProbeDue(const routed_upstream &upstream, instant now)
-{
-    return upstream.health.probeFrom <= now;
-}
-
 double distanceMs(const routed_upstream &upstream, const placement_site &site)
 {
     if (upstream.listed.failureDomain == site.failureDomain)
@@ -126,6 +118,17 @@
     return std::max(tokens / readRate(pool), recentExcessMs(upstream, now));
 }
 
+/// What it may cost that an upstream is silent for longer than its work explains.
+double suspicionMs(const service_pool &pool, const routed_upstream &upstream, fleet_load &others,
+                   instant now)
+{
+    const upstream_work &foreign = workOfOthers(others, hintHash(upstream.listed.id));
+    const double tokens = sumUpTo(upstream.unreadTokens, urgencyLevels)
+        + sumUpTo(foreign.unreadTokens, urgencyLevels);
+    const double explained = usualSilenceMs + tokens / readRate(pool);
+    return std::max(0.0, silenceMs(upstream, now) - explained) * suspicionWeight;
+}
+
 /// Wait until no more requests of this urgency are under way than the engine keeps in step.
 double crowdMs(const service_pool &pool, const routed_upstream &upstream, int urgency,
                fleet_load &others)
@@ -269,7 +272,8 @@
     candidate_estimate value = hasPrompt
         ? estimatePrompt(pool, upstream, request, isHome, others, now)
         : estimateCall(pool, upstream, others, now);
-    value.cost += distanceMs(upstream, site) + failureShareOf(upstream, now) * failureMs;
+    value.cost += distanceMs(upstream, site) + failureShareOf(upstream, now) * failureMs
+        + suspicionMs(pool, upstream, others, now);
     if (hasPrompt && isApart != request.isGapSensitive)
         value.cost += mixingMs;
     return value;
@@ -402,8 +406,7 @@
                          const placement_site &site, fleet_load &others, instant now)
 {
     for (auto &[id, upstream] : pool.upstreams) {
-        const bool isDue = isWithheld(upstream, now) && isProbeDue(upstream, now);
-        if (!request.mayProbe || !isDue || !mayTake(upstream, request))
+        if (!mayTake(upstream, request) || !shouldProbe(pool, upstream, request.probe, now))
             continue;
         placement probe = chooseAmong(pool, {&upstream}, request, site, others, now);
         probe.reason = "probe";
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -2,6 +2,7 @@
 
 #include "policy/desired_state.h"
 #include "policy/fleet_load.h"
+#include "policy/probation.h"
 #include "policy/routed_upstream.h"
 
 #include <set>
@@ -27,7 +28,7 @@
     bool isGapSensitive = false; ///< See isGapSensitive().
     const std::set<std::string, std::less<>> *tried = nullptr; ///< Upstreams left out, by id.
     bool isSoonestWanted = false; ///< Reading shared parts again costs no more than its time.
-    bool mayProbe = false; ///< It can be repeated if a failing upstream fails it too.
+    probe_request probe; ///< Whether and how well it could try a failing upstream.
 };
 
 /// The chosen upstream and why.
--- /dev/null
+++ b/src/policy/probation.cpp
@@ -0,0 +1,65 @@
+#include "policy/probation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+constexpr double withheldShare = 0.35; // Of failed attempts, from which an upstream is avoided.
+// Of the largest objective among the pool's requests, from which a request has time to spare.
+constexpr double spareTargetShare = 0.8;
+constexpr milliseconds longestOverdue{1'000}; // Four first pauses; see upstream_health.
+constexpr milliseconds connectPause{500}; // Links come back after seconds.
+constexpr double probeTargetShare = 0.4; // Leaves the larger part of the objective to the next try.
+constexpr milliseconds shortestProbe{400}; // Two trips between regions and a long prompt.
+
+} // namespace
+
+bool isWithheld(const routed_upstream &upstream, instant now)
+{
+    return upstream.health.state == upstream_health::condition::failing
+        || failureShareOf(upstream, now) > withheldShare;
+}
+
+void recordCutOff(routed_upstream &upstream)
+{
+    upstream.isCutOff = true;
+}
+
+void recordConnect(routed_upstream &upstream, bool isOpen, instant now)
+{
+    upstream.isCutOff = !isOpen;
+    upstream.health.probeFrom = isOpen ? now : now + connectPause;
+}
+
+std::vector<routed_upstream *> takeDueConnects(service_pool &pool, instant now)
+{
+    std::vector<routed_upstream *> due;
+    for (auto &[id, upstream] : pool.upstreams) {
+        if (!upstream.isCutOff || upstream.listed.isLeaving || upstream.health.probeFrom > now)
+            continue;
+        delayProbe(upstream.health, now);
+        due.push_back(&upstream);
+    }
+    return due;
+}
+
+bool shouldProbe(service_pool &pool, const routed_upstream &upstream, const probe_request &request,
+                 instant now)
+{
+    pool.largestTargetMs = std::max(pool.largestTargetMs, request.targetMs);
+    const bool isDue = upstream.health.probeFrom <= now;
+    if (!request.mayFail || upstream.isCutOff || !isDue || !isWithheld(upstream, now))
+        return false;
+    const bool hasTime = request.targetMs >= pool.largestTargetMs * spareTargetShare;
+    return hasTime || now - upstream.health.probeFrom > longestOverdue;
+}
+
+microseconds probeSilence(microseconds target)
+{
+    const auto share = std::chrono::duration_cast<microseconds>(target * probeTargetShare);
+    return std::max<microseconds>(share, shortestProbe);
+}
+
+} // namespace quincefall
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -71,6 +71,8 @@
 {
     if (work.isGapSensitive)
         pool.sensitiveInFlight += 1;
+    if (ownInFlight(upstream) == 0)
+        upstream.busySince = now;
     upstream.inFlight[levelOf(work)] += 1;
     upstream.unreadTokens[levelOf(work)] += work.unreadTokens;
     for (const prompt_part &part : prompt.parts)
@@ -153,6 +155,7 @@
     upstream.excessAt = instant::min();
     upstream.failureShareAt = instant::min();
     upstream.health = {};
+    upstream.isCutOff = false;
 }
 
 double failureShareOf(const routed_upstream &upstream, instant now)
@@ -176,6 +179,13 @@
     return sumUpTo(upstream.inFlight, urgencyLevels);
 }
 
+double silenceMs(const routed_upstream &upstream, instant now)
+{
+    if (ownInFlight(upstream) == 0)
+        return 0;
+    return toMilliseconds(now - std::max(upstream.lastHeard, upstream.busySince));
+}
+
 double recentExcessMs(const routed_upstream &upstream, instant now)
 {
     return decayed(upstream.excessMs, upstream.excessAt, excessHalfLifeMs, now);
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -50,7 +50,9 @@
     double excessMs = 0; ///< Smoothed wait for the first byte beyond the estimate.
     instant excessAt = instant::min();
     instant lastHeard = instant::min(); ///< Last byte of any answer.
+    instant busySince = instant::min(); ///< Since when this host has had requests there.
     upstream_health health;
+    bool isCutOff = false; ///< Its connections failed; see policy/probation.h.
     instant longPauseAt = instant::min(); ///< Last pause that only a slow upstream makes.
     instant slowUntil = instant::min(); ///< It made several such pauses lately.
     double failureShare = 0; ///< Smoothed share of attempts that failed.
@@ -73,6 +75,7 @@
     double callMs = 0; ///< Smoothed time of a call, where prompts don't matter.
     double readMs = 0; ///< Smoothed reading time of one prompt, of requests that aren't sensitive.
     double streamMs = 0; ///< Time from first to last byte of a stream at an idle engine, learnt.
+    double largestTargetMs = 0; ///< Largest latency objective of the pool's requests.
     double largestPrompt = 0; ///< Mean prompt of the route with the largest ones, in tokens.
     double sensitiveMsPerSecond = 0; ///< Reading time that gap-sensitive requests ask for.
     instant sensitiveAt = instant::min();
@@ -127,6 +130,10 @@
 /// All requests of this host at the upstream.
 double ownInFlight(const routed_upstream &upstream);
 
+/// Time since the upstream last sent something although requests of this host are there, in
+/// milliseconds.
+double silenceMs(const routed_upstream &upstream, instant now);
+
 /// Wait for the first byte beyond the estimate, as lately seen, in milliseconds.
 double recentExcessMs(const routed_upstream &upstream, instant now);
 
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -37,14 +37,7 @@
     microseconds longestGap{0}; ///< Between events.
     std::optional<upstream_load> load{}; ///< As the answer told it.
 
-    routed_upstream *upstream() const
-    {
-        const auto pool = context.state.pools.find(entry.service);
-        if (pool == context.state.pools.end())
-            return nullptr;
-        const auto row = pool->second.upstreams.find(entry.id);
-        return row == pool->second.upstreams.end() ? nullptr : &row->second;
-    }
+    routed_upstream *upstream() const { return findUpstream(context.state, entry); }
 
     void noteHeard()
     {
@@ -79,6 +72,8 @@
     {
         const instant now = context.clock.now();
         const microseconds gap = lastEvents == instant{} ? microseconds(0) : now - lastEvents;
+        if (routed_upstream *target = upstream(); target && lastEvents == instant{})
+            recordSuccess(target->health);
         longestGap = std::max(longestGap, gap);
         const auto &engine = job.choice.service->engine;
         if (engine && gap > longPause(*engine)) {
@@ -104,6 +99,24 @@
             recordFailure(target->health, context.clock.now());
     }
 
+    /// A connection that went silent or did not open says that others may not work either.
+    void noteCutOff(result_code cause)
+    {
+        routed_upstream *target = upstream();
+        const bool isSilence
+            = cause == result_code::upstreamTimeout || cause == result_code::upstreamUnreachable;
+        if (!target || !isSilence)
+            return;
+        context.connections.forget(entry.address);
+        if (!target->isCutOff)
+            logWarning("upstream cut off",
+                       {{"upstream", entry.id},
+                        {"request", job.request.id},
+                        {"cause", job.lastFailure->detail},
+                        {"failures", std::to_string(target->health.failures)}});
+        recordCutOff(*target);
+    }
+
     /// Takes a failed step into the books and tells what it means for the request.
     attempt_end fail(const error &failure)
     {
@@ -112,8 +125,10 @@
             return attempt_end::callerGone;
         const bool isDeadline = context.clock.now() >= job.deadline;
         const bool isTelling = !isDeadline || context.clock.now() - started > tellingSilence;
-        if (isTelling)
+        if (isTelling) {
             noteOutcome(false, true);
+            noteCutOff(failure.code);
+        }
         return failure.code == result_code::upstreamUnreachable ? attempt_end::notRun
                                                                 : attempt_end::failed;
     }
@@ -280,10 +295,12 @@
     co_return co_await relayWhole(attempt, head);
 }
 
-microseconds firstByteSilence(const proxy_job &job)
+microseconds firstByteSilence(const running_attempt &attempt)
 {
-    const auto allowed
-        = std::chrono::duration_cast<microseconds>(job.choice.route->targetLatency * silentTargets);
+    const milliseconds target = attempt.job.choice.route->targetLatency;
+    if (attempt.chosen.reason == "probe")
+        return probeSilence(target);
+    const auto allowed = std::chrono::duration_cast<microseconds>(target * silentTargets);
     return std::max<microseconds>(allowed, shortestSilence);
 }
 
@@ -291,8 +308,9 @@
 {
     proxy_job &job = attempt.job;
     if (job.isRepeatable())
-        attempt.call->watchSilence(firstByteSilence(job), [&attempt, &job] {
-            return attempt.isSilent(firstByteSilence(job)) && reserveAnother(attempt.context, job);
+        attempt.call->watchSilence(firstByteSilence(attempt), [&attempt, &job] {
+            return attempt.isSilent(firstByteSilence(attempt))
+                && reserveAnother(attempt.context, job);
         });
     auto message = makeMessage(attempt);
     auto head
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -4,6 +4,7 @@
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
+#include "route/upstream_connections.h"
 #include "route/wire_format.h"
 
 #include <boost/asio/awaitable.hpp>
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-struct proxy_service::state
+struct proxy_service::state : std::enable_shared_from_this<proxy_service::state>
 {
     state(asio::io_context &io, routing_state &target, wire_format format,
           upstream_connections &pool, metrics &meters, clock_source clocks, options values)
@@ -126,6 +126,21 @@
         recordDemand(pool, wanted, job.arrived);
     }
 
+    /// Tries to connect to an upstream that was cut off, and takes the outcome into its health.
+    static asio::awaitable<void> reconnect(std::shared_ptr<state> self, upstream_entry entry)
+    {
+        const bool isOpen = co_await self->connections.open(entry.address);
+        routed_upstream *upstream = findUpstream(self->routing, entry);
+        if (!upstream)
+            co_return;
+        recordConnect(*upstream, isOpen, self->clock.now());
+        if (isOpen)
+            logInfo("upstream connected again",
+                    {{"upstream", entry.id},
+                     {"address", toString(entry.address)},
+                     {"failures", std::to_string(upstream->health.failures)}});
+    }
+
     placement choose(proxy_job &job, bool isSoonestWanted = false)
     {
         placement_request wanted;
@@ -134,9 +149,13 @@
         wanted.isGapSensitive = job.isGapSensitive;
         wanted.isSoonestWanted = isSoonestWanted;
         wanted.tried = &job.tried;
-        wanted.mayProbe = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
-        return chooseUpstream(routing.pools[job.service()], wanted, settings.site, routing.others,
-                              clock.now());
+        wanted.probe.mayFail = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
+        wanted.probe.targetMs = double(job.choice.route->targetLatency.count());
+        service_pool &pool = routing.pools[job.service()];
+        for (const routed_upstream *upstream : takeDueConnects(pool, clock.now()))
+            asio::co_spawn(context, reconnect(shared_from_this(), upstream->listed),
+                           asio::detached);
+        return chooseUpstream(pool, wanted, settings.site, routing.others, clock.now());
     }
 
     /// Whether another attempt may follow one that ended so.
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -4,7 +4,7 @@
 #include "observe/metrics.h"
 #include "policy/placement.h"
 #include "route/routing_state.h"
-#include "route/upstream_call.h"
+#include "route/upstream_connections.h"
 #include "route/wire_format.h"
 #include "serve/http_server.h"
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -10,7 +10,7 @@
 #include "route/peer_calls.h"
 #include "route/proxy_service.h"
 #include "route/routing_state.h"
-#include "route/upstream_call.h"
+#include "route/upstream_connections.h"
 #include "serve/http_server.h"
 
 #include <algorithm>
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -32,6 +32,15 @@
 
 } // namespace
 
+routed_upstream *findUpstream(routing_state &state, const upstream_entry &entry)
+{
+    const auto pool = state.pools.find(entry.service);
+    if (pool == state.pools.end())
+        return nullptr;
+    const auto row = pool->second.upstreams.find(entry.id);
+    return row == pool->second.upstreams.end() ? nullptr : &row->second;
+}
+
 bool takeDesired(routing_state &state, desired_state desired, std::string text, instant now)
 {
     const bool isNewer = !state.desired || desired.version > state.desired->version;
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -43,6 +43,9 @@
     bool isReady() const { return desired != nullptr && upstreamContact != instant::min(); }
 };
 
+/// The upstream that @p entry names; null when it left.
+routed_upstream *findUpstream(routing_state &state, const upstream_entry &entry);
+
 /// Takes a desired state into force unless it is older than the one in force.
 bool takeDesired(routing_state &state, desired_state desired, std::string text, instant now);
 
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -1,12 +1,8 @@
 #include "route/upstream_call.h"
 
-#include "kernel/asio_headers.h"
-
-#include <netinet/tcp.h>
+#include "route/upstream_connections_state.h"
 
 #include <array>
-#include <deque>
-#include <unordered_map>
 
 namespace quincefall {
 namespace {
@@ -19,70 +15,9 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr milliseconds connectTimeout{400}; // A lost opening packet is sent again after a second.
-constexpr milliseconds unacknowledgedTimeout{800}; // Several round trips between regions.
-constexpr int probeIdleSeconds = 1; // Keep-alive probes of connections without traffic.
-constexpr int probeCount = 2;
-constexpr milliseconds defaultKeepAlive{2'000}; // Where an upstream does not say.
-constexpr double keepAliveShare = 0.7; // Of the upstream's limit; its answer was on its way too.
-constexpr double keepAliveShareOnce = 0.35; // For calls that may not be repeated.
-constexpr std::size_t idlePerUpstream = 24;
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr std::uint64_t largestAnswer = 64ULL * 1024 * 1024;
 
-/// An open connection and what may be assumed of it.
-struct upstream_connection
-{
-    explicit upstream_connection(asio::io_context &context)
-        : socket(context)
-    {
-    }
-
-    tcp::socket socket;
-    instant idleSince{};
-    milliseconds keepAlive = defaultKeepAlive;
-};
-
-using connection_ptr = std::unique_ptr<upstream_connection>;
-
-instant steadyNow()
-{
-    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
-}
-
-struct address_hash
-{
-    std::size_t operator()(const host_address &address) const
-    {
-        return std::hash<std::string>()(address.ip) ^ (std::size_t(address.port) << 16U);
-    }
-};
-
-/// Input on an idle connection is its end, or bytes that belong to no request.
-bool hasInput(tcp::socket &socket)
-{
-    boost::system::error_code code;
-    std::array<char, 1> byte{};
-    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
-    return size > 0 || code != asio::error::would_block;
-}
-
-void setOptions(tcp::socket &socket)
-{
-    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    using probe_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-    using probe_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-    using probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-    boost::system::error_code ignored; // The options only speed up the discovery of dead paths.
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.set_option(user_timeout(int(unacknowledgedTimeout.count())), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    socket.set_option(probe_idle(probeIdleSeconds), ignored);
-    socket.set_option(probe_interval(probeIdleSeconds), ignored);
-    socket.set_option(probes(probeCount), ignored);
-    socket.non_blocking(true, ignored);
-}
-
 std::vector<http_header> fieldsOf(const answer_parser &parser)
 {
     std::vector<http_header> fields;
@@ -93,53 +28,6 @@
 
 } // namespace
 
-struct upstream_connections::state
-{
-    explicit state(asio::io_context &io)
-        : context(io)
-    {
-    }
-
-    asio::io_context &context;
-    std::unordered_map<host_address, std::deque<connection_ptr>, address_hash> idle;
-    upstream_connection_counts numbers;
-
-    connection_ptr takeIdle(const host_address &address, bool isOnce)
-    {
-        const auto found = idle.find(address);
-        if (found == idle.end())
-            return nullptr;
-        auto &kept = found->second;
-        const double share = isOnce ? keepAliveShareOnce : keepAliveShare;
-        while (!kept.empty()) {
-            connection_ptr candidate = std::move(kept.back());
-            kept.pop_back();
-            const double idleMs = toMilliseconds(steadyNow() - candidate->idleSince);
-            const bool isFresh = idleMs < share * double(candidate->keepAlive.count());
-            if (isFresh && !hasInput(candidate->socket))
-                return candidate;
-            if (!isFresh && isOnce
-                && idleMs < keepAliveShare * double(candidate->keepAlive.count())) {
-                kept.push_back(std::move(candidate));
-                return nullptr;
-            }
-        }
-        return nullptr;
-    }
-
-    void putIdle(const host_address &address, connection_ptr used)
-    {
-        auto &kept = idle[address];
-        used->idleSince = steadyNow();
-        // The oldest are dropped, since the newest are reused first.
-        while (!kept.empty()
-               && (kept.size() >= idlePerUpstream
-                   || steadyNow() - kept.front()->idleSince > kept.front()->keepAlive))
-            kept.pop_front();
-        kept.push_back(std::move(used));
-    }
-};
-
 struct upstream_call::state
 {
     state(std::shared_ptr<upstream_connections::state> shared, host_address target)
@@ -209,7 +97,8 @@
     {
         if (isCancelled)
             return makeError(result_code::cancelled, "the call was cancelled");
-        if (isTimedOut && kind == result_code::upstreamFailed)
+        const bool isSilent = isTimedOut || code == asio::error::timed_out;
+        if (isSilent && kind == result_code::upstreamFailed)
             kind = result_code::upstreamTimeout;
         return makeError(kind,
                          toString(address) + ": " + (isTimedOut ? "timed out" : code.message()));
@@ -323,39 +212,12 @@
     }
 };
 
-std::unique_ptr<upstream_connections>
-upstream_connections::makeUpstreamConnections(asio::io_context &context)
-{
-    return std::unique_ptr<upstream_connections>(
-        new upstream_connections(std::make_shared<state>(context)));
-}
-
-upstream_connections::upstream_connections(std::shared_ptr<state> shared)
-    : m_state(std::move(shared))
-{
-}
-
-upstream_connections::~upstream_connections() = default;
-
 std::shared_ptr<upstream_call> upstream_connections::makeCall(const host_address &address)
 {
     return std::shared_ptr<upstream_call>(
         new upstream_call(std::make_unique<upstream_call::state>(m_state, address)));
 }
 
-void upstream_connections::forget(const host_address &address)
-{
-    m_state->idle.erase(address);
-}
-
-upstream_connection_counts upstream_connections::counts() const
-{
-    upstream_connection_counts numbers = m_state->numbers;
-    for (const auto &[address, kept] : m_state->idle)
-        numbers.idle += kept.size();
-    return numbers;
-}
-
 upstream_call::upstream_call(std::unique_ptr<state> owned)
     : m_state(std::move(owned))
 {
--- a/tests/policy/placement_test.cpp
+++ b/tests/policy/placement_test.cpp
@@ -101,12 +101,12 @@
     wanted.prompt = &nothing;
     fleet_load others;
     BOOST_TEST(chooseUpstream(pool, wanted, {}, others, now).upstream->listed.id == "engine-1");
-    wanted.mayProbe = true;
+    wanted.probe.mayFail = true;
     const placement probe = chooseUpstream(pool, wanted, {}, others, now + seconds(1));
     BOOST_TEST(probe.upstream->listed.id == "engine-0");
     BOOST_TEST(probe.reason == "probe");
     pool.upstreams.erase("engine-1");
-    wanted.mayProbe = false;
+    wanted.probe.mayFail = false;
     BOOST_TEST(chooseUpstream(pool, wanted, {}, others, now).reason == "last");
 }
 
@@ -133,6 +133,29 @@
     BOOST_TEST(chooseUpstream(pool, wanted, {}, others, later).upstream->listed.id == home);
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_falls_silent_gets_no_more_requests)
+{
+    service_pool pool = makePool(8);
+    const prompt_outline prompt{{{7, 350}, {8, 1'110}}, 1'460, 120};
+    placement_request wanted;
+    wanted.prompt = &prompt;
+    fleet_load others;
+    const instant now = instant{} + seconds(100);
+    const std::string home = chooseUpstream(pool, wanted, {}, others, now).upstream->listed.id;
+    routed_upstream &silent = pool.upstreams.at(home);
+    recordStart(pool, silent, prompt, {1'460, 20, 0, 0, false}, now);
+    silent.lastHeard = now + milliseconds(50);
+    const auto choiceAt = [&](milliseconds time) {
+        return chooseUpstream(pool, wanted, {}, others, now + time).upstream->listed.id;
+    };
+    BOOST_TEST(choiceAt(milliseconds(150)) == home);
+    BOOST_TEST(choiceAt(milliseconds(600)) != home);
+    silent.lastHeard = now + milliseconds(610);
+    BOOST_TEST(choiceAt(milliseconds(620)) == home);
+    recordEnd(pool, &silent, {1'460, 20, 0, 0, false});
+    BOOST_TEST(choiceAt(milliseconds(5'000)) == home);
+}
+
 BOOST_AUTO_TEST_CASE(work_of_other_hosts_counts)
 {
     service_pool pool = makePool(2);
--- /dev/null
+++ b/tests/policy/probation_test.cpp
@@ -0,0 +1,71 @@
+#include "policy/probation.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+constexpr instant start = instant{} + seconds(100);
+
+service_pool makePool()
+{
+    service_pool pool;
+    for (const char *id : {"engine-0", "engine-1"})
+        pool.upstreams[id].listed.id = id;
+    return pool;
+}
+
+BOOST_AUTO_TEST_SUITE(probation_tests)
+
+BOOST_AUTO_TEST_CASE(no_request_waits_for_an_upstream_that_opens_no_connection)
+{
+    service_pool pool = makePool();
+    routed_upstream &lost = pool.upstreams.at("engine-0");
+    recordFailure(lost.health, start);
+    recordCutOff(lost);
+    const instant due = start + seconds(5);
+    BOOST_TEST(!shouldProbe(pool, lost, {true, 2'000}, due));
+    BOOST_TEST(takeDueConnects(pool, start).empty());
+    const auto connects = takeDueConnects(pool, due);
+    BOOST_TEST_REQUIRE(connects.size() == 1U);
+    BOOST_TEST(connects.front()->listed.id == "engine-0");
+    BOOST_TEST(takeDueConnects(pool, due).empty());
+    recordConnect(lost, false, due);
+    BOOST_TEST(!shouldProbe(pool, lost, {true, 2'000}, due + seconds(3)));
+    BOOST_TEST(takeDueConnects(pool, due + seconds(1)).size() == 1U);
+    recordConnect(lost, true, due + seconds(1));
+    BOOST_TEST(shouldProbe(pool, lost, {true, 2'000}, due + seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_is_not_connected_to)
+{
+    service_pool pool = makePool();
+    recordCutOff(pool.upstreams.at("engine-0"));
+    pool.upstreams.at("engine-0").listed.isLeaving = true;
+    BOOST_TEST(takeDueConnects(pool, start).empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_request_with_most_time_probes_and_any_after_a_while)
+{
+    service_pool pool = makePool();
+    routed_upstream &failing = pool.upstreams.at("engine-0");
+    recordFailure(failing.health, start);
+    const instant due = failing.health.probeFrom;
+    BOOST_TEST(!shouldProbe(pool, failing, {true, 2'000}, start));
+    BOOST_TEST(!shouldProbe(pool, failing, {true, 500}, due));
+    BOOST_TEST(!shouldProbe(pool, failing, {false, 2'000}, due));
+    BOOST_TEST(shouldProbe(pool, failing, {true, 2'000}, due));
+    BOOST_TEST(shouldProbe(pool, failing, {true, 500}, due + seconds(2)));
+    BOOST_TEST(!shouldProbe(pool, pool.upstreams.at("engine-1"), {true, 2'000}, due));
+}
+
+BOOST_AUTO_TEST_CASE(a_probe_that_fails_leaves_time_for_another_upstream)
+{
+    BOOST_TEST((probeSilence(milliseconds(2'000)) == milliseconds(800)));
+    BOOST_TEST((probeSilence(milliseconds(500)) == milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- a/tests/process/route_test.py
+++ b/tests/process/route_test.py
@@ -8,7 +8,7 @@
 import unittest
 
 from support.platform_standin import whole_stream
-from support.route_fleet import KEY, RouteFleet, ask, desired_state, wait_for
+from support.route_fleet import KEY, DarkPort, RouteFleet, ask, desired_state, wait_for
 
 
 # A host gives an upstream that failed once another try after this.
@@ -214,6 +214,28 @@
 
 
 class RouteFleetTest(unittest.TestCase):
+    def test_an_upstream_that_opens_no_connection_delays_one_request(self):
+        with RouteFleet() as fleet, DarkPort() as dark:
+            entry = fleet.engines["e1"].entry()
+            # It sorts before the others, so that it is the first choice as long as it is trusted.
+            fleet.store.put("keyed.servers", "e0", dict(entry, address=f"127.0.0.1:{dark.port}"))
+            host = fleet.hosts[0]
+            wait_for(lambda: any("upstream=e0" in line for line in host.lines()), "the entry")
+            slow = 0
+            for number in range(60):
+                begun = time.monotonic()
+                answer = ask(host.caller, f"k{number}", "/stream/1", "POST", b"x")
+                self.assertEqual((answer.status, answer.body), (200, whole_stream()))
+                slow += time.monotonic() - begun > 0.39  # The time that a connection may take.
+            self.assertEqual(slow, 1)
+            dark.open()
+
+            def is_connected():
+                ask(host.caller, "s", "/stream/1", "POST", b"x")
+                return any("upstream connected again upstream=e0" in line for line in host.lines())
+
+            wait_for(is_connected, "the host to connect again")
+
     def test_a_host_that_the_store_refuses_learns_from_the_others(self):
         with RouteFleet(hosts=3, own_stores=1) as fleet:
             wait_for(lambda: all(any("hosts known others=2" in line for line in host.lines())
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -142,6 +142,31 @@
         time.sleep(0.02)
 
 
+class DarkPort:
+    """A port at which connections neither open nor fail, since its queue is full."""
+
+    def __enter__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.waiting = []
+        for _ in range(3):
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(("127.0.0.1", self.port))
+            self.waiting.append(one)
+        return self
+
+    def open(self):
+        """Lets connections in; nobody answers on them."""
+        self.listener.listen(100)
+
+    def __exit__(self, *_):
+        for one in [self.listener, *self.waiting]:
+            one.close()
+
+
 class RouteFleet:
     """A store, two engines, two desks and some hosts, each with a loopback address of its own.
 
