Tell other hosts the whole list after a start, and entries that came back

Cause: a reader saw an upstream leave and stopped 0.1 s later; a host that started again read the newest entries, told a larger change offset, and the others took its answer, which holds no removals from before its start. They skipped the record and kept the upstream for good. Change: a host remembers from where on it knows all removals; a host that asks for older changes gets the whole list, and what is missing there is gone. A first list is not told before entries that lapsed in an outage had the time to come back.

Cause of the refusals: entries that lapsed with the store came back and were read, but not told, since only their sequence had changed; a host that had read the lapse and was no reader any more gave them up and told all others so. Change: an entry that comes back while it is in doubt counts as a change.

Ruled out: clock steps (the entries' start and sequence were in order); the store (the records were read by six hosts, shown by a debug line).

--- /dev/null
+++ b/src/policy/upstream_changes.cpp
@@ -0,0 +1,71 @@
+#include "policy/upstream_changes.h"
+
+#include <algorithm>
+#include <set>
+
+namespace quincefall {
+namespace {
+
+std::uint64_t largestChange(const upstream_changes &changes)
+{
+    std::uint64_t largest = 0;
+    for (const upstream_membership::listing &listing : changes.listings)
+        largest = std::max(largest, listing.changed);
+    for (const upstream_changes::removal &removal : changes.removed)
+        largest = std::max(largest, removal.changed);
+    return largest;
+}
+
+bool takeUnlisted(upstream_membership &membership, const upstream_changes &changes)
+{
+    std::set<std::string_view> listed;
+    for (const upstream_membership::listing &listing : changes.listings)
+        listed.insert(listing.entry.id);
+    std::vector<std::string> unlisted;
+    for (const auto &[id, listing] : membership.listings) {
+        if (!listed.contains(id))
+            unlisted.push_back(id);
+    }
+    bool isChanged = false;
+    for (const std::string &id : unlisted)
+        isChanged = takeRemoved(membership, id, changes.next) || isChanged;
+    return isChanged;
+}
+
+} // namespace
+
+upstream_changes changesAfter(const upstream_membership &membership, std::uint64_t after)
+{
+    upstream_changes changes;
+    changes.next = membership.next;
+    changes.isWholeList = after < membership.removedFrom;
+    for (const auto &[id, listing] : membership.listings) {
+        if (changes.isWholeList || listing.changed > after)
+            changes.listings.push_back(listing);
+    }
+    for (const auto &[id, changed] : membership.removed) {
+        if (!changes.isWholeList && changed > after)
+            changes.removed.push_back({id, changed});
+    }
+    return changes;
+}
+
+bool takeChanges(upstream_membership &membership, const upstream_changes &changes)
+{
+    bool isChanged = false;
+    for (const upstream_membership::listing &listing : changes.listings)
+        isChanged
+            = takeEntry(membership, listing.entry, listing.sequence, listing.changed) || isChanged;
+    for (const upstream_changes::removal &removal : changes.removed)
+        isChanged = takeRemoved(membership, removal.id, removal.changed) || isChanged;
+    if (changes.isWholeList)
+        isChanged = takeUnlisted(membership, changes) || isChanged;
+    if (changes.isWholeList)
+        takeWholeList(membership, changes.next);
+    else
+        takeOffset(membership, changes.next);
+    membership.lastChange = std::max(membership.lastChange, largestChange(changes));
+    return isChanged;
+}
+
+} // namespace quincefall
--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -31,11 +31,14 @@
 
 void remove(upstream_membership &membership, listing_row row, std::uint64_t next)
 {
-    // Others ask for changes within seconds; older removals need not be known.
-    if (membership.removed.size() >= mostRemoved)
-        membership.removed.erase(std::min_element(
+    // Others ask for changes within seconds; hosts that ask for older ones get the whole list.
+    if (membership.removed.size() >= mostRemoved) {
+        const auto oldest = std::min_element(
             membership.removed.begin(), membership.removed.end(),
-            [](const auto &left, const auto &right) { return left.second < right.second; }));
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+        membership.removedFrom = std::max(membership.removedFrom, oldest->second);
+        membership.removed.erase(oldest);
+    }
     membership.removed[row->first] = next;
     membership.lastChange = std::max(membership.lastChange, next);
     membership.listings.erase(row);
@@ -55,8 +58,12 @@
             = entry.started == current.entry.started && sequence < current.sequence;
         if (isOlderRun || isOlderEntry)
             return false;
-        current.doubtfulUntil = instant::max();
         current.sequence = sequence;
+        // Hosts that still doubt the entry would take it for gone, and tell all others so.
+        if (std::exchange(current.doubtfulUntil, instant::max()) != instant::max()) {
+            current.changed = std::max(current.changed, next);
+            membership.lastChange = std::max(membership.lastChange, next);
+        }
         isChange = entry != current.entry;
     }
     if (!isChange)
@@ -91,14 +98,29 @@
     return true;
 }
 
-std::uint64_t toldChange(const upstream_membership &membership)
+std::uint64_t toldChange(const upstream_membership &membership, instant now)
 {
+    const bool isYoung
+        = membership.readSince != instant::min() && now - membership.readSince < returnTime;
+    if (isYoung)
+        return 0;
     const bool hasDoubt
         = std::any_of(membership.listings.begin(), membership.listings.end(),
                       [](const auto &row) { return row.second.doubtfulUntil != instant::max(); });
     return hasDoubt ? 0 : membership.lastChange;
 }
 
+void takeOffset(upstream_membership &membership, std::uint64_t next)
+{
+    membership.next = std::max(membership.next, next);
+}
+
+void takeWholeList(upstream_membership &membership, std::uint64_t next)
+{
+    takeOffset(membership, next);
+    membership.removedFrom = std::max(membership.removedFrom, next);
+}
+
 void takeStoreContact(upstream_membership &membership, bool answered, instant now)
 {
     if (!answered) {
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -22,16 +22,6 @@
     return std::min(pause * 2, longestPause);
 }
 
-std::uint64_t largestChange(const peer_upstreams &known)
-{
-    std::uint64_t largest = 0;
-    for (const upstream_membership::listing &listing : known.listings)
-        largest = std::max(largest, listing.changed);
-    for (const peer_upstreams::removal &removal : known.removed)
-        largest = std::max(largest, removal.changed);
-    return largest;
-}
-
 } // namespace
 
 struct feed::state
@@ -182,7 +172,13 @@
     {
         const instant now = clock.now();
         target.upstreamContact = now;
-        target.membership.next = std::max(target.membership.next, page.next);
+        if (page.isSnapshot) {
+            takeWholeList(target.membership, page.next);
+            if (target.membership.readSince == instant::min())
+                target.membership.readSince = now;
+        } else {
+            takeOffset(target.membership, page.next);
+        }
         std::set<std::string> listed;
         bool isChanged = false;
         for (const upstream_change &change : page.changes) {
@@ -249,15 +245,7 @@
 
     void take(const peer_upstreams &known)
     {
-        upstream_membership &membership = target.membership;
-        bool isChanged = false;
-        for (const upstream_membership::listing &listing : known.listings)
-            isChanged = takeEntry(membership, listing.entry, listing.sequence, listing.changed)
-                || isChanged;
-        for (const peer_upstreams::removal &removal : known.removed)
-            isChanged = takeRemoved(membership, removal.id, removal.changed) || isChanged;
-        membership.next = std::max(membership.next, known.next);
-        membership.lastChange = std::max(membership.lastChange, largestChange(known));
+        const bool isChanged = takeChanges(target.membership, known.changes);
         target.upstreamContact = std::max(target.upstreamContact, clock.now() - known.age);
         if (isChanged)
             publish();
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -63,14 +63,15 @@
     if (!message.ParseFromString(body))
         return makeError(result_code::messageInvalid, "a host's list of upstreams can't be read");
     peer_upstreams known;
-    known.next = message.next();
     known.age = milliseconds(message.age_ms());
+    known.changes.next = message.next();
+    known.changes.isWholeList = message.whole_list();
     for (const wire::UpstreamListing &row : message.listings()) {
         if (auto listing = readListing(row))
-            known.listings.push_back(std::move(*listing));
+            known.changes.listings.push_back(std::move(*listing));
     }
     for (const wire::RemovedUpstream &row : message.removed())
-        known.removed.push_back({row.id(), row.changed()});
+        known.changes.removed.push_back({row.id(), row.changed()});
     return known;
 }
 
@@ -109,24 +110,22 @@
 asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
                                       instant now)
 {
-    if (state.upstreamContact == instant::min() || toldChange(state.membership) == 0) {
+    if (state.upstreamContact == instant::min() || toldChange(state.membership, now) == 0) {
         co_await exchange.respond(statusUnavailable, {}, "");
         co_return;
     }
     const auto after = wholeNumber(exchange.query("after")).value_or(0);
+    const upstream_changes changes = changesAfter(state.membership, after);
     wire::UpstreamChanges message;
-    message.set_next(state.membership.next);
+    message.set_next(changes.next);
+    message.set_whole_list(changes.isWholeList);
     message.set_age_ms(std::uint32_t(ageAt(state.upstreamContact, now).count()));
-    for (const auto &[id, listing] : state.membership.listings) {
-        if (listing.changed > after)
-            writeListing(*message.add_listings(), listing);
-    }
-    for (const auto &[id, changed] : state.membership.removed) {
-        if (changed <= after)
-            continue;
+    for (const upstream_membership::listing &listing : changes.listings)
+        writeListing(*message.add_listings(), listing);
+    for (const upstream_changes::removal &removal : changes.removed) {
         wire::RemovedUpstream *row = message.add_removed();
-        row->set_id(id);
-        row->set_changed(changed);
+        row->set_id(removal.id);
+        row->set_changed(removal.changed);
     }
     std::string body = message.SerializeAsString();
     co_await exchange.respond(statusOk, {}, std::move(body));
--- a/src/route/peer_calls.h
+++ b/src/route/peer_calls.h
@@ -3,7 +3,7 @@
 #include "clients/http_client.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
-#include "policy/upstream_membership.h"
+#include "policy/upstream_changes.h"
 #include "route/routing_state.h"
 #include "serve/http_server.h"
 
@@ -13,7 +13,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace quincefall {
 
@@ -39,16 +38,8 @@
 /// What another host knows of the upstreams.
 struct peer_upstreams
 {
-    struct removal
-    {
-        std::string id;
-        std::uint64_t changed = 0;
-    };
-
-    std::vector<upstream_membership::listing> listings;
-    std::vector<removal> removed;
-    std::uint64_t next = 0; ///< Offset up to which the list is known.
-    milliseconds age{0}; ///< Since it was known to be whole.
+    upstream_changes changes;
+    milliseconds age{0}; ///< Since its list was known to be whole.
 };
 
 /// Asks another host. Fails with peerUnreachable or messageInvalid.
--- a/tests/policy/upstream_membership_test.cpp
+++ b/tests/policy/upstream_membership_test.cpp
@@ -80,13 +80,13 @@
     takeEntry(membership, makeEntry("doubtful"), 1, 10);
     takeStoreContact(membership, false, at(1000));
     takeStoreContact(membership, true, at(2000));
-    BOOST_TEST(toldChange(membership) == 10U);
+    BOOST_TEST(toldChange(membership, at(0)) == 10U);
     takeMissing(membership, "doubtful", 20, at(2010));
     takeEntry(membership, makeEntry("new"), 1, 20);
-    BOOST_TEST(toldChange(membership) == 0U);
+    BOOST_TEST(toldChange(membership, at(0)) == 0U);
     membership.next = 20;
     BOOST_TEST(dropMissing(membership, at(4400)) == 1U);
-    BOOST_TEST(toldChange(membership) == 20U);
+    BOOST_TEST(toldChange(membership, at(0)) == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(an_upstream_that_said_it_leaves_is_not_in_doubt)
