--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -1,5 +1,7 @@
 #include "route/proxy_service.h"
 
+#include "kernel/asio_headers.h"
+
 #include "observe/log_setup.h"
 #include "policy/route_choice.h"
 #include "route/proxy_attempt.h"
