One pool of connections for both HTTP clients

Cause: the client for whole answers and the calls to upstreams each had their own idle connections, connect with a time limit, and copy of the loop that takes what is buffered; four files had their own monotonic clock.

Change: clients/connection_pool opens and keeps connections for both; a caller that leaves while its connection opens is noticed when it did, after 400 ms at most, before anything is sent.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -1,9 +1,10 @@
 #include "clients/http_client.h"
 
+#include "clients/buffered_body.h"
+#include "clients/connection_pool.h"
 #include "kernel/asio_headers.h"
 
 #include <array>
-#include <deque>
 
 namespace quincefall {
 namespace {
@@ -17,9 +18,10 @@
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint64_t largestReply = 256ULL * 1024 * 1024;
 constexpr milliseconds connectTimeout{1000};
+// What outside systems close earlier is found closed when it is taken.
+constexpr milliseconds idleLimit = std::chrono::hours(24);
 
 using connection = beast::tcp_stream;
-using connection_ptr = std::unique_ptr<connection>;
 using token = asio::as_tuple_t<asio::use_awaitable_t<>>;
 constexpr token asTuple{};
 
@@ -30,12 +32,6 @@
             toString(address) + ": " + code.message()};
 }
 
-tl::unexpected<error> unreachable(const boost::system::error_code &code,
-                                  const host_address &address)
-{
-    return makeError(result_code::upstreamUnreachable, toString(address) + ": " + code.message());
-}
-
 http::request<http::string_body> toBeast(const http_request &request, const host_address &address)
 {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
@@ -48,96 +44,49 @@
     return message;
 }
 
-bool hasInput(connection &idle)
+/// A connection while a request uses it.
+std::unique_ptr<connection> lend(connection_ptr taken)
 {
-    boost::system::error_code code;
-    auto &socket = idle.socket();
-    socket.non_blocking(true, code);
-    std::array<char, 1> byte{};
-    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
-    return size > 0 || code != asio::error::would_block;
+    return taken ? std::make_unique<connection>(std::move(taken->socket)) : nullptr;
 }
 
-/// Open connections that wait for their next request.
-struct connection_pool
+void giveBack(connection_pool &pool, const host_address &address, connection &used)
 {
-    explicit connection_pool(asio::io_context &io)
-        : context(io)
-    {
-    }
-
-    asio::io_context &context;
-    std::map<host_address, std::deque<connection_ptr>> idle;
+    auto kept = std::make_unique<open_connection>(
+        open_connection{used.release_socket(), idleLimit, instant{}});
+    pool.putIdle(address, std::move(kept));
+}
 
-    connection_ptr takeIdle(const host_address &address)
-    {
-        auto &kept = idle[address];
-        while (!kept.empty()) {
-            connection_ptr candidate = std::move(kept.back());
-            kept.pop_back();
-            // Input on an idle connection means that the other end has closed it.
-            if (!hasInput(*candidate))
-                return candidate;
-        }
-        return nullptr;
-    }
+} // namespace
 
-    void putIdle(const host_address &address, connection_ptr used)
-    {
-        auto &kept = idle[address];
-        if (kept.size() < idleConnectionsPerAddress)
-            kept.push_back(std::move(used));
-    }
+struct http_client::state
+{
+    std::shared_ptr<connection_pool> pool;
 
-    asio::awaitable<result<connection_ptr>> connect(host_address address, milliseconds timeout)
+    asio::awaitable<result<std::unique_ptr<connection>>> connect(host_address address,
+                                                                 milliseconds timeout) const
     {
-        boost::system::error_code failure;
-        const auto ip = asio::ip::make_address(address.ip, failure);
-        if (failure)
-            co_return unreachable(failure, address);
-        auto fresh = std::make_unique<connection>(context);
-        fresh->expires_after(std::min(timeout, connectTimeout));
-        const tcp::endpoint endpoint(ip, address.port);
-        const auto [code] = co_await fresh->async_connect(endpoint, asTuple);
-        if (code)
-            co_return unreachable(code, address);
-        fresh->socket().set_option(tcp::no_delay(true), failure);
-        co_return fresh;
+        auto opened = co_await pool->open(std::move(address), std::min(timeout, connectTimeout));
+        if (!opened)
+            co_return tl::unexpected(opened.error());
+        co_return lend(std::move(*opened));
     }
 };
 
-} // namespace
-
-struct http_client::state : connection_pool
-{
-    using connection_pool::connection_pool;
-};
-
 struct http_stream::state
 {
     std::weak_ptr<connection_pool> owner;
     host_address address;
-    connection_ptr stream;
+    std::unique_ptr<connection> stream;
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
     std::array<char, readBufferBytes> piece{};
 
-    /// Adds the chunks that were received already to the piece, so that many small ones cost one
-    /// turn of the event loop. What is left over waits for the next read, which reports errors.
-    void parseBuffered()
-    {
-        boost::system::error_code code;
-        while (!code && !parser.is_done() && buffer.size() > 0 && parser.get().body().size > 0) {
-            const std::size_t used = parser.put(buffer.data(), code);
-            buffer.consume(used);
-        }
-    }
-
     ~state()
     {
         const auto connections = owner.lock();
         if (connections && stream && parser.is_done() && parser.keep_alive())
-            connections->putIdle(address, std::move(stream));
+            giveBack(*connections, address, *stream);
     }
 };
 
@@ -181,7 +130,7 @@
         (void)size;
         if (code && code != http::error::need_buffer)
             co_return tl::unexpected(toError(code, self.address));
-        self.parseBuffered();
+        parseBuffered(self.parser, self.buffer);
         const std::size_t filled = self.piece.size() - body.size;
         if (filled > 0)
             co_return std::string_view(self.piece.data(), filled);
@@ -197,7 +146,8 @@
 
 std::unique_ptr<http_client> http_client::makeHttpClient(asio::io_context &context)
 {
-    return std::unique_ptr<http_client>(new http_client(std::make_shared<state>(context)));
+    return std::unique_ptr<http_client>(new http_client(std::make_shared<state>(
+        state{connection_pool::makeConnectionPool(context, {idleConnectionsPerAddress, false})})));
 }
 
 http_client::http_client(std::shared_ptr<state> shared)
@@ -214,10 +164,10 @@
     const auto message = toBeast(request, address);
     while (true) {
         auto opened = std::make_unique<http_stream::state>();
-        opened->owner = shared;
+        opened->owner = shared->pool;
         opened->address = address;
         opened->parser.body_limit(largestReply);
-        opened->stream = shared->takeIdle(address);
+        opened->stream = lend(shared->pool->takeIdle(address));
         const bool isReused = opened->stream != nullptr;
         if (!isReused) {
             auto fresh = co_await shared->connect(address, timeout);
@@ -248,7 +198,8 @@
     const auto message = toBeast(request, address);
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     while (true) {
-        connection_ptr stream = use == connection_use::reuse ? shared->takeIdle(address) : nullptr;
+        auto stream
+            = use == connection_use::reuse ? lend(shared->pool->takeIdle(address)) : nullptr;
         const bool isReused = stream != nullptr;
         if (!isReused) {
             auto fresh = co_await shared->connect(address, timeout);
@@ -279,7 +230,7 @@
             reply.headers.emplace_back(field.name_string(), field.value());
         reply.body = std::move(answer.body());
         if (parser.keep_alive())
-            shared->putIdle(address, std::move(stream));
+            giveBack(*shared->pool, address, *stream);
         co_return reply;
     }
 }
--- a/src/kernel/clock.cpp
+++ b/src/kernel/clock.cpp
@@ -2,14 +2,17 @@
 
 namespace quincefall {
 
+instant steadyNow()
+{
+    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
+}
+
 clock_source makeSystemClock()
 {
-    return {
-        [] { return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now()); },
-        [] {
-            const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-            return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
-        }};
+    return {steadyNow, [] {
+                const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+                return std::chrono::duration_cast<milliseconds>(sinceEpoch).count();
+            }};
 }
 
 void manual_time::advance(microseconds step)
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -24,6 +24,9 @@
     std::function<wall_milliseconds()> wall;
 };
 
+/// Now on the operating system's monotonic clock, for code whose timers run on it as well.
+instant steadyNow();
+
 /// Clocks of the operating system.
 clock_source makeSystemClock();
 
--- a/src/peer/peer_connection.cpp
+++ b/src/peer/peer_connection.cpp
@@ -14,11 +14,6 @@
 
 constexpr std::size_t maxWriteBytes = 256U << 10;
 
-instant currentTime()
-{
-    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
-}
-
 error unreachable(const boost::system::error_code &reason)
 {
     return {result_code::peerUnreachable, reason.message()};
@@ -46,7 +41,7 @@
     , m_onClosed(std::move(onClosed))
     , m_counter(std::move(counter))
     , m_received{}
-    , m_lastReceived(currentTime())
+    , m_lastReceived(steadyNow())
 {
 }
 
@@ -74,7 +69,7 @@
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_started = true;
-    m_lastReceived = currentTime();
+    m_lastReceived = steadyNow();
     read();
     scheduleFlush();
 }
@@ -88,7 +83,7 @@
                 return;
             if (failure)
                 return self->fail(unreachable(failure));
-            self->m_lastReceived = currentTime();
+            self->m_lastReceived = steadyNow();
             self->m_counter->received += size;
             const auto taken = self->m_session->feed(std::span(self->m_received).first(size));
             if (!taken)
--- a/src/peer/peer_link.cpp
+++ b/src/peer/peer_link.cpp
@@ -62,11 +62,6 @@
 
 namespace {
 
-instant currentTime()
-{
-    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
-}
-
 result<std::string> toResult(http2_response response)
 {
     if (response.status == 200)
@@ -184,7 +179,7 @@
     const auto pending = std::make_shared<pending_call>(m_context.get_executor());
     // Calls that gave up waiting count on until something comes in.
     if (used->calls.empty() && used->connection->lastReceived() >= used->waitingSince)
-        used->waitingSince = currentTime();
+        used->waitingSince = steadyNow();
     used->calls.emplace(stream, pending);
     startWatch(used);
     auto waiting = waitForAnswer(pending, timeout);
@@ -251,7 +246,7 @@
     while (m_channel == watched && watched->isWaiting()) {
         const instant heard = std::max(watched->connection->lastReceived(), watched->waitingSince);
         const instant due = heard + m_settings.silenceInterval;
-        if (currentTime() < due) {
+        if (steadyNow() < due) {
             watched->watchTimer.expires_at(due);
             co_await watched->watchTimer.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -107,7 +107,7 @@
             = cause == result_code::upstreamTimeout || cause == result_code::upstreamUnreachable;
         if (!target || !isSilence)
             return;
-        context.connections.forget(entry.address);
+        context.connections->forget(entry.address);
         if (!target->isCutOff)
             logWarning("upstream cut off",
                        {{"upstream", entry.id},
@@ -368,7 +368,7 @@
                             chosen,  nullptr, context.clock.now()};
     service_pool &pool = context.state.pools[attempt.entry.service];
     recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
-    attempt.call = context.connections.makeCall(attempt.entry.address);
+    attempt.call = upstream_call::makeUpstreamCall(context.connections, attempt.entry.address);
     job.exchange.setGoneListener([call = attempt.call] { call->cancel(); });
     attempt_end end = co_await sendAndRelay(attempt);
     job.exchange.setGoneListener(nullptr);
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "clients/connection_pool.h"
 #include "policy/placement.h"
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
-#include "route/upstream_connections.h"
 #include "route/wire_format.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -18,7 +18,7 @@
 {
     routing_state &state;
     const wire_format &wire;
-    upstream_connections &connections;
+    std::shared_ptr<connection_pool> connections;
     clock_source clock;
     /// Takes a further attempt for the job out of the budget; false when there is none.
     std::function<bool(proxy_job &)> takeFurther;
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -23,6 +23,8 @@
 // Less time than this is not enough for any upstream.
 constexpr milliseconds shortestUsefulTime{10};
 constexpr milliseconds shortestReturn{100};
+constexpr milliseconds connectTimeout{400}; // As for calls; see upstream_call.
+constexpr milliseconds shortestKeepAlive{2'000}; // An upstream tells its own with an answer.
 constexpr double longestReturnShare = 0.3; // Of the time left; callers honour up to a third.
 
 /// Value of Retry-After with a fraction, since waits here are often below a second.
@@ -38,11 +40,12 @@
 struct proxy_service::state : std::enable_shared_from_this<proxy_service::state>
 {
     state(asio::io_context &io, routing_state &target, wire_format format,
-          upstream_connections &pool, metrics &meters, clock_source clocks, options values)
+          std::shared_ptr<connection_pool> pool, metrics &meters, clock_source clocks,
+          options values)
         : context(io)
         , routing(target)
         , wire(std::move(format))
-        , connections(pool)
+        , connections(std::move(pool))
         , numbers(meters)
         , clock(std::move(clocks))
         , settings(std::move(values))
@@ -54,7 +57,7 @@
     asio::io_context &context;
     routing_state &routing;
     wire_format wire;
-    upstream_connections &connections;
+    std::shared_ptr<connection_pool> connections;
     metrics &numbers;
     clock_source clock;
     options settings;
@@ -131,7 +134,12 @@
     /// Tries to connect to an upstream that was cut off, and takes the outcome into its health.
     static asio::awaitable<void> reconnect(std::shared_ptr<state> self, upstream_entry entry)
     {
-        const bool isOpen = co_await self->connections.open(entry.address);
+        auto opened = co_await self->connections->open(entry.address, connectTimeout);
+        const bool isOpen = opened.has_value();
+        if (isOpen) {
+            (*opened)->keepAlive = shortestKeepAlive;
+            self->connections->putIdle(entry.address, std::move(*opened));
+        }
         routed_upstream *upstream = findUpstream(self->routing, entry);
         if (!upstream)
             co_return;
@@ -321,12 +329,12 @@
 
 std::unique_ptr<proxy_service>
 proxy_service::makeProxyService(asio::io_context &context, routing_state &target, wire_format wire,
-                                upstream_connections &connections, metrics &numbers,
+                                std::shared_ptr<connection_pool> connections, metrics &numbers,
                                 clock_source clock, options settings)
 {
-    return std::unique_ptr<proxy_service>(
-        new proxy_service(std::make_shared<state>(context, target, std::move(wire), connections,
-                                                  numbers, std::move(clock), std::move(settings))));
+    return std::unique_ptr<proxy_service>(new proxy_service(
+        std::make_shared<state>(context, target, std::move(wire), std::move(connections), numbers,
+                                std::move(clock), std::move(settings))));
 }
 
 proxy_service::proxy_service(std::shared_ptr<state> shared)
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "clients/connection_pool.h"
 #include "kernel/clock.h"
 #include "observe/metrics.h"
 #include "policy/placement.h"
 #include "route/routing_state.h"
-#include "route/upstream_connections.h"
 #include "route/wire_format.h"
 #include "serve/http_server.h"
 
@@ -27,11 +27,10 @@
             4'000}; ///< Age of the last contact from which 401 and 404 are unsafe.
     };
 
-    static std::unique_ptr<proxy_service> makeProxyService(boost::asio::io_context &context,
-                                                           routing_state &state, wire_format wire,
-                                                           upstream_connections &connections,
-                                                           metrics &numbers, clock_source clock,
-                                                           options settings);
+    static std::unique_ptr<proxy_service>
+    makeProxyService(boost::asio::io_context &context, routing_state &state, wire_format wire,
+                     std::shared_ptr<connection_pool> connections, metrics &numbers,
+                     clock_source clock, options settings);
     ~proxy_service();
 
     /// Answers one request.
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -1,5 +1,6 @@
 #include "route/route_process.h"
 
+#include "clients/connection_pool.h"
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
 #include "observe/log_setup.h"
@@ -10,7 +11,6 @@
 #include "route/peer_calls.h"
 #include "route/proxy_service.h"
 #include "route/routing_state.h"
-#include "route/upstream_connections.h"
 #include "serve/http_server.h"
 
 #include <algorithm>
@@ -27,6 +27,7 @@
 constexpr double readIntervalShare = 0.4;
 constexpr milliseconds shortestReadInterval{200};
 // The balancer asks once a second and takes a host out after two misses.
+constexpr std::size_t idlePerUpstream = 24; // Few requests of one host run at one upstream.
 constexpr milliseconds leaveBalancer{2'600};
 // Time left for the process itself to end before it is killed.
 constexpr milliseconds endReserve{400};
@@ -91,7 +92,7 @@
     clock_source clock;
     routing_state routing;
     std::unique_ptr<metrics> numbers = metrics::makeMetrics();
-    std::unique_ptr<upstream_connections> connections;
+    std::shared_ptr<connection_pool> connections;
     std::unique_ptr<kernel> services;
     bool isStopping = false;
 
@@ -206,10 +207,10 @@
     {
         numbers->addReadValue({"quincefall_upstream_connections_opened_total", "counter",
                                "Connections opened to upstreams.", "",
-                               [this] { return double(connections->counts().opened); }});
+                               [this] { return double(connections->numbers().opened); }});
         numbers->addReadValue({"quincefall_upstream_connections_reused_total", "counter",
                                "Requests sent on a connection that was open.", "",
-                               [this] { return double(connections->counts().reused); }});
+                               [this] { return double(connections->numbers().reused); }});
         numbers->addReadValue(
             {"quincefall_desired_version", "gauge", "Version of the desired state in force.", "",
              [this] { return routing.desired ? double(routing.desired->version) : 0.0; }});
@@ -222,11 +223,11 @@
 
     result<void> start(state_source source, wire_format wire)
     {
-        connections = upstream_connections::makeUpstreamConnections(context);
+        connections = connection_pool::makeConnectionPool(context, {idlePerUpstream, true});
         addMetrics();
         services->add<proxy_service>(
             "route.proxy",
-            proxy_service::makeProxyService(context, routing, std::move(wire), *connections,
+            proxy_service::makeProxyService(context, routing, std::move(wire), connections,
                                             *numbers, clock, proxyOptions(values)));
         if (auto added = addServers(); !added)
             return added;
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -1,6 +1,7 @@
 #include "route/upstream_call.h"
 
-#include "route/upstream_connections_state.h"
+#include "clients/buffered_body.h"
+#include "kernel/asio_headers.h"
 
 #include <array>
 
@@ -15,6 +16,11 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+// A lost opening packet is sent again only after a second.
+constexpr milliseconds connectTimeout{400};
+constexpr milliseconds defaultKeepAlive{2'000}; // Where an upstream does not say.
+// Of the idle limit, for calls that may not be repeated: they lose most by a closed connection.
+constexpr double keepAliveShareOnce = 0.35;
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr std::uint64_t largestAnswer = 64ULL * 1024 * 1024;
 
@@ -30,14 +36,14 @@
 
 struct upstream_call::state
 {
-    state(std::shared_ptr<upstream_connections::state> shared, host_address target)
-        : owner(std::move(shared))
+    state(std::shared_ptr<connection_pool> pool, host_address target)
+        : owner(std::move(pool))
         , address(std::move(target))
-        , timer(owner->context)
+        , timer(owner->context())
     {
     }
 
-    std::shared_ptr<upstream_connections::state> owner;
+    std::shared_ptr<connection_pool> owner;
     host_address address;
     connection_ptr connection;
     asio::steady_timer timer;
@@ -47,7 +53,6 @@
     message request;
     milliseconds keepAlive = defaultKeepAlive;
     instant deadline = instant::max();
-    instant connectEnd = instant::max();
     instant lastByte{};
     microseconds silence{0};
     std::function<bool()> mayGiveUp;
@@ -68,7 +73,7 @@
     /// Checks deadline and silence when the earlier of them is due, and waits again.
     void arm(const std::shared_ptr<upstream_call> &call)
     {
-        timer.expires_at(std::min({deadline, connectEnd, silenceEnd()}));
+        timer.expires_at(std::min(deadline, silenceEnd()));
         timer.async_wait([weak = std::weak_ptr(call)](const boost::system::error_code &code) {
             const auto alive = weak.lock();
             if (code || !alive || alive->m_state->isOver)
@@ -80,7 +85,7 @@
     void checkTime(const std::shared_ptr<upstream_call> &call)
     {
         const instant now = steadyNow();
-        bool isUp = now >= deadline || now >= connectEnd;
+        bool isUp = now >= deadline;
         if (!isUp && now >= silenceEnd()) {
             isUp = mayGiveUp();
             lastByte = now; // Asked again after the same time.
@@ -104,23 +109,14 @@
                          toString(address) + ": " + (isTimedOut ? "timed out" : code.message()));
     }
 
-    asio::awaitable<boost::system::error_code> connect(std::shared_ptr<upstream_call> call)
+    asio::awaitable<result<void>> connect()
     {
-        boost::system::error_code failed;
-        const auto ip = asio::ip::make_address(address.ip, failed);
-        if (failed)
-            co_return failed;
-        connection = std::make_unique<upstream_connection>(owner->context);
-        const tcp::endpoint endpoint(ip, address.port);
-        connectEnd = steadyNow() + connectTimeout;
-        arm(call);
-        const auto [code] = co_await connection->socket.async_connect(endpoint, asTuple);
-        connectEnd = instant::max();
-        if (!code) {
-            setOptions(connection->socket);
-            ++owner->numbers.opened;
-        }
-        co_return code;
+        const auto left = std::chrono::ceil<milliseconds>(deadline - steadyNow());
+        auto opened = co_await owner->open(address, std::min(connectTimeout, left));
+        if (!opened)
+            co_return tl::unexpected(opened.error());
+        connection = std::move(*opened);
+        co_return result<void>();
     }
 
     /// Sends in the background, since an upstream may answer before it has read the whole body.
@@ -174,16 +170,6 @@
         }
     }
 
-    /// Adds chunks that were received already, so that many small ones cost one turn of the loop.
-    void parseBuffered()
-    {
-        boost::system::error_code code;
-        while (!code && !parser->is_done() && buffer.size() > 0 && parser->get().body().size > 0) {
-            const std::size_t used = parser->put(buffer.data(), code);
-            buffer.consume(used);
-        }
-    }
-
     asio::awaitable<result<std::string_view>> readPiece()
     {
         while (!parser->is_done()) {
@@ -196,7 +182,7 @@
             if (code && code != http::error::need_buffer)
                 co_return failure(code, result_code::upstreamFailed);
             lastByte = steadyNow();
-            parseBuffered();
+            parseBuffered(*parser, buffer);
             const std::size_t filled = piece.size() - body.size;
             if (filled > 0)
                 co_return std::string_view(piece.data(), filled);
@@ -212,10 +198,12 @@
     }
 };
 
-std::shared_ptr<upstream_call> upstream_connections::makeCall(const host_address &address)
+std::shared_ptr<upstream_call>
+upstream_call::makeUpstreamCall(std::shared_ptr<connection_pool> connections,
+                                const host_address &address)
 {
     return std::shared_ptr<upstream_call>(
-        new upstream_call(std::make_unique<upstream_call::state>(m_state, address)));
+        new upstream_call(std::make_unique<state>(std::move(connections), address)));
 }
 
 upstream_call::upstream_call(std::unique_ptr<state> owned)
@@ -241,14 +229,15 @@
     self.request = std::move(request);
     self.deadline = deadline;
     self.lastByte = steadyNow();
-    self.connection = self.owner->takeIdle(self.address, self.request.isOnce);
-    if (self.connection) {
-        ++self.owner->numbers.reused;
-    } else {
-        const auto code = co_await self.connect(keep);
-        if (code || self.isCancelled)
-            co_return self.failure(code, result_code::upstreamUnreachable);
+    self.connection
+        = self.owner->takeIdle(self.address, self.request.isOnce ? keepAliveShareOnce : 1);
+    if (!self.connection) {
+        auto opened = co_await self.connect();
+        if (!opened && !self.isCancelled)
+            co_return tl::unexpected(opened.error());
     }
+    if (self.isCancelled)
+        co_return self.failure({}, result_code::upstreamUnreachable);
     self.lastByte = steadyNow();
     self.arm(keep);
     self.startWriting(keep);
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "clients/connection_pool.h"
 #include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
 #include "route/wire_format.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <memory>
@@ -15,12 +15,13 @@
 
 namespace quincefall {
 
-class upstream_connections;
-
 /// One request to an upstream and its answer.
 class upstream_call : public std::enable_shared_from_this<upstream_call>
 {
 public:
+    /// A call to @p address that has not begun.
+    static std::shared_ptr<upstream_call>
+    makeUpstreamCall(std::shared_ptr<connection_pool> connections, const host_address &address);
     ~upstream_call();
 
     /// What is sent. The views must stay valid until the call is destroyed.
@@ -52,7 +53,6 @@
     void finish();
 
 private:
-    friend class upstream_connections;
     struct state;
     explicit upstream_call(std::unique_ptr<state> owned);
     std::unique_ptr<state> m_state;
