Compare lists of upstreams by the offset they are known to

Change: entries keep the offset of their own record, hosts tell and compare the offset up to which they know the list; the whole list goes only to a host that has not read as far as the teller's first read. Hosts that are heard stay when the own clock jumps.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -19,7 +19,7 @@
 
 std::uint64_t knownTo(const feed_view &view, const fleet_load::entry &entry)
 {
-    return view.isUpstreams ? entry.hint.upstreamsChanged : entry.hint.desiredVersion;
+    return view.isUpstreams ? entry.hint.upstreamsNext : entry.hint.desiredVersion;
 }
 
 /// The host that knows most, if it knows more than this one.
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -24,7 +24,7 @@
 /// What a host knows of one matter: the desired state or the list of upstreams.
 struct feed_view
 {
-    std::uint64_t known = 0; ///< Version or change offset; 0 when nothing is known.
+    std::uint64_t known = 0; ///< Version or offset; 0 when nothing is known.
     milliseconds age{0}; ///< Since what is known was known to be the newest.
     bool isUpstreams = false; ///< Otherwise the desired state.
     bool isServed = true; ///< The store answered this host's last read.
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -47,7 +47,7 @@
     std::vector<service_demand> demands;
     std::uint64_t desiredVersion = 0;
     milliseconds desiredAge{0}; ///< Since that version was known to be the newest.
-    std::uint64_t upstreamsChanged = 0; ///< Offset after the last change of the list.
+    std::uint64_t upstreamsNext = 0; ///< Offset up to which the list is known.
     milliseconds upstreamsAge{0}; ///< Since the list was known to be whole.
 };
 
--- a/src/policy/fleet_members.cpp
+++ b/src/policy/fleet_members.cpp
@@ -1,8 +1,5 @@
 #include "policy/fleet_members.h"
 
-#include <algorithm>
-#include <iterator>
-
 namespace quincefall {
 namespace {
 
@@ -11,13 +8,21 @@
 } // namespace
 
 std::vector<host_announcement> liveHosts(std::span<const host_announcement> announced,
+                                         const std::set<host_address> &heard,
                                          const host_address &own, wall_milliseconds now)
 {
     std::vector<host_announcement> live;
-    std::copy_if(announced.begin(), announced.end(), std::back_inserter(live),
-                 [&own, now](const host_announcement &host) {
-                     return host.peer != own && now - host.announced < announcementLife.count();
-                 });
+    std::set<host_address> missing = heard;
+    for (const host_announcement &host : announced) {
+        const bool isHeard = missing.erase(host.peer) > 0;
+        const bool isRecent = now - host.announced < announcementLife.count();
+        if (host.peer != own && (isHeard || isRecent))
+            live.push_back(host);
+    }
+    for (const host_address &peer : missing) {
+        if (peer != own)
+            live.push_back({peer, "", now});
+    }
     return live;
 }
 
--- a/src/policy/fleet_members.h
+++ b/src/policy/fleet_members.h
@@ -3,7 +3,7 @@
 #include "kernel/address.h"
 #include "kernel/clock.h"
 
-#include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -18,9 +18,13 @@
     wall_milliseconds announced = 0; ///< On the announcing host's wall clock.
 };
 
-/// Hosts that announced themselves lately, without @p own. Wall clocks may differ by seconds, so
-/// the limit is several intervals of announcing.
+/// Hosts that announced themselves lately, without @p own, and those in @p heard, which sent a hint
+/// lately. Wall clocks may differ by seconds, so the limit is several intervals of announcing.
+///
+/// Answers a wall clock that steps: a host whose own clock is far ahead must not take all others
+/// for gone, and their part of the budget for its own.
 std::vector<host_announcement> liveHosts(std::span<const host_announcement> announced,
+                                         const std::set<host_address> &heard,
                                          const host_address &own, wall_milliseconds now);
 
 /// Interval between announcements of one host.
--- a/src/policy/upstream_changes.cpp
+++ b/src/policy/upstream_changes.cpp
@@ -1,21 +1,10 @@
 #include "policy/upstream_changes.h"
 
-#include <algorithm>
 #include <set>
 
 namespace quincefall {
 namespace {
 
-std::uint64_t largestChange(const upstream_changes &changes)
-{
-    std::uint64_t largest = 0;
-    for (const upstream_membership::listing &listing : changes.listings)
-        largest = std::max(largest, listing.changed);
-    for (const upstream_changes::removal &removal : changes.removed)
-        largest = std::max(largest, removal.changed);
-    return largest;
-}
-
 bool takeUnlisted(upstream_membership &membership, const upstream_changes &changes)
 {
     std::set<std::string_view> listed;
@@ -64,7 +53,6 @@
         takeWholeList(membership, changes.next);
     else
         takeOffset(membership, changes.next);
-    membership.lastChange = std::max(membership.lastChange, largestChange(changes));
     return isChanged;
 }
 
--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -40,7 +40,6 @@
         membership.removed.erase(oldest);
     }
     membership.removed[row->first] = next;
-    membership.lastChange = std::max(membership.lastChange, next);
     membership.listings.erase(row);
 }
 
@@ -60,15 +59,12 @@
             return false;
         current.sequence = sequence;
         // Hosts that still doubt the entry would take it for gone, and tell all others so.
-        if (std::exchange(current.doubtfulUntil, instant::max()) != instant::max()) {
+        if (std::exchange(current.doubtfulUntil, instant::max()) != instant::max())
             current.changed = std::max(current.changed, next);
-            membership.lastChange = std::max(membership.lastChange, next);
-        }
         isChange = entry != current.entry;
     }
     if (!isChange)
         return false;
-    membership.lastChange = std::max(membership.lastChange, next);
     membership.removed.erase(entry.id);
     const std::string id = entry.id;
     membership.listings[id] = {std::move(entry), sequence, next, instant::max()};
@@ -98,7 +94,7 @@
     return true;
 }
 
-std::uint64_t toldChange(const upstream_membership &membership, instant now)
+std::uint64_t toldOffset(const upstream_membership &membership, instant now)
 {
     const bool isYoung
         = membership.readSince != instant::min() && now - membership.readSince < returnTime;
@@ -107,7 +103,7 @@
     const bool hasDoubt
         = std::any_of(membership.listings.begin(), membership.listings.end(),
                       [](const auto &row) { return row.second.doubtfulUntil != instant::max(); });
-    return hasDoubt ? 0 : membership.lastChange;
+    return hasDoubt ? 0 : membership.next;
 }
 
 void takeOffset(upstream_membership &membership, std::uint64_t next)
--- a/src/policy/upstream_membership.h
+++ b/src/policy/upstream_membership.h
@@ -29,13 +29,13 @@
     std::map<std::string, std::uint64_t, std::less<>> removed; ///< Change offset, by id.
     std::uint64_t removedFrom = 0; ///< Offset after which `removed` has all removals.
     std::uint64_t next = 0; ///< Offset up to which the list is known.
-    std::uint64_t lastChange = 0; ///< Largest change offset.
     instant readSince = instant::min(); ///< First read of the store's whole list.
     instant lastFailure = instant::min(); ///< Of a call to the store.
     instant backSince = instant::min(); ///< First answer after that failure.
 };
 
-/// Takes in an entry read up to offset @p next. True when it changes more than the sequence.
+/// Takes in an entry whose record ends at offset @p next. True when it changes more than the
+/// sequence.
 bool takeEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence,
                std::uint64_t next);
 
@@ -46,10 +46,11 @@
 /// Takes in that another host has given up an upstream. True when it was listed here.
 bool takeRemoved(upstream_membership &membership, std::string_view id, std::uint64_t changed);
 
-/// The change offset to tell other hosts; 0 while the list may be wrong. While an entry is in doubt,
-/// a host that took the rest would never hear of its removal, which has the same offset. Right
-/// after the first read, entries may be missing that lapsed in an outage of the store.
-std::uint64_t toldChange(const upstream_membership &membership, instant now);
+/// The offset up to which the list is known, to tell other hosts; 0 while the list may be wrong.
+/// While an entry is in doubt, a host that took the rest would never hear of its removal, which has
+/// an earlier offset. Right after the first read, entries may be missing that lapsed in an outage
+/// of the store.
+std::uint64_t toldOffset(const upstream_membership &membership, instant now);
 
 /// Takes in that the list is known up to offset @p next.
 void takeOffset(upstream_membership &membership, std::uint64_t next);
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -184,10 +184,12 @@
         for (const upstream_change &change : page.changes) {
             if (change.entry) {
                 listed.insert(change.id);
-                isChanged = takeEntry(target.membership, *change.entry, change.sequence, page.next)
+                isChanged
+                    = takeEntry(target.membership, *change.entry, change.sequence, change.next)
                     || isChanged;
             } else {
-                isChanged = takeMissing(target.membership, change.id, page.next, now) || isChanged;
+                isChanged
+                    = takeMissing(target.membership, change.id, change.next, now) || isChanged;
             }
         }
         if (page.isSnapshot)
@@ -214,7 +216,7 @@
     {
         feed_view view;
         view.isUpstreams = true;
-        view.known = target.membership.lastChange;
+        view.known = target.membership.next;
         view.isServed = target.isUpstreamServed || target.upstreamContact == instant::min();
         view.interval = settings.upstreamInterval;
         view.sinceRead = ageOf(upstreamsRead);
@@ -253,7 +255,7 @@
 
     asio::awaitable<void> askForUpstreams(host_address host)
     {
-        const auto known = co_await askUpstreams(*client, host, target.membership.lastChange);
+        const auto known = co_await askUpstreams(*client, host, target.membership.next);
         if (known)
             take(*known);
         else
--- a/src/route/host_directory.cpp
+++ b/src/route/host_directory.cpp
@@ -4,6 +4,7 @@
 #include "observe/log_setup.h"
 
 #include <algorithm>
+#include <set>
 
 namespace quincefall {
 namespace {
@@ -72,7 +73,10 @@
             logWarning("hosts not read", {{"cause", hosts.error().detail}});
             co_return false;
         }
-        routing.peers = liveHosts(*hosts, own.peer, clock.wall());
+        std::set<host_address> heard;
+        for (const auto &[address, entry] : routing.others.hosts)
+            heard.insert(address);
+        routing.peers = liveHosts(*hosts, heard, own.peer, clock.wall());
         routing.arePeersKnown = true;
         logInfo("hosts known", {{"others", std::to_string(routing.peers.size())}});
         co_return true;
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -61,9 +61,9 @@
     load_hint hint;
     hint.desiredVersion = routing.desired ? routing.desired->version : 0;
     hint.desiredAge = servedAge(routing.desiredContact, routing.isDesiredServed, now);
-    hint.upstreamsChanged = toldChange(routing.membership, now);
+    hint.upstreamsNext = toldOffset(routing.membership, now);
     hint.upstreamsAge = servedAge(routing.upstreamContact,
-                                  routing.isUpstreamServed && hint.upstreamsChanged > 0, now);
+                                  routing.isUpstreamServed && hint.upstreamsNext > 0, now);
     for (const auto &[service, pool] : routing.pools) {
         for (const auto &[id, upstream] : pool.upstreams) {
             if (ownInFlight(upstream) > 0 && hint.upstreams.size() < mostUpstreams)
@@ -102,7 +102,7 @@
     }
     message.set_desired_version(hint.desiredVersion);
     message.set_desired_age_ms(std::uint32_t(hint.desiredAge.count()));
-    message.set_upstreams_changed(hint.upstreamsChanged);
+    message.set_upstreams_next(hint.upstreamsNext);
     message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
     return message.SerializeAsString();
 }
@@ -119,7 +119,7 @@
     hint.host = *host;
     hint.desiredVersion = message.desired_version();
     hint.desiredAge = milliseconds(message.desired_age_ms());
-    hint.upstreamsChanged = message.upstreams_changed();
+    hint.upstreamsNext = message.upstreams_next();
     hint.upstreamsAge = milliseconds(message.upstreams_age_ms());
     hint.started = message.started_ms();
     hint.sequence = message.sequence();
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -110,7 +110,7 @@
 asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
                                       instant now)
 {
-    if (state.upstreamContact == instant::min() || toldChange(state.membership, now) == 0) {
+    if (state.upstreamContact == instant::min() || toldOffset(state.membership, now) == 0) {
         co_await exchange.respond(statusUnavailable, {}, "");
         co_return;
     }
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -154,7 +154,7 @@
     const proxy_job &job = attempt.job;
     attempt_head head;
     head.upstreamId = attempt.entry.id;
-    head.organisation = job.choice.organisation ? job.choice.organisation->name : "";
+    head.organisation = job.organisation();
     head.urgency = job.urgency;
     head.left = std::chrono::floor<milliseconds>(job.deadline - attempt.started);
     head.resumeAfter = job.events.lastId ? job.events.lastId : job.request.resumeAfter;
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -49,6 +49,11 @@
 
     bool isRepeatable() const { return choice.route->isRepeatable || choice.route->isResumable; }
     const std::string &service() const { return choice.service->name; }
+    /// Empty where the route needs no key.
+    std::string organisation() const
+    {
+        return choice.organisation ? choice.organisation->name : std::string();
+    }
 };
 
 /// Text of an attempt's end for logs and metrics.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -277,6 +277,7 @@
             {{"request", job.request.id},
              {"route", job.choice.route->name},
              {"service", job.service()},
+             {"organisation", job.organisation()},
              {"version", std::to_string(job.desired->version)},
              {"urgency", std::to_string(job.urgency)},
              {"end", std::string(toString(end))},
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -21,6 +21,7 @@
     std::string id;
     std::optional<upstream_entry> entry; ///< Empty when the platform lists it no more.
     std::int64_t sequence = 0;
+    std::uint64_t next = 0; ///< Offset after the record that tells it.
 };
 
 /// A part of the list of upstreams.
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -26,7 +26,7 @@
         load_hint hint;
         hint.host = hostAt(host.port);
         hint.sequence = 1;
-        hint.upstreamsChanged = host.known;
+        hint.upstreamsNext = host.known;
         hint.upstreamsAge = host.age;
         takeHint(others, hint, now);
     }
@@ -50,7 +50,7 @@
             load_hint hint;
             hint.host = hostAt(port);
             hint.sequence = 1;
-            hint.upstreamsChanged = 5;
+            hint.upstreamsNext = 5;
             if (port != own)
                 takeHint(others, hint, now);
         }
--- a/tests/policy/upstream_changes_test.cpp
+++ b/tests/policy/upstream_changes_test.cpp
@@ -32,37 +32,52 @@
     upstream_membership asker = teller;
     takeMissing(teller, "a", 20, instant{} + seconds(100));
     takeOffset(teller, 20);
-    const upstream_changes changes = changesAfter(teller, asker.lastChange);
+    const upstream_changes changes = changesAfter(teller, asker.next);
     BOOST_TEST(!changes.isWholeList);
     BOOST_TEST(changes.listings.empty());
     BOOST_TEST(takeChanges(asker, changes));
     BOOST_TEST(!asker.listings.contains("a"));
     BOOST_TEST(asker.listings.contains("b"));
-    BOOST_TEST(asker.lastChange == 20U);
+    BOOST_TEST(asker.next == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(a_host_that_started_after_a_removal_tells_it_by_its_whole_list)
 {
     upstream_membership asker = makeReader({"a", "b"}, 10);
     const upstream_membership restarted = makeReader({"b"}, 30);
-    const upstream_changes changes = changesAfter(restarted, asker.lastChange);
+    const upstream_changes changes = changesAfter(restarted, asker.next);
     BOOST_TEST(changes.isWholeList);
     BOOST_TEST(takeChanges(asker, changes));
     BOOST_TEST(!asker.listings.contains("a"));
     // A host that it tells in turn must not miss the removal either.
     upstream_membership third = makeReader({"a", "b"}, 10);
-    BOOST_TEST(takeChanges(third, changesAfter(asker, third.lastChange)));
+    BOOST_TEST(takeChanges(third, changesAfter(asker, third.next)));
     BOOST_TEST(!third.listings.contains("a"));
 }
 
+BOOST_AUTO_TEST_CASE(hosts_that_start_together_tell_each_other_nothing_they_know)
+{
+    // The same records, read at two moments of the same start.
+    upstream_membership early = makeReader({"a"}, 10);
+    upstream_membership late = makeReader({"a"}, 10);
+    takeEntry(late, makeEntry("b"), 1, 12);
+    takeWholeList(late, 12);
+    takeEntry(early, makeEntry("b"), 1, 12);
+    takeOffset(early, 12);
+    const upstream_changes changes = changesAfter(late, early.next);
+    BOOST_TEST(!changes.isWholeList);
+    BOOST_TEST(changes.listings.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_whole_list_does_not_remove_what_came_after_it)
 {
     upstream_membership asker = makeReader({"a"}, 10);
     takeEntry(asker, makeEntry("new"), 1, 40);
+    takeOffset(asker, 40);
     const upstream_membership teller = makeReader({"a"}, 30);
     takeChanges(asker, changesAfter(teller, 0));
     BOOST_TEST(asker.listings.contains("new"));
-    BOOST_TEST(asker.lastChange == 40U);
+    BOOST_TEST(asker.next == 40U);
 }
 
 BOOST_AUTO_TEST_CASE(removals_that_are_forgotten_are_told_by_the_whole_list)
@@ -84,8 +99,8 @@
     upstream_membership fresh = makeReader({"a"}, 10);
     const instant now = instant{} + seconds(100);
     fresh.readSince = now;
-    BOOST_TEST(toldChange(fresh, now + seconds(2)) == 0U);
-    BOOST_TEST(toldChange(fresh, now + seconds(3)) == 10U);
+    BOOST_TEST(toldOffset(fresh, now + seconds(2)) == 0U);
+    BOOST_TEST(toldOffset(fresh, now + seconds(3)) == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_came_back_is_told_to_a_host_that_doubts_it)
@@ -101,8 +116,8 @@
     }
     takeEntry(teller, makeEntry("a"), 5, 30);
     takeOffset(teller, 30);
-    BOOST_TEST(toldChange(teller, now + seconds(4)) == 30U);
-    takeChanges(asker, changesAfter(teller, asker.lastChange));
+    BOOST_TEST(toldOffset(teller, now + seconds(4)) == 30U);
+    takeChanges(asker, changesAfter(teller, asker.next));
     BOOST_TEST(dropMissing(asker, now + seconds(10)) == 0U);
     BOOST_TEST(asker.listings.contains("a"));
 }
--- a/tests/policy/upstream_membership_test.cpp
+++ b/tests/policy/upstream_membership_test.cpp
@@ -26,11 +26,11 @@
     upstream_membership membership;
     BOOST_TEST(takeEntry(membership, makeEntry("a"), 1, 10));
     BOOST_TEST(!takeEntry(membership, makeEntry("a"), 2, 20));
-    BOOST_TEST(membership.lastChange == 10U);
+    BOOST_TEST(membership.listings.at("a").changed == 10U);
     upstream_entry leaving = makeEntry("a");
     leaving.isLeaving = true;
     BOOST_TEST(takeEntry(membership, leaving, 3, 30));
-    BOOST_TEST(membership.lastChange == 30U);
+    BOOST_TEST(membership.listings.at("a").changed == 30U);
 }
 
 BOOST_AUTO_TEST_CASE(an_older_entry_does_not_bring_a_leaving_upstream_back)
@@ -78,15 +78,16 @@
 {
     upstream_membership membership;
     takeEntry(membership, makeEntry("doubtful"), 1, 10);
+    takeOffset(membership, 10);
     takeStoreContact(membership, false, at(1000));
     takeStoreContact(membership, true, at(2000));
-    BOOST_TEST(toldChange(membership, at(0)) == 10U);
+    BOOST_TEST(toldOffset(membership, at(0)) == 10U);
     takeMissing(membership, "doubtful", 20, at(2010));
     takeEntry(membership, makeEntry("new"), 1, 20);
-    BOOST_TEST(toldChange(membership, at(0)) == 0U);
-    membership.next = 20;
+    takeOffset(membership, 20);
+    BOOST_TEST(toldOffset(membership, at(0)) == 0U);
     BOOST_TEST(dropMissing(membership, at(4400)) == 1U);
-    BOOST_TEST(toldChange(membership, at(0)) == 20U);
+    BOOST_TEST(toldOffset(membership, at(0)) == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(an_upstream_that_said_it_leaves_is_not_in_doubt)
@@ -105,7 +106,7 @@
     takeEntry(membership, makeEntry("a"), 1, 30);
     BOOST_TEST(!takeRemoved(membership, "a", 20));
     BOOST_TEST(takeRemoved(membership, "a", 40));
-    BOOST_TEST(membership.lastChange == 40U);
+    BOOST_TEST(membership.removed.at("a") == 40U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/route/load_exchange_test.cpp
+++ b/tests/route/load_exchange_test.cpp
@@ -21,7 +21,7 @@
     hint.demands = {{hintHash("service"), 12.5, 4}};
     hint.desiredVersion = 7;
     hint.desiredAge = milliseconds(20);
-    hint.upstreamsChanged = 81;
+    hint.upstreamsNext = 81;
     hint.upstreamsAge = milliseconds(30);
     return hint;
 }
@@ -39,7 +39,7 @@
     BOOST_TEST((read->upstreams.at(0).unreadTokens == sent.upstreams[0].unreadTokens));
     BOOST_TEST(read->demands.at(0).msPerSecond == 12.5);
     BOOST_TEST(read->desiredVersion == 7U);
-    BOOST_TEST(read->upstreamsChanged == 81U);
+    BOOST_TEST(read->upstreamsNext == 81U);
     BOOST_TEST((read->upstreamsAge == sent.upstreamsAge));
 }
 
