Spread and bound what hosts ask of each other

Of the best informed hosts all others asked the one with the lowest address, every 100 ms while anything was new; its answers, whole lists of 3,000 upstreams, piled up to 261 MB, and the host was ended.

Change: each host prefers another of the best informed; the fleet asks 500 times a second at most; a host gives 16 answers at once and refuses the rest, who ask another.

many_hosts_do_not_ask_the_same_one fails without the change (300 of 300 ask one host).

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -22,13 +22,25 @@
     return view.isUpstreams ? entry.hint.upstreamsNext : entry.hint.desiredVersion;
 }
 
-/// The host that knows most, if it knows more than this one.
-const fleet_load::entry *bestInformed(const feed_view &view, const fleet_load &others)
+/// One of the hosts that know most, if they know more than this one. Each host prefers another, so
+/// that not all of them ask the same one at the same moment.
+const fleet_load::entry *bestInformed(const feed_view &view, const fleet_load &others,
+                                      const host_address &own)
 {
+    std::uint64_t most = view.known;
+    for (const auto &[address, entry] : others.hosts)
+        most = std::max(most, knownTo(view, entry));
+    const std::uint64_t key = hintHash(toString(own));
     const fleet_load::entry *best = nullptr;
+    std::uint64_t bestScore = 0;
     for (const auto &[address, entry] : others.hosts) {
-        if (knownTo(view, entry) > (best ? knownTo(view, *best) : view.known))
-            best = &entry;
+        if (most == view.known || knownTo(view, entry) < most)
+            continue;
+        const std::uint64_t score = hintHash(toString(address) + std::to_string(key));
+        if (best && score <= bestScore)
+            continue;
+        best = &entry;
+        bestScore = score;
     }
     return best;
 }
@@ -63,7 +75,7 @@
                    instant now)
 {
     feed_step step;
-    const fleet_load::entry *informed = bestInformed(view, others);
+    const fleet_load::entry *informed = bestInformed(view, others, own);
     const bool isDue = view.sinceRead >= view.interval;
     const bool isCutOff = view.known > 0 && view.age >= view.interval * missedReads;
     const bool mayRead = view.known == 0 || isCutOff || isReader(view, others, own, now);
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -14,6 +14,8 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds planInterval{100}; // Between looks at what other hosts know.
+// Between two questions to other hosts: at most 500 a second in a fleet of any size.
+constexpr milliseconds askIntervalPerHost{2};
 constexpr milliseconds firstPause{100}; // After a failed read.
 constexpr milliseconds longestPause{500}; // Keeps the return of the store quick to notice.
 
@@ -128,6 +130,13 @@
         co_return target.desired != nullptr;
     }
 
+    milliseconds planPause(const feed_step &step) const
+    {
+        if (step.action != feed_step::kind::askHost)
+            return planInterval;
+        return std::max<milliseconds>(planInterval, askIntervalPerHost * target.hosts());
+    }
+
     asio::awaitable<void> askForDesired(host_address host)
     {
         const std::uint64_t known = target.desired ? target.desired->version : 0;
@@ -164,7 +173,7 @@
             wait = isDone ? firstPause : nextPause(wait);
             const bool isReading = step.action == feed_step::kind::readStore && isDone;
             if (!isReading)
-                co_await self->pause(isDone ? planInterval : wait);
+                co_await self->pause(isDone ? self->planPause(step) : wait);
         }
     }
 
@@ -274,7 +283,7 @@
                 co_await self->askForUpstreams(step.host);
             if (dropMissing(self->target.membership, self->clock.now()) > 0)
                 self->publish();
-            co_await self->pause(planInterval);
+            co_await self->pause(self->planPause(step));
         }
     }
 };
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -27,6 +27,8 @@
 constexpr double readIntervalShare = 0.4;
 constexpr milliseconds shortestReadInterval{200};
 // The balancer asks once a second and takes a host out after two misses.
+// Whole lists of thousands of upstreams take some 100 kB each and seconds on a slow link.
+constexpr std::size_t mostPeerAnswers = 16;
 constexpr std::size_t idlePerUpstream = 24; // Few requests of one host run at one upstream.
 constexpr milliseconds leaveBalancer{2'600};
 // Time left for the process itself to end before it is killed.
@@ -94,6 +96,7 @@
     std::unique_ptr<metrics> numbers = metrics::makeMetrics();
     std::shared_ptr<connection_pool> connections;
     std::unique_ptr<kernel> services;
+    std::size_t peerAnswers = 0; ///< Under way.
     bool isStopping = false;
 
     result<void> addServer(const char *name, const host_address &listen,
@@ -115,14 +118,25 @@
         co_await exchange.respond(isReady ? statusReady : statusNotReady, {}, "");
     }
 
-    asio::awaitable<void> answerPeer(http_exchange &exchange) const
+    /// Answers what another host asks of the platform's state. One that is refused asks another.
+    asio::awaitable<void> tellPeer(http_exchange &exchange)
     {
-        if (exchange.path() == peerDesiredPath) {
-            co_await answerDesired(exchange, routing, clock.now());
+        if (peerAnswers >= mostPeerAnswers) {
+            co_await exchange.respond(statusNotReady, {}, "");
             co_return;
         }
-        if (exchange.path() == peerUpstreamsPath) {
+        ++peerAnswers;
+        if (exchange.path() == peerDesiredPath)
+            co_await answerDesired(exchange, routing, clock.now());
+        else
             co_await answerUpstreams(exchange, routing, clock.now());
+        --peerAnswers;
+    }
+
+    asio::awaitable<void> answerPeer(http_exchange &exchange)
+    {
+        if (exchange.path() == peerDesiredPath || exchange.path() == peerUpstreamsPath) {
+            co_await tellPeer(exchange);
             co_return;
         }
         if (exchange.path() != "/metrics") {
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 namespace quincefall {
 namespace {
 
@@ -40,6 +42,26 @@
 
 BOOST_AUTO_TEST_SUITE(feed_plan_tests)
 
+BOOST_AUTO_TEST_CASE(many_hosts_do_not_ask_the_same_one)
+{
+    const instant now = instant{} + seconds(100);
+    std::map<std::uint16_t, int> asked;
+    for (int own = 1; own <= 300; ++own) {
+        const fleet_load others = makeOthers({{901, 9, milliseconds(0)},
+                                              {902, 9, milliseconds(0)},
+                                              {903, 9, milliseconds(0)},
+                                              {904, 8, milliseconds(0)}},
+                                             now);
+        const feed_step step
+            = planFeed(makeView(5, milliseconds(0), milliseconds(0)), others, hostAt(own), now);
+        BOOST_TEST_REQUIRE((step.action == feed_step::kind::askHost));
+        ++asked[step.host.port];
+    }
+    BOOST_TEST(asked.size() == 3U);
+    for (const auto &[port, count] : asked)
+        BOOST_TEST(count < 150);
+}
+
 BOOST_AUTO_TEST_CASE(three_hosts_of_many_read_the_store)
 {
     const instant now = instant{} + seconds(100);
