Do not subtract the time of an upstream that has no pause or no request

An upstream that is withheld by its share of failed requests has no time from which it is probed, and one whose requests were counted without a start no time since when it is busy. Without the sanitizer the first wrapped around, and only requests with much time probed such an upstream.

Change: without a pause any request may probe, as before probation; without a start there is no silence. The new case of probation_test fails without the change.

--- a/src/policy/probation.cpp
+++ b/src/policy/probation.cpp
@@ -53,7 +53,9 @@
     if (!request.mayFail || upstream.isCutOff || !isDue || !isWithheld(upstream, now))
         return false;
     const bool hasTime = request.targetMs >= pool.largestTargetMs * spareTargetShare;
-    return hasTime || now - upstream.health.probeFrom > longestOverdue;
+    // One that fails only some of its requests has no pause between probes.
+    const bool hasPause = upstream.health.probeFrom != instant::min();
+    return hasTime || !hasPause || now - upstream.health.probeFrom > longestOverdue;
 }
 
 microseconds probeSilence(microseconds target)
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -181,7 +181,7 @@
 
 double silenceMs(const routed_upstream &upstream, instant now)
 {
-    if (ownInFlight(upstream) == 0)
+    if (ownInFlight(upstream) == 0 || upstream.busySince == instant::min())
         return 0;
     return toMilliseconds(now - std::max(upstream.lastHeard, upstream.busySince));
 }
--- a/tests/policy/probation_test.cpp
+++ b/tests/policy/probation_test.cpp
@@ -59,6 +59,17 @@
     BOOST_TEST(!shouldProbe(pool, pool.upstreams.at("engine-1"), {true, 2'000}, due));
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_fails_some_requests_is_probed_without_a_pause)
+{
+    service_pool pool = makePool();
+    routed_upstream &grey = pool.upstreams.at("engine-0");
+    for (int count = 0; count < 6; ++count)
+        recordOutcome(grey, false, start);
+    BOOST_TEST(isWithheld(grey, start));
+    BOOST_TEST(!shouldProbe(pool, pool.upstreams.at("engine-1"), {true, 2'000}, start));
+    BOOST_TEST(shouldProbe(pool, grey, {true, 500}, start));
+}
+
 BOOST_AUTO_TEST_CASE(a_probe_that_fails_leaves_time_for_another_upstream)
 {
     BOOST_TEST((probeSilence(milliseconds(2'000)) == milliseconds(800)));
