--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -14,7 +14,7 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds planInterval{100}; // Between looks at what other hosts know.
-// Between two questions to other hosts: at most 500 a second in a fleet of any size.
+// Between two questions of a host: at most 500 a second of the whole fleet on each matter.
 constexpr milliseconds askIntervalPerHost{2};
 constexpr milliseconds firstPause{100}; // After a failed read.
 constexpr milliseconds longestPause{500}; // Keeps the return of the store quick to notice.
