Follow what upstreams and the store say of themselves in their answers

Cause: nothing knew an upstream's Server-Leaving, the Retry-After of its 503, or the store's era. An upstream that announced its leaving only in answers kept getting requests, one that asked for time was asked again at once, and a store that came back from an older copy made the hosts read from offsets that had been given out again.

Change: upstream_notice keeps what an upstream told (leaving, pause), by id and start, next to the list of upstreams and with explicit time; placement leaves both out, hosts tell each other with the hints, and a leaving ends only when the registration takes it back or the process starts anew. If every upstream has asked for time, the caller gets the time until the first is back. Positions in the store have an epoch: a read in a newer one starts again from the newest records, entries that are missing get time to be registered again, entries from before a removal stay removed, lists of an older epoch are ignored, and hosts announce themselves again, spread over the fleet. The stand-in of the platform plays all three. process_not_run_test no longer needs its callers to start within 50 ms: its requests take longer than the longest wait; the checks are the same.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -19,9 +19,16 @@
     return reportedAge + std::chrono::duration_cast<milliseconds>(now - entry.received);
 }
 
-std::uint64_t revisionOf(const feed_view &view, const fleet_load::entry &entry)
+/// Offset 0 when the host has none that others may use.
+store_position revisionOf(const feed_view &view, const fleet_load::entry &entry)
 {
-    return view.isUpstreamList ? entry.hint.upstreamsNext : entry.hint.desiredVersion;
+    return view.isUpstreamList ? entry.hint.upstreamsNext
+                               : store_position{0, entry.hint.desiredVersion};
+}
+
+bool isNewer(const store_position &revision, const store_position &than)
+{
+    return revision.offset > 0 && revision > than;
 }
 
 /// One of the hosts with the newest revision, or null if it is not newer than this host's. The
@@ -29,14 +36,16 @@
 const fleet_load::entry *mostUpToDateHost(const feed_view &view, const fleet_load &others,
                                           const host_address &own)
 {
-    std::uint64_t newest = view.revision;
-    for (const auto &[address, entry] : others.hosts)
-        newest = std::max(newest, revisionOf(view, entry));
+    store_position newest = view.revision;
+    for (const auto &[address, entry] : others.hosts) {
+        if (isNewer(revisionOf(view, entry), newest))
+            newest = revisionOf(view, entry);
+    }
     const std::uint64_t key = nameHash(toString(own));
     const fleet_load::entry *best = nullptr;
     std::uint64_t bestScore = 0;
     for (const auto &[address, entry] : others.hosts) {
-        if (newest == view.revision || revisionOf(view, entry) < newest)
+        if (newest == view.revision || revisionOf(view, entry) != newest)
             continue;
         const std::uint64_t score = nameHash(toString(address) + std::to_string(key));
         if (best && score <= bestScore)
@@ -55,7 +64,7 @@
     for (const auto &[address, entry] : others.hosts) {
         const milliseconds reportedAge
             = view.isUpstreamList ? entry.hint.upstreamsAge : entry.hint.desiredAge;
-        if (view.revision > 0 && revisionOf(view, entry) == view.revision)
+        if (view.revision.offset > 0 && revisionOf(view, entry) == view.revision)
             freshest = std::max<instant>(freshest, entry.received - reportedAge);
     }
     return freshest;
@@ -79,8 +88,9 @@
     feed_step step;
     const fleet_load::entry *newerHost = mostUpToDateHost(view, others, own);
     const bool isDue = view.sinceRead >= view.interval;
-    const bool isOutdated = view.revision > 0 && view.age >= view.interval * maxMissedReads;
-    const bool mayRead = view.revision == 0 || isOutdated || isReader(view, others, own, now);
+    const bool isOutdated = view.revision.offset > 0 && view.age >= view.interval * maxMissedReads;
+    const bool mayRead
+        = view.revision.offset == 0 || isOutdated || isReader(view, others, own, now);
     // After a failed read the next would probably fail too, so a newer revision is fetched from
     // another host instead.
     if (isDue && mayRead && (view.isStoreReachable || !newerHost)) {
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -3,6 +3,7 @@
 #include "kernel/address.h"
 #include "kernel/clock.h"
 #include "policy/fleet_load.h"
+#include "policy/store_position.h"
 
 #include <optional>
 
@@ -24,7 +25,9 @@
 /// What a host has of one data set: the desired state or the list of upstreams.
 struct feed_view
 {
-    std::uint64_t revision = 0; ///< Version or offset; 0 when there is none yet.
+    /// Position of the list, or the version of the desired state, which needs no epoch. Offset 0
+    /// when there is none yet.
+    store_position revision;
     milliseconds age{0}; ///< Since the revision was last confirmed to be the newest.
     bool isUpstreamList = false; ///< Otherwise the desired state.
     bool isStoreReachable = true; ///< The store answered this host's last read.
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -2,6 +2,8 @@
 
 #include "kernel/address.h"
 #include "kernel/clock.h"
+#include "policy/store_position.h"
+#include "policy/upstream_notice.h"
 
 #include <array>
 #include <cstdint>
@@ -47,8 +49,10 @@
     std::vector<service_demand> demands;
     std::uint64_t desiredVersion = 0; ///< Of the desired state that the host uses.
     milliseconds desiredAge{0}; ///< Since that version was last confirmed as the newest.
-    std::uint64_t upstreamsNext = 0; ///< Offset up to which the host has the list of upstreams.
+    /// Up to which the host has the list of upstreams; offset 0 while the list may be wrong.
+    store_position upstreamsNext;
     milliseconds upstreamsAge{0}; ///< Since that list was last confirmed as complete.
+    std::vector<told_notice> notices; ///< What upstreams recently told the host.
 };
 
 /// Work of the other hosts, by host and summed.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -56,6 +56,8 @@
 // silence, in spite of the cost of prefilling the shared prefix again.
 constexpr double silencePenaltyWeight = 10;
 constexpr double failureCostMs = 800; // Cost of an attempt that is certain to fail.
+// Probability that an upstream that asked another host for time turns this host's request away.
+constexpr double othersPauseFailureProbability = 0.5;
 
 using upstream_set = std::set<const routed_upstream *>;
 
@@ -76,9 +78,9 @@
     return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
 }
 
-bool isEligible(const routed_upstream &upstream, const placement_request &request)
+bool isEligible(const routed_upstream &upstream, const placement_request &request, instant now)
 {
-    return !upstream.listed.isLeaving
+    return !upstream.listed.isLeaving && upstream.pausedUntil <= now
         && (!request.tried || !request.tried->contains(upstream.listed.id));
 }
 
@@ -168,7 +170,7 @@
     for (auto &[id, upstream] : pool.upstreams) {
         const bool isExcluded
             = isWithheld(upstream, now) || (excludesSlow && isSlow(upstream, now));
-        if (isEligible(upstream, request) && (includesWithheld || !isExcluded))
+        if (isEligible(upstream, request, now) && (includesWithheld || !isExcluded))
             usable.push_back(&upstream);
     }
     return usable;
@@ -285,7 +287,10 @@
     candidate_estimate value = hasPrompt
         ? estimatePrompt(pool, upstream, request, isPreferred, others, now)
         : estimateCall(pool, upstream, others, now);
-    value.cost += distanceMs(upstream, site) + failureRateOf(upstream, now) * failureCostMs
+    const double failureProbability
+        = std::max(failureRateOf(upstream, now),
+                   upstream.othersPausedUntil > now ? othersPauseFailureProbability : 0.0);
+    value.cost += distanceMs(upstream, site) + failureProbability * failureCostMs
         + silencePenaltyMs(pool, upstream, others, now);
     if (hasPrompt && isReserved != request.isGapSensitive)
         value.cost += mixingPenaltyMs;
@@ -421,11 +426,24 @@
                       double(slots));
 }
 
+std::optional<microseconds> timeUntilUsable(const service_pool &pool, instant now)
+{
+    std::optional<microseconds> shortest;
+    for (const auto &[id, upstream] : pool.upstreams) {
+        if (upstream.listed.isLeaving)
+            continue;
+        const microseconds left
+            = upstream.pausedUntil > now ? upstream.pausedUntil - now : microseconds(0);
+        shortest = std::min(shortest.value_or(left), left);
+    }
+    return shortest;
+}
+
 placement chooseUpstream(service_pool &pool, const placement_request &request,
                          const placement_site &site, fleet_load &others, instant now)
 {
     for (auto &[id, upstream] : pool.upstreams) {
-        if (!isEligible(upstream, request) || !shouldProbe(pool, upstream, request.probe, now))
+        if (!isEligible(upstream, request, now) || !shouldProbe(pool, upstream, request.probe, now))
             continue;
         placement probe = chooseAmong(pool, {&upstream}, request, site, others, now);
         probe.reason = "probe";
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
 #include "policy/probation.h"
 #include "policy/routed_upstream.h"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -87,6 +88,13 @@
 /// generates tokens, its streams miss their deadlines, and the prefill done for them is wasted.
 double softConcurrencyLimit(const service_pool &pool, unsigned slots);
 
+/// Time until one of the upstreams that are not leaving accepts requests again: 0 if one does now,
+/// empty if there is none.
+///
+/// Answers a burst in which every upstream has asked for time: the caller is told when the first of
+/// them is back, instead of an upstream being asked in vain.
+std::optional<microseconds> timeUntilUsable(const service_pool &pool, instant now);
+
 /// Chooses the upstream with the lowest cost, which is mainly the estimated time to the first byte.
 ///
 /// Keeps bursts of long prompts from being prefilled on many engines: rendezvous hashing gives each
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "kernel/address.h"
 #include "kernel/clock.h"
 #include "policy/fleet_load.h"
 #include "policy/prompt.h"
+#include "policy/upstream_entry.h"
 #include "policy/upstream_health.h"
 
 #include <cstdint>
@@ -14,21 +14,6 @@
 
 namespace quincefall {
 
-/// An upstream as the platform lists it.
-struct upstream_entry
-{
-    std::string id; ///< May be reused after a restart; `started` differs then.
-    std::string service;
-    host_address address;
-    std::string failureDomain;
-    std::string region;
-    unsigned slots = 1;
-    bool isLeaving = false; ///< Takes no new work.
-    std::int64_t started = 0; ///< Unix time in milliseconds; 0 if unknown.
-
-    bool operator==(const upstream_entry &) const = default;
-};
-
 /// Load that an upstream reported with an answer.
 struct upstream_load
 {
@@ -40,7 +25,7 @@
 /// State of one upstream as this host sees it.
 struct routed_upstream
 {
-    upstream_entry listed;
+    upstream_entry listed; ///< `isLeaving` includes what the upstream told in its answers.
     upstream_load reported;
     instant reportedAt = instant::min();
     double ownInFlightAtReport = 0; ///< Sum of `inFlight` when the report arrived.
@@ -56,6 +41,8 @@
     instant lastSlowGap = instant::min(); ///< See recordSlowGap().
     /// End of the period in which it counts as slow by its gaps; condition::slow is by token rate.
     instant slowUntil = instant::min();
+    instant pausedUntil = instant::min(); ///< It asked for no requests until then.
+    instant othersPausedUntil = instant::min(); ///< It asked another host for none.
     double failureRate = 0; ///< Smoothed share of attempts that failed.
     instant failureRateAt = instant::min();
 };
--- a/src/policy/upstream_changes.cpp
+++ b/src/policy/upstream_changes.cpp
@@ -23,24 +23,29 @@
 
 } // namespace
 
-upstream_changes changesSince(const upstream_membership &membership, std::uint64_t after)
+upstream_changes changesSince(const upstream_membership &membership, store_position after)
 {
     upstream_changes changes;
+    changes.epoch = membership.epoch;
     changes.next = membership.next;
-    changes.isWholeList = after < membership.removalsKnownFrom;
+    changes.isWholeList
+        = after.epoch != membership.epoch || after.offset < membership.removalsKnownFrom;
     for (const auto &[id, listing] : membership.listings) {
-        if (changes.isWholeList || listing.changed > after)
+        if (changes.isWholeList || listing.changed > after.offset)
             changes.listings.push_back(listing);
     }
-    for (const auto &[id, changed] : membership.removed) {
-        if (!changes.isWholeList && changed > after)
-            changes.removed.push_back({id, changed});
+    for (const auto &[id, removal] : membership.removed) {
+        if (!changes.isWholeList && removal.changed > after.offset)
+            changes.removed.push_back({id, removal.changed});
     }
     return changes;
 }
 
-bool applyChanges(upstream_membership &membership, const upstream_changes &changes)
+bool applyChanges(upstream_membership &membership, const upstream_changes &changes, instant now)
 {
+    if (changes.epoch < membership.epoch)
+        return false;
+    enterEpoch(membership, changes.epoch, now);
     bool isChanged = false;
     for (const upstream_membership::listing &listing : changes.listings)
         isChanged
--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -35,23 +35,66 @@
     // Other hosts ask for changes within seconds, so old removals can be dropped. A host that asks
     // for older changes gets the whole list.
     if (membership.removed.size() >= maxRemovals) {
-        const auto oldest = std::min_element(
-            membership.removed.begin(), membership.removed.end(),
-            [](const auto &left, const auto &right) { return left.second < right.second; });
-        membership.removalsKnownFrom = std::max(membership.removalsKnownFrom, oldest->second);
+        const auto oldest
+            = std::min_element(membership.removed.begin(), membership.removed.end(),
+                               [](const auto &left, const auto &right) {
+                                   return std::pair(left.second.epoch, left.second.changed)
+                                       < std::pair(right.second.epoch, right.second.changed);
+                               });
+        membership.removalsKnownFrom
+            = std::max(membership.removalsKnownFrom, oldest->second.changed);
         membership.removed.erase(oldest);
     }
-    membership.removed[row->first] = next;
+    membership.removed[row->first]
+        = {next, membership.epoch, row->second.entry.started, row->second.sequence};
     membership.listings.erase(row);
 }
 
+/// Whether the entry of an unlisted upstream is from a copy of the store that is older than the
+/// upstream's removal.
+bool precedesRemoval(const upstream_membership &membership, const upstream_entry &entry,
+                     std::int64_t sequence)
+{
+    const auto found = membership.removed.find(entry.id);
+    if (found == membership.removed.end() || found->second.epoch >= membership.epoch)
+        return false;
+    const upstream_membership::removal &removal = found->second;
+    return std::pair(entry.started, sequence) <= std::pair(removal.started, removal.sequence);
+}
+
 } // namespace
 
+store_position positionOf(const upstream_membership &membership)
+{
+    return {membership.epoch, membership.next};
+}
+
+bool enterEpoch(upstream_membership &membership, std::uint64_t epoch, instant now)
+{
+    if (epoch <= membership.epoch)
+        return false;
+    const bool isFirst = membership.epoch == 0 && membership.listings.empty();
+    membership.epoch = epoch;
+    if (isFirst)
+        return true;
+    membership.next = 0;
+    membership.removalsKnownFrom = 0;
+    for (auto &[id, listing] : membership.listings)
+        listing.changed = 0;
+    for (auto &[id, removal] : membership.removed)
+        removal.changed = 0;
+    recordStoreContact(membership, false, now);
+    recordStoreContact(membership, true, now);
+    return true;
+}
+
 bool applyEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence,
                 std::uint64_t next)
 {
     const auto found = membership.listings.find(entry.id);
     bool isChange = found == membership.listings.end();
+    if (isChange && precedesRemoval(membership, entry, sequence))
+        return false;
     if (!isChange) {
         upstream_membership::listing &current = found->second;
         const bool isOlderStart = entry.started < current.entry.started;
@@ -66,6 +109,7 @@
             current.changed = std::max(current.changed, next);
         isChange = entry != current.entry;
     }
+    applyRegistration(membership.notices, entry);
     if (!isChange)
         return false;
     membership.removed.erase(entry.id);
--- a/src/policy/upstream_membership.h
+++ b/src/policy/upstream_membership.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "kernel/clock.h"
-#include "policy/routed_upstream.h"
+#include "policy/store_position.h"
+#include "policy/upstream_entry.h"
+#include "policy/upstream_notice.h"
 
 #include <map>
 #include <optional>
@@ -15,6 +17,7 @@
 ///
 /// Guards against outages of the store, in which the entries of live upstreams expire: an upstream
 /// whose entry goes missing around an outage stays in use until it has had time to register again.
+/// The same holds when the store comes back from an older copy of itself.
 struct upstream_membership
 {
     struct listing
@@ -25,15 +28,35 @@
         instant removalDeadline = instant::max(); ///< Of a missing entry; max() otherwise.
     };
 
+    struct removal
+    {
+        std::uint64_t changed = 0; ///< Offset of the removal.
+        std::uint64_t epoch = 0; ///< Of the store when the entry was removed.
+        std::int64_t started = 0; ///< Of the last entry.
+        std::int64_t sequence = 0; ///< Of the last entry.
+    };
+
     std::map<std::string, listing, std::less<>> listings; ///< By id.
-    std::map<std::string, std::uint64_t, std::less<>> removed; ///< Offset of the removal, by id.
+    std::map<std::string, removal, std::less<>> removed; ///< By id.
+    upstream_notices notices;
     std::uint64_t removalsKnownFrom = 0; ///< Offset after which `removed` has all removals.
+    std::uint64_t epoch = 0; ///< Of the store to which all offsets refer.
     std::uint64_t next = 0; ///< Offset up to which the list is complete.
     instant firstReadAt = instant::min(); ///< First read of the store's whole list.
     instant lastFailure = instant::min(); ///< Last failed call to the store.
     instant storeRecoveredAt = instant::min(); ///< First answer after `lastFailure`.
 };
 
+/// The position up to which the list is complete.
+store_position positionOf(const upstream_membership &membership);
+
+/// Starts a new epoch of the store: offsets known so far are void, and entries that are missing
+/// from the store have time to be registered again. False when @p epoch is not newer.
+///
+/// Entries of upstreams that were removed before are not listed again unless the upstream has
+/// registered since: the older copy may contain upstreams that are gone.
+bool enterEpoch(upstream_membership &membership, std::uint64_t epoch, instant now);
+
 /// Applies an entry whose record ends at offset @p next, unless the entry listed here is newer.
 /// True when more than the sequence changed.
 bool applyEntry(upstream_membership &membership, upstream_entry entry, std::int64_t sequence,
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -105,7 +105,7 @@
     feed_view desiredView()
     {
         feed_view view;
-        view.revision = target.desired ? target.desired->version : 0;
+        view.revision.offset = target.desired ? target.desired->version : 0;
         view.isStoreReachable
             = target.isDesiredReadAnswered || target.desiredConfirmedAt == instant::min();
         view.interval = settings.desiredWait;
@@ -117,7 +117,7 @@
     }
 
     /// Reads the store once. Returns false when the caller should pause before the next read.
-    asio::awaitable<bool> readDesired(std::optional<std::uint64_t> &from)
+    asio::awaitable<bool> readDesired(std::optional<store_position> &from)
     {
         auto page = co_await source.desired(from, settings.desiredWait);
         const bool isTruncated = !page && page.error().code == result_code::logTruncated;
@@ -163,7 +163,7 @@
 
     static asio::awaitable<void> followDesired(std::shared_ptr<state> self)
     {
-        std::optional<std::uint64_t> from;
+        std::optional<store_position> from;
         milliseconds wait = initialRetryDelay;
         while (!self->isStopped) {
             const feed_step step = planFeed(self->desiredView(), self->target.otherHostsLoad,
@@ -184,12 +184,18 @@
     {
         const instant now = clock.now();
         target.upstreamsConfirmedAt = now;
+        target.storeEpoch = std::max(target.storeEpoch, page.next.epoch);
+        const std::uint64_t before = target.membership.epoch;
+        if (enterEpoch(target.membership, page.next.epoch, now) && before > 0)
+            logWarning(
+                "store came back from an older copy",
+                {{"epoch", std::to_string(page.next.epoch)}, {"before", std::to_string(before)}});
         if (page.isSnapshot) {
-            recordWholeList(target.membership, page.next);
+            recordWholeList(target.membership, page.next.offset);
             if (target.membership.firstReadAt == instant::min())
                 target.membership.firstReadAt = now;
         } else {
-            advanceOffset(target.membership, page.next);
+            advanceOffset(target.membership, page.next.offset);
         }
         std::set<std::string> listed;
         bool isChanged = false;
@@ -205,7 +211,7 @@
             }
         }
         if (page.isSnapshot)
-            isChanged = removeUnlisted(listed, page.next, now) || isChanged;
+            isChanged = removeUnlisted(listed, page.next.offset, now) || isChanged;
         isChanged = removeExpired(target.membership, now) > 0 || isChanged;
         if (isChanged)
             publish();
@@ -228,7 +234,7 @@
     {
         feed_view view;
         view.isUpstreamList = true;
-        view.revision = target.membership.next;
+        view.revision = positionOf(target.membership);
         view.isStoreReachable
             = target.isUpstreamsReadAnswered || target.upstreamsConfirmedAt == instant::min();
         view.interval = settings.upstreamInterval;
@@ -244,11 +250,16 @@
     /// read. Sets @p isSnapshotNeeded for the next read.
     asio::awaitable<void> readUpstreams(bool &isSnapshotNeeded)
     {
-        std::optional<std::uint64_t> from;
+        std::optional<store_position> from;
         if (!isSnapshotNeeded)
-            from = target.membership.next;
-        const auto page = co_await source.upstreams(from);
+            from = positionOf(target.membership);
+        auto page = co_await source.upstreams(from);
         upstreamsReadAt = clock.now();
+        if (page && page->next.epoch < target.membership.epoch)
+            page
+                = makeError(result_code::logUnavailable,
+                            "the answer is of the store's epoch " + std::to_string(page->next.epoch)
+                                + ", before " + std::to_string(target.membership.epoch));
         const bool isTruncated = !page && page.error().code == result_code::logTruncated;
         target.isUpstreamsReadAnswered = page.has_value() || isTruncated;
         updateStoreReachability(target.isUpstreamsReadAnswered, page ? nullptr : &page.error());
@@ -261,16 +272,17 @@
 
     void applyPeerUpstreams(const peer_upstreams &known)
     {
-        const bool isChanged = applyChanges(target.membership, known.changes);
-        target.upstreamsConfirmedAt
-            = std::max(target.upstreamsConfirmedAt, clock.now() - known.age);
+        const bool isChanged = applyChanges(target.membership, known.changes, clock.now());
+        if (known.changes.epoch == target.membership.epoch)
+            target.upstreamsConfirmedAt
+                = std::max(target.upstreamsConfirmedAt, clock.now() - known.age);
         if (isChanged)
             publish();
     }
 
     asio::awaitable<void> fetchUpstreamsFrom(host_address host)
     {
-        const auto known = co_await fetchUpstreams(*client, host, target.membership.next);
+        const auto known = co_await fetchUpstreams(*client, host, positionOf(target.membership));
         if (known)
             applyPeerUpstreams(*known);
         else
--- a/src/route/host_directory.cpp
+++ b/src/route/host_directory.cpp
@@ -15,6 +15,9 @@
 // After this host's announcement. Hosts that start together have then announced themselves, too.
 constexpr milliseconds readDelay{1'500};
 constexpr milliseconds retryDelay{1'000};
+constexpr milliseconds epochCheckInterval{1'000};
+// Spreads the announcements of all hosts after the store has lost them.
+constexpr milliseconds reannounceDelayPerHost{5};
 
 } // namespace
 
@@ -38,6 +41,7 @@
     host_announcement own;
     std::vector<host_address> seeds;
     clock_source clock;
+    std::uint64_t announcedEpoch = 0; ///< Epoch of the store that has the announcement.
     bool isStopped = false;
 
     asio::awaitable<void> pause(microseconds time)
@@ -50,7 +54,9 @@
     {
         own.announcedAt = clock.wall();
         const auto done = co_await source.announce(own);
-        if (!done)
+        if (done)
+            announcedEpoch = *done;
+        else
             logWarning("host not announced", {{"cause", done.error().detail}});
         co_return done.has_value();
     }
@@ -83,6 +89,18 @@
         co_return true;
     }
 
+    /// Waits until the next announcement is due, which is soon if the store has come back from a
+    /// copy that lacks the last one.
+    asio::awaitable<void> waitForNextAnnouncement()
+    {
+        const instant due = clock.now() + announceInterval;
+        while (!isStopped && clock.now() < due && routing.storeEpoch <= announcedEpoch)
+            co_await pause(std::min<microseconds>(epochCheckInterval, due - clock.now()));
+        if (routing.storeEpoch > announcedEpoch)
+            co_await pause(reannounceDelayPerHost
+                           * (nameHash(toString(own.peer)) % routing.hostCount()));
+    }
+
     void addSeeds()
     {
         std::vector<host_announcement> hosts;
@@ -100,8 +118,10 @@
                 isDone = co_await self->readPeers();
             if (!isDone && !self->routing.hasReadPeers)
                 self->addSeeds();
-            co_await self->pause(isDone ? microseconds(announceInterval)
-                                        : microseconds(retryDelay));
+            if (isDone)
+                co_await self->waitForNextAnnouncement();
+            else
+                co_await self->pause(retryDelay);
         }
     }
 };
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -62,10 +62,11 @@
     load_hint hint;
     hint.desiredVersion = routing.desired ? routing.desired->version : 0;
     hint.desiredAge = advertisedAge(routing.desiredConfirmedAt, routing.isDesiredReadAnswered, now);
-    hint.upstreamsNext = advertisedOffset(routing.membership, now);
+    hint.upstreamsNext = {routing.membership.epoch, advertisedOffset(routing.membership, now)};
+    hint.notices = noticesToTell(routing.membership.notices, now);
     hint.upstreamsAge
         = advertisedAge(routing.upstreamsConfirmedAt,
-                        routing.isUpstreamsReadAnswered && hint.upstreamsNext > 0, now);
+                        routing.isUpstreamsReadAnswered && hint.upstreamsNext.offset > 0, now);
     for (const auto &[service, pool] : routing.pools) {
         for (const auto &[id, upstream] : pool.upstreams) {
             if (ownInFlight(upstream) > 0 && hint.upstreams.size() < maxUpstreamsPerHint)
@@ -104,8 +105,16 @@
     }
     message.set_desired_version(hint.desiredVersion);
     message.set_desired_age_ms(std::uint32_t(hint.desiredAge.count()));
-    message.set_upstreams_next(hint.upstreamsNext);
+    message.set_upstreams_next(hint.upstreamsNext.offset);
+    message.set_store_epoch(hint.upstreamsNext.epoch);
     message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
+    for (const told_notice &notice : hint.notices) {
+        wire::UpstreamNotice *row = message.add_notices();
+        row->set_upstream(notice.upstream);
+        row->set_started_ms(notice.started);
+        row->set_leaving(notice.isLeaving);
+        row->set_pause_ms(std::uint32_t(notice.pause.count()));
+    }
     return message.SerializeAsString();
 }
 
@@ -121,7 +130,7 @@
     hint.host = *host;
     hint.desiredVersion = message.desired_version();
     hint.desiredAge = milliseconds(message.desired_age_ms());
-    hint.upstreamsNext = message.upstreams_next();
+    hint.upstreamsNext = {message.store_epoch(), message.upstreams_next()};
     hint.upstreamsAge = milliseconds(message.upstreams_age_ms());
     hint.started = message.started_ms();
     hint.sequence = message.sequence();
@@ -135,6 +144,9 @@
     for (const wire::ServiceDemand &row : message.demands())
         hint.demands.push_back(
             {row.service(), row.sensitive_us_per_s() / 1000.0, double(row.sensitive_in_flight())});
+    for (const wire::UpstreamNotice &row : message.notices())
+        hint.notices.push_back(
+            {row.upstream(), row.started_ms(), row.leaving(), milliseconds(row.pause_ms())});
     return hint;
 }
 
@@ -215,7 +227,12 @@
             logInfo("host known", {{"host", toString(hint.host)}});
             routing.peers.push_back({hint.host, "", clock.wall()});
         }
-        applyHint(routing.otherHostsLoad, std::move(hint), clock.now());
+        routing.storeEpoch = std::max(routing.storeEpoch, hint.upstreamsNext.epoch);
+        const std::vector<told_notice> notices = hint.notices;
+        if (!applyHint(routing.otherHostsLoad, std::move(hint), clock.now()))
+            return;
+        for (const told_notice &notice : notices)
+            applyNotice(routing, notice, clock.now());
     }
 
     static asio::awaitable<void> receive(std::shared_ptr<state> self)
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -65,6 +65,7 @@
                          "the host's list of upstreams is not a valid message");
     peer_upstreams known;
     known.age = milliseconds(message.age_ms());
+    known.changes.epoch = message.store_epoch();
     known.changes.next = message.next();
     known.changes.isWholeList = message.whole_list();
     for (const wire::UpstreamListing &row : message.listings()) {
@@ -77,10 +78,11 @@
 }
 
 asio::awaitable<result<http_response>> queryHost(http_client &client, host_address host,
-                                                 std::string_view path, std::uint64_t after)
+                                                 std::string_view path, store_position after)
 {
     http_request request;
-    request.target = std::string(path) + "?after=" + std::to_string(after);
+    request.target = std::string(path) + "?after=" + std::to_string(after.offset)
+        + "&epoch=" + std::to_string(after.epoch);
     auto reply = co_await client.send(std::move(host), std::move(request), queryTimeout);
     if (!reply)
         co_return makeError(result_code::peerUnreachable, reply.error().detail);
@@ -116,10 +118,12 @@
         co_await exchange.respond(statusUnavailable, {}, "");
         co_return;
     }
-    const auto after = parseUnsigned(exchange.query("after")).value_or(0);
+    const store_position after{parseUnsigned(exchange.query("epoch")).value_or(0),
+                               parseUnsigned(exchange.query("after")).value_or(0)};
     const upstream_changes changes = changesSince(state.membership, after);
     wire::UpstreamChanges message;
     message.set_next(changes.next);
+    message.set_store_epoch(changes.epoch);
     message.set_whole_list(changes.isWholeList);
     message.set_age_ms(std::uint32_t(ageAt(state.upstreamsConfirmedAt, now).count()));
     for (const upstream_membership::listing &listing : changes.listings)
@@ -136,7 +140,7 @@
 asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
                                                    std::uint64_t after)
 {
-    const auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, after);
+    const auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after});
     if (!reply)
         co_return tl::unexpected(reply.error());
     const auto age = parseUnsigned(reply->header(ageField));
@@ -151,7 +155,7 @@
 }
 
 asio::awaitable<result<peer_upstreams>> fetchUpstreams(http_client &client, host_address host,
-                                                       std::uint64_t after)
+                                                       store_position after)
 {
     const auto reply = co_await queryHost(client, std::move(host), peerUpstreamsPath, after);
     if (!reply)
--- a/src/route/peer_calls.h
+++ b/src/route/peer_calls.h
@@ -25,7 +25,8 @@
 boost::asio::awaitable<void> answerDesired(http_exchange &exchange, const routing_state &state,
                                            instant now);
 
-/// Answers another host with the upstreams that changed after the query's offset `after`.
+/// Answers another host with the upstreams that changed after the query's offset `after` in the
+/// store's epoch `epoch`.
 boost::asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
                                              instant now);
 
@@ -47,6 +48,6 @@
 boost::asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
                                                           std::uint64_t after);
 boost::asio::awaitable<result<peer_upstreams>>
-fetchUpstreams(http_client &client, host_address host, std::uint64_t after);
+fetchUpstreams(http_client &client, host_address host, store_position after);
 
 } // namespace quincefall
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -32,7 +32,8 @@
 std::string formatRetryAfter(microseconds wait)
 {
     std::array<char, 24> text{};
-    std::snprintf(text.data(), text.size(), "%.2f", toMilliseconds(wait) / 1000);
+    // Rounded up, so that the caller does not come back too early.
+    std::snprintf(text.data(), text.size(), "%.2f", std::ceil(toMilliseconds(wait) / 10) / 100);
     return text.data();
 }
 
@@ -224,12 +225,21 @@
         return {};
     }
 
+    /// If all upstreams have asked for time, the caller should return when the first is usable.
+    void setRetryAfterPause(proxy_job &job)
+    {
+        const auto wait = timeUntilUsable(routing.pools[job.service()], clock.now());
+        if (!job.retryAfter && wait && wait->count() > 0)
+            job.retryAfter = std::chrono::ceil<milliseconds>(*wait);
+    }
+
     asio::awaitable<attempt_end> run(proxy_job &job)
     {
         attempt_end end = attempt_end::notRun;
         while (true) {
             const placement chosen = job.sends == 0 ? chooseOrRefuse(job) : choose(job);
             if (!chosen.upstream) {
+                setRetryAfterPause(job);
                 if (!job.lastFailure)
                     job.lastFailure = error{result_code::noUpstream,
                                             "service " + job.service() + " has no usable upstream"};
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -7,6 +7,31 @@
 namespace quincefall {
 namespace {
 
+/// Copies what the upstream told in its answers to its state in the pool.
+void copyNotice(const upstream_notices &notices, routed_upstream &upstream)
+{
+    upstream.listed.isLeaving = isLeaving(notices, upstream.listed);
+    const upstream_notice *notice = findNotice(notices, upstream.listed);
+    upstream.pausedUntil = notice ? notice->pausedUntil : instant::min();
+    upstream.othersPausedUntil = notice ? notice->othersPausedUntil : instant::min();
+}
+
+void recordNotice(routing_state &state, const upstream_entry &entry, const told_notice &told,
+                  notice_source source, instant now)
+{
+    upstream_notices &notices = state.membership.notices;
+    const char *heardFrom = source == notice_source::ownAnswer ? "answer" : "host";
+    if (told.isLeaving && recordLeaving(notices, entry, source, now))
+        logInfo("upstream says it is leaving", {{"upstream", entry.id}, {"source", heardFrom}});
+    if (recordPause(notices, entry, told.pause, source, now))
+        logInfo("upstream asked for a pause",
+                {{"upstream", entry.id},
+                 {"source", heardFrom},
+                 {"pause_ms", std::to_string(told.pause.count())}});
+    if (routed_upstream *upstream = findUpstream(state, entry))
+        copyNotice(notices, *upstream);
+}
+
 void applyListing(routing_state &state, const upstream_entry &entry,
                   const std::function<void(const host_address &)> &onGone)
 {
@@ -18,15 +43,16 @@
         onGone(upstream.listed.address);
         resetAfterRestart(upstream);
     }
-    const bool isChanged = isNew || upstream.listed.isLeaving != entry.isLeaving
-        || upstream.listed.started != entry.started;
+    const bool isChanged = isNew || upstream.listed.started != entry.started
+        || upstream.listed.isLeaving != isLeaving(state.membership.notices, entry);
     upstream.listed = entry;
+    copyNotice(state.membership.notices, upstream);
     if (isChanged)
         logInfo("upstream listed",
                 {{"upstream", entry.id},
                  {"service", entry.service},
                  {"address", toString(entry.address)},
-                 {"leaving", entry.isLeaving ? "yes" : "no"},
+                 {"leaving", upstream.listed.isLeaving ? "yes" : "no"},
                  {"started", std::to_string(entry.started)}});
 }
 
@@ -58,6 +84,25 @@
     return true;
 }
 
+void applyAnswerNotice(routing_state &state, const upstream_entry &entry, bool isLeaving,
+                       microseconds pause, instant now)
+{
+    if (!isLeaving && pause.count() <= 0)
+        return;
+    const told_notice told{entry.id, entry.started, isLeaving,
+                           std::chrono::ceil<milliseconds>(pause)};
+    recordNotice(state, entry, told, notice_source::ownAnswer, now);
+}
+
+void applyNotice(routing_state &state, const told_notice &notice, instant now)
+{
+    const auto listing = state.membership.listings.find(notice.upstream);
+    const bool isListed = listing != state.membership.listings.end()
+        && listing->second.entry.started == notice.started;
+    if (isListed)
+        recordNotice(state, listing->second.entry, notice, notice_source::otherHost, now);
+}
+
 void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone)
 {
     for (auto &[service, pool] : state.pools) {
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -28,6 +28,7 @@
     upstream_membership membership;
     bool isUpstreamsReadAnswered = false; ///< The store answered the last read.
     instant upstreamsConfirmedAt = instant::min(); ///< Last time the list was known to be complete.
+    std::uint64_t storeEpoch = 0; ///< Newest that this host or another one has seen.
     std::map<std::string, service_pool, std::less<>> pools; ///< By service.
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
     caller_timeouts callerTimeouts;
@@ -54,6 +55,14 @@
 /// Puts a desired state into force if it is newer than the one in force; returns whether it did.
 bool applyDesired(routing_state &state, desired_state desired, std::string text, instant now);
 
+/// Applies what the upstream of @p entry told in an answer to this host: that it is leaving, and
+/// for how long it wants no requests (0 for none).
+void applyAnswerNotice(routing_state &state, const upstream_entry &entry, bool isLeaving,
+                       microseconds pause, instant now);
+
+/// Applies what an upstream told another host.
+void applyNotice(routing_state &state, const told_notice &notice, instant now);
+
 /// Updates the pools from the membership. Upstreams that stay keep their measured load and health.
 /// Calls @p onGone with the address of each upstream that was removed or replaced.
 void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone);
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -3,7 +3,8 @@
 #include "kernel/result.h"
 #include "policy/desired_state.h"
 #include "policy/fleet_members.h"
-#include "policy/routed_upstream.h"
+#include "policy/store_position.h"
+#include "policy/upstream_entry.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -28,7 +29,7 @@
 struct upstream_page
 {
     std::vector<upstream_change> changes;
-    std::uint64_t next = 0; ///< Offset for the next read.
+    store_position next; ///< For the next read.
     bool isSnapshot = false; ///< `changes` has all upstreams that are listed.
 };
 
@@ -37,23 +38,24 @@
 {
     std::optional<desired_state> newest; ///< Empty when there is none newer.
     std::string text; ///< `newest` as the operator wrote it, for other hosts.
-    std::uint64_t next = 0; ///< Offset for the next read.
+    store_position next; ///< For the next read.
 };
 
-/// Reads desired state and upstreams from the platform, and the hosts' announcements. Without an
-/// offset `from`, reads return all current entries; with one, the changes after it. They fail with
-/// logTruncated when those changes are no longer kept, and with logUnavailable when the platform
-/// does not answer.
+/// Reads desired state and upstreams from the platform, and the hosts' announcements. Without a
+/// position `from`, reads return all current entries; with one, the changes after it. They fail
+/// with logTruncated when those changes are no longer kept or the store's epoch is a newer one, and
+/// with logUnavailable when the platform does not answer.
 struct state_source
 {
-    std::function<boost::asio::awaitable<result<desired_page>>(std::optional<std::uint64_t> from,
+    std::function<boost::asio::awaitable<result<desired_page>>(std::optional<store_position> from,
                                                                milliseconds wait)>
         desired;
-    std::function<boost::asio::awaitable<result<upstream_page>>(std::optional<std::uint64_t> from)>
+    std::function<boost::asio::awaitable<result<upstream_page>>(std::optional<store_position> from)>
         upstreams;
     std::function<result<desired_state>(const std::string &text)> decodeDesired;
-    /// Announces this host to the others. A failed call may have taken effect.
-    std::function<boost::asio::awaitable<result<void>>(host_announcement own)> announce;
+    /// Announces this host to the others; returns the store's epoch. A failed call may have taken
+    /// effect.
+    std::function<boost::asio::awaitable<result<std::uint64_t>>(host_announcement own)> announce;
     /// All announcements that were not withdrawn.
     std::function<boost::asio::awaitable<result<std::vector<host_announcement>>>()> hosts;
 };
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -140,6 +140,7 @@
     /// late answers to earlier requests on the connection.
     asio::awaitable<result<answer_head>> readHead(const wire_format &wire)
     {
+        bool hasSaidLeaving = false;
         while (true) {
             parser.emplace();
             parser->body_limit(maxAnswerBytes);
@@ -157,8 +158,10 @@
                 = !head.requestId.empty() && head.requestId != request.requestId;
             if (!isInterim && !isForOtherRequest) {
                 keepAlive = head.keepAlive.value_or(defaultKeepAlive);
+                head.isLeaving = head.isLeaving || hasSaidLeaving;
                 co_return head;
             }
+            hasSaidLeaving = hasSaidLeaving || (head.isLeaving && !head.isMisdirected);
             if (auto dropped = co_await dropBody(); !dropped)
                 co_return tl::unexpected(dropped.error());
         }
--- a/src/route/wire_format.h
+++ b/src/route/wire_format.h
@@ -48,6 +48,8 @@
     bool hasRunStamp = false; ///< Has the signature that an upstream adds when it ran a request.
     bool wasNotRun = false; ///< The upstream reports that it did not run the request.
     bool isMisdirected = false; ///< Another upstream now uses the address.
+    bool isLeaving = false; ///< The upstream says that it takes no new work.
+    std::optional<microseconds> pause; ///< Time for which it wants no requests; above 0.
     std::optional<upstream_load> load;
     std::optional<milliseconds> keepAlive; ///< Idle time limit of the connection.
     std::vector<http_header> forwardedFields; ///< Header fields for the caller, unchanged.
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -83,6 +83,38 @@
     BOOST_TEST(!head.keepAlive.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_says_that_it_is_leaving_with_any_status)
+{
+    const wire_format wire = makePlatformWireFormat();
+    for (const int status : {200, 421, 500, 503}) {
+        const std::vector<http_header> fields{{"server-leaving", "1"}};
+        BOOST_TEST(wire.readAnswer(status, fields).isLeaving);
+    }
+    for (const char *value : {"", "0", "2", "yes", "-1"}) {
+        const std::vector<http_header> fields{{"Server-Leaving", value}};
+        BOOST_TEST(!wire.readAnswer(200, fields).isLeaving, value);
+    }
+    BOOST_TEST(!wire.readAnswer(200, {}).isLeaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_for_time_is_read_in_seconds)
+{
+    const wire_format wire = makePlatformWireFormat();
+    const auto pauseOf = [&wire](const char *value, int status = 503) {
+        const std::vector<http_header> fields{{"Retry-After", value}};
+        return wire.readAnswer(status, fields).pause.value_or(microseconds(-1)).count();
+    };
+    BOOST_TEST(pauseOf("2") == 2'000'000);
+    BOOST_TEST(pauseOf(" 0.25 ") == 250'000);
+    BOOST_TEST(pauseOf("1e300") == 1'000'000'000'000'000);
+    BOOST_TEST(pauseOf("inf") == 1'000'000'000'000'000);
+    for (const char *value :
+         {"", "0", "-3", "soon", "nan", "2 s", "0x10", "Fri, 04 Dec 2026 05:00:00 GMT"})
+        BOOST_TEST(pauseOf(value) == -1, value);
+    BOOST_TEST(pauseOf("2", 200) == -1);
+    BOOST_TEST(pauseOf("2", 429) == -1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -19,6 +19,7 @@
     int port;
     std::uint64_t revision;
     milliseconds age;
+    std::uint64_t epoch = 0;
 };
 
 fleet_load makeOthers(std::initializer_list<other_host> hosts, instant now)
@@ -28,7 +29,7 @@
         load_hint hint;
         hint.host = hostAt(host.port);
         hint.sequence = 1;
-        hint.upstreamsNext = host.revision;
+        hint.upstreamsNext = {host.epoch, host.revision};
         hint.upstreamsAge = host.age;
         applyHint(others, hint, now);
     }
@@ -37,7 +38,7 @@
 
 feed_view makeView(std::uint64_t revision, milliseconds age, milliseconds sinceRead)
 {
-    return {revision, age, true, true, interval, sinceRead};
+    return {{0, revision}, age, true, true, interval, sinceRead};
 }
 
 BOOST_AUTO_TEST_SUITE(feed_plan_tests)
@@ -72,7 +73,7 @@
             load_hint hint;
             hint.host = hostAt(port);
             hint.sequence = 1;
-            hint.upstreamsNext = 5;
+            hint.upstreamsNext = {0, 5};
             if (port != own)
                 applyHint(others, hint, now);
         }
@@ -145,7 +146,7 @@
     refused.isStoreReachable = false;
     const auto step = planFeed(refused, others, hostAt(1), now);
     BOOST_TEST((step.action == feed_step::kind::askHost));
-    refused.revision = 9;
+    refused.revision.offset = 9;
     const auto informed = planFeed(refused, others, hostAt(1), now);
     BOOST_TEST((informed.action == feed_step::kind::readStore));
 }
@@ -159,6 +160,22 @@
     BOOST_TEST((latestConfirmation(makeView(4, seconds(9), seconds(9)), others) == instant::min()));
 }
 
+BOOST_AUTO_TEST_CASE(an_offset_of_a_newer_epoch_is_newer_even_if_it_is_lower)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load others = makeOthers(
+        {{2, 900, milliseconds(0), 4}, {3, 40, milliseconds(0), 5}, {4, 0, seconds(60), 6}}, now);
+    feed_view view = makeView(800, milliseconds(0), milliseconds(0));
+    view.revision.epoch = 4;
+    const auto step = planFeed(view, others, hostAt(1), now);
+    BOOST_TEST((step.action == feed_step::kind::askHost));
+    BOOST_TEST(step.host.port == 3);
+    // A host of an older epoch confirms nothing.
+    view.revision = {5, 900};
+    BOOST_TEST((latestConfirmation(view, others) == instant::min()));
+    BOOST_TEST((planFeed(view, others, hostAt(1), now).action == feed_step::kind::wait));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/policy/upstream_membership_test.cpp
+++ b/tests/policy/upstream_membership_test.cpp
@@ -54,7 +54,7 @@
     recordStoreContact(membership, true, at(0));
     BOOST_TEST(applyMissing(membership, "a", 20, at(10)));
     BOOST_TEST(membership.listings.empty());
-    BOOST_TEST(membership.removed.at("a") == 20U);
+    BOOST_TEST(membership.removed.at("a").changed == 20U);
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_expired_in_an_outage_has_time_to_return)
@@ -106,7 +106,7 @@
     applyEntry(membership, makeEntry("a"), 1, 30);
     BOOST_TEST(!applyRemoval(membership, "a", 20));
     BOOST_TEST(applyRemoval(membership, "a", 40));
-    BOOST_TEST(membership.removed.at("a") == 40U);
+    BOOST_TEST(membership.removed.at("a").changed == 40U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/not_run_test.py
+++ b/tests/process/not_run_test.py
@@ -103,7 +103,9 @@
         fleet.publish_defaults(slots=2, max_wait_ms=400)
         fleet.start_hosts(3)
         fleet.wait_ready()
-        crowded = check(fleet, lines, "crowd", {"complete", "not-run"})
+        # Each request takes longer than the longest wait, so that some are refused even if the
+        # callers start seconds apart.
+        crowded = check(fleet, lines, "crowd", {"complete", "not-run"}, token_delay_ms=25)
         lines.append(f"crowd: some complete {'complete' in crowded.values()}, "
                      f"some refused {'not-run' in crowded.values()}")
         lost = check(fleet, lines, "lost-answers", {"unknown", "not-run"}, lose_answers=1000,
--- a/tests/process/support/fleet.py
+++ b/tests/process/support/fleet.py
@@ -14,6 +14,7 @@
 CALLER_KEY = "caller-key-for-tests-only"
 CONFIG_STREAM = "config"
 ORGANISATION = "daycare"
+LOGGED_LINES = 300
 
 
 def binary(variable):
@@ -89,9 +90,16 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, failure, *_):
+        if failure:
+            self.print_logs()
         self.stop()
 
+    def print_logs(self):
+        """Prints the last lines that each host wrote, to explain a failed test."""
+        for name, host in self.hosts.items():
+            print(f"--- {name}", *host.process.stderr().splitlines()[-LOGGED_LINES:], sep="\n")
+
     # Starting and stopping.
 
     def start_standin(self, role, name, flags=None):
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -95,11 +95,13 @@
 class Store:
     """A log with keyed topics; log-newest returns the newest record of each key.
 
-    `mode` is "ok", "refuse" (503) or "hang" (no response). `calls` counts requests by path.
+    `mode` is "ok", "refuse" (503) or "hang" (no response). `calls` counts requests by path. `era`
+    is sent with all answers unless it is None.
     """
 
     def __init__(self, loop, topics=None):
         self.server = HttpServer(loop, self.answer)
+        self.era = 1
         self.topics = collections.defaultdict(list) if topics is None else topics
         self.mode = "ok"
         self.calls = collections.Counter()
@@ -108,6 +110,19 @@
         """Appends a record; a `value` of None deletes the key."""
         self.topics[topic].append((key, None if value is None else json.dumps(value).encode()))
 
+    def copy(self):
+        """A copy of the store's content for come_back_from()."""
+        return {topic: list(records) for topic, records in self.topics.items()}
+
+    def come_back_from(self, copy):
+        """Replaces the content with an older copy, in a new era. Open connections are reset."""
+        self.topics.clear()
+        self.topics.update({topic: list(records) for topic, records in copy.items()})
+        if self.era is not None:
+            self.era += 1
+        for writer in list(self.server.connections):
+            writer.transport.abort()
+
     def newest(self, topic):
         items = {}
         for offset, (key, value) in enumerate(self.topics[topic]):
@@ -126,6 +141,10 @@
             body += struct.pack(">I", len(content)) + content
         return body
 
+    def answer_bytes(self, status, body=b""):
+        era = [] if self.era is None else [("Store-Era", self.era)]
+        return answer_bytes(status, body, era)
+
     async def answer(self, writer, method, target, fields, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -133,23 +152,27 @@
         if self.mode == "hang":
             await asyncio.sleep(3600)
         if self.mode == "refuse":
-            writer.write(answer_bytes(503))
+            writer.write(self.answer_bytes(503))
         elif url.path == "/-/log-newest":
             page = {"items": self.newest(query["topic"]), "more": False,
                     "end": len(self.topics[query["topic"]])}
-            writer.write(answer_bytes(200, json.dumps(page).encode()))
+            writer.write(self.answer_bytes(200, json.dumps(page).encode()))
         elif url.path == "/-/log-read":
             wait_ms = int(query.get("wait_ms", 0))
-            writer.write(answer_bytes(
-                200, await self.read(query["topic"], int(query["from"]), wait_ms)))
+            start = int(query["from"])
+            if start > len(self.topics[query["topic"]]):
+                writer.write(self.answer_bytes(410, b'{"first":0}'))
+            else:
+                records = await self.read(query["topic"], start, wait_ms)
+                writer.write(self.answer_bytes(200, records))
         elif url.path == "/-/log-append":
             content = body[4:]
             size = content[0]
             self.topics[query["topic"]].append(
                 (content[1:1 + size].decode(), content[1 + size:] or None))
-            writer.write(answer_bytes(200, b'{"offset":0,"end":1}'))
+            writer.write(self.answer_bytes(200, b'{"offset":0,"end":1}'))
         else:
-            writer.write(answer_bytes(404))
+            writer.write(self.answer_bytes(404))
         await writer.drain()
         return True
 
@@ -161,7 +184,8 @@
     "hang" (runs, no response), "error" (runs, then 500), "full" (503, not run), "reset" (runs, then
     resets the connection), "crossed" (sends another request's response first) and "unstamped" (no
     Quincefall-Response-Stamp). `faults_left` is the number of requests that the fault still applies
-    to.
+    to. `pause` is the value of Retry-After with "full"; None leaves it out. With `is_leaving`, all
+    answers say so. `arrivals` counts all requests, also those that are turned away.
     """
 
     def __init__(self, loop, identity, service):
@@ -173,6 +197,9 @@
         self.event_seconds = 0.02
         self.fault = None
         self.faults_left = 10 ** 9
+        self.pause = None
+        self.is_leaving = False
+        self.arrivals = 0
         self.runs = collections.Counter()
         self.request_heads = {}
         self.aborted_streams = collections.Counter()
@@ -190,18 +217,21 @@
 
     async def answer(self, writer, method, target, fields, body):
         request = fields.get("quincefall-request-id", "")
+        self.arrivals += 1
+        leaving = [("Server-Leaving", "1")] if self.is_leaving else []
         if fields.get("quincefall-expect-instance") != self.identity:
             writer.write(answer_bytes(421, b"", [("Quincefall-Instance-Id", self.identity)]))
             await writer.drain()
             return True
         fault = self.next_fault()
         if fault == "full":
-            writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")]))
+            pause = [] if self.pause is None else [("Retry-After", self.pause)]
+            writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")] + pause + leaving))
             await writer.drain()
             return True
         self.runs[request] += 1
         self.request_heads[request] = dict(fields, method=method, target=target, body=body)
-        echo = [("Quincefall-Request-Id", request)]
+        echo = [("Quincefall-Request-Id", request)] + leaving
         stamp = [] if fault == "unstamped" else [
             ("Quincefall-Response-Stamp", f"{self.identity}.{request}")]
         if fault == "hang":
--- a/tests/route/load_exchange_test.cpp
+++ b/tests/route/load_exchange_test.cpp
@@ -21,7 +21,8 @@
     hint.demands = {{nameHash("service"), 12.5, 4}};
     hint.desiredVersion = 7;
     hint.desiredAge = milliseconds(20);
-    hint.upstreamsNext = 81;
+    hint.upstreamsNext = {3, 81};
+    hint.notices = {{"engine-7", 1700000000000, true, milliseconds(250)}};
     hint.upstreamsAge = milliseconds(30);
     return hint;
 }
@@ -39,7 +40,11 @@
     BOOST_TEST((read->upstreams.at(0).unreadTokens == sent.upstreams[0].unreadTokens));
     BOOST_TEST(read->demands.at(0).prefillMsPerSecond == 12.5);
     BOOST_TEST(read->desiredVersion == 7U);
-    BOOST_TEST(read->upstreamsNext == 81U);
+    BOOST_TEST((read->upstreamsNext == sent.upstreamsNext));
+    BOOST_TEST(read->notices.at(0).upstream == "engine-7");
+    BOOST_TEST(read->notices.at(0).started == 1700000000000);
+    BOOST_TEST(read->notices.at(0).isLeaving);
+    BOOST_TEST((read->notices.at(0).pause == milliseconds(250)));
     BOOST_TEST((read->upstreamsAge == sent.upstreamsAge));
 }
 
