Use the attempt budget of a large fleet, and wait for the first upstreams

A host's first balance is 430 x 0.45 / 195 = 0.99 attempts, and the credit of its requests was overwritten by it, so the first failure at each host was final; the log said cause=none. Of the store's 3,110 calls, a trial with a log line at each call found 1,860 reads of the list of upstreams, 1,383 of them in the first second, when all hosts asked every 130 ms for a list that was still empty.

Change: slack and credit are kept apart; the slack fills from the process's start, the credit decays within an eighth of the window, and a part of an attempt is drawn for. The shares of the slack add up to 1, also when all hosts start anew within a window; before, a full balance and a refill could be 1.35 of it. A host that caps the credit at half an attempt was tried: route_test failed (a 421 found no further attempt), since a single host could save up nothing. The log line says why no further attempt followed, and quincefall_attempts_denied_total counts it. While the list is empty, a read waits for the first entry.

--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -40,6 +40,8 @@
                 "Attempts that failed, by the code of the failure."},
     family_info{metric::sheds, "quincefall_sheds_total", "counter",
                 "Requests refused by a queue, by result code."},
+    family_info{metric::attemptsDenied, "quincefall_attempts_denied_total", "counter",
+                "Failed attempts that no further one followed because the budget was used up."},
     family_info{metric::crossRegionBytes, "quincefall_cross_region_bytes_total", "counter",
                 "Bytes of answers from engines of another region."},
     family_info{metric::queueWait, "quincefall_queue_wait_seconds", "histogram",
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -17,6 +17,7 @@
     wastedTokens, ///< Label cause.
     retries, ///< Label cause.
     sheds, ///< Label code.
+    attemptsDenied, ///< Label service.
     crossRegionBytes,
     queueWait, ///< Histogram in seconds; label class.
     firstToken, ///< Histogram in seconds; label class.
--- a/src/policy/attempt_budget.cpp
+++ b/src/policy/attempt_budget.cpp
@@ -1,42 +1,58 @@
 #include "policy/attempt_budget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quincefall {
 namespace {
 
-// Share of the slack that the hosts together get as their first balance, and as each window's
-// refill. Less than half, since both can be spent within one window. A full balance may be larger
-// than the first one (see maxRequestCredit), and can be spent together with a refill too.
-constexpr double slackShare = 0.45;
+// Shares of the slack that all hosts together get when they start, as each window's refill, and
+// that they can save up. The sum is 1: a host that restarts within a window may have spent all
+// three.
+constexpr double initialShare = 0.15;
+constexpr double refillShare = 0.3;
+constexpr double maxShare = 0.55;
 // Requests are counted where callers sent them; some never reach a host.
 constexpr double ratioShare = 0.8;
-// By how much a full balance may exceed one window's refill, in multiples of that refill. Meant for
-// credit from requests, but unspent refill counts too. A full balance is at least one attempt.
-constexpr double maxRequestCredit = 1.0;
+// Credit decays with this share of the window as its time constant, so that what has been saved up
+// when a window begins is small against what its requests earn.
+constexpr double creditTimeShare = 0.125;
+
+void decayCredit(attempt_budget &budget, const attempt_budget_rule &rule, instant now)
+{
+    const double windows = toMilliseconds(now - budget.creditAt) / double(rule.window.count());
+    budget.credit *= std::exp(-windows / creditTimeShare);
+    budget.creditAt = now;
+}
 
 } // namespace
 
-void depositAttempt(attempt_budget &budget, const attempt_budget_rule &rule)
+attempt_budget makeAttemptBudget(const attempt_budget_rule &rule, unsigned hosts, instant started)
+{
+    return {rule.slack * initialShare / std::max(1U, hosts), started, 0, started};
+}
+
+void depositAttempt(attempt_budget &budget, const attempt_budget_rule &rule, instant now)
 {
-    budget.balance += rule.ratio * ratioShare;
+    decayCredit(budget, rule, now);
+    budget.credit += rule.ratio * ratioShare;
 }
 
 bool tryWithdrawAttempt(attempt_budget &budget, const attempt_budget_rule &rule, unsigned hosts,
-                        instant now)
+                        double draw, instant now)
 {
-    const double hostSlack = rule.slack * slackShare / std::max(1U, hosts);
-    if (budget.refilledAt == instant::min())
-        budget.balance = hostSlack;
-    else
-        budget.balance
-            += hostSlack * toMilliseconds(now - budget.refilledAt) / double(rule.window.count());
+    const double hostSlack = rule.slack / std::max(1U, hosts);
+    const double windows = toMilliseconds(now - budget.refilledAt) / double(rule.window.count());
+    budget.slack = std::min(budget.slack + hostSlack * refillShare * windows, hostSlack * maxShare);
     budget.refilledAt = now;
-    budget.balance = std::min(budget.balance, std::max(1.0, hostSlack * (1 + maxRequestCredit)));
-    if (budget.balance < 1)
-        return false;
-    budget.balance -= 1;
-    return true;
+    decayCredit(budget, rule, now);
+    const double left = budget.slack + budget.credit;
+    // A part of an attempt is used up by a draw, so that the hosts together spend what they have.
+    const double spent = std::min(left, 1.0);
+    const double spentCredit = std::min(budget.credit, spent);
+    budget.credit -= spentCredit;
+    budget.slack -= spent - spentCredit;
+    return draw < left;
 }
 
 } // namespace quincefall
--- a/src/policy/attempt_budget.h
+++ b/src/policy/attempt_budget.h
@@ -5,11 +5,11 @@
 namespace quincefall {
 
 /// Limit on the further attempts, those after the first of each request, that the whole fleet sends
-/// to one service. For ratioShare and slackShare see attempt_budget.cpp.
+/// to one service. For the shares that hosts use of it see attempt_budget.cpp.
 struct attempt_budget_rule
 {
-    double ratio = 0.2; ///< Further attempts per request; only ratioShare of it is credited.
-    double slack = 0; ///< Additional ones per window; only slackShare of it is refilled.
+    double ratio = 0.2; ///< Further attempts per request.
+    double slack = 0; ///< Additional ones per window.
     milliseconds window{10'000};
 };
 
@@ -19,16 +19,26 @@
 /// each spends only its own part, and failures can't multiply the load on the remaining upstreams.
 struct attempt_budget
 {
-    double balance = 0;
-    instant refilledAt = instant::min();
+    double slack = 0; ///< Attempts left of the rule's slack.
+    instant refilledAt{}; ///< Of `slack`.
+    double credit = 0; ///< Attempts earned by recent requests.
+    instant creditAt{}; ///< Time of `credit`.
 };
 
-/// Credits the budget for one request, by ratioShare of the rule's ratio.
-void depositAttempt(attempt_budget &budget, const attempt_budget_rule &rule);
+/// The budget of a host whose process started at @p started. @p hosts is the number of hosts that
+/// share the slack.
+attempt_budget makeAttemptBudget(const attempt_budget_rule &rule, unsigned hosts, instant started);
 
-/// Withdraws one further attempt; false when this host's part is used up. @p hosts is the number of
-/// hosts that share the slack.
+/// Credits the budget for one request.
+void depositAttempt(attempt_budget &budget, const attempt_budget_rule &rule, instant now);
+
+/// Withdraws one further attempt; false when this host's part is used up. If the part is less than
+/// one attempt, it is granted with a probability of that part; @p draw is a random number from 0
+/// up to, but not including, 1.
+///
+/// The draw answers failures in a large fleet, where each host's part of the slack is below one
+/// attempt: without it the slack of all hosts together would go unused.
 bool tryWithdrawAttempt(attempt_budget &budget, const attempt_budget_rule &rule, unsigned hosts,
-                        instant now);
+                        double draw, instant now);
 
 } // namespace quincefall
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -17,6 +17,7 @@
 // The interval between two queries of one host is this times the number of hosts. It limits the
 // whole fleet to 500 queries a second for the desired state and 500 for the upstreams.
 constexpr milliseconds minQueryIntervalPerHost{2};
+constexpr milliseconds firstUpstreamWait{1'000}; // Of one read while the list is empty.
 constexpr milliseconds initialRetryDelay{100}; // After a failed read.
 constexpr milliseconds maxRetryDelay{500}; // Limits how late the store's recovery is noticed.
 
@@ -253,7 +254,10 @@
         std::optional<store_position> from;
         if (!isSnapshotNeeded)
             from = positionOf(target.membership);
-        auto page = co_await source.upstreams(from);
+        // When a fleet starts before its upstreams, all hosts wait for the first one.
+        const milliseconds wait
+            = target.membership.listings.empty() ? firstUpstreamWait : milliseconds(0);
+        auto page = co_await source.upstreams(from, wait);
         upstreamsReadAt = clock.now();
         if (page && page->next.epoch < target.membership.epoch)
             page
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -152,7 +152,11 @@
 /// Takes a further attempt from the budget if the request may run again.
 bool reserveFurtherAttempt(attempt_context &context, proxy_job &job)
 {
-    if (!mayRunAgain(job) || !context.takeFurtherAttempt(job))
+    if (!mayRunAgain(job)) {
+        job.noFurtherAttempt = "the route allows no further one";
+        return false;
+    }
+    if (!context.takeFurtherAttempt(job))
         return false;
     job.hasReservedAttempt = true;
     return true;
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -45,6 +45,7 @@
     event_splitter events{}; ///< Position in a stream, kept across attempts.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
     std::optional<error> lastFailure{};
+    std::string_view noFurtherAttempt = "none"; ///< Why a failed attempt was the last one.
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
     /// :first=, :gap= and :load=.
     std::string attemptLog{};
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds minRetryAfter{100};
 constexpr milliseconds connectTimeout{400}; // As in upstream_call.
 constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
+constexpr std::uint64_t drawSteps = 1'000'000; // Resolution of a draw.
 // Share of the time left; callers honour a Retry-After of up to a third of it.
 constexpr double maxRetryAfterShare = 0.3;
 
@@ -51,6 +52,7 @@
         , numbers(meters)
         , clock(std::move(clocks))
         , settings(std::move(values))
+        , started(clock.now())
         , attempts{routing, wire, connections, clock,
                    [this](proxy_job &job) { return takeFurtherAttempt(job); }}
     {
@@ -63,13 +65,30 @@
     metrics &numbers;
     clock_source clock;
     options settings;
+    instant started;
     attempt_context attempts;
     bool isRefusingNew = false;
 
     bool takeFurtherAttempt(proxy_job &job)
     {
-        return tryWithdrawAttempt(routing.budgets[job.service()], settings.budget,
-                                  routing.hostCount(), clock.now());
+        const std::string drawKey = job.request.id + "#" + std::to_string(job.sends);
+        const double draw = double(nameHash(drawKey) % drawSteps) / drawSteps;
+        const bool isTaken = tryWithdrawAttempt(budgetOf(job.service()), settings.budget,
+                                                routing.hostCount(), draw, clock.now());
+        if (!isTaken) {
+            job.noFurtherAttempt = "the attempt budget is used up";
+            numbers.add(metric::attemptsDenied, {{"service", job.service()}});
+        }
+        return isTaken;
+    }
+
+    attempt_budget &budgetOf(const std::string &service)
+    {
+        const auto row = routing.budgets.find(service);
+        if (row != routing.budgets.end())
+            return row->second;
+        return routing.budgets[service]
+            = makeAttemptBudget(settings.budget, routing.hostCount(), started);
     }
 
     bool isDesiredStateStale() const
@@ -125,7 +144,7 @@
         if (job.request.deadline)
             job.isCallerRetry
                 = detectCallerRetry(routing.callerTimeouts, route.name, *job.request.deadline);
-        depositAttempt(routing.budgets[job.service()], settings.budget);
+        depositAttempt(budgetOf(job.service()), settings.budget, job.arrived);
         if (!job.choice.service->engine || job.request.prompt.promptTokens <= 0)
             return;
         service_pool &pool = routing.pools[job.service()];
@@ -181,8 +200,10 @@
     bool mayContinue(proxy_job &job, attempt_end end)
     {
         const bool isRepeat = end == attempt_end::failed;
-        if (isRepeat && (!job.isRepeatable() || job.runs >= job.choice.route->maxAttempts))
+        if (isRepeat && (!job.isRepeatable() || job.runs >= job.choice.route->maxAttempts)) {
+            job.noFurtherAttempt = "the route allows no further one";
             return false;
+        }
         if (job.tried.size() >= maxUpstreamsTried || job.deadline - clock.now() < minUsefulTime)
             return false;
         if (job.sends == 0)
@@ -303,6 +324,7 @@
              {"took_ms", std::to_string(std::lround(tookMs))},
              {"limit_ms", std::to_string(std::lround(toMilliseconds(job.deadline - job.arrived)))},
              {"attempts", job.attemptLog},
+             {"no_further_attempt", std::string(job.noFurtherAttempt)},
              {"cause",
               end == attempt_end::answered || !job.lastFailure ? std::string("none")
                                                                : job.lastFailure->detail}});
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -42,15 +42,17 @@
 };
 
 /// Reads desired state and upstreams from the platform, and the hosts' announcements. Without a
-/// position `from`, reads return all current entries; with one, the changes after it. They fail
-/// with logTruncated when those changes are no longer kept or the store's epoch is a newer one, and
-/// with logUnavailable when the platform does not answer.
+/// position `from`, reads return all current entries; with one, the changes after it, the first of
+/// which they await for up to `wait`. They fail with logTruncated when those changes are no longer
+/// kept or the store's epoch is a newer one, and with logUnavailable when the platform does not
+/// answer.
 struct state_source
 {
     std::function<boost::asio::awaitable<result<desired_page>>(std::optional<store_position> from,
                                                                milliseconds wait)>
         desired;
-    std::function<boost::asio::awaitable<result<upstream_page>>(std::optional<store_position> from)>
+    std::function<boost::asio::awaitable<result<upstream_page>>(std::optional<store_position> from,
+                                                                milliseconds wait)>
         upstreams;
     std::function<result<desired_state>(const std::string &text)> decodeDesired;
     /// Announces this host to the others; returns the store's epoch. A failed call may have taken
