Revert "Send news at once in a large fleet"

Trace, from the log of edge-interior-a-4: at 15.0 s the desired state grew by 928 routes; from 16.1 s on that host, whose link has 10 Mbit/s, every connection to an engine timed out, hosts did not answer it, and requests reached engines two to four seconds late. With news sent at once, all 70 hosts ask the few that have the new version in the same moment, each for some hundred kB; before, hints spread the questions over an interval and hosts that had fetched it answered, too.

Ruled out: nothing else in the landing changes who fetches the desired state. To be tried again only with a bound on the bytes that a host sends to others, by its link.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -51,7 +51,6 @@
     std::unique_ptr<http_client> client;
     instant upstreamsReadAt = instant::min();
     std::function<void()> changeListener;
-    std::function<void()> storeNewsListener;
     std::function<void(const host_address &)> goneListener;
     bool isStopped = false;
     bool isStoreReachable = true;
@@ -75,13 +74,6 @@
             changeListener();
     }
 
-    void publishStoreNews()
-    {
-        publish();
-        if (storeNewsListener)
-            storeNewsListener();
-    }
-
     asio::awaitable<void> pause(milliseconds time)
     {
         asio::steady_timer timer(context, time);
@@ -94,7 +86,7 @@
         if (!page.newest)
             return;
         if (applyDesired(target, std::move(*page.newest), std::move(page.text), clock.now()))
-            publishStoreNews();
+            publish();
     }
 
     /// Drops the host's hint, so that the next step queries another host with the same version or
@@ -223,7 +215,7 @@
             isChanged = removeUnlisted(listed, page.next.offset, now) || isChanged;
         isChanged = removeExpired(target.membership, now) > 0 || isChanged;
         if (isChanged)
-            publishStoreNews();
+            publish();
     }
 
     bool removeUnlisted(const std::set<std::string> &listed, std::uint64_t next, instant now)
@@ -341,11 +333,6 @@
     m_state->changeListener = std::move(listener);
 }
 
-void feed::onStoreNews(std::function<void()> listener)
-{
-    m_state->storeNewsListener = std::move(listener);
-}
-
 void feed::onGone(std::function<void(const host_address &)> listener)
 {
     m_state->goneListener = std::move(listener);
