Bound the bytes of desired states that a host sends to others at once

Hosts answered up to 16 others at once, each with some hundred kB; on a link of 10 Mbit/s that takes seconds, in which the host's requests don't reach the engines.

Change: the desired states in answers at the same time are bounded to 300 kB, unless there is only one. A host that is refused asks another one, and each that has been answered can answer.

Result: the new case of route_test fails on the build before (the second query gets 200) and passes now.

--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -29,6 +29,9 @@
 // Limits concurrent answers to peers: a full list of thousands of upstreams takes some 100 kB, and
 // seconds on a slow link.
 constexpr std::size_t maxPeerAnswers = 16;
+// Size of the desired states in answers at the same time, unless there is only one answer: a
+// quarter of a second on a link of 10 Mbit/s, which callers' requests need, too.
+constexpr std::size_t maxDesiredAnswerBytes = 300'000;
 constexpr std::size_t maxIdlePerUpstream = 24; // A host has only few requests at one upstream.
 // The load balancer probes once a second and removes a host after two failed probes.
 constexpr milliseconds balancerRemovalTime{2'600};
@@ -98,6 +101,7 @@
     std::shared_ptr<connection_pool> connections;
     std::unique_ptr<kernel> services;
     std::size_t peerAnswers = 0; ///< In progress.
+    std::size_t desiredAnswerBytes = 0; ///< Of desired states in these answers.
     bool isStopping = false;
 
     result<void> addServer(const char *name, const host_address &listen,
@@ -123,16 +127,22 @@
     /// queries another one.
     asio::awaitable<void> answerStateQuery(http_exchange &exchange)
     {
-        if (peerAnswers >= maxPeerAnswers) {
+        const bool isDesired = exchange.path() == peerDesiredPath;
+        const std::size_t size = isDesired ? routing.desiredText.size() : 0;
+        const bool isTooLarge
+            = desiredAnswerBytes > 0 && desiredAnswerBytes + size > maxDesiredAnswerBytes;
+        if (peerAnswers >= maxPeerAnswers || (isDesired && isTooLarge)) {
             co_await exchange.respond(statusNotReady, {}, "");
             co_return;
         }
         ++peerAnswers;
-        if (exchange.path() == peerDesiredPath)
+        desiredAnswerBytes += size;
+        if (isDesired)
             co_await answerDesired(exchange, routing, clock.now());
         else
             co_await answerUpstreams(exchange, routing, clock.now());
         --peerAnswers;
+        desiredAnswerBytes -= size;
     }
 
     asio::awaitable<void> answerPeer(http_exchange &exchange)
--- a/tests/process/route_test.py
+++ b/tests/process/route_test.py
@@ -261,6 +261,34 @@
             self.assertEqual(sum(fleet.engines["d1"].runs.values()), before)
         self.assertEqual(fleet.codes, [0, 0, 0])
 
+    def test_a_large_desired_state_is_sent_to_one_other_host_at_a_time(self):
+        with RouteFleet() as fleet:
+            host = fleet.hosts[0]
+            # Larger than what the sockets' buffers take.
+            fleet.store.put("keyed.op", "config", desired_state(2, padding="x" * 16_000_000))
+            wait_for(lambda: any("desired state in force" in line and "version=2" in line
+                                 for line in host.lines()), "version 2")
+
+            def query():
+                peer = socket.create_connection((host.ip, host.peer), timeout=5)
+                peer.sendall(b"GET /desired-state?after=0 HTTP/1.1\r\nHost: h\r\n\r\n")
+                return peer, peer.recv(12)
+
+            slow, status = query()
+            self.assertEqual(status, b"HTTP/1.1 200")
+            other, status = query()
+            self.assertEqual(status, b"HTTP/1.1 503")
+            slow.close()
+            other.close()
+
+            def is_answered():
+                peer, status = query()
+                peer.close()
+                return status == b"HTTP/1.1 200"
+
+            wait_for(is_answered, "the next host to be answered", 3)
+        self.assertEqual(fleet.codes, [0])
+
     def test_hosts_that_start_before_the_upstreams_read_the_store_rarely(self):
         with RouteFleet() as fleet:
             host = fleet.hosts[0]
