--- a/tests/process/route_notice_test.py
+++ b/tests/process/route_notice_test.py
@@ -173,6 +173,31 @@
             wait_for(lambda: arrivals_during(fleet.engines["d1"],
                                              lambda: ask_many(host, "b")) > 0, "d1 to be used")
 
+    def test_an_answer_of_an_older_era_is_a_failed_call(self):
+        with RouteFleet() as fleet:
+            host = fleet.hosts[0]
+            fleet.store.era = 2
+            wait_for(lambda: has_line(host, "store came back from an older copy", "epoch=2"),
+                     "the new era")
+            fleet.store.era = 1
+            wait_for(lambda: has_line(host, "store lost", "epoch 1, before 2"), "the older era")
+            fleet.store.put("keyed.op", "config", desired_state(2, routes=[]))
+            time.sleep(1)
+            self.assertEqual(ask(host.caller, "v").status, 200)
+            fleet.store.era = 2
+            wait_for(lambda: ask(host.caller, "w").status == 404, "version 2", 4)
+
+    def test_a_host_whose_store_is_of_an_older_era_than_the_others_does_not_read_it(self):
+        with RouteFleet(hosts=3, own_stores=1) as fleet:
+            wait_for_discovery(fleet)
+            behind = fleet.hosts[2]
+            fleet.store.era = 2
+            wait_for(lambda: has_line(behind, "store lost", "epoch 1, before 2"),
+                     "the host to learn of the new era from the others", 20)
+            fleet.own_stores[0].era = 2
+            wait_for(lambda: has_line(behind, "store answers again"), "the store", 5)
+        self.assertEqual(fleet.codes, [0, 0, 0])
+
     def test_a_store_without_an_era_is_served_from_as_before(self):
         with RouteFleet() as fleet:
             fleet.store.era = None
