Log how state reaches a host from another one, and count the queries

Change: a line for each desired state received (source, bytes, time), query, time and received bytes in the line of a query that failed, and counters of queries by their end. A 503 of another host has its own result code. The answers to other hosts move from route_process to peer_calls, unchanged, so that a test can run them without the process.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -32,6 +32,15 @@
             toString(address) + ": " + code.message()};
 }
 
+error toError(const boost::system::error_code &code, const host_address &address,
+              std::size_t bodyBytes)
+{
+    error failure = toError(code, address);
+    if (bodyBytes > 0)
+        failure.detail += " after " + std::to_string(bodyBytes) + " bytes of the body";
+    return failure;
+}
+
 http::request<http::string_body> toBeast(const http_request &request, const host_address &address)
 {
     http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
@@ -221,7 +230,7 @@
         if (code) {
             if (isReused && code != beast::error::timeout)
                 continue;
-            co_return tl::unexpected(toError(code, address));
+            co_return tl::unexpected(toError(code, address, parser.get().body().size()));
         }
         auto &received = parser.get();
         http_response response;
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -5,6 +5,7 @@
 #include "policy/feed_plan.h"
 #include "route/peer_calls.h"
 
+#include <cmath>
 #include <set>
 
 namespace quincefall {
@@ -52,6 +53,7 @@
     instant upstreamsReadAt = instant::min();
     std::function<void()> changeListener;
     std::function<void(const host_address &)> goneListener;
+    counts numbers;
     bool isStopped = false;
     bool isStoreReachable = true;
 
@@ -85,16 +87,29 @@
         target.desiredConfirmedAt = clock.now();
         if (!page.newest)
             return;
+        logInfo("desired state received",
+                {{"source", "store"}, {"bytes", std::to_string(page.text.size())}});
         if (applyDesired(target, std::move(*page.newest), std::move(page.text), clock.now()))
             publish();
     }
 
     /// Drops the host's hint, so that the next step queries another host with the same version or
     /// offset, if there is one.
-    void recordUnansweredQuery(const host_address &host, const error &cause)
+    void recordUnansweredQuery(std::string_view query, const host_address &host, instant started,
+                               const error &cause)
     {
+        ++(cause.code == result_code::peerRejected ? numbers.rejected : numbers.failed);
         dropHostHint(target.otherHostsLoad, host);
-        logWarning("host did not answer", {{"host", toString(host)}, {"cause", cause.detail}});
+        logWarning("host did not answer",
+                   {{"host", toString(host)},
+                    {"query", std::string(query)},
+                    {"took_ms", millisecondsSince(started)},
+                    {"cause", cause.detail}});
+    }
+
+    std::string millisecondsSince(instant started) const
+    {
+        return std::to_string(std::lround(toMilliseconds(clock.now() - started)));
     }
 
     milliseconds ageOf(instant since) const
@@ -144,12 +159,19 @@
     asio::awaitable<void> fetchDesiredFrom(host_address host)
     {
         const std::uint64_t known = target.desired ? target.desired->version : 0;
+        const instant started = clock.now();
         auto answer = co_await fetchDesired(*client, host, known);
         if (!answer) {
-            recordUnansweredQuery(host, answer.error());
+            recordUnansweredQuery("desired state", host, started, answer.error());
             co_return;
         }
+        ++numbers.answered;
         if (answer->text) {
+            numbers.receivedBytes += answer->text->size();
+            logInfo("desired state received",
+                    {{"source", toString(host)},
+                     {"bytes", std::to_string(answer->text->size())},
+                     {"took_ms", millisecondsSince(started)}});
             auto desired = source.decodeDesired(*answer->text);
             if (!desired) {
                 logWarning("desired state of a host ignored",
@@ -286,11 +308,14 @@
 
     asio::awaitable<void> fetchUpstreamsFrom(host_address host)
     {
+        const instant started = clock.now();
         const auto known = co_await fetchUpstreams(*client, host, positionOf(target.membership));
-        if (known)
-            applyPeerUpstreams(*known);
-        else
-            recordUnansweredQuery(host, known.error());
+        if (!known) {
+            recordUnansweredQuery("upstreams", host, started, known.error());
+            co_return;
+        }
+        ++numbers.answered;
+        applyPeerUpstreams(*known);
     }
 
     static asio::awaitable<void> followUpstreams(std::shared_ptr<state> self)
@@ -349,4 +374,9 @@
     m_state->isStopped = true;
 }
 
+feed::counts feed::numbers() const
+{
+    return m_state->numbers;
+}
+
 } // namespace quincefall
--- a/src/route/feed.h
+++ b/src/route/feed.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -22,6 +23,15 @@
         milliseconds desiredWait{2'500}; ///< Long-poll limit of a read of the desired state.
     };
 
+    /// Queries of this host to other hosts, by their end, and what they brought.
+    struct counts
+    {
+        std::uint64_t answered = 0;
+        std::uint64_t rejected = 0; ///< The other host was busy.
+        std::uint64_t failed = 0;
+        std::uint64_t receivedBytes = 0; ///< Of desired states that were received whole.
+    };
+
     static std::unique_ptr<feed> makeFeed(boost::asio::io_context &context, routing_state &state,
                                           state_source source, options settings,
                                           const host_address &own, clock_source clock);
@@ -35,6 +45,7 @@
 
     void start();
     void stop();
+    counts numbers() const;
 
 private:
     struct state;
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -12,6 +12,12 @@
 
 constexpr std::string_view ageField = "X-Known-Age-Ms"; // Age of the answering host's copy.
 constexpr milliseconds queryTimeout{600}; // Several round trips between regions.
+// Limits concurrent answers: a full list of thousands of upstreams takes some 100 kB, and seconds
+// on a slow link.
+constexpr std::size_t maxAnswers = 16;
+// Size of the desired states in answers at the same time, unless there is only one answer: a
+// quarter of a second on a link of 10 Mbit/s, which callers' requests need, too.
+constexpr std::size_t maxDesiredAnswerBytes = 300'000;
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204; // The answering host has nothing newer.
 constexpr int statusUnavailable = 503;
@@ -86,14 +92,14 @@
     auto reply = co_await client.send(std::move(host), std::move(request), queryTimeout);
     if (!reply)
         co_return makeError(result_code::peerUnreachable, reply.error().detail);
+    if (reply->status == statusUnavailable)
+        co_return makeError(result_code::peerRejected, "the host answered 503");
     if (reply->status != statusOk && reply->status != statusNoContent)
         co_return makeError(result_code::peerUnreachable,
                             "the host answered " + std::to_string(reply->status));
     co_return reply;
 }
 
-} // namespace
-
 asio::awaitable<void> answerDesired(http_exchange &exchange, const routing_state &state,
                                     instant now)
 {
@@ -137,6 +143,29 @@
     co_await exchange.respond(statusOk, {}, std::move(body));
 }
 
+} // namespace
+
+asio::awaitable<void> answerStateQuery(http_exchange &exchange, const routing_state &state,
+                                       state_answers &answers, instant now)
+{
+    const bool isDesired = exchange.path() == peerDesiredPath;
+    const std::size_t size = isDesired ? state.desiredText.size() : 0;
+    const bool isTooLarge
+        = answers.desiredBytes > 0 && answers.desiredBytes + size > maxDesiredAnswerBytes;
+    if (answers.count >= maxAnswers || (isDesired && isTooLarge)) {
+        co_await exchange.respond(statusUnavailable, {}, "");
+        co_return;
+    }
+    ++answers.count;
+    answers.desiredBytes += size;
+    if (isDesired)
+        co_await answerDesired(exchange, state, now);
+    else
+        co_await answerUpstreams(exchange, state, now);
+    --answers.count;
+    answers.desiredBytes -= size;
+}
+
 asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
                                                    std::uint64_t after)
 {
--- a/src/route/peer_calls.h
+++ b/src/route/peer_calls.h
@@ -20,15 +20,19 @@
 inline constexpr std::string_view peerDesiredPath = "/desired-state";
 inline constexpr std::string_view peerUpstreamsPath = "/upstreams";
 
-/// Answers another host with the desired state in force here if its version is above the query's
-/// `after`.
-boost::asio::awaitable<void> answerDesired(http_exchange &exchange, const routing_state &state,
-                                           instant now);
+/// Answers to other hosts that are being sent.
+struct state_answers
+{
+    std::size_t count = 0;
+    std::size_t desiredBytes = 0; ///< Of the desired states in them.
+};
 
-/// Answers another host with the upstreams that changed after the query's offset `after` in the
-/// store's epoch `epoch`.
-boost::asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
-                                             instant now);
+/// Answers another host's query. At peerDesiredPath, with the desired state in force here if its
+/// version is above the query's `after`; at peerUpstreamsPath, with the upstreams that changed
+/// after the offset `after` in the store's epoch `epoch`. With 503 while too much is being sent; a
+/// host that is refused queries another one.
+boost::asio::awaitable<void> answerStateQuery(http_exchange &exchange, const routing_state &state,
+                                              state_answers &answers, instant now);
 
 /// Another host's answer about the desired state.
 struct peer_desired
@@ -44,7 +48,8 @@
     milliseconds age{0}; ///< Since that host last confirmed its list as complete.
 };
 
-/// Query another host for what is newer than @p after. Fail with peerUnreachable or messageInvalid.
+/// Query another host for what is newer than @p after. Fail with peerRejected when the host is busy
+/// or has nothing to give, and with peerUnreachable or messageInvalid.
 boost::asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
                                                           std::uint64_t after);
 boost::asio::awaitable<result<peer_upstreams>>
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -26,12 +26,6 @@
 // Read interval as a share of `leave_ms`: two reads fall into that time, so one of them may fail.
 constexpr double readIntervalShare = 0.4;
 constexpr milliseconds minReadInterval{200};
-// Limits concurrent answers to peers: a full list of thousands of upstreams takes some 100 kB, and
-// seconds on a slow link.
-constexpr std::size_t maxPeerAnswers = 16;
-// Size of the desired states in answers at the same time, unless there is only one answer: a
-// quarter of a second on a link of 10 Mbit/s, which callers' requests need, too.
-constexpr std::size_t maxDesiredAnswerBytes = 300'000;
 constexpr std::size_t maxIdlePerUpstream = 24; // A host has only few requests at one upstream.
 // The load balancer probes once a second and removes a host after two failed probes.
 constexpr milliseconds balancerRemovalTime{2'600};
@@ -100,8 +94,7 @@
     std::unique_ptr<metrics> numbers = metrics::makeMetrics();
     std::shared_ptr<connection_pool> connections;
     std::unique_ptr<kernel> services;
-    std::size_t peerAnswers = 0; ///< In progress.
-    std::size_t desiredAnswerBytes = 0; ///< Of desired states in these answers.
+    state_answers answers; ///< To other hosts.
     bool isStopping = false;
 
     result<void> addServer(const char *name, const host_address &listen,
@@ -123,32 +116,10 @@
         co_await exchange.respond(isReady ? statusReady : statusNotReady, {}, "");
     }
 
-    /// Answers another host's query for the desired state or the upstreams. A host that is refused
-    /// queries another one.
-    asio::awaitable<void> answerStateQuery(http_exchange &exchange)
-    {
-        const bool isDesired = exchange.path() == peerDesiredPath;
-        const std::size_t size = isDesired ? routing.desiredText.size() : 0;
-        const bool isTooLarge
-            = desiredAnswerBytes > 0 && desiredAnswerBytes + size > maxDesiredAnswerBytes;
-        if (peerAnswers >= maxPeerAnswers || (isDesired && isTooLarge)) {
-            co_await exchange.respond(statusNotReady, {}, "");
-            co_return;
-        }
-        ++peerAnswers;
-        desiredAnswerBytes += size;
-        if (isDesired)
-            co_await answerDesired(exchange, routing, clock.now());
-        else
-            co_await answerUpstreams(exchange, routing, clock.now());
-        --peerAnswers;
-        desiredAnswerBytes -= size;
-    }
-
     asio::awaitable<void> answerPeer(http_exchange &exchange)
     {
         if (exchange.path() == peerDesiredPath || exchange.path() == peerUpstreamsPath) {
-            co_await answerStateQuery(exchange);
+            co_await answerStateQuery(exchange, routing, answers, clock.now());
             co_return;
         }
         if (exchange.path() != "/metrics") {
@@ -183,6 +154,7 @@
         reader->onChange([this] { applyLimits(); });
         reader->onGone([this](const host_address &address) { connections->closeIdle(address); });
         feed &added = *reader;
+        addFeedMetrics(added);
         services->add("route.feed", std::move(reader),
                       {[&added]() -> result<void> {
                            added.start();
@@ -191,6 +163,21 @@
                        [&added] { added.stop(); }});
     }
 
+    void addFeedMetrics(const feed &reader)
+    {
+        const auto addQueries = [this](const std::string &end, std::function<double()> read) {
+            numbers->addCallbackMetric({"quincefall_state_queries_total", "counter",
+                                        "Queries to other hosts for newer state, by their end.",
+                                        "end=\"" + end + "\"", std::move(read)});
+        };
+        addQueries("answered", [&reader] { return double(reader.numbers().answered); });
+        addQueries("rejected", [&reader] { return double(reader.numbers().rejected); });
+        addQueries("failed", [&reader] { return double(reader.numbers().failed); });
+        numbers->addCallbackMetric({"quincefall_state_received_bytes_total", "counter",
+                                    "Bytes of desired states received from other hosts.", "",
+                                    [&reader] { return double(reader.numbers().receivedBytes); }});
+    }
+
     void addPeers(const state_source &source)
     {
         host_announcement own{values.peerListen, values.failureDomain, 0};
