--- /dev/null
+++ b/tests/feed/feed_fleet.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "route/feed.h"
+#include "route/load_exchange.h"
+#include "route/peer_calls.h"
+#include "serve/http_server.h"
+#include "slow_link.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <charconv>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace quincefall::testing {
+
+/// Text of a desired state: its version, and routes with names that do not repeat.
+inline std::string makeDesiredText(std::uint64_t version, int routes)
+{
+    static constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyz0123456789";
+    std::mt19937 random(7);
+    const auto word = [&random](int length) {
+        std::string text;
+        for (int index = 0; index < length; ++index)
+            text += letters[random() % letters.size()];
+        return text;
+    };
+    std::string text = std::to_string(version) + "\n";
+    for (int route = 0; route < routes; ++route)
+        text += R"({"name":"r-)" + word(7) + R"(","authority":"rounds.example","path_prefix":"/)"
+            + word(8)
+            + R"(/","route_type":"idempotent","timeout_ms":1200,"target_latency_ms":200,)"
+              R"("priority":2,"service":"desk"},)";
+    return text;
+}
+
+/// The store: one desired state, whose version is also its offset.
+class desired_store
+{
+public:
+    explicit desired_store(boost::asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    void publish(std::uint64_t version, std::string text)
+    {
+        m_version = version;
+        m_text = std::move(text);
+    }
+
+    /// Makes calls of a host fail.
+    void setAccess(int host, bool hasAccess) { m_access[host] = hasAccess; }
+
+    state_source makeSource(int host)
+    {
+        state_source source;
+        source.desired = [this, host](std::optional<store_position> from, milliseconds wait) {
+            return read(host, from ? from->offset : 0, wait);
+        };
+        source.upstreams
+            = [this](std::optional<store_position>, milliseconds) { return readUpstreams(); };
+        source.decodeDesired
+            = [](const std::string &text) -> result<desired_state> { return decode(text); };
+        return source;
+    }
+
+private:
+    static desired_state decode(const std::string &text)
+    {
+        desired_state desired;
+        std::from_chars(text.data(), text.data() + text.size(), desired.version);
+        return desired;
+    }
+
+    boost::asio::awaitable<void> pause(milliseconds time)
+    {
+        boost::asio::steady_timer timer(m_context, time);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+
+    bool hasAccess(int host) const
+    {
+        const auto found = m_access.find(host);
+        return found == m_access.end() || found->second;
+    }
+
+    boost::asio::awaitable<result<desired_page>> read(int host, std::uint64_t from,
+                                                      milliseconds wait)
+    {
+        const auto end = std::chrono::steady_clock::now() + wait;
+        while (hasAccess(host) && m_version <= from && std::chrono::steady_clock::now() < end)
+            co_await pause(milliseconds(5));
+        if (!hasAccess(host))
+            co_return makeError(result_code::logUnavailable, "no path to the store");
+        desired_page page;
+        page.next = {1, m_version};
+        if (m_version > from) {
+            page.newest = decode(m_text);
+            page.text = m_text;
+        }
+        co_return page;
+    }
+
+    boost::asio::awaitable<result<upstream_page>> readUpstreams()
+    {
+        co_await pause(seconds(1));
+        co_return upstream_page{{}, {1, 1}, true};
+    }
+
+    boost::asio::io_context &m_context;
+    std::map<int, bool> m_access; ///< By host; true for those that are missing.
+    std::uint64_t m_version = 0;
+    std::string m_text;
+};
+
+/// Hosts with their feeds, answers and hints, each on its own loopback address and behind its own
+/// slow link.
+class feed_fleet
+{
+public:
+    feed_fleet(boost::asio::io_context &context, int hosts, double linkBytesPerSecond)
+        : m_context(context)
+        , m_store(context)
+        , m_clock(makeSystemClock())
+    {
+        for (int index = 0; index < hosts; ++index)
+            m_hosts.push_back(makeHost(index, linkBytesPerSecond));
+        for (int index = 0; index < hosts; ++index)
+            startHost(index);
+    }
+
+    desired_store &store() { return m_store; }
+
+    std::size_t sentBytes() const
+    {
+        std::size_t sum = 0;
+        for (const auto &host : m_hosts)
+            sum += host->link->sentBytes();
+        return sum;
+    }
+
+    fleet_load &hintsAt(int host) { return m_hosts.at(std::size_t(host))->routing.otherHostsLoad; }
+
+    /// Hosts that have desired state @p version or a newer one in force.
+    std::size_t hostsWith(std::uint64_t version) const
+    {
+        return std::size_t(
+            std::count_if(m_hosts.begin(), m_hosts.end(), [version](const auto &host) {
+                return host->routing.desired && host->routing.desired->version >= version;
+            }));
+    }
+
+    std::size_t size() const { return m_hosts.size(); }
+
+    void runFor(milliseconds time) { m_context.run_for(time); }
+
+    /// Runs until all hosts have @p version or until @p limit has passed; returns the time taken.
+    milliseconds runUntilAllHave(std::uint64_t version, milliseconds limit)
+    {
+        const instant started = m_clock.now();
+        while (hostsWith(version) < size() && m_clock.now() - started < limit)
+            m_context.run_one_for(milliseconds(20));
+        return std::chrono::floor<milliseconds>(m_clock.now() - started);
+    }
+
+private:
+    struct feed_host
+    {
+        routing_state routing;
+        state_answers answers;
+        std::unique_ptr<http_server> server;
+        std::shared_ptr<slow_link> link;
+        host_address address; ///< At which the others reach it, that of its link.
+        std::unique_ptr<load_exchange> exchange;
+        std::unique_ptr<feed> reader;
+    };
+
+    std::unique_ptr<feed_host> makeHost(int index, double linkBytesPerSecond)
+    {
+        auto made = std::make_unique<feed_host>();
+        const std::string ip = "127.0.1." + std::to_string(index + 1);
+        http_server::options options;
+        options.listen = {ip, 0};
+        feed_host &self = *made;
+        auto server = http_server::makeHttpServer(
+            m_context, options, [this, &self](http_exchange &exchange) {
+                return answerStateQuery(exchange, self.routing, self.answers, m_clock.now());
+            });
+        BOOST_REQUIRE(server.has_value());
+        made->server = std::move(*server);
+        made->link
+            = slow_link::makeSlowLink(m_context, ip, made->server->port(), linkBytesPerSecond);
+        made->address = {ip, made->link->port()};
+        return made;
+    }
+
+    void startHost(int index)
+    {
+        feed_host &self = *m_hosts[std::size_t(index)];
+        for (const auto &other : m_hosts) {
+            if (other->address != self.address)
+                self.routing.peers.push_back({other->address, "", m_clock.wall()});
+        }
+        self.routing.hasReadPeers = true;
+        auto exchange = load_exchange::makeLoadExchange(
+            m_context, self.routing, {self.address.ip, exchangePort()}, self.address, m_clock);
+        BOOST_REQUIRE(exchange.has_value());
+        self.exchange = std::move(*exchange);
+        self.reader
+            = feed::makeFeed(m_context, self.routing, m_store.makeSource(index),
+                             {milliseconds(1'600), milliseconds(4'000)}, self.address, m_clock);
+        self.exchange->start();
+        self.reader->start();
+    }
+
+    /// A port that was free on the first call; all hosts use it, each on its own address.
+    std::uint16_t exchangePort()
+    {
+        if (m_exchangePort == 0) {
+            boost::asio::ip::udp::socket probe(m_context,
+                                               {boost::asio::ip::address_v4::loopback(), 0});
+            m_exchangePort = probe.local_endpoint().port();
+        }
+        return m_exchangePort;
+    }
+
+    boost::asio::io_context &m_context;
+    desired_store m_store;
+    clock_source m_clock;
+    std::uint16_t m_exchangePort = 0;
+    std::vector<std::unique_ptr<feed_host>> m_hosts;
+};
+
+} // namespace quincefall::testing
