Send the desired state to other hosts compressed

Class: the bytes for which a bound was set grew with the deployment, the time for them did not.

Cause: each change of the desired state moves the whole text to each host, here 620 kB for 2850 routes, also for one route more. A host sends one such state at a time, half a second each on its link; 874 queries were refused in ten seconds and 95 ended by their timeout with the transfer thrown away.

Change: the text is compressed once, by the host that read it from the store, with zstd at its lowest level; hosts pass on the bytes that they received. Accept-Encoding and Content-Encoding as in HTTP, so that a host of the old build gets and gives plain text. The bound on bytes in progress counts what is really sent: an answer that has nothing newer counted with the size of the whole state, and small answers were refused for their number, so a changed list of upstreams waited for bulk.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -89,7 +89,7 @@
             return;
         logInfo("desired state received",
                 {{"source", "store"}, {"bytes", std::to_string(page.text.size())}});
-        if (applyDesired(target, std::move(*page.newest), std::move(page.text), clock.now()))
+        if (applyDesired(target, std::move(*page.newest), std::move(page.text), {}, clock.now()))
             publish();
     }
 
@@ -167,10 +167,10 @@
         }
         ++numbers.answered;
         if (answer->text) {
-            numbers.receivedBytes += answer->text->size();
+            numbers.receivedBytes += answer->receivedBytes;
             logInfo("desired state received",
                     {{"source", toString(host)},
-                     {"bytes", std::to_string(answer->text->size())},
+                     {"bytes", std::to_string(answer->receivedBytes)},
                      {"took_ms", millisecondsSince(started)}});
             auto desired = source.decodeDesired(*answer->text);
             if (!desired) {
@@ -178,7 +178,8 @@
                            {{"host", toString(host)}, {"cause", desired.error().detail}});
                 co_return;
             }
-            if (applyDesired(target, std::move(*desired), std::move(*answer->text), clock.now()))
+            if (applyDesired(target, std::move(*desired), std::move(*answer->text),
+                             std::move(answer->compressed), clock.now()))
                 publish();
         }
         target.desiredConfirmedAt = std::max(target.desiredConfirmedAt, clock.now() - answer->age);
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -1,5 +1,6 @@
 #include "route/peer_calls.h"
 
+#include "clients/compression.h"
 #include "kernel/asio_headers.h"
 #include "peer.pb.h"
 
@@ -12,12 +13,12 @@
 
 constexpr std::string_view ageField = "X-Known-Age-Ms"; // Age of the answering host's copy.
 constexpr milliseconds queryTimeout{600}; // Several round trips between regions.
-// Limits concurrent answers: a full list of thousands of upstreams takes some 100 kB, and seconds
-// on a slow link.
-constexpr std::size_t maxAnswers = 16;
-// Size of the desired states in answers at the same time, unless there is only one answer: a
-// quarter of a second on a link of 10 Mbit/s, which callers' requests need, too.
-constexpr std::size_t maxDesiredAnswerBytes = 300'000;
+// Smaller answers are always sent: a change of a few upstreams must not wait for bulk.
+constexpr std::size_t maxSmallAnswerBytes = 16'000;
+// Size of the larger answers that are sent at the same time, unless there is only one: a quarter of
+// a second on a link of 10 Mbit/s, which callers' requests need, too.
+constexpr std::size_t maxBulkAnswerBytes = 300'000;
+constexpr std::size_t maxDesiredBytes = 64UL * 1024 * 1024; // Of a desired state, decompressed.
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204; // The answering host has nothing newer.
 constexpr int statusUnavailable = 503;
@@ -89,6 +90,7 @@
     http_request request;
     request.target = std::string(path) + "?after=" + std::to_string(after.offset)
         + "&epoch=" + std::to_string(after.epoch);
+    request.headers.emplace_back("Accept-Encoding", compressionName);
     auto reply = co_await client.send(std::move(host), std::move(request), queryTimeout);
     if (!reply)
         co_return makeError(result_code::peerUnreachable, reply.error().detail);
@@ -100,30 +102,45 @@
     co_return reply;
 }
 
-asio::awaitable<void> answerDesired(http_exchange &exchange, const routing_state &state,
-                                    instant now)
+/// A response that was prepared, so that its size is known before it is sent.
+struct state_answer
 {
-    if (!state.desired) {
-        co_await exchange.respond(statusUnavailable, {}, "");
-        co_return;
-    }
+    int status = statusOk;
     std::vector<response_header> headers;
+    std::string body;
+};
+
+bool acceptsCompressed(const http_exchange &exchange)
+{
+    return exchange.header("Accept-Encoding").find(compressionName) != std::string_view::npos;
+}
+
+state_answer makeDesiredAnswer(const http_exchange &exchange, const routing_state &state,
+                               instant now)
+{
+    if (!state.desired)
+        return {statusUnavailable, {}, {}};
     const auto age = ageAt(state.desiredConfirmedAt, now);
-    headers.push_back({std::string(ageField), std::to_string(age.count())});
+    state_answer answer;
+    answer.headers.push_back({std::string(ageField), std::to_string(age.count())});
     const auto known = parseUnsigned(exchange.query("after")).value_or(0);
-    const bool isNewer = state.desired->version > known;
-    std::string text = isNewer ? state.desiredText : "";
-    co_await exchange.respond(isNewer ? statusOk : statusNoContent, headers, std::move(text));
+    if (state.desired->version <= known) {
+        answer.status = statusNoContent;
+    } else if (acceptsCompressed(exchange)) {
+        answer.headers.push_back({"Content-Encoding", std::string(compressionName)});
+        answer.body = state.desiredCompressed;
+    } else {
+        answer.body = state.desiredText;
+    }
+    return answer;
 }
 
-asio::awaitable<void> answerUpstreams(http_exchange &exchange, const routing_state &state,
-                                      instant now)
+state_answer makeUpstreamsAnswer(const http_exchange &exchange, const routing_state &state,
+                                 instant now)
 {
     if (state.upstreamsConfirmedAt == instant::min()
-        || advertisedOffset(state.membership, now) == 0) {
-        co_await exchange.respond(statusUnavailable, {}, "");
-        co_return;
-    }
+        || advertisedOffset(state.membership, now) == 0)
+        return {statusUnavailable, {}, {}};
     const store_position after{parseUnsigned(exchange.query("epoch")).value_or(0),
                                parseUnsigned(exchange.query("after")).value_or(0)};
     const upstream_changes changes = changesSince(state.membership, after);
@@ -139,8 +156,7 @@
         row->set_id(removal.id);
         row->set_changed(removal.changed);
     }
-    std::string body = message.SerializeAsString();
-    co_await exchange.respond(statusOk, {}, std::move(body));
+    return {statusOk, {}, message.SerializeAsString()};
 }
 
 } // namespace
@@ -148,28 +164,23 @@
 asio::awaitable<void> answerStateQuery(http_exchange &exchange, const routing_state &state,
                                        state_answers &answers, instant now)
 {
-    const bool isDesired = exchange.path() == peerDesiredPath;
-    const std::size_t size = isDesired ? state.desiredText.size() : 0;
-    const bool isTooLarge
-        = answers.desiredBytes > 0 && answers.desiredBytes + size > maxDesiredAnswerBytes;
-    if (answers.count >= maxAnswers || (isDesired && isTooLarge)) {
-        co_await exchange.respond(statusUnavailable, {}, "");
-        co_return;
+    state_answer answer = exchange.path() == peerDesiredPath
+        ? makeDesiredAnswer(exchange, state, now)
+        : makeUpstreamsAnswer(exchange, state, now);
+    std::size_t bulk = answer.body.size() > maxSmallAnswerBytes ? answer.body.size() : 0;
+    if (answers.bulkBytes > 0 && answers.bulkBytes + bulk > maxBulkAnswerBytes && bulk > 0) {
+        answer = {statusUnavailable, {}, {}};
+        bulk = 0;
     }
-    ++answers.count;
-    answers.desiredBytes += size;
-    if (isDesired)
-        co_await answerDesired(exchange, state, now);
-    else
-        co_await answerUpstreams(exchange, state, now);
-    --answers.count;
-    answers.desiredBytes -= size;
+    answers.bulkBytes += bulk;
+    co_await exchange.respond(answer.status, answer.headers, std::move(answer.body));
+    answers.bulkBytes -= bulk;
 }
 
 asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
                                                    std::uint64_t after)
 {
-    const auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after});
+    auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after});
     if (!reply)
         co_return tl::unexpected(reply.error());
     const auto age = parseUnsigned(reply->header(ageField));
@@ -178,8 +189,18 @@
                             "the host's answer has no valid age field");
     peer_desired known;
     known.age = milliseconds(std::int64_t(*age));
-    if (reply->status == statusOk)
-        known.text = reply->body;
+    known.receivedBytes = reply->body.size();
+    if (reply->status != statusOk)
+        co_return known;
+    if (reply->header("Content-Encoding") != compressionName) {
+        known.text = std::move(reply->body);
+        co_return known;
+    }
+    auto text = decompress(reply->body, maxDesiredBytes);
+    if (!text)
+        co_return tl::unexpected(text.error());
+    known.text = std::move(*text);
+    known.compressed = std::move(reply->body);
     co_return known;
 }
 
--- a/src/route/peer_calls.h
+++ b/src/route/peer_calls.h
@@ -23,14 +23,13 @@
 /// Answers to other hosts that are being sent.
 struct state_answers
 {
-    std::size_t count = 0;
-    std::size_t desiredBytes = 0; ///< Of the desired states in them.
+    std::size_t bulkBytes = 0; ///< Of the large ones.
 };
 
 /// Answers another host's query. At peerDesiredPath, with the desired state in force here if its
 /// version is above the query's `after`; at peerUpstreamsPath, with the upstreams that changed
-/// after the offset `after` in the store's epoch `epoch`. With 503 while too much is being sent; a
-/// host that is refused queries another one.
+/// after the offset `after` in the store's epoch `epoch`. A large answer is replaced by 503 while
+/// others are being sent; a host that is refused queries another one.
 boost::asio::awaitable<void> answerStateQuery(http_exchange &exchange, const routing_state &state,
                                               state_answers &answers, instant now);
 
@@ -38,6 +37,8 @@
 struct peer_desired
 {
     std::optional<std::string> text; ///< Empty when that host has none newer.
+    std::string compressed; ///< `text` as it was sent, if it was sent compressed.
+    std::size_t receivedBytes = 0;
     milliseconds age{0}; ///< Since that host last confirmed it as the newest.
 };
 
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -1,5 +1,6 @@
 #include "route/routing_state.h"
 
+#include "clients/compression.h"
 #include "observe/log_setup.h"
 
 #include <utility>
@@ -67,7 +68,8 @@
     return row == pool->second.upstreams.end() ? nullptr : &row->second;
 }
 
-bool applyDesired(routing_state &state, desired_state desired, std::string text, instant now)
+bool applyDesired(routing_state &state, desired_state desired, std::string text,
+                  std::string compressed, instant now)
 {
     const bool isNewer = !state.desired || desired.version > state.desired->version;
     if (!isNewer)
@@ -79,6 +81,7 @@
              {"routes", std::to_string(desired.routes.size())},
              {"services", std::to_string(desired.services.size())}});
     state.desired = std::make_shared<const desired_state>(std::move(desired));
+    state.desiredCompressed = compressed.empty() ? compress(text) : std::move(compressed);
     state.desiredText = std::move(text);
     state.desiredConfirmedAt = now;
     return true;
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -23,6 +23,7 @@
 {
     std::shared_ptr<const desired_state> desired; ///< Null until one was received.
     std::string desiredText; ///< As the operator wrote it.
+    std::string desiredCompressed; ///< compress() of `desiredText`, for other hosts.
     instant desiredConfirmedAt = instant::min(); ///< Last time it was known to be the newest.
     bool isDesiredReadAnswered = false; ///< The store answered the last read.
     upstream_membership membership;
@@ -53,7 +54,9 @@
 routed_upstream *findUpstream(routing_state &state, const upstream_entry &entry);
 
 /// Puts a desired state into force if it is newer than the one in force; returns whether it did.
-bool applyDesired(routing_state &state, desired_state desired, std::string text, instant now);
+/// @p compressed is the text as another host sent it, empty to compress it here.
+bool applyDesired(routing_state &state, desired_state desired, std::string text,
+                  std::string compressed, instant now);
 
 /// Applies what the upstream of @p entry told in an answer to this host: that it is leaving, and
 /// for how long it wants no requests (0 for none).
