--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -202,16 +202,24 @@
 
 asio::awaitable<result<http_response>> http_client::send(host_address address, http_request request,
                                                          milliseconds timeout, connection_use use)
+{
+    auto response = co_await send(std::move(address), std::move(request),
+                                  call_timeouts{timeout, timeout, timeout}, use);
+    co_return response;
+}
+
+asio::awaitable<result<http_response>> http_client::send(host_address address, http_request request,
+                                                         call_timeouts timeouts, connection_use use)
 {
     const auto shared = m_state;
     const auto message = toBeast(request, address);
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const auto deadline = std::chrono::steady_clock::now() + timeouts.total;
     while (true) {
         auto stream
             = use == connection_use::reuse ? toTcpStream(shared->pool->takeIdle(address)) : nullptr;
         const bool isReused = stream != nullptr;
         if (!isReused) {
-            auto fresh = co_await shared->connect(address, timeout);
+            auto fresh = co_await shared->connect(address, timeouts.response);
             if (!fresh)
                 co_return tl::unexpected(fresh.error());
             stream = std::move(*fresh);
@@ -219,13 +227,17 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxResponseBytes);
-        stream->expires_at(deadline);
+        const auto setExpiry = [&stream, deadline](milliseconds time) {
+            stream->expires_at(std::min(deadline, std::chrono::steady_clock::now() + time));
+        };
+        setExpiry(timeouts.response);
         const auto [writeCode, written] = co_await http::async_write(*stream, message, asTuple);
         boost::system::error_code code = writeCode;
-        if (!code) {
+        while (!code && !parser.is_done()) {
             const auto [readCode, size]
-                = co_await http::async_read(*stream, buffer, parser, asTuple);
+                = co_await http::async_read_some(*stream, buffer, parser, asTuple);
             code = readCode;
+            setExpiry(timeouts.silence);
         }
         if (code) {
             if (isReused && code != beast::error::timeout)
--- a/src/clients/http_client.h
+++ b/src/clients/http_client.h
@@ -61,6 +61,15 @@
     std::unique_ptr<state> m_state;
 };
 
+/// Time limits of one call. A large response on a slow link may take long, as long as it makes
+/// progress.
+struct call_timeouts
+{
+    milliseconds response; ///< Until the first byte of the response.
+    milliseconds silence; ///< Between two reads of the response.
+    milliseconds total; ///< Of the whole call.
+};
+
 /// HTTP/1.1 client that keeps connections open for reuse.
 class http_client
 {
@@ -74,9 +83,13 @@
     static std::unique_ptr<http_client> makeHttpClient(boost::asio::io_context &context);
     ~http_client();
 
-    /// Sends @p request and reads the whole response within @p timeout. Fails with
-    /// upstreamUnreachable when nothing was sent, and with upstreamFailed or upstreamTimeout when
-    /// the request may have arrived.
+    /// Sends @p request and reads the whole response. Fails with upstreamUnreachable when nothing
+    /// was sent, and with upstreamFailed or upstreamTimeout when the request may have arrived.
+    boost::asio::awaitable<result<http_response>> send(host_address address, http_request request,
+                                                       call_timeouts timeouts,
+                                                       connection_use use = connection_use::reuse);
+
+    /// Sends @p request and reads the whole response within @p timeout.
     boost::asio::awaitable<result<http_response>> send(host_address address, http_request request,
                                                        milliseconds timeout,
                                                        connection_use use = connection_use::reuse);
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -12,7 +12,9 @@
 namespace asio = boost::asio;
 
 constexpr std::string_view ageField = "X-Known-Age-Ms"; // Age of the answering host's copy.
-constexpr milliseconds queryTimeout{600}; // Several round trips between regions.
+// Several round trips between regions until the answer begins, and between two of its parts. In
+// total as long as a change may take, but with time left to ask another host.
+constexpr call_timeouts queryTimeouts{milliseconds(600), milliseconds(600), milliseconds(3'000)};
 // Smaller answers are always sent: a change of a few upstreams must not wait for bulk.
 constexpr std::size_t maxSmallAnswerBytes = 16'000;
 // Size of the larger answers that are sent at the same time, unless there is only one: a quarter of
@@ -91,7 +93,7 @@
     request.target = std::string(path) + "?after=" + std::to_string(after.offset)
         + "&epoch=" + std::to_string(after.epoch);
     request.headers.emplace_back("Accept-Encoding", compressionName);
-    auto reply = co_await client.send(std::move(host), std::move(request), queryTimeout);
+    auto reply = co_await client.send(std::move(host), std::move(request), queryTimeouts);
     if (!reply)
         co_return makeError(result_code::peerUnreachable, reply.error().detail);
     if (reply->status == statusUnavailable)
--- a/tests/feed/feed_fleet.h
+++ b/tests/feed/feed_fleet.h
@@ -4,7 +4,7 @@
 #include "route/load_exchange.h"
 #include "route/peer_calls.h"
 #include "serve/http_server.h"
-#include "slow_link.h"
+#include "support/slow_link.h"
 
 #include <boost/test/unit_test.hpp>
 
