Keep a host that refuses a query among the known ones

Cause: a 503 of another host was taken for a host that does not answer.

Change: a host that refused is not asked for 250 ms, the time in which it sends what it allows at once, and keeps its hint. The refusals are counted and no longer logged.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -31,21 +31,28 @@
     return revision.offset > 0 && revision > than;
 }
 
-/// One of the hosts with the newest revision, or null if it is not newer than this host's. The
-/// choice depends on @p own, so that not all hosts ask the same one at the same time.
+bool isNewerKnown(const feed_view &view, const fleet_load &others)
+{
+    return std::any_of(others.hosts.begin(), others.hosts.end(), [&view](const auto &row) {
+        return isNewer(revisionOf(view, row.second), view.revision);
+    });
+}
+
+/// Of the hosts that are not busy, one with the newest revision; null if it is not newer than this
+/// host's. The choice depends on @p own, so that not all hosts ask the same one at the same time.
 const fleet_load::entry *mostUpToDateHost(const feed_view &view, const fleet_load &others,
-                                          const host_address &own)
+                                          const host_address &own, instant now)
 {
     store_position newest = view.revision;
     for (const auto &[address, entry] : others.hosts) {
-        if (isNewer(revisionOf(view, entry), newest))
+        if (entry.busyUntil <= now && isNewer(revisionOf(view, entry), newest))
             newest = revisionOf(view, entry);
     }
     const std::uint64_t key = nameHash(toString(own));
     const fleet_load::entry *best = nullptr;
     std::uint64_t bestScore = 0;
     for (const auto &[address, entry] : others.hosts) {
-        if (newest == view.revision || revisionOf(view, entry) != newest)
+        if (newest == view.revision || revisionOf(view, entry) != newest || entry.busyUntil > now)
             continue;
         const std::uint64_t score = nameHash(toString(address) + std::to_string(key));
         if (best && score <= bestScore)
@@ -86,14 +93,14 @@
                    instant now)
 {
     feed_step step;
-    const fleet_load::entry *newerHost = mostUpToDateHost(view, others, own);
+    const fleet_load::entry *newerHost = mostUpToDateHost(view, others, own, now);
     const bool isDue = view.sinceRead >= view.interval;
     const bool isOutdated = view.revision.offset > 0 && view.age >= view.interval * maxMissedReads;
     const bool mayRead
         = view.revision.offset == 0 || isOutdated || isReader(view, others, own, now);
     // After a failed read the next would probably fail too, so a newer revision is fetched from
     // another host instead.
-    if (isDue && mayRead && (view.isStoreReachable || !newerHost)) {
+    if (isDue && mayRead && (view.isStoreReachable || !isNewerKnown(view, others))) {
         step.action = feed_step::kind::readStore;
     } else if (newerHost) {
         step.action = feed_step::kind::askHost;
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -13,7 +13,7 @@
 struct feed_step
 {
     enum class kind {
-        wait, ///< No newer revision is known, and this host has no read of the store due.
+        wait, ///< No free host has a newer revision, and no read of the store is due.
         readStore,
         askHost, ///< `host` has a newer revision.
     };
--- a/src/policy/fleet_load.cpp
+++ b/src/policy/fleet_load.cpp
@@ -59,12 +59,20 @@
         if (stamp <= std::pair(current.started, current.sequence))
             return false;
     }
-    const host_address host = hint.host;
-    load.hosts[host] = {std::move(hint), now};
+    fleet_load::entry &entry = load.hosts[hint.host];
+    entry.hint = std::move(hint);
+    entry.received = now;
     load.areSumsCurrent = false;
     return true;
 }
 
+void recordBusyHost(fleet_load &load, const host_address &host, instant until)
+{
+    const auto found = load.hosts.find(host);
+    if (found != load.hosts.end())
+        found->second.busyUntil = until;
+}
+
 void dropExpiredHints(fleet_load &load, microseconds lifetime, instant now)
 {
     const auto dropped = std::erase_if(load.hosts, [lifetime, now](const auto &row) {
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -65,6 +65,7 @@
     {
         load_hint hint;
         instant received;
+        instant busyUntil = instant::min(); ///< It refused a query for its state.
     };
 
     std::map<host_address, entry> hosts;
@@ -82,6 +83,9 @@
 /// Drops hints that were not renewed within @p lifetime.
 void dropExpiredHints(fleet_load &load, microseconds lifetime, instant now);
 
+/// Records that a host refused a query for its state and is not to be asked before @p until.
+void recordBusyHost(fleet_load &load, const host_address &host, instant until);
+
 /// Drops the hint of a host that did not answer; its next hint is accepted again.
 void dropHostHint(fleet_load &load, const host_address &host);
 
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -18,6 +18,7 @@
 // The interval between two queries of one host is this times the number of hosts. It limits the
 // whole fleet to 500 queries a second for the desired state and 500 for the upstreams.
 constexpr milliseconds minQueryIntervalPerHost{2};
+constexpr milliseconds busyHostPause{250}; // A host sends the answers that it allows in this time.
 constexpr milliseconds firstUpstreamWait{1'000}; // Of one read while the list is empty.
 constexpr milliseconds initialRetryDelay{100}; // After a failed read.
 constexpr milliseconds maxRetryDelay{500}; // Limits how late the store's recovery is noticed.
@@ -93,12 +94,18 @@
             publish();
     }
 
-    /// Drops the host's hint, so that the next step queries another host with the same version or
-    /// offset, if there is one.
+    /// Makes the next step query another host with the same version or offset, if there is one. A
+    /// host that refused has only to be left alone for a moment; the hint of one that did not
+    /// answer is dropped.
     void recordUnansweredQuery(std::string_view query, const host_address &host, instant started,
                                const error &cause)
     {
-        ++(cause.code == result_code::peerRejected ? numbers.rejected : numbers.failed);
+        if (cause.code == result_code::peerRejected) {
+            ++numbers.rejected;
+            recordBusyHost(target.otherHostsLoad, host, clock.now() + busyHostPause);
+            return;
+        }
+        ++numbers.failed;
         dropHostHint(target.otherHostsLoad, host);
         logWarning("host did not answer",
                    {{"host", toString(host)},
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -115,6 +115,33 @@
     BOOST_TEST(step.host.port == 2);
 }
 
+// A host that refused a query was forgotten with its load until its next hint.
+BOOST_AUTO_TEST_CASE(a_busy_host_keeps_its_load_and_is_asked_again_when_it_is_free)
+{
+    const instant now = instant{} + seconds(100);
+    fleet_load others = makeOthers({{2, 7, milliseconds(0)}, {3, 9, milliseconds(0)}}, now);
+    recordBusyHost(others, hostAt(3), now + milliseconds(250));
+    const feed_view view = makeView(5, milliseconds(0), milliseconds(0));
+    BOOST_TEST(planFeed(view, others, hostAt(1), now).host.port == 2);
+    BOOST_TEST(planFeed(view, others, hostAt(1), now + milliseconds(250)).host.port == 3);
+    BOOST_TEST(others.hosts.size() == 2U);
+
+    load_hint renewed = others.hosts.at(hostAt(3)).hint;
+    ++renewed.sequence;
+    applyHint(others, renewed, now);
+    BOOST_TEST(planFeed(view, others, hostAt(1), now).host.port == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_the_store_does_not_read_it_while_the_others_are_busy)
+{
+    const instant now = instant{} + seconds(100);
+    fleet_load others = makeOthers({{2, 7, milliseconds(0)}}, now);
+    recordBusyHost(others, hostAt(2), now + milliseconds(250));
+    feed_view view = makeView(5, milliseconds(0), seconds(2));
+    view.isStoreReachable = false;
+    BOOST_TEST((planFeed(view, others, hostAt(1), now).action == feed_step::kind::wait));
+}
+
 BOOST_AUTO_TEST_CASE(readers_without_answers_from_the_store_are_replaced)
 {
     const instant now = instant{} + seconds(100);
