Send news at once

Class: an interval that grows with the fleet carries news that has a fixed bound.

Cause: a host learns from hints that another one has a newer desired state or list of upstreams. Hints go out every 8 ms a host of the fleet: 0.47 s at 59 hosts, 1.6 s at 195, 2.8 s at 354. A reader reads the list every 0.4 of the bound, 1.6 s of 4 s; with the hint's 2.8 s that is more than the bound, without any fault.

The case of load_exchange_test needs sendSoon().

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -53,6 +53,7 @@
     std::unique_ptr<http_client> client;
     instant upstreamsReadAt = instant::min();
     std::function<void()> changeListener;
+    std::function<void()> storeNewsListener;
     std::function<void(const host_address &)> goneListener;
     counts numbers;
     bool isStopped = false;
@@ -77,6 +78,13 @@
             changeListener();
     }
 
+    void publishStoreNews()
+    {
+        publish();
+        if (storeNewsListener)
+            storeNewsListener();
+    }
+
     asio::awaitable<void> pause(milliseconds time)
     {
         asio::steady_timer timer(context, time);
@@ -91,7 +99,7 @@
         logInfo("desired state received",
                 {{"source", "store"}, {"bytes", std::to_string(page.text.size())}});
         if (applyDesired(target, std::move(*page.newest), std::move(page.text), {}, clock.now()))
-            publish();
+            publishStoreNews();
     }
 
     /// Makes the next step query another host with the same version or offset, if there is one. A
@@ -245,7 +253,7 @@
             isChanged = removeUnlisted(listed, page.next.offset, now) || isChanged;
         isChanged = removeExpired(target.membership, now) > 0 || isChanged;
         if (isChanged)
-            publish();
+            publishStoreNews();
     }
 
     bool removeUnlisted(const std::set<std::string> &listed, std::uint64_t next, instant now)
@@ -366,6 +374,11 @@
     m_state->changeListener = std::move(listener);
 }
 
+void feed::onStoreNews(std::function<void()> listener)
+{
+    m_state->storeNewsListener = std::move(listener);
+}
+
 void feed::onGone(std::function<void(const host_address &)> listener)
 {
     m_state->goneListener = std::move(listener);
--- a/src/route/feed.h
+++ b/src/route/feed.h
@@ -40,6 +40,9 @@
     /// Called after each change of the desired state or the upstreams.
     void onChange(std::function<void()> listener);
 
+    /// Called after each change that this host read from the store itself.
+    void onStoreNews(std::function<void()> listener);
+
     /// Called with the address of each upstream that was removed or replaced.
     void onGone(std::function<void(const host_address &)> listener);
 
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -21,6 +21,7 @@
 constexpr int maxMissedHints = 5;
 constexpr milliseconds minHintLifetime{1'200};
 constexpr milliseconds unavailableAge{60'000};
+constexpr milliseconds minSendPause{200}; // Between two hints.
 // Hints give unread tokens in multiples of this, which makes them shorter.
 constexpr double unreadTokensPerUnit = 16;
 
@@ -157,6 +158,7 @@
         : context(io)
         , routing(target)
         , socket(io)
+        , sendTimer(io)
         , host(peer)
         , clock(std::move(clocks))
         , started(std::uint64_t(clock.wall()))
@@ -166,12 +168,15 @@
     asio::io_context &context;
     routing_state &routing;
     udp::socket socket;
+    asio::steady_timer sendTimer;
     host_address host;
     clock_source clock;
     std::uint64_t started;
     std::uint64_t sequence = 0;
     std::uint16_t port = 0;
     counts numbers;
+    instant sentAt = instant::min();
+    instant nextSend = instant::max(); ///< Planned.
     bool isStopped = false;
 
     void sendAll()
@@ -195,17 +200,31 @@
 
     static asio::awaitable<void> send(std::shared_ptr<state> self)
     {
-        asio::steady_timer timer(self->context);
         while (!self->isStopped) {
             const milliseconds interval = hintInterval(self->routing.hostCount());
-            timer.expires_after(interval);
-            co_await timer.async_wait(asTuple);
+            self->nextSend = self->clock.now() + interval;
+            while (!self->isStopped && self->clock.now() < self->nextSend) {
+                self->sendTimer.expires_at(self->nextSend);
+                co_await self->sendTimer.async_wait(asTuple); // Ends early when moved forward.
+            }
             const milliseconds lifetime = std::max(minHintLifetime, interval * maxMissedHints);
             dropExpiredHints(self->routing.otherHostsLoad, lifetime, self->clock.now());
+            self->sentAt = self->clock.now();
             self->sendAll();
         }
     }
 
+    void sendSoon()
+    {
+        const instant now = clock.now();
+        const instant earliest
+            = sentAt == instant::min() ? now : std::max<instant>(now, sentAt + minSendPause);
+        if (earliest >= nextSend)
+            return;
+        nextSend = earliest;
+        sendTimer.cancel();
+    }
+
     void receiveDatagram(std::string_view bytes)
     {
         numbers.receivedBytes += bytes.size();
@@ -292,10 +311,16 @@
 void load_exchange::stop()
 {
     m_state->isStopped = true;
+    m_state->sendTimer.cancel();
     boost::system::error_code ignored;
     m_state->socket.close(ignored);
 }
 
+void load_exchange::sendSoon()
+{
+    m_state->sendSoon();
+}
+
 load_exchange::counts load_exchange::numbers() const
 {
     return m_state->numbers;
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -42,6 +42,13 @@
 
     void start();
     void stop();
+
+    /// Sends a hint now instead of after the rest of the interval, unless the last one was sent
+    /// only a moment ago; then it follows soon.
+    ///
+    /// In a large fleet the interval is seconds. News from the store or from an upstream can't wait
+    /// that long, while load can.
+    void sendSoon();
     counts numbers() const;
 
 private:
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -291,9 +291,11 @@
             recordLoad(*target, *head.load, attempt.context.clock.now());
     }
     // Another upstream that answers at the address speaks of itself.
-    if (!head.isMisdirected)
-        applyAnswerNotice(attempt.context.state, attempt.entry, head.isLeaving,
-                          head.pause.value_or(microseconds(0)), attempt.context.clock.now());
+    const bool isNews = !head.isMisdirected
+        && applyAnswerNotice(attempt.context.state, attempt.entry, head.isLeaving,
+                             head.pause.value_or(microseconds(0)), attempt.context.clock.now());
+    if (isNews && attempt.context.noticeListener)
+        attempt.context.noticeListener();
     if (head.wasNotRun || head.isMisdirected)
         co_return co_await handleRejection(attempt, head);
     const bool isSuccess = head.status >= 200 && head.status < 300;
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -22,6 +22,7 @@
     clock_source clock;
     /// Takes a further attempt for the job from the budget; false when the budget is used up.
     std::function<bool(proxy_job &)> takeFurtherAttempt;
+    std::function<void()> noticeListener; ///< Called when an upstream told something new of itself.
 };
 
 /// Sends the request to the chosen upstream and relays what it answers.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -53,8 +53,12 @@
         , clock(std::move(clocks))
         , settings(std::move(values))
         , started(clock.now())
-        , attempts{routing, wire, connections, clock,
-                   [this](proxy_job &job) { return takeFurtherAttempt(job); }}
+        , attempts{routing,
+                   wire,
+                   connections,
+                   clock,
+                   [this](proxy_job &job) { return takeFurtherAttempt(job); },
+                   nullptr}
     {
     }
 
@@ -392,6 +396,11 @@
     return m_state->handle(exchange);
 }
 
+void proxy_service::onNotice(std::function<void()> listener)
+{
+    m_state->attempts.noticeListener = std::move(listener);
+}
+
 void proxy_service::refuseNewRequests()
 {
     m_state->isRefusingNew = true;
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 
 namespace quincefall {
@@ -37,6 +38,9 @@
     /// Answers one request.
     boost::asio::awaitable<void> handle(http_exchange &exchange);
 
+    /// Called when an upstream told something new of itself in an answer.
+    void onNotice(std::function<void()> listener);
+
     /// Refuses all requests that arrive from now on without running them.
     void refuseNewRequests();
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -153,6 +153,8 @@
             context, routing, std::move(source), feedOptions(values), values.peerListen, clock);
         reader->onChange([this] { applyLimits(); });
         reader->onGone([this](const host_address &address) { connections->closeIdle(address); });
+        auto &exchange = services->find<load_exchange>("route.exchange");
+        reader->onStoreNews([&exchange] { exchange.sendSoon(); });
         feed &added = *reader;
         addFeedMetrics(added);
         services->add("route.feed", std::move(reader),
@@ -199,6 +201,7 @@
         if (!made)
             return tl::unexpected(made.error());
         load_exchange &added = **made;
+        services->find<proxy_service>("route.proxy").onNotice([&added] { added.sendSoon(); });
         services->add("route.exchange", std::shared_ptr<load_exchange>(std::move(*made)),
                       {[&added]() -> result<void> {
                            added.start();
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -17,20 +17,23 @@
     upstream.othersPausedUntil = notice ? notice->othersPausedUntil : instant::min();
 }
 
-void recordNotice(routing_state &state, const upstream_entry &entry, const told_notice &told,
+bool recordNotice(routing_state &state, const upstream_entry &entry, const told_notice &told,
                   notice_source source, instant now)
 {
     upstream_notices &notices = state.membership.notices;
     const char *heardFrom = source == notice_source::ownAnswer ? "answer" : "host";
-    if (told.isLeaving && recordLeaving(notices, entry, source, now))
+    const bool isNewLeaving = told.isLeaving && recordLeaving(notices, entry, source, now);
+    const bool isNewPause = recordPause(notices, entry, told.pause, source, now);
+    if (isNewLeaving)
         logInfo("upstream says it is leaving", {{"upstream", entry.id}, {"source", heardFrom}});
-    if (recordPause(notices, entry, told.pause, source, now))
+    if (isNewPause)
         logInfo("upstream asked for a pause",
                 {{"upstream", entry.id},
                  {"source", heardFrom},
                  {"pause_ms", std::to_string(told.pause.count())}});
     if (routed_upstream *upstream = findUpstream(state, entry))
         copyNotice(notices, *upstream);
+    return isNewLeaving || isNewPause;
 }
 
 void applyListing(routing_state &state, const upstream_entry &entry,
@@ -87,14 +90,14 @@
     return true;
 }
 
-void applyAnswerNotice(routing_state &state, const upstream_entry &entry, bool isLeaving,
+bool applyAnswerNotice(routing_state &state, const upstream_entry &entry, bool isLeaving,
                        microseconds pause, instant now)
 {
     if (!isLeaving && pause.count() <= 0)
-        return;
+        return false;
     const told_notice told{entry.id, entry.started, isLeaving,
                            std::chrono::ceil<milliseconds>(pause)};
-    recordNotice(state, entry, told, notice_source::ownAnswer, now);
+    return recordNotice(state, entry, told, notice_source::ownAnswer, now);
 }
 
 void applyNotice(routing_state &state, const told_notice &notice, instant now)
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -59,8 +59,8 @@
                   std::string compressed, instant now);
 
 /// Applies what the upstream of @p entry told in an answer to this host: that it is leaving, and
-/// for how long it wants no requests (0 for none).
-void applyAnswerNotice(routing_state &state, const upstream_entry &entry, bool isLeaving,
+/// for how long it wants no requests (0 for none). True when that is new.
+bool applyAnswerNotice(routing_state &state, const upstream_entry &entry, bool isLeaving,
                        microseconds pause, instant now);
 
 /// Applies what an upstream told another host.
--- a/tests/feed/feed_fleet.h
+++ b/tests/feed/feed_fleet.h
@@ -52,6 +52,8 @@
         m_text = std::move(text);
     }
 
+    void announceLeaving() { m_isLeaving = true; }
+
     /// Makes calls of a host fail.
     void setAccess(int host, bool hasAccess) { m_access[host] = hasAccess; }
 
@@ -61,8 +63,9 @@
         source.desired = [this, host](std::optional<store_position> from, milliseconds wait) {
             return read(host, from ? from->offset : 0, wait);
         };
-        source.upstreams
-            = [this](std::optional<store_position>, milliseconds) { return readUpstreams(); };
+        source.upstreams = [this, host](std::optional<store_position> from, milliseconds) {
+            return readUpstreams(host, from);
+        };
         source.decodeDesired
             = [](const std::string &text) -> result<desired_state> { return decode(text); };
         return source;
@@ -105,13 +108,37 @@
         co_return page;
     }
 
-    boost::asio::awaitable<result<upstream_page>> readUpstreams()
+    /// Record n of the list is upstream n; the last one says that upstream 1 is leaving.
+    boost::asio::awaitable<result<upstream_page>> readUpstreams(int host,
+                                                                std::optional<store_position> from)
+    {
+        co_await pause(milliseconds(5));
+        if (!hasAccess(host))
+            co_return makeError(result_code::logUnavailable, "no path to the store");
+        upstream_page page;
+        page.isSnapshot = !from;
+        page.next = {1, m_upstreams + (m_isLeaving ? 1U : 0U)};
+        for (std::uint64_t record = from ? from->offset + 1 : 1; record <= page.next.offset;
+             ++record)
+            page.changes.push_back(makeChange(record));
+        co_return page;
+    }
+
+    upstream_change makeChange(std::uint64_t record) const
     {
-        co_await pause(seconds(1));
-        co_return upstream_page{{}, {1, 1}, true};
+        const bool isLeaving = record > m_upstreams;
+        upstream_entry entry;
+        entry.id = "upstream-" + std::to_string(isLeaving ? 1 : record);
+        entry.service = "engines";
+        entry.address = {"10.0.0.1", 80};
+        entry.slots = 24;
+        entry.isLeaving = isLeaving;
+        return {entry.id, entry, std::int64_t(record), record};
     }
 
     boost::asio::io_context &m_context;
+    std::uint64_t m_upstreams = 140;
+    bool m_isLeaving = false;
     std::map<int, bool> m_access; ///< By host; true for those that are missing.
     std::uint64_t m_version = 0;
     std::string m_text;
@@ -154,19 +181,34 @@
             }));
     }
 
+    /// Hosts that know that upstream 1 is leaving.
+    std::size_t hostsThatKnowLeaving() const
+    {
+        return std::size_t(std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto &host) {
+            const auto &listings = host->routing.membership.listings;
+            const auto found = listings.find("upstream-1");
+            return found != listings.end() && found->second.entry.isLeaving;
+        }));
+    }
+
     std::size_t size() const { return m_hosts.size(); }
 
     void runFor(milliseconds time) { m_context.run_for(time); }
 
-    /// Runs until all hosts have @p version or until @p limit has passed; returns the time taken.
-    milliseconds runUntilAllHave(std::uint64_t version, milliseconds limit)
+    /// Runs until @p isDone or until @p limit has passed; returns the time taken.
+    milliseconds runUntil(const std::function<bool()> &isDone, milliseconds limit)
     {
         const instant started = m_clock.now();
-        while (hostsWith(version) < size() && m_clock.now() - started < limit)
-            m_context.run_one_for(milliseconds(20));
+        while (!isDone() && m_clock.now() - started < limit)
+            m_context.run_for(milliseconds(10));
         return std::chrono::floor<milliseconds>(m_clock.now() - started);
     }
 
+    milliseconds runUntilAllHave(std::uint64_t version, milliseconds limit)
+    {
+        return runUntil([this, version] { return hostsWith(version) == size(); }, limit);
+    }
+
 private:
     struct feed_host
     {
@@ -182,7 +224,8 @@
     std::unique_ptr<feed_host> makeHost(int index, double linkBytesPerSecond)
     {
         auto made = std::make_unique<feed_host>();
-        const std::string ip = "127.0.1." + std::to_string(index + 1);
+        const std::string ip
+            = "127.0." + std::to_string(1 + index / 250) + "." + std::to_string(1 + index % 250);
         http_server::options options;
         options.listen = {ip, 0};
         feed_host &self = *made;
@@ -213,6 +256,7 @@
         self.reader
             = feed::makeFeed(m_context, self.routing, m_store.makeSource(index),
                              {milliseconds(1'600), milliseconds(4'000)}, self.address, m_clock);
+        self.reader->onStoreNews([exchange = self.exchange.get()] { exchange->sendSoon(); });
         self.exchange->start();
         self.reader->start();
     }
--- a/tests/feed/late_state_test.cpp
+++ b/tests/feed/late_state_test.cpp
@@ -1,22 +1,39 @@
 #include "feed_fleet.h"
 
+#include <cstdlib>
+
 namespace quincefall::testing {
 namespace {
 
 constexpr double slowLinkBytesPerSecond = 10e6 / 8; // 10 Mbit/s.
-constexpr milliseconds startTime{2'500}; // Until all hosts know each other and the first state.
+constexpr milliseconds startLimit{20'000}; // Until all hosts have the first state.
+constexpr milliseconds leaveTime{4'000}; // In which a leaving has to be known everywhere.
 constexpr milliseconds applyTime{4'000}; // In which a desired state has to be in force everywhere.
 
+/// Number of hosts of a fleet; FEED_TEST_HOSTS replaces it in a run by hand.
+int fleetSize(int usual)
+{
+    const char *wanted = std::getenv("FEED_TEST_HOSTS");
+    return wanted ? std::atoi(wanted) : usual;
+}
+
+/// Publishes a small first state, and waits until all hosts have it and know each other.
+void startFleet(feed_fleet &fleet)
+{
+    fleet.store().publish(1, makeDesiredText(1, 50));
+    fleet.runUntilAllHave(1, startLimit);
+    BOOST_TEST_REQUIRE(fleet.hostsWith(1) == fleet.size());
+    fleet.runFor(hintInterval(unsigned(fleet.size())) * 2);
+}
+
 BOOST_AUTO_TEST_SUITE(late_state_tests)
 
 // Hosts on slow links did not get a desired state that had grown by 1400 routes in time.
 BOOST_AUTO_TEST_CASE(a_large_desired_state_reaches_all_hosts_over_slow_links)
 {
     boost::asio::io_context context;
-    feed_fleet fleet(context, 59, slowLinkBytesPerSecond);
-    fleet.store().publish(1, makeDesiredText(1, 50));
-    fleet.runFor(startTime);
-    BOOST_TEST_REQUIRE(fleet.hostsWith(1) == fleet.size());
+    feed_fleet fleet(context, fleetSize(59), slowLinkBytesPerSecond);
+    startFleet(fleet);
 
     fleet.store().publish(2, makeDesiredText(2, 2'850));
     fleet.runFor(milliseconds(1'300));
@@ -27,14 +44,29 @@
                                                     << fleet.sentBytes() << " bytes");
 }
 
+// A host sent requests to an upstream that had said it leaves while the links were full of desired
+// states.
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_is_known_everywhere_while_a_large_desired_state_spreads)
+{
+    boost::asio::io_context context;
+    feed_fleet fleet(context, fleetSize(82), slowLinkBytesPerSecond);
+    startFleet(fleet);
+
+    fleet.store().publish(2, makeDesiredText(2, 2'850));
+    fleet.runFor(milliseconds(500));
+    fleet.store().announceLeaving();
+    const milliseconds took = fleet.runUntil(
+        [&fleet] { return fleet.hostsThatKnowLeaving() == fleet.size(); }, leaveTime);
+    BOOST_TEST(fleet.hostsThatKnowLeaving() == fleet.size());
+    BOOST_TEST_MESSAGE("known everywhere after " << took.count() << " ms");
+}
+
 // A host that was slower to send its state than the timeout of a query was asked again and again.
 BOOST_AUTO_TEST_CASE(a_desired_state_that_takes_longer_than_a_query_timeout_is_received)
 {
     boost::asio::io_context context;
     feed_fleet fleet(context, 2, 400e3);
-    fleet.store().publish(1, makeDesiredText(1, 50));
-    fleet.runFor(startTime);
-    BOOST_TEST_REQUIRE(fleet.hostsWith(1) == fleet.size());
+    startFleet(fleet);
 
     fleet.store().setAccess(1, false);
     std::string text = "2\n";
--- a/tests/route/load_exchange_test.cpp
+++ b/tests/route/load_exchange_test.cpp
@@ -1,5 +1,7 @@
 #include "route/load_exchange.h"
 
+#include "kernel/asio_headers.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <random>
@@ -69,6 +71,55 @@
     BOOST_TEST(!decodeHint("").has_value());
 }
 
+/// A host of a large fleet, all other members of which but one are silent.
+struct exchanging_host
+{
+    explicit exchanging_host(boost::asio::io_context &context, const std::string &ip,
+                             const host_address &other)
+    {
+        for (int number = 0; number < 100; ++number)
+            routing.peers.push_back({{"127.0.1.1", std::uint16_t(7000 + number)}, "", 0});
+        routing.peers.push_back({other, "", 0});
+        routing.hasReadPeers = true;
+        exchange = std::move(*load_exchange::makeLoadExchange(context, routing, {ip, exchangePort},
+                                                              {ip, 7000}, makeSystemClock()));
+        exchange->start();
+    }
+
+    static constexpr std::uint16_t exchangePort = 17'340;
+    routing_state routing;
+    std::unique_ptr<load_exchange> exchange;
+};
+
+// Load pattern: a large fleet, whose hints are seconds old.
+BOOST_AUTO_TEST_CASE(news_is_sent_before_the_next_hint_is_due)
+{
+    boost::asio::io_context context;
+    const host_address firstPeer{"127.0.0.41", 7000};
+    const host_address secondPeer{"127.0.0.42", 7000};
+    exchanging_host first(context, firstPeer.ip, secondPeer);
+    exchanging_host second(context, secondPeer.ip, firstPeer);
+    BOOST_TEST((hintInterval(first.routing.hostCount()) > milliseconds(800)));
+    context.run_for(milliseconds(100));
+    BOOST_TEST(second.routing.otherHostsLoad.hosts.empty());
+    first.exchange->sendSoon();
+    context.run_for(milliseconds(100));
+    BOOST_TEST_REQUIRE(second.routing.otherHostsLoad.hosts.contains(firstPeer));
+    // More news follows, but not at once.
+    const auto sequence = [&second, &firstPeer] {
+        return second.routing.otherHostsLoad.hosts.at(firstPeer).hint.sequence;
+    };
+    for (int news = 0; news < 20; ++news) {
+        first.exchange->sendSoon();
+        context.run_for(milliseconds(20));
+    }
+    BOOST_TEST(sequence() >= 2U);
+    BOOST_TEST(sequence() <= 4U);
+    first.exchange->stop();
+    second.exchange->stop();
+    context.run_for(milliseconds(50));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
