Pace large answers by the host's link, and name a host that has received the state

Cause: the bound on the bytes that are sent at once ended with the write into the socket's buffer, which takes a compressed state whole. At 354 hosts some 118 asked each reader in the same moment, all were answered, and over a link of 10 Mbit/s none was done before the others: in the first second 9 MB were sent and no further host had the new version. A host that was refused then waited for a hint, seconds apart, to learn who else had it.

Change: large answers are paced by the rate of the host's link (bulk_pace, setting bounds.link_mbps): those that it sends in a quarter of a second, or one. A refusal names a host that has received this version, in turn; it is asked at once. The pause between queries for the desired state no longer grows with the fleet, as the refusals spread them.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -15,10 +15,11 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds planInterval{100}; // Pause between two decisions where to read from.
-// The interval between two queries of one host is this times the number of hosts. It limits the
-// whole fleet to 500 queries a second for the desired state and 500 for the upstreams.
+// The interval between two queries of one host for the upstreams is this times the number of hosts.
+// It limits the whole fleet to 500 such queries a second; the list changes with each heartbeat.
 constexpr milliseconds minQueryIntervalPerHost{2};
 constexpr milliseconds busyHostPause{250}; // A host sends the answers that it allows in this time.
+constexpr int maxRedirects = 4; // Of one query, by busy hosts.
 constexpr milliseconds firstUpstreamWait{1'000}; // Of one read while the list is empty.
 constexpr milliseconds initialRetryDelay{100}; // After a failed read.
 constexpr milliseconds maxRetryDelay{500}; // Limits how late the store's recovery is noticed.
@@ -109,8 +110,7 @@
                                const error &cause)
     {
         if (cause.code == result_code::peerRejected) {
-            ++numbers.rejected;
-            recordBusyHost(target.otherHostsLoad, host, clock.now() + busyHostPause);
+            recordBusy(host);
             return;
         }
         ++numbers.failed;
@@ -122,6 +122,12 @@
                     {"cause", cause.detail}});
     }
 
+    void recordBusy(const host_address &host)
+    {
+        ++numbers.rejected;
+        recordBusyHost(target.otherHostsLoad, host, clock.now() + busyHostPause);
+    }
+
     std::string millisecondsSince(instant started) const
     {
         return std::to_string(std::lround(toMilliseconds(clock.now() - started)));
@@ -171,33 +177,46 @@
         return std::max<milliseconds>(planInterval, minQueryIntervalPerHost * target.hostCount());
     }
 
+    /// Queries @p host and, while hosts are busy, the ones that they name instead.
     asio::awaitable<void> fetchDesiredFrom(host_address host)
     {
-        const std::uint64_t known = target.desired ? target.desired->version : 0;
-        const instant started = clock.now();
-        auto answer = co_await fetchDesired(*client, host, known);
-        if (!answer) {
-            recordUnansweredQuery("desired state", host, started, answer.error());
-            co_return;
+        for (int redirect = 0; redirect <= maxRedirects; ++redirect) {
+            const std::uint64_t known = target.desired ? target.desired->version : 0;
+            const instant started = clock.now();
+            auto answer = co_await fetchDesired(*client, host, known, own);
+            if (!answer) {
+                recordUnansweredQuery("desired state", host, started, answer.error());
+                co_return;
+            }
+            if (!answer->askInstead) {
+                applyPeerDesired(host, std::move(*answer), started);
+                co_return;
+            }
+            recordBusy(host);
+            host = *answer->askInstead;
         }
+    }
+
+    void applyPeerDesired(const host_address &host, peer_desired answer, instant started)
+    {
         ++numbers.answered;
-        if (answer->text) {
-            numbers.receivedBytes += answer->receivedBytes;
+        if (answer.text) {
+            numbers.receivedBytes += answer.receivedBytes;
             logInfo("desired state received",
                     {{"source", toString(host)},
-                     {"bytes", std::to_string(answer->receivedBytes)},
+                     {"bytes", std::to_string(answer.receivedBytes)},
                      {"took_ms", millisecondsSince(started)}});
-            auto desired = source.decodeDesired(*answer->text);
+            auto desired = source.decodeDesired(*answer.text);
             if (!desired) {
                 logWarning("desired state of a host ignored",
                            {{"host", toString(host)}, {"cause", desired.error().detail}});
-                co_return;
+                return;
             }
-            if (applyDesired(target, std::move(*desired), std::move(*answer->text),
-                             std::move(answer->compressed), clock.now()))
+            if (applyDesired(target, std::move(*desired), std::move(*answer.text),
+                             std::move(answer.compressed), clock.now()))
                 publish();
         }
-        target.desiredConfirmedAt = std::max(target.desiredConfirmedAt, clock.now() - answer->age);
+        target.desiredConfirmedAt = std::max(target.desiredConfirmedAt, clock.now() - answer.age);
     }
 
     static asio::awaitable<void> followDesired(std::shared_ptr<state> self)
@@ -215,7 +234,7 @@
             wait = isDone ? initialRetryDelay : nextRetryDelay(wait);
             const bool isReading = step.action == feed_step::kind::readStore && isDone;
             if (!isReading)
-                co_await self->pause(isDone ? self->pauseAfterStep(step) : wait);
+                co_await self->pause(isDone ? planInterval : wait);
         }
     }
 
@@ -325,7 +344,8 @@
     asio::awaitable<void> fetchUpstreamsFrom(host_address host)
     {
         const instant started = clock.now();
-        const auto known = co_await fetchUpstreams(*client, host, positionOf(target.membership));
+        const auto known
+            = co_await fetchUpstreams(*client, host, positionOf(target.membership), own);
         if (!known) {
             recordUnansweredQuery("upstreams", host, started, known.error());
             co_return;
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -4,6 +4,7 @@
 #include "kernel/asio_headers.h"
 #include "peer.pb.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace quincefall {
@@ -11,15 +12,14 @@
 
 namespace asio = boost::asio;
 
+constexpr std::string_view alternativeField = "X-Ask-Host"; // Of a refusal; a peer address.
 constexpr std::string_view ageField = "X-Known-Age-Ms"; // Age of the answering host's copy.
 // Several round trips between regions until the answer begins, and between two of its parts. In
 // total as long as a change may take, but with time left to ask another host.
 constexpr call_timeouts queryTimeouts{milliseconds(600), milliseconds(600), milliseconds(3'000)};
 // Smaller answers are always sent: a change of a few upstreams must not wait for bulk.
 constexpr std::size_t maxSmallAnswerBytes = 16'000;
-// Size of the larger answers that are sent at the same time, unless there is only one: a quarter of
-// a second on a link of 10 Mbit/s, which callers' requests need, too.
-constexpr std::size_t maxBulkAnswerBytes = 300'000;
+constexpr std::size_t maxRecipients = 64; // To which others are sent on.
 constexpr std::size_t maxDesiredBytes = 64UL * 1024 * 1024; // Of a desired state, decompressed.
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204; // The answering host has nothing newer.
@@ -86,19 +86,25 @@
     return known;
 }
 
+tl::unexpected<error> rejectedQuery()
+{
+    return makeError(result_code::peerRejected, "the host answered 503");
+}
+
 asio::awaitable<result<http_response>> queryHost(http_client &client, host_address host,
-                                                 std::string_view path, store_position after)
+                                                 std::string_view path, store_position after,
+                                                 const host_address &own)
 {
     http_request request;
     request.target = std::string(path) + "?after=" + std::to_string(after.offset)
-        + "&epoch=" + std::to_string(after.epoch);
+        + "&epoch=" + std::to_string(after.epoch) + "&host=" + toString(own);
     request.headers.emplace_back("Accept-Encoding", compressionName);
     auto reply = co_await client.send(std::move(host), std::move(request), queryTimeouts);
     if (!reply)
         co_return makeError(result_code::peerUnreachable, reply.error().detail);
-    if (reply->status == statusUnavailable)
-        co_return makeError(result_code::peerRejected, "the host answered 503");
-    if (reply->status != statusOk && reply->status != statusNoContent)
+    const bool isExpected = reply->status == statusOk || reply->status == statusNoContent
+        || reply->status == statusUnavailable;
+    if (!isExpected)
         co_return makeError(result_code::peerUnreachable,
                             "the host answered " + std::to_string(reply->status));
     co_return reply;
@@ -161,30 +167,68 @@
     return {statusOk, {}, message.SerializeAsString()};
 }
 
+/// Refuses a large answer and names another host that has received it.
+state_answer makeRefusal(state_answers &answers, instant now)
+{
+    state_answer refusal{statusUnavailable, {}, {}};
+    const auto end = std::find_if(answers.recipients.begin(), answers.recipients.end(),
+                                  [now](const auto &row) { return row.receivedBy > now; });
+    const auto count = std::size_t(end - answers.recipients.begin());
+    if (count > 0) {
+        const host_address &host = answers.recipients[answers.refusals++ % count].host;
+        refusal.headers.push_back({std::string(alternativeField), toString(host)});
+    }
+    return refusal;
+}
+
+void recordRecipient(state_answers &answers, std::uint64_t version, const std::string &host)
+{
+    if (version > answers.version) {
+        answers.version = version;
+        answers.recipients.clear();
+    }
+    const auto address = parseAddress(host);
+    if (address && version == answers.version && answers.recipients.size() < maxRecipients)
+        answers.recipients.push_back({*address, answers.pace.sentBy});
+}
+
 } // namespace
 
 asio::awaitable<void> answerStateQuery(http_exchange &exchange, const routing_state &state,
-                                       state_answers &answers, instant now)
-{
-    state_answer answer = exchange.path() == peerDesiredPath
-        ? makeDesiredAnswer(exchange, state, now)
-        : makeUpstreamsAnswer(exchange, state, now);
-    std::size_t bulk = answer.body.size() > maxSmallAnswerBytes ? answer.body.size() : 0;
-    if (answers.bulkBytes > 0 && answers.bulkBytes + bulk > maxBulkAnswerBytes && bulk > 0) {
-        answer = {statusUnavailable, {}, {}};
-        bulk = 0;
+                                       state_answers &answers, const clock_source &clock)
+{
+    const bool isDesired = exchange.path() == peerDesiredPath;
+    const instant now = clock.now();
+    state_answer answer = isDesired ? makeDesiredAnswer(exchange, state, now)
+                                    : makeUpstreamsAnswer(exchange, state, now);
+    const std::size_t size = answer.body.size();
+    bool isBulk = size > maxSmallAnswerBytes;
+    if (isBulk && !startBulk(answers.pace, size, now)) {
+        answer = isDesired ? makeRefusal(answers, now) : state_answer{statusUnavailable, {}, {}};
+        isBulk = false;
     }
-    answers.bulkBytes += bulk;
-    co_await exchange.respond(answer.status, answer.headers, std::move(answer.body));
-    answers.bulkBytes -= bulk;
+    if (isBulk && isDesired)
+        recordRecipient(answers, state.desired->version, exchange.query("host"));
+    const bool isSent
+        = co_await exchange.respond(answer.status, answer.headers, std::move(answer.body));
+    if (isBulk && !isSent)
+        cancelBulk(answers.pace, size, clock.now());
 }
 
 asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
-                                                   std::uint64_t after)
+                                                   std::uint64_t after, host_address own)
 {
-    auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after});
+    auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after}, own);
     if (!reply)
         co_return tl::unexpected(reply.error());
+    if (reply->status == statusUnavailable) {
+        const auto alternative = parseAddress(reply->header(alternativeField));
+        if (!alternative || *alternative == own)
+            co_return rejectedQuery();
+        peer_desired refusal;
+        refusal.askInstead = *alternative;
+        co_return refusal;
+    }
     const auto age = parseUnsigned(reply->header(ageField));
     if (!age)
         co_return makeError(result_code::messageInvalid,
@@ -207,11 +251,13 @@
 }
 
 asio::awaitable<result<peer_upstreams>> fetchUpstreams(http_client &client, host_address host,
-                                                       store_position after)
+                                                       store_position after, host_address own)
 {
-    const auto reply = co_await queryHost(client, std::move(host), peerUpstreamsPath, after);
+    const auto reply = co_await queryHost(client, std::move(host), peerUpstreamsPath, after, own);
     if (!reply)
         co_return tl::unexpected(reply.error());
+    if (reply->status == statusUnavailable)
+        co_return rejectedQuery();
     auto known = readChanges(reply->body);
     co_return known;
 }
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -32,6 +32,7 @@
 // Time left for the process to exit before it is killed.
 constexpr milliseconds exitReserve{400};
 constexpr milliseconds drainPollInterval{50};
+constexpr double bytesPerMegabit = 1e6 / 8;
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
@@ -85,6 +86,7 @@
         , clock(makeSystemClock())
         , services(kernel::makeKernel())
     {
+        answers.pace.bytesPerSecond = values.linkMbps * bytesPerMegabit;
     }
 
     asio::io_context &context;
@@ -119,7 +121,7 @@
     asio::awaitable<void> answerPeer(http_exchange &exchange)
     {
         if (exchange.path() == peerDesiredPath || exchange.path() == peerUpstreamsPath) {
-            co_await answerStateQuery(exchange, routing, answers, clock.now());
+            co_await answerStateQuery(exchange, routing, answers, clock);
             co_return;
         }
         if (exchange.path() != "/metrics") {
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -32,6 +32,7 @@
     std::string logLevel = "info";
 
     std::uint32_t maxConnections = 3'000;
+    double linkMbps = 10; ///< Of the host's network link.
     /// Time from an upstream's listing as leaving to the last new request that it gets.
     double leaveMs = 2'500;
     /// Time from the acceptance of a desired state to its effect.
--- a/tests/feed/feed_fleet.h
+++ b/tests/feed/feed_fleet.h
@@ -228,10 +228,11 @@
             = "127.0." + std::to_string(1 + index / 250) + "." + std::to_string(1 + index % 250);
         http_server::options options;
         options.listen = {ip, 0};
+        made->answers.pace.bytesPerSecond = linkBytesPerSecond;
         feed_host &self = *made;
         auto server = http_server::makeHttpServer(
             m_context, options, [this, &self](http_exchange &exchange) {
-                return answerStateQuery(exchange, self.routing, self.answers, m_clock.now());
+                return answerStateQuery(exchange, self.routing, self.answers, m_clock);
             });
         BOOST_REQUIRE(server.has_value());
         made->server = std::move(*server);
