Ask other hosts for the first state when the store does not answer

Cause: a host took the store for reachable as long as it had no state at all, also after a failed read, so that it would make its first read. A host that started while the store refused it went on asking the store, with 503 for its callers, although the hints of all others offered both states.

Change: the store counts as reachable until the first read has ended.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -57,6 +57,8 @@
     std::function<void()> storeNewsListener;
     std::function<void(const host_address &)> goneListener;
     counts numbers;
+    bool hasReadDesired = false; ///< A read of the store has ended, answered or not.
+    bool hasReadUpstreams = false;
     bool isStopped = false;
     bool isStoreReachable = true;
 
@@ -143,8 +145,7 @@
     {
         feed_view view;
         view.revision.offset = target.desired ? target.desired->version : 0;
-        view.isStoreReachable
-            = target.isDesiredReadAnswered || target.desiredConfirmedAt == instant::min();
+        view.isStoreReachable = target.isDesiredReadAnswered || !hasReadDesired;
         view.interval = settings.desiredWait;
         view.sinceRead = settings.desiredWait; // Reads are long polls: the next is always due.
         target.desiredConfirmedAt
@@ -157,6 +158,7 @@
     asio::awaitable<bool> readDesired(std::optional<store_position> &from)
     {
         auto page = co_await source.desired(from, settings.desiredWait);
+        hasReadDesired = true;
         const bool isTruncated = !page && page.error().code == result_code::logTruncated;
         target.isDesiredReadAnswered = page.has_value() || isTruncated;
         updateStoreReachability(target.isDesiredReadAnswered, page ? nullptr : &page.error());
@@ -293,8 +295,7 @@
         feed_view view;
         view.isUpstreamList = true;
         view.revision = positionOf(target.membership);
-        view.isStoreReachable
-            = target.isUpstreamsReadAnswered || target.upstreamsConfirmedAt == instant::min();
+        view.isStoreReachable = target.isUpstreamsReadAnswered || !hasReadUpstreams;
         view.interval = settings.upstreamInterval;
         view.sinceRead = ageOf(upstreamsReadAt);
         if (target.upstreamsConfirmedAt != instant::min())
@@ -316,6 +317,7 @@
             = target.membership.listings.empty() ? firstUpstreamWait : milliseconds(0);
         auto page = co_await source.upstreams(from, wait);
         upstreamsReadAt = clock.now();
+        hasReadUpstreams = true;
         if (page && page->next.epoch < target.membership.epoch)
             page
                 = makeError(result_code::logUnavailable,
--- a/tests/feed/late_state_test.cpp
+++ b/tests/feed/late_state_test.cpp
@@ -78,6 +78,24 @@
     BOOST_TEST(fleet.hostsWith(2) == fleet.size());
 }
 
+// A host that started while the store refused it never asked the others for their state.
+BOOST_AUTO_TEST_CASE(a_host_that_starts_without_the_store_gets_the_state_of_others)
+{
+    boost::asio::io_context context;
+    feed_fleet fleet(context, 3, slowLinkBytesPerSecond);
+    fleet.store().setAccess(2, false);
+    fleet.store().publish(1, makeDesiredText(1, 50));
+    fleet.store().announceLeaving();
+    fleet.runUntil(
+        [&fleet] {
+            return fleet.hostsWith(1) == fleet.size()
+                && fleet.hostsThatKnowLeaving() == fleet.size();
+        },
+        applyTime + applyTime);
+    BOOST_TEST(fleet.hostsWith(1) == fleet.size());
+    BOOST_TEST(fleet.hostsThatKnowLeaving() == fleet.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
