Replace readers of a large fleet that are killed at once within a second

Cause: three hosts read the store for all. The others miss a dead one by its hints, which are seconds apart in a large fleet, or by the age of its last read, three intervals: 4.8 s for the upstreams, 12 s for the desired state, where 4 s are allowed. Three processes killed in one moment are enough; so is one moment in which the open connections to the store go silent, since a read waited up to 4 s on them and then 0.9 s more.

Change: the first eight hosts of the order by which hosts agree who reads send each other hints every 300 ms, at any fleet size, and among these only those count that were heard within three of them. Reads of the desired state wait for 0.4 of apply_ms, as those of the upstreams, so that two fall into the time.

The new case of policy_tests fails with the earlier rule (0 readers left of 3). Price: about two more calls of the store a second for the fleet, 190 small datagrams a second.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -1,6 +1,8 @@
 #include "policy/feed_plan.h"
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 #include <vector>
 
 namespace quincefall {
@@ -12,6 +14,15 @@
 // host, no longer counts as a reader.
 constexpr int maxMissedReads = 3;
 
+// The readers and those that replace them when they fail at once.
+constexpr std::size_t candidateCount = 8;
+constexpr int maxMissedCandidateHints = 3;
+
+std::uint64_t scoreOf(const host_address &host)
+{
+    return nameHash(toString(host));
+}
+
 milliseconds ageOf(const feed_view &view, const fleet_load::entry &entry, instant now)
 {
     const milliseconds reportedAge
@@ -77,16 +88,39 @@
     return freshest;
 }
 
+std::vector<host_address> readerCandidates(const fleet_load &others, const host_address &own)
+{
+    std::vector<std::pair<std::uint64_t, host_address>> ranked{{scoreOf(own), own}};
+    for (const auto &[address, entry] : others.hosts)
+        ranked.emplace_back(scoreOf(address), address);
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    ranked.resize(std::min(ranked.size(), candidateCount));
+    std::vector<host_address> candidates;
+    for (const auto &[score, address] : ranked)
+        candidates.push_back(address);
+    const auto self = std::find(candidates.begin(), candidates.end(), own);
+    if (self == candidates.end())
+        return {};
+    candidates.erase(self);
+    return candidates;
+}
+
 bool isReader(const feed_view &view, const fleet_load &others, const host_address &own, instant now)
 {
-    const auto score = [](const host_address &host) { return nameHash(toString(host)); };
-    std::size_t rankedHigher = 0;
+    const std::uint64_t ownScore = scoreOf(own);
+    std::vector<const fleet_load::entry *> higher;
     for (const auto &[address, entry] : others.hosts) {
-        const bool hasRecentRead = ageOf(view, entry, now) < view.interval * maxMissedReads;
-        if (hasRecentRead && score(address) > score(own))
-            ++rankedHigher;
+        if (scoreOf(address) > ownScore)
+            higher.push_back(&entry);
     }
-    return rankedHigher < readerCount;
+    const bool isCandidate = higher.size() < candidateCount;
+    const auto counts = [&view, isCandidate, now](const fleet_load::entry *entry) {
+        const bool hasRecentRead = ageOf(view, *entry, now) < view.interval * maxMissedReads;
+        const bool isHeard
+            = now - entry->received < candidateHintInterval * maxMissedCandidateHints;
+        return hasRecentRead && (isHeard || !isCandidate);
+    };
+    return std::size_t(std::count_if(higher.begin(), higher.end(), counts)) < readerCount;
 }
 
 feed_step planFeed(const feed_view &view, const fleet_load &others, const host_address &own,
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -6,6 +6,7 @@
 #include "policy/store_position.h"
 
 #include <optional>
+#include <vector>
 
 namespace quincefall {
 
@@ -49,9 +50,21 @@
 /// instant::min() if there is none.
 instant latestConfirmation(const feed_view &view, const fleet_load &others);
 
+/// Interval between the hints that reader candidates send to each other.
+inline constexpr milliseconds candidateHintInterval{300};
+
+/// The other hosts of which this host has to hear often: if it is one of the first hosts by a hash
+/// of their addresses, which are the readers and those that replace them, the others of these;
+/// nobody otherwise.
+///
+/// Answers the loss of all readers at once in a large fleet, where a host's hints to all others are
+/// seconds apart and a reader would be missed too late for a change to be in force in time.
+std::vector<host_address> readerCandidates(const fleet_load &others, const host_address &own);
+
 /// Whether this host reads the store: the readers are the first few hosts, by a hash of their
 /// addresses, whose revision was recently confirmed to be the newest. The confirmation may have
-/// come through another host. This host's own age is not tested.
+/// come through another host. Among reader candidates only those count whose hints arrive. This
+/// host's own age is not tested.
 bool isReader(const feed_view &view, const fleet_load &others, const host_address &own,
               instant now);
 
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -14,6 +14,10 @@
 namespace asio = boost::asio;
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// Read interval as a share of the time that a change may take: two reads fall into that time, so
+// one of them may fail.
+constexpr double readIntervalShare = 0.4;
+constexpr milliseconds minReadInterval{200};
 constexpr milliseconds planInterval{100}; // Pause between two decisions where to read from.
 // The interval between two queries of one host for the upstreams is this times the number of hosts.
 // It limits the whole fleet to 500 such queries a second; the list changes with each heartbeat.
@@ -24,6 +28,11 @@
 constexpr milliseconds initialRetryDelay{100}; // After a failed read.
 constexpr milliseconds maxRetryDelay{500}; // Limits how late the store's recovery is noticed.
 
+milliseconds shareOf(milliseconds time, double share)
+{
+    return milliseconds(std::llround(toMilliseconds(time) * share));
+}
+
 milliseconds nextRetryDelay(milliseconds pause)
 {
     return std::min(pause * 2, maxRetryDelay);
@@ -373,6 +382,15 @@
     }
 };
 
+feed::options feed::optionsFor(milliseconds leaveTime, milliseconds applyTime)
+{
+    options values;
+    values.upstreamInterval = std::max(minReadInterval, shareOf(leaveTime, readIntervalShare));
+    // Also the time until a read on a connection that has gone silent is noticed.
+    values.desiredWait = std::max(minReadInterval, shareOf(applyTime, readIntervalShare));
+    return values;
+}
+
 std::unique_ptr<feed> feed::makeFeed(asio::io_context &context, routing_state &target,
                                      state_source source, options settings, const host_address &own,
                                      clock_source clock)
--- a/src/route/feed.h
+++ b/src/route/feed.h
@@ -23,6 +23,10 @@
         milliseconds desiredWait{2'500}; ///< Long-poll limit of a read of the desired state.
     };
 
+    /// Intervals for an upstream that gets no request @p leaveTime after it said that it leaves,
+    /// and a desired state that is in force @p applyTime after its acceptance.
+    static options optionsFor(milliseconds leaveTime, milliseconds applyTime);
+
     /// Queries of this host to other hosts, by their end, and what they brought.
     struct counts
     {
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -3,6 +3,7 @@
 #include "kernel/asio_headers.h"
 #include "observe/log_setup.h"
 #include "peer.pb.h"
+#include "policy/feed_plan.h"
 #include "policy/placement.h"
 
 #include <algorithm>
@@ -179,22 +180,50 @@
     instant nextSend = instant::max(); ///< Planned.
     bool isStopped = false;
 
-    void sendAll()
+    std::string nextHint()
     {
         load_hint hint = ownHint(routing, clock.now());
         hint.host = host;
         hint.started = started;
         hint.sequence = ++sequence;
-        const std::string bytes = encodeHint(hint);
-        for (const host_announcement &peer : routing.peers) {
-            boost::system::error_code code;
-            const auto ip = asio::ip::make_address(peer.peer.ip, code);
-            if (code)
+        return encodeHint(hint);
+    }
+
+    void sendTo(const host_address &peer, const std::string &bytes)
+    {
+        boost::system::error_code code;
+        const auto ip = asio::ip::make_address(peer.ip, code);
+        if (code)
+            return;
+        // When the send buffer is full, the datagram is dropped; the next hint replaces it.
+        socket.send_to(asio::buffer(bytes), udp::endpoint(ip, port), 0, code);
+        if (!code)
+            numbers.sentBytes += bytes.size();
+    }
+
+    void sendAll()
+    {
+        const std::string bytes = nextHint();
+        for (const host_announcement &peer : routing.peers)
+            sendTo(peer.peer, bytes);
+    }
+
+    /// Sends hints to the other reader candidates, if this host is one and its hints to all hosts
+    /// are further apart.
+    static asio::awaitable<void> sendToCandidates(std::shared_ptr<state> self)
+    {
+        asio::steady_timer timer(self->context);
+        while (!self->isStopped) {
+            timer.expires_after(candidateHintInterval);
+            co_await timer.async_wait(asTuple);
+            if (self->isStopped || hintInterval(self->routing.hostCount()) <= candidateHintInterval)
                 continue;
-            // When the send buffer is full, the datagram is dropped; the next hint replaces it.
-            socket.send_to(asio::buffer(bytes), udp::endpoint(ip, port), 0, code);
-            if (!code)
-                numbers.sentBytes += bytes.size();
+            const auto candidates = readerCandidates(self->routing.otherHostsLoad, self->host);
+            if (candidates.empty())
+                continue;
+            const std::string bytes = self->nextHint();
+            for (const host_address &candidate : candidates)
+                self->sendTo(candidate, bytes);
         }
     }
 
@@ -305,6 +334,7 @@
 void load_exchange::start()
 {
     asio::co_spawn(m_state->context, state::send(m_state), asio::detached);
+    asio::co_spawn(m_state->context, state::sendToCandidates(m_state), asio::detached);
     asio::co_spawn(m_state->context, state::receive(m_state), asio::detached);
 }
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -23,9 +23,6 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-// Read interval as a share of `leave_ms`: two reads fall into that time, so one of them may fail.
-constexpr double readIntervalShare = 0.4;
-constexpr milliseconds minReadInterval{200};
 constexpr std::size_t maxIdlePerUpstream = 24; // A host has only few requests at one upstream.
 // The load balancer probes once a second and removes a host after two failed probes.
 constexpr milliseconds balancerRemovalTime{2'600};
@@ -41,15 +38,6 @@
     return milliseconds(std::llround(ms));
 }
 
-feed::options feedOptions(const route_settings &values)
-{
-    feed::options options;
-    options.upstreamInterval
-        = std::max(minReadInterval, roundToMilliseconds(values.leaveMs * readIntervalShare));
-    options.desiredWait = roundToMilliseconds(values.applyMs);
-    return options;
-}
-
 proxy_service::options proxyOptions(const route_settings &values)
 {
     proxy_service::options options;
@@ -151,8 +139,11 @@
     void addFeed(state_source source)
     {
         addPeers(source);
-        std::shared_ptr<feed> reader = feed::makeFeed(
-            context, routing, std::move(source), feedOptions(values), values.peerListen, clock);
+        std::shared_ptr<feed> reader
+            = feed::makeFeed(context, routing, std::move(source),
+                             feed::optionsFor(roundToMilliseconds(values.leaveMs),
+                                              roundToMilliseconds(values.applyMs)),
+                             values.peerListen, clock);
         reader->onChange([this] { applyLimits(); });
         reader->onGone([this](const host_address &address) { connections->closeIdle(address); });
         auto &exchange = services->find<load_exchange>("route.exchange");
--- a/tests/feed/feed_fleet.h
+++ b/tests/feed/feed_fleet.h
@@ -17,6 +17,9 @@
 
 namespace quincefall::testing {
 
+constexpr milliseconds leaveTime{4'000}; // In which a leaving has to be known everywhere.
+constexpr milliseconds applyTime{4'000}; // In which a desired state has to be in force everywhere.
+
 /// Text of a desired state: its version, and routes with names that do not repeat.
 inline std::string makeDesiredText(std::uint64_t version, int routes)
 {
@@ -61,9 +64,11 @@
     {
         state_source source;
         source.desired = [this, host](std::optional<store_position> from, milliseconds wait) {
+            m_readAt[host] = std::chrono::steady_clock::now();
             return read(host, from ? from->offset : 0, wait);
         };
         source.upstreams = [this, host](std::optional<store_position> from, milliseconds) {
+            m_readAt[host] = std::chrono::steady_clock::now();
             return readUpstreams(host, from);
         };
         source.decodeDesired
@@ -71,6 +76,13 @@
         return source;
     }
 
+    /// Whether a host has begun a read of the store within @p time.
+    bool hasRead(int host, milliseconds time) const
+    {
+        const auto found = m_readAt.find(host);
+        return found != m_readAt.end() && std::chrono::steady_clock::now() - found->second < time;
+    }
+
 private:
     static desired_state decode(const std::string &text)
     {
@@ -139,6 +151,7 @@
     boost::asio::io_context &m_context;
     std::uint64_t m_upstreams = 140;
     bool m_isLeaving = false;
+    std::map<int, std::chrono::steady_clock::time_point> m_readAt; ///< By host.
     std::map<int, bool> m_access; ///< By host; true for those that are missing.
     std::uint64_t m_version = 0;
     std::string m_text;
@@ -177,7 +190,8 @@
     {
         return std::size_t(
             std::count_if(m_hosts.begin(), m_hosts.end(), [version](const auto &host) {
-                return host->routing.desired && host->routing.desired->version >= version;
+                return !host->isKilled && host->routing.desired
+                    && host->routing.desired->version >= version;
             }));
     }
 
@@ -187,11 +201,31 @@
         return std::size_t(std::count_if(m_hosts.begin(), m_hosts.end(), [](const auto &host) {
             const auto &listings = host->routing.membership.listings;
             const auto found = listings.find("upstream-1");
-            return found != listings.end() && found->second.entry.isLeaving;
+            return !host->isKilled && found != listings.end() && found->second.entry.isLeaving;
         }));
     }
 
-    std::size_t size() const { return m_hosts.size(); }
+    /// Ends the processes of the hosts that read the store; returns their number.
+    int killReaders()
+    {
+        int killed = 0;
+        for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+            if (!m_store.hasRead(int(index), applyTime))
+                continue;
+            m_hosts[index]->reader->stop();
+            m_hosts[index]->exchange->stop();
+            m_hosts[index]->server->stop();
+            m_hosts[index]->isKilled = true;
+            ++killed;
+        }
+        return killed;
+    }
+
+    std::size_t size() const
+    {
+        return std::size_t(std::count_if(m_hosts.begin(), m_hosts.end(),
+                                         [](const auto &host) { return !host->isKilled; }));
+    }
 
     void runFor(milliseconds time) { m_context.run_for(time); }
 
@@ -219,6 +253,7 @@
         host_address address; ///< At which the others reach it, that of its link.
         std::unique_ptr<load_exchange> exchange;
         std::unique_ptr<feed> reader;
+        bool isKilled = false;
     };
 
     std::unique_ptr<feed_host> makeHost(int index, double linkBytesPerSecond)
@@ -254,9 +289,8 @@
             m_context, self.routing, {self.address.ip, exchangePort()}, self.address, m_clock);
         BOOST_REQUIRE(exchange.has_value());
         self.exchange = std::move(*exchange);
-        self.reader
-            = feed::makeFeed(m_context, self.routing, m_store.makeSource(index),
-                             {milliseconds(1'600), milliseconds(4'000)}, self.address, m_clock);
+        self.reader = feed::makeFeed(m_context, self.routing, m_store.makeSource(index),
+                                     feed::optionsFor(leaveTime, applyTime), self.address, m_clock);
         self.reader->onStoreNews([exchange = self.exchange.get()] { exchange->sendSoon(); });
         self.exchange->start();
         self.reader->start();
--- a/tests/feed/late_state_test.cpp
+++ b/tests/feed/late_state_test.cpp
@@ -7,8 +7,6 @@
 
 constexpr double slowLinkBytesPerSecond = 10e6 / 8; // 10 Mbit/s.
 constexpr milliseconds startLimit{20'000}; // Until all hosts have the first state.
-constexpr milliseconds leaveTime{4'000}; // In which a leaving has to be known everywhere.
-constexpr milliseconds applyTime{4'000}; // In which a desired state has to be in force everywhere.
 
 /// Number of hosts of a fleet; FEED_TEST_HOSTS replaces it in a run by hand.
 int fleetSize(int usual)
@@ -78,6 +76,30 @@
     BOOST_TEST(fleet.hostsWith(2) == fleet.size());
 }
 
+// When all hosts that read the store were killed, the others took several intervals to replace
+// them.
+BOOST_AUTO_TEST_CASE(news_is_in_force_in_time_when_all_readers_are_killed)
+{
+    boost::asio::io_context context;
+    feed_fleet fleet(context, fleetSize(59), slowLinkBytesPerSecond);
+    startFleet(fleet);
+    fleet.runFor(applyTime * 3); // Until only the readers read.
+    const int killed = fleet.killReaders();
+    BOOST_TEST(killed >= 1);
+    BOOST_TEST(killed <= 6);
+
+    fleet.store().publish(2, makeDesiredText(2, 100));
+    fleet.store().announceLeaving();
+    const milliseconds leaving = fleet.runUntil(
+        [&fleet] { return fleet.hostsThatKnowLeaving() == fleet.size(); }, leaveTime);
+    const milliseconds applied = fleet.runUntilAllHave(2, applyTime - leaving);
+    BOOST_TEST(fleet.hostsThatKnowLeaving() == fleet.size());
+    BOOST_TEST(fleet.hostsWith(2) == fleet.size());
+    BOOST_TEST_MESSAGE(killed << " readers killed; leaving known everywhere after "
+                              << leaving.count() << " ms, state in force "
+                              << (leaving + applied).count() << " ms");
+}
+
 // A host that started while the store refused it never asked the others for their state.
 BOOST_AUTO_TEST_CASE(a_host_that_starts_without_the_store_gets_the_state_of_others)
 {
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <set>
 
 namespace quincefall {
 namespace {
@@ -84,6 +85,56 @@
     BOOST_TEST(readers == 3);
 }
 
+// When the three readers of 195 hosts were killed at once, nobody read the store for five seconds.
+BOOST_AUTO_TEST_CASE(readers_of_a_large_fleet_that_are_killed_at_once_are_replaced_within_a_second)
+{
+    constexpr int hosts = 195;
+    const instant killed = instant{} + seconds(100);
+    const instant now = killed + seconds(1);
+    const auto countReaders = [](const std::set<int> &dead, instant at) {
+        std::set<int> readers;
+        for (int own = 1; own <= hosts; ++own) {
+            fleet_load others;
+            for (int port = 1; port <= hosts; ++port) {
+                load_hint hint;
+                hint.host = hostAt(port);
+                hint.sequence = 1;
+                hint.upstreamsNext = {0, 5};
+                if (port != own)
+                    applyHint(others, hint, dead.contains(port) ? at - seconds(1) : at);
+            }
+            if (!dead.contains(own)
+                && isReader(makeView(5, seconds(0), seconds(2)), others, hostAt(own), at))
+                readers.insert(own);
+        }
+        return readers;
+    };
+    const std::set<int> readers = countReaders({}, killed);
+    BOOST_TEST(readers.size() == 3U);
+    BOOST_TEST(countReaders(readers, now).size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(reader_candidates_are_the_same_few_for_all_hosts)
+{
+    const instant now = instant{} + seconds(100);
+    std::map<std::uint16_t, int> named;
+    for (int own = 1; own <= 50; ++own) {
+        fleet_load others;
+        for (int port = 1; port <= 50; ++port) {
+            load_hint hint;
+            hint.host = hostAt(port);
+            hint.sequence = 1;
+            if (port != own)
+                applyHint(others, hint, now);
+        }
+        for (const host_address &candidate : readerCandidates(others, hostAt(own)))
+            ++named[candidate.port];
+    }
+    BOOST_TEST(named.size() == 8U);
+    for (const auto &[port, count] : named)
+        BOOST_TEST(count == 7);
+}
+
 BOOST_AUTO_TEST_CASE(a_single_host_reads_the_store_itself)
 {
     const fleet_load nobody;
