--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -37,6 +37,23 @@
     return others;
 }
 
+/// Hints of all hosts with the ports 1 to @p count but @p own, which have the same revision. Those
+/// of
+/// @p silent were received a second ago.
+fleet_load makeFleet(int count, int own, instant now, const std::set<int> &silent = {})
+{
+    fleet_load others;
+    for (int port = 1; port <= count; ++port) {
+        load_hint hint;
+        hint.host = hostAt(port);
+        hint.sequence = 1;
+        hint.upstreamsNext = {0, 5};
+        if (port != own)
+            applyHint(others, hint, silent.contains(port) ? now - seconds(1) : now);
+    }
+    return others;
+}
+
 feed_view makeView(std::uint64_t revision, milliseconds age, milliseconds sinceRead)
 {
     return {{0, revision}, age, true, true, interval, sinceRead};
@@ -69,15 +86,7 @@
     const instant now = instant{} + seconds(100);
     int readers = 0;
     for (int own = 1; own <= 20; ++own) {
-        fleet_load others;
-        for (int port = 1; port <= 20; ++port) {
-            load_hint hint;
-            hint.host = hostAt(port);
-            hint.sequence = 1;
-            hint.upstreamsNext = {0, 5};
-            if (port != own)
-                applyHint(others, hint, now);
-        }
+        const fleet_load others = makeFleet(20, own, now);
         const feed_step step
             = planFeed(makeView(5, milliseconds(0), seconds(2)), others, hostAt(own), now);
         readers += step.action == feed_step::kind::readStore ? 1 : 0;
@@ -94,15 +103,7 @@
     const auto countReaders = [](const std::set<int> &dead, instant at) {
         std::set<int> readers;
         for (int own = 1; own <= hosts; ++own) {
-            fleet_load others;
-            for (int port = 1; port <= hosts; ++port) {
-                load_hint hint;
-                hint.host = hostAt(port);
-                hint.sequence = 1;
-                hint.upstreamsNext = {0, 5};
-                if (port != own)
-                    applyHint(others, hint, dead.contains(port) ? at - seconds(1) : at);
-            }
+            const fleet_load others = makeFleet(hosts, own, at, dead);
             if (!dead.contains(own)
                 && isReader(makeView(5, seconds(0), seconds(2)), others, hostAt(own), at))
                 readers.insert(own);
@@ -119,14 +120,7 @@
     const instant now = instant{} + seconds(100);
     std::map<std::uint16_t, int> named;
     for (int own = 1; own <= 50; ++own) {
-        fleet_load others;
-        for (int port = 1; port <= 50; ++port) {
-            load_hint hint;
-            hint.host = hostAt(port);
-            hint.sequence = 1;
-            if (port != own)
-                applyHint(others, hint, now);
-        }
+        const fleet_load others = makeFleet(50, own, now);
         for (const host_address &candidate : readerCandidates(others, hostAt(own)))
             ++named[candidate.port];
     }
