--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -19,8 +19,11 @@
 constexpr call_timeouts queryTimeouts{milliseconds(600), milliseconds(600), milliseconds(3'000)};
 // Smaller answers are always sent: a change of a few upstreams must not wait for bulk.
 constexpr std::size_t maxSmallAnswerBytes = 16'000;
+// Large answers at the same time: hosts of other regions share a link that may be slower than this
+// host's.
+constexpr std::size_t maxBulkInProgress = 16;
 constexpr std::size_t maxRecipients = 64; // To which others are sent on.
-constexpr std::size_t maxDesiredBytes = 64UL * 1024 * 1024; // Of a desired state, decompressed.
+constexpr std::size_t maxStateBytes = 64UL * 1024 * 1024; // Decompressed.
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204; // The answering host has nothing newer.
 constexpr int statusUnavailable = 503;
@@ -86,6 +89,18 @@
     return known;
 }
 
+bool isCompressed(const http_response &reply)
+{
+    return reply.header("Content-Encoding") == compressionName;
+}
+
+result<std::string> readBody(const http_response &reply)
+{
+    if (!isCompressed(reply))
+        return reply.body;
+    return decompress(reply.body, maxStateBytes);
+}
+
 tl::unexpected<error> rejectedQuery()
 {
     return makeError(result_code::peerRejected, "the host answered 503");
@@ -164,7 +179,10 @@
         row->set_id(removal.id);
         row->set_changed(removal.changed);
     }
-    return {statusOk, {}, message.SerializeAsString()};
+    std::string body = message.SerializeAsString();
+    if (body.size() <= maxSmallAnswerBytes || !acceptsCompressed(exchange))
+        return {statusOk, {}, std::move(body)};
+    return {statusOk, {{"Content-Encoding", std::string(compressionName)}}, compress(body)};
 }
 
 /// Refuses a large answer and names another host that has received it.
@@ -203,14 +221,17 @@
                                     : makeUpstreamsAnswer(exchange, state, now);
     const std::size_t size = answer.body.size();
     bool isBulk = size > maxSmallAnswerBytes;
-    if (isBulk && !startBulk(answers.pace, size, now)) {
+    const bool isFull = answers.bulkInProgress >= maxBulkInProgress;
+    if (isBulk && (isFull || !startBulk(answers.pace, size, now))) {
         answer = isDesired ? makeRefusal(answers, now) : state_answer{statusUnavailable, {}, {}};
         isBulk = false;
     }
     if (isBulk && isDesired)
         recordRecipient(answers, state.desired->version, exchange.query("host"));
+    answers.bulkInProgress += isBulk ? 1 : 0;
     const bool isSent
         = co_await exchange.respond(answer.status, answer.headers, std::move(answer.body));
+    answers.bulkInProgress -= isBulk ? 1 : 0;
     if (isBulk && !isSent)
         cancelBulk(answers.pace, size, clock.now());
 }
@@ -238,15 +259,12 @@
     known.receivedBytes = reply->body.size();
     if (reply->status != statusOk)
         co_return known;
-    if (reply->header("Content-Encoding") != compressionName) {
-        known.text = std::move(reply->body);
-        co_return known;
-    }
-    auto text = decompress(reply->body, maxDesiredBytes);
+    auto text = readBody(*reply);
     if (!text)
         co_return tl::unexpected(text.error());
     known.text = std::move(*text);
-    known.compressed = std::move(reply->body);
+    if (isCompressed(*reply))
+        known.compressed = std::move(reply->body);
     co_return known;
 }
 
@@ -258,7 +276,10 @@
         co_return tl::unexpected(reply.error());
     if (reply->status == statusUnavailable)
         co_return rejectedQuery();
-    auto known = readChanges(reply->body);
+    const auto body = readBody(*reply);
+    if (!body)
+        co_return tl::unexpected(body.error());
+    auto known = readChanges(*body);
     co_return known;
 }
 
--- a/src/route/peer_calls.h
+++ b/src/route/peer_calls.h
@@ -32,6 +32,7 @@
     };
 
     bulk_pace pace; ///< Of large answers.
+    std::size_t bulkInProgress = 0; ///< Large answers that are being sent.
     std::uint64_t version = 0; ///< Newest desired state that was sent as a large answer.
     std::vector<recipient> recipients; ///< Of that version.
     std::size_t refusals = 0; ///< Of desired states.
