Do not take a reader for lost while its hints are still due

Cause: a revision counted as outdated, and a reader as lost, three reads after its last confirmation. The list of upstreams had the same limit before.

Change: the limit is three reads and one interval between hints.

Result: the new case of policy_tests.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -37,6 +37,12 @@
                                : store_position{0, entry.hint.desiredVersion};
 }
 
+/// Age above which a revision may no longer be the newest.
+milliseconds maxAge(const feed_view &view)
+{
+    return view.interval * maxMissedReads + view.hintInterval;
+}
+
 bool isNewer(const store_position &revision, const store_position &than)
 {
     return revision.offset > 0 && revision > than;
@@ -115,7 +121,7 @@
     }
     const bool isCandidate = higher.size() < candidateCount;
     const auto counts = [&view, isCandidate, now](const fleet_load::entry *entry) {
-        const bool hasRecentRead = ageOf(view, *entry, now) < view.interval * maxMissedReads;
+        const bool hasRecentRead = ageOf(view, *entry, now) < maxAge(view);
         const bool isHeard
             = now - entry->received < candidateHintInterval * maxMissedCandidateHints;
         return hasRecentRead && (isHeard || !isCandidate);
@@ -129,7 +135,7 @@
     feed_step step;
     const fleet_load::entry *newerHost = mostUpToDateHost(view, others, own, now);
     const bool isDue = view.sinceRead >= view.interval;
-    const bool isOutdated = view.revision.offset > 0 && view.age >= view.interval * maxMissedReads;
+    const bool isOutdated = view.revision.offset > 0 && view.age >= maxAge(view);
     const bool mayRead
         = view.revision.offset == 0 || isOutdated || isReader(view, others, own, now);
     // After a failed read the next would probably fail too, so a newer revision is fetched from
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -34,6 +34,7 @@
     bool isStoreReachable = true; ///< The store answered this host's last read.
     milliseconds interval{1'000}; ///< Between two reads of the store by one reader.
     milliseconds sinceRead{0}; ///< Since this host's last read of the store, also a failed one.
+    milliseconds hintInterval{0}; ///< Between two hints of another host, which tell its age.
 };
 
 /// Plans a host's next step. A few hosts, the readers, read the store; the others fetch a new
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -156,6 +156,7 @@
         view.revision.offset = target.desired ? target.desired->version : 0;
         view.isStoreReachable = target.isDesiredReadAnswered || !hasReadDesired;
         view.interval = settings.desiredWait;
+        view.hintInterval = hintInterval(target.hostCount());
         view.sinceRead = settings.desiredWait; // Reads are long polls: the next is always due.
         target.desiredConfirmedAt
             = std::max(target.desiredConfirmedAt, latestConfirmation(view, target.otherHostsLoad));
@@ -306,6 +307,7 @@
         view.revision = positionOf(target.membership);
         view.isStoreReachable = target.isUpstreamsReadAnswered || !hasReadUpstreams;
         view.interval = settings.upstreamInterval;
+        view.hintInterval = hintInterval(target.hostCount());
         view.sinceRead = ageOf(upstreamsReadAt);
         if (target.upstreamsConfirmedAt != instant::min())
             target.upstreamsConfirmedAt = std::max(target.upstreamsConfirmedAt,
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -199,6 +199,26 @@
     BOOST_TEST(isReader(makeView(5, seconds(0), seconds(2)), lost, hostAt(1), now));
 }
 
+// In a large fleet a reader's last read is told so late that each host read the store itself.
+BOOST_AUTO_TEST_CASE(readers_whose_hints_are_seconds_apart_are_not_replaced)
+{
+    constexpr int hosts = 300;
+    const instant now = instant{} + seconds(100);
+    const milliseconds late = hintInterval(hosts);
+    int readers = 0;
+    for (int own = 1; own <= hosts; ++own) {
+        fleet_load others = makeFleet(hosts, own, now - late);
+        for (const host_address &candidate : readerCandidates(others, hostAt(own)))
+            others.hosts.at(candidate).received = now;
+        feed_view view = makeView(5, interval + late, seconds(2));
+        view.hintInterval = late;
+        for (auto &[address, entry] : others.hosts)
+            entry.hint.upstreamsAge = interval;
+        readers += planFeed(view, others, hostAt(own), now).action == feed_step::kind::readStore;
+    }
+    BOOST_TEST(readers == 3);
+}
+
 BOOST_AUTO_TEST_CASE(an_outdated_host_asks_other_hosts_between_its_reads)
 {
     const instant now = instant{} + seconds(100);
