Let only the usual readers of the store send news at once

Each change that a host read made it send a hint to 299 others, up to five times a second, instead of one each 2.4 s; a third of them over a link of 30 Mbit/s.

Change: a host sends news of the store at once only if it is among the first eight in the order of readers; news at most four times as often as hints are due.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -90,10 +90,13 @@
             changeListener();
     }
 
+    /// Hosts that start read the whole list of upstreams while it still grows. Only those that go
+    /// on reading it tell the others, which a large fleet could not bear from all.
     void publishStoreNews()
     {
         publish();
-        if (storeNewsListener)
+        const bool isCandidate = !readerCandidates(target.otherHostsLoad, own).empty();
+        if (storeNewsListener && isCandidate)
             storeNewsListener();
     }
 
--- a/src/route/feed.h
+++ b/src/route/feed.h
@@ -44,7 +44,8 @@
     /// Called after each change of the desired state or the upstreams.
     void onChange(std::function<void()> listener);
 
-    /// Called after each change that this host read from the store itself.
+    /// Called after each change that this host read from the store itself, if it is one of the
+    /// hosts that usually read it.
     void onStoreNews(std::function<void()> listener);
 
     /// Called with the address of each upstream that was removed or replaced.
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -22,7 +22,9 @@
 constexpr int maxMissedHints = 5;
 constexpr milliseconds minHintLifetime{1'200};
 constexpr milliseconds unavailableAge{60'000};
-constexpr milliseconds minSendPause{200}; // Between two hints.
+// News may come this many times as often as hints are due, and not more often than minSendPause.
+constexpr int maxNewsPerHint = 4;
+constexpr milliseconds minSendPause{200};
 // Hints give unread tokens in multiples of this, which makes them shorter.
 constexpr double unreadTokensPerUnit = 16;
 
@@ -243,11 +245,16 @@
         }
     }
 
+    milliseconds newsPause() const
+    {
+        return std::max(minSendPause, hintInterval(routing.hostCount()) / maxNewsPerHint);
+    }
+
     void sendSoon()
     {
         const instant now = clock.now();
         const instant earliest
-            = sentAt == instant::min() ? now : std::max<instant>(now, sentAt + minSendPause);
+            = sentAt == instant::min() ? now : std::max<instant>(now, sentAt + newsPause());
         if (earliest >= nextSend)
             return;
         nextSend = earliest;
