Spread the queries of hosts that have no list yet, and let them try the store in turn

Cause, likely: when 300 hosts start together, each reads the list up to another offset. Those whose read failed asked the host with the newest one, all the same, which answers 16 at once; and they did not try the store again while any host had a list.

Change: a host that has nothing asks any host that has something, by its own choice; after each such query it tries the store again.

Result: the new case of policy_tests.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -56,10 +56,13 @@
 }
 
 /// Of the hosts that are not busy, one with the newest revision; null if it is not newer than this
-/// host's. The choice depends on @p own, so that not all hosts ask the same one at the same time.
+/// host's. A host that has no revision yet is given one with any: when a fleet starts, each host
+/// has another revision, and all would ask the one with the newest. The choice depends on @p own,
+/// so that not all hosts ask the same one at the same time.
 const fleet_load::entry *mostUpToDateHost(const feed_view &view, const fleet_load &others,
                                           const host_address &own, instant now)
 {
+    const bool hasNone = view.revision.offset == 0;
     store_position newest = view.revision;
     for (const auto &[address, entry] : others.hosts) {
         if (entry.busyUntil <= now && isNewer(revisionOf(view, entry), newest))
@@ -69,7 +72,10 @@
     const fleet_load::entry *best = nullptr;
     std::uint64_t bestScore = 0;
     for (const auto &[address, entry] : others.hosts) {
-        if (newest == view.revision || revisionOf(view, entry) != newest || entry.busyUntil > now)
+        const bool isWanted = hasNone
+            ? revisionOf(view, entry).offset > 0
+            : newest != view.revision && revisionOf(view, entry) == newest;
+        if (!isWanted || entry.busyUntil > now)
             continue;
         const std::uint64_t score = nameHash(toString(address) + std::to_string(key));
         if (best && score <= bestScore)
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -66,8 +66,9 @@
     std::function<void()> storeNewsListener;
     std::function<void(const host_address &)> goneListener;
     counts numbers;
-    bool hasReadDesired = false; ///< A read of the store has ended, answered or not.
-    bool hasReadUpstreams = false;
+    /// Whether a host without any state tries the store next. Otherwise it tries another host.
+    bool triesStoreForDesired = true;
+    bool triesStoreForUpstreams = true;
     bool isStopped = false;
     bool isStoreReachable = true;
 
@@ -157,7 +158,8 @@
     {
         feed_view view;
         view.revision.offset = target.desired ? target.desired->version : 0;
-        view.isStoreReachable = target.isDesiredReadAnswered || !hasReadDesired;
+        view.isStoreReachable
+            = target.isDesiredReadAnswered || (!target.desired && triesStoreForDesired);
         view.interval = settings.desiredWait;
         view.hintInterval = hintInterval(target.hostCount());
         view.sinceRead = settings.desiredWait; // Reads are long polls: the next is always due.
@@ -171,7 +173,7 @@
     asio::awaitable<bool> readDesired(std::optional<store_position> &from)
     {
         auto page = co_await source.desired(from, settings.desiredWait);
-        hasReadDesired = true;
+        triesStoreForDesired = false;
         const bool isTruncated = !page && page.error().code == result_code::logTruncated;
         target.isDesiredReadAnswered = page.has_value() || isTruncated;
         updateStoreReachability(target.isDesiredReadAnswered, page ? nullptr : &page.error());
@@ -198,6 +200,7 @@
         for (int redirect = 0; redirect <= maxRedirects; ++redirect) {
             const std::uint64_t known = target.desired ? target.desired->version : 0;
             const instant started = clock.now();
+            triesStoreForDesired = true;
             auto answer = co_await fetchDesired(*client, host, known, own);
             if (!answer) {
                 recordUnansweredQuery("desired state", host, started, answer.error());
@@ -308,7 +311,8 @@
         feed_view view;
         view.isUpstreamList = true;
         view.revision = positionOf(target.membership);
-        view.isStoreReachable = target.isUpstreamsReadAnswered || !hasReadUpstreams;
+        view.isStoreReachable = target.isUpstreamsReadAnswered
+            || (target.membership.next == 0 && triesStoreForUpstreams);
         view.interval = settings.upstreamInterval;
         view.hintInterval = hintInterval(target.hostCount());
         view.sinceRead = ageOf(upstreamsReadAt);
@@ -331,7 +335,7 @@
             = target.membership.listings.empty() ? firstUpstreamWait : milliseconds(0);
         auto page = co_await source.upstreams(from, wait);
         upstreamsReadAt = clock.now();
-        hasReadUpstreams = true;
+        triesStoreForUpstreams = false;
         if (page && page->next.epoch < target.membership.epoch)
             page
                 = makeError(result_code::logUnavailable,
@@ -359,6 +363,7 @@
 
     asio::awaitable<void> fetchUpstreamsFrom(host_address host)
     {
+        triesStoreForUpstreams = true;
         const instant started = clock.now();
         const auto known
             = co_await fetchUpstreams(*client, host, positionOf(target.membership), own);
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -160,6 +160,29 @@
     BOOST_TEST(step.host.port == 2);
 }
 
+// When a fleet starts, each host has another revision.
+BOOST_AUTO_TEST_CASE(hosts_without_a_list_do_not_all_ask_the_one_with_the_newest)
+{
+    const instant now = instant{} + seconds(100);
+    fleet_load others;
+    for (int port = 901; port <= 950; ++port) {
+        load_hint hint;
+        hint.host = hostAt(port);
+        hint.sequence = 1;
+        hint.upstreamsNext = {0, std::uint64_t(port)};
+        applyHint(others, hint, now);
+    }
+    std::map<std::uint16_t, int> asked;
+    for (int own = 1; own <= 300; ++own) {
+        feed_view view = makeView(0, milliseconds(0), milliseconds(0));
+        view.isStoreReachable = false;
+        ++asked[planFeed(view, others, hostAt(own), now).host.port];
+    }
+    BOOST_TEST(asked.size() > 40U);
+    for (const auto &[port, count] : asked)
+        BOOST_TEST(count < 30);
+}
+
 // A host that refused a query was forgotten with its load until its next hint.
 BOOST_AUTO_TEST_CASE(a_busy_host_keeps_its_load_and_is_asked_again_when_it_is_free)
 {
