Let a host that starts take the time that a whole list needs

Change: 15 s in total for the list of upstreams, still 0.6 s without progress; 3 s for the desired state as before.

--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -14,9 +14,13 @@
 
 constexpr std::string_view alternativeField = "X-Ask-Host"; // Of a refusal; a peer address.
 constexpr std::string_view ageField = "X-Known-Age-Ms"; // Age of the answering host's copy.
-// Several round trips between regions until the answer begins, and between two of its parts. In
-// total as long as a change may take, but with time left to ask another host.
-constexpr call_timeouts queryTimeouts{milliseconds(600), milliseconds(600), milliseconds(3'000)};
+// Several round trips between regions until an answer begins, and between two of its parts.
+constexpr milliseconds queryTimeout{600};
+// Of a query in total: as long as a change may take, but with time left to ask another host.
+constexpr milliseconds desiredTransferTimeout{3'000};
+// A host without a list needs the whole one. When a fleet starts, many hosts share a slow link, and
+// a limit that all of them exceed would make all start again.
+constexpr milliseconds upstreamsTransferTimeout{15'000};
 // Smaller answers are always sent: a change of a few upstreams must not wait for bulk.
 constexpr std::size_t maxSmallAnswerBytes = 16'000;
 // Large answers at the same time: hosts of other regions share a link that may be slower than this
@@ -108,13 +112,15 @@
 
 asio::awaitable<result<http_response>> queryHost(http_client &client, host_address host,
                                                  std::string_view path, store_position after,
-                                                 const host_address &own)
+                                                 const host_address &own,
+                                                 milliseconds transferTimeout)
 {
     http_request request;
     request.target = std::string(path) + "?after=" + std::to_string(after.offset)
         + "&epoch=" + std::to_string(after.epoch) + "&host=" + toString(own);
     request.headers.emplace_back("Accept-Encoding", compressionName);
-    auto reply = co_await client.send(std::move(host), std::move(request), queryTimeouts);
+    auto reply = co_await client.send(std::move(host), std::move(request),
+                                      call_timeouts{queryTimeout, queryTimeout, transferTimeout});
     if (!reply)
         co_return makeError(result_code::peerUnreachable, reply.error().detail);
     const bool isExpected = reply->status == statusOk || reply->status == statusNoContent
@@ -239,7 +245,8 @@
 asio::awaitable<result<peer_desired>> fetchDesired(http_client &client, host_address host,
                                                    std::uint64_t after, host_address own)
 {
-    auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after}, own);
+    auto reply = co_await queryHost(client, std::move(host), peerDesiredPath, {0, after}, own,
+                                    desiredTransferTimeout);
     if (!reply)
         co_return tl::unexpected(reply.error());
     if (reply->status == statusUnavailable) {
@@ -271,7 +278,8 @@
 asio::awaitable<result<peer_upstreams>> fetchUpstreams(http_client &client, host_address host,
                                                        store_position after, host_address own)
 {
-    const auto reply = co_await queryHost(client, std::move(host), peerUpstreamsPath, after, own);
+    const auto reply = co_await queryHost(client, std::move(host), peerUpstreamsPath, after, own,
+                                          upstreamsTransferTimeout);
     if (!reply)
         co_return tl::unexpected(reply.error());
     if (reply->status == statusUnavailable)
