Refuse a large list before it is written

Cause: when 300 hosts start together, most ask the few that have the list of 3000 upstreams.

Change: while large answers are refused, a list of more than 100 entries is refused by their number.

--- a/src/policy/bulk_pace.cpp
+++ b/src/policy/bulk_pace.cpp
@@ -25,6 +25,11 @@
     return true;
 }
 
+bool isBusy(const bulk_pace &pace, instant now)
+{
+    return pace.sentBy > now && pace.sentBy - now >= maxBusyTime;
+}
+
 void cancelBulk(bulk_pace &pace, std::size_t bytes, instant now)
 {
     if (pace.sentBy > now)
--- a/src/policy/bulk_pace.h
+++ b/src/policy/bulk_pace.h
@@ -21,6 +21,9 @@
 /// is being sent. Returns whether it may be sent.
 bool startBulk(bulk_pace &pace, std::size_t bytes, instant now);
 
+/// Whether no answer could be started now.
+bool isBusy(const bulk_pace &pace, instant now);
+
 /// Takes back an answer of @p bytes that was not sent to its end.
 void cancelBulk(bulk_pace &pace, std::size_t bytes, instant now);
 
--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -103,11 +103,13 @@
 std::vector<host_address> readerCandidates(const fleet_load &others, const host_address &own)
 {
     std::vector<std::pair<std::uint64_t, host_address>> ranked{{scoreOf(own), own}};
+    ranked.reserve(others.hosts.size() + 1);
     for (const auto &[address, entry] : others.hosts)
         ranked.emplace_back(scoreOf(address), address);
     std::sort(ranked.begin(), ranked.end(), std::greater<>());
     ranked.resize(std::min(ranked.size(), candidateCount));
     std::vector<host_address> candidates;
+    candidates.reserve(ranked.size());
     for (const auto &[score, address] : ranked)
         candidates.push_back(address);
     const auto self = std::find(candidates.begin(), candidates.end(), own);
--- a/src/policy/upstream_changes.cpp
+++ b/src/policy/upstream_changes.cpp
@@ -1,5 +1,6 @@
 #include "policy/upstream_changes.h"
 
+#include <algorithm>
 #include <set>
 
 namespace quincefall {
@@ -41,6 +42,15 @@
     return changes;
 }
 
+std::size_t countChangesSince(const upstream_membership &membership, store_position after)
+{
+    if (after.epoch != membership.epoch || after.offset < membership.removalsKnownFrom)
+        return membership.listings.size();
+    const auto isChanged = [after](const auto &row) { return row.second.changed > after.offset; };
+    return std::size_t(
+        std::count_if(membership.listings.begin(), membership.listings.end(), isChanged));
+}
+
 bool applyChanges(upstream_membership &membership, const upstream_changes &changes, instant now)
 {
     if (changes.epoch < membership.epoch)
--- a/src/policy/upstream_changes.h
+++ b/src/policy/upstream_changes.h
@@ -31,6 +31,9 @@
 /// newest entries of the store and never sees the removals before them.
 upstream_changes changesSince(const upstream_membership &membership, store_position after);
 
+/// Number of listings that changesSince() gives, without the cost of copying them.
+std::size_t countChangesSince(const upstream_membership &membership, store_position after);
+
 /// Applies changes that another host sent, unless they are of an older epoch of the store. True
 /// when the local list changed.
 bool applyChanges(upstream_membership &membership, const upstream_changes &changes, instant now);
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds upstreamsTransferTimeout{15'000};
 // Smaller answers are always sent: a change of a few upstreams must not wait for bulk.
 constexpr std::size_t maxSmallAnswerBytes = 16'000;
+constexpr std::size_t maxSmallListings = 100; // Of about that size.
 // Large answers at the same time: hosts of other regions share a link that may be slower than this
 // host's.
 constexpr std::size_t maxBulkInProgress = 16;
@@ -164,15 +165,19 @@
     return answer;
 }
 
+store_position queriedPosition(const http_exchange &exchange)
+{
+    return {parseUnsigned(exchange.query("epoch")).value_or(0),
+            parseUnsigned(exchange.query("after")).value_or(0)};
+}
+
 state_answer makeUpstreamsAnswer(const http_exchange &exchange, const routing_state &state,
                                  instant now)
 {
     if (state.upstreamsConfirmedAt == instant::min()
         || advertisedOffset(state.membership, now) == 0)
         return {statusUnavailable, {}, {}};
-    const store_position after{parseUnsigned(exchange.query("epoch")).value_or(0),
-                               parseUnsigned(exchange.query("after")).value_or(0)};
-    const upstream_changes changes = changesSince(state.membership, after);
+    const upstream_changes changes = changesSince(state.membership, queriedPosition(exchange));
     wire::UpstreamChanges message;
     message.set_next(changes.next);
     message.set_store_epoch(changes.epoch);
@@ -223,11 +228,18 @@
 {
     const bool isDesired = exchange.path() == peerDesiredPath;
     const instant now = clock.now();
+    const bool isFull = answers.bulkInProgress >= maxBulkInProgress || isBusy(answers.pace, now);
+    // Many hosts ask at once when a fleet starts; to write a list only to refuse it would take all
+    // of a small host's processor time.
+    if (!isDesired && isFull
+        && countChangesSince(state.membership, queriedPosition(exchange)) > maxSmallListings) {
+        co_await exchange.respond(statusUnavailable, {}, "");
+        co_return;
+    }
     state_answer answer = isDesired ? makeDesiredAnswer(exchange, state, now)
                                     : makeUpstreamsAnswer(exchange, state, now);
     const std::size_t size = answer.body.size();
     bool isBulk = size > maxSmallAnswerBytes;
-    const bool isFull = answers.bulkInProgress >= maxBulkInProgress;
     if (isBulk && (isFull || !startBulk(answers.pace, size, now))) {
         answer = isDesired ? makeRefusal(answers, now) : state_answer{statusUnavailable, {}, {}};
         isBulk = false;
--- a/tests/policy/upstream_changes_test.cpp
+++ b/tests/policy/upstream_changes_test.cpp
@@ -57,6 +57,16 @@
     BOOST_TEST(!third.listings.contains("a"));
 }
 
+BOOST_AUTO_TEST_CASE(changes_are_counted_as_they_are_sent)
+{
+    upstream_membership sender = makeReader({"a", "b", "c"}, 10);
+    applyEntry(sender, makeEntry("d"), 1, 20);
+    advanceOffset(sender, 20);
+    for (const store_position after : {store_position{0, 5}, {0, 10}, {0, 20}, {7, 20}})
+        BOOST_TEST(countChangesSince(sender, after) == changesSince(sender, after).listings.size());
+    BOOST_TEST(countChangesSince(sender, {0, 10}) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(hosts_that_start_together_send_no_known_entries)
 {
     // Both hosts read the same records, one a little later than the other.
