--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -186,6 +186,9 @@
     Quincefall-Response-Stamp). `faults_left` is the number of requests that the fault still applies
     to. `pause` is the value of Retry-After with "full"; None leaves it out. With `is_leaving`, all
     answers say so. `arrivals` counts all requests, also those that are turned away.
+
+    A stream whose prompt has `deadly_part` crashes the engine just after its first event: all
+    connections are reset, and new ones are refused for `down_seconds`.
     """
 
     def __init__(self, loop, identity, service):
@@ -203,6 +206,21 @@
         self.runs = collections.Counter()
         self.request_heads = {}
         self.aborted_streams = collections.Counter()
+        self.deadly_part = None
+        self.down_seconds = 1.0
+        self.deadly_arrivals = []  # Times.
+        self.crashes = []  # Times.
+        self.tasks = []
+
+    def is_deadly(self, fields):
+        parts = fields.get("quincefall-prompt-prefix", "").split(",")[:-1]
+        return self.deadly_part in [part.split(":")[0] for part in parts]
+
+    async def crash(self):
+        self.crashes.append(time.monotonic())
+        await self.server.close()
+        await asyncio.sleep(self.down_seconds)
+        await self.server.listen(self.server.port)
 
     def entry(self, state="ready", sequence=1):
         return {"service": self.service, "address": f"127.0.0.1:{self.listed_port}",
@@ -223,6 +241,8 @@
             writer.write(answer_bytes(421, b"", [("Quincefall-Instance-Id", self.identity)]))
             await writer.drain()
             return True
+        if self.is_deadly(fields):
+            self.deadly_arrivals.append(time.monotonic())
         fault = self.next_fault()
         if fault == "full":
             pause = [] if self.pause is None else [("Retry-After", self.pause)]
@@ -271,6 +291,10 @@
             except ConnectionError:
                 self.aborted_streams[request] += 1
                 return False
+            if self.is_deadly(fields):
+                await asyncio.sleep(0.03)
+                self.tasks.append(asyncio.create_task(self.crash()))
+                return False
             await asyncio.sleep(self.event_seconds)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
