Hold back prompts with a part that crashes engines

Cause: a crash was handled as a fault of the engine only. The request was sent to a second engine, which it crashed too, and nothing followed the prompt, so the next one with the same part went to the next engine. Ruled out: prefix affinity that leads back to one engine.

Change: hosts recognise a crash (connection lost, new ones refused), record the shared parts of the prompts that it ended and tell each other at once. A part that two crashes at different moments have in common and that no answer has cleared since is held back on all hosts: its running attempts are cancelled, its requests refused with 503 and prompt-held-back. A crash has one cause, so a held part explains it for all others. Held parts are repeated in the hints, for hosts that restart, join or lost the message; one host of the fleet tries a part again after a minute, later less often. Hints and their codec are in a file of their own now.

Why it works: the evidence is pooled, since a host sees only a share of the crashes; a dark domain counts as one moment, a cut is refuted by any host that still gets answers, and shared parts are cleared by each answer.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -65,6 +65,32 @@
     options settings;
     std::map<host_address, std::deque<connection_ptr>> idle;
     counts totals;
+
+    /// Opens a connection; fails with timed_out after @p timeout.
+    asio::awaitable<std::pair<connection_ptr, boost::system::error_code>>
+    connect(host_address address, milliseconds timeout)
+    {
+        boost::system::error_code code;
+        const auto ip = asio::ip::make_address(address.ip, code);
+        if (code)
+            co_return std::pair(nullptr, code);
+        auto opened = std::make_unique<pooled_connection>(
+            pooled_connection{tcp::socket(context), milliseconds(0), {}});
+        const tcp::endpoint endpoint(ip, address.port);
+        asio::steady_timer timer(context, timeout);
+        const auto outcome = co_await (opened->socket.async_connect(endpoint, asTuple)
+                                       || timer.async_wait(asTuple));
+        if (outcome.index() != 0)
+            co_return std::pair(nullptr, make_error_code(asio::error::timed_out));
+        if (const auto &[connectCode] = std::get<0>(outcome); connectCode)
+            co_return std::pair(nullptr, connectCode);
+        opened->socket.set_option(tcp::no_delay(true), code);
+        opened->socket.non_blocking(true, code);
+        if (settings.detectsDeadPeers)
+            enableDeadPeerDetection(opened->socket);
+        ++totals.opened;
+        co_return std::pair(std::move(opened), boost::system::error_code());
+    }
 };
 
 std::shared_ptr<connection_pool> connection_pool::makeConnectionPool(asio::io_context &context,
@@ -120,30 +146,23 @@
 asio::awaitable<result<connection_ptr>> connection_pool::open(host_address address,
                                                               milliseconds timeout)
 {
-    const auto failed = [&address](std::string_view cause) {
-        return makeError(result_code::upstreamUnreachable,
-                         toString(address) + ": " + std::string(cause));
-    };
-    boost::system::error_code code;
-    const auto ip = asio::ip::make_address(address.ip, code);
+    auto [opened, code] = co_await m_state->connect(address, timeout);
     if (code)
-        co_return failed(code.message());
-    auto opened = std::make_unique<pooled_connection>(
-        pooled_connection{tcp::socket(m_state->context), milliseconds(0), {}});
-    const tcp::endpoint endpoint(ip, address.port);
-    asio::steady_timer timer(m_state->context, timeout);
-    const auto outcome
-        = co_await (opened->socket.async_connect(endpoint, asTuple) || timer.async_wait(asTuple));
-    if (outcome.index() != 0)
-        co_return failed("timed out");
-    if (const auto &[connectCode] = std::get<0>(outcome); connectCode)
-        co_return failed(connectCode.message());
-    opened->socket.set_option(tcp::no_delay(true), code);
-    opened->socket.non_blocking(true, code);
-    if (m_state->settings.detectsDeadPeers)
-        enableDeadPeerDetection(opened->socket);
-    ++m_state->totals.opened;
-    co_return opened;
+        co_return makeError(result_code::upstreamUnreachable,
+                            toString(address) + ": "
+                                + (code == asio::error::timed_out ? "timed out" : code.message()));
+    co_return std::move(opened);
+}
+
+asio::awaitable<bool> connection_pool::isRefused(host_address address, milliseconds timeout,
+                                                 milliseconds keepAlive)
+{
+    auto [opened, code] = co_await m_state->connect(address, timeout);
+    if (!code) {
+        opened->keepAlive = keepAlive;
+        putIdle(address, std::move(opened));
+    }
+    co_return code == asio::error::connection_refused;
 }
 
 void connection_pool::closeIdle(const host_address &address)
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -54,6 +54,11 @@
     /// Opens a connection. Fails with upstreamUnreachable, after @p timeout at the latest.
     boost::asio::awaitable<result<connection_ptr>> open(host_address address, milliseconds timeout);
 
+    /// Whether @p address refuses connections: its machine answers, but no process listens. Keeps a
+    /// connection that opens, as idle with @p keepAlive.
+    boost::asio::awaitable<bool> isRefused(host_address address, milliseconds timeout,
+                                           milliseconds keepAlive);
+
     /// Closes the idle connections to @p address. Needed when the address now belongs to another
     /// process, or when its connections have failed.
     void closeIdle(const host_address &address);
--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -40,6 +40,7 @@
     streamIncomplete = 404,
     streamMismatch = 405,
     upstreamUnreachable = 406,
+    promptHeldBack = 407,
 
     logUnavailable = 501,
     logTruncated = 502,
--- /dev/null
+++ b/src/route/hint_codec.cpp
@@ -0,0 +1,151 @@
+#include "route/hint_codec.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quincefall {
+namespace {
+
+// Hints give unread tokens in multiples of this, which makes them shorter.
+constexpr double unreadTokensPerUnit = 16;
+
+/// Number of urgency levels up to the last one with a non-zero amount.
+std::size_t usedUrgencyLevels(const by_urgency &amounts)
+{
+    std::size_t levels = urgencyLevels;
+    while (levels > 0 && amounts[levels - 1] <= 0)
+        --levels;
+    return levels;
+}
+
+template <typename field_type>
+by_urgency toAmounts(const field_type &field, double unit)
+{
+    by_urgency amounts{};
+    const auto levels = std::min(urgencyLevels, std::size_t(field.size()));
+    for (std::size_t urgency = 0; urgency < levels; ++urgency)
+        amounts[urgency] = field.Get(int(urgency)) * unit;
+    return amounts;
+}
+
+void addSuspects(wire::LoadHint &message, std::span<const told_suspect> suspects)
+{
+    for (const told_suspect &suspect : suspects) {
+        wire::SuspectedPart *row = message.add_suspected_parts();
+        row->set_part(suspect.part);
+        row->set_depth(suspect.depth);
+        row->set_held(suspect.isHeld);
+        if (suspect.answeredAge)
+            row->set_answered_age_ms(std::uint32_t(suspect.answeredAge->count()));
+        for (const told_crash &crash : suspect.crashes) {
+            wire::UpstreamCrash *evidence = row->add_crashes();
+            evidence->set_crash(crash.crash);
+            evidence->set_age_ms(std::uint32_t(crash.age.count()));
+            evidence->set_was_answering(crash.wasAnswering);
+            evidence->set_refuted(crash.isRefuted);
+        }
+    }
+}
+
+} // namespace
+
+std::vector<told_suspect> readSuspects(const wire::LoadHint &message)
+{
+    std::vector<told_suspect> suspects;
+    for (const wire::SuspectedPart &row : message.suspected_parts()) {
+        told_suspect &suspect = suspects.emplace_back();
+        suspect.part = row.part();
+        suspect.depth = row.depth();
+        suspect.isHeld = row.held();
+        if (row.has_answered_age_ms())
+            suspect.answeredAge = milliseconds(row.answered_age_ms());
+        for (const wire::UpstreamCrash &crash : row.crashes())
+            suspect.crashes.push_back({crash.crash(), milliseconds(crash.age_ms()),
+                                       crash.was_answering(), crash.refuted()});
+    }
+    return suspects;
+}
+
+std::optional<load_hint> readHint(const wire::LoadHint &message)
+{
+    const auto host = parseAddress(message.host());
+    if (!host)
+        return std::nullopt;
+    load_hint hint;
+    hint.host = *host;
+    hint.desiredVersion = message.desired_version();
+    hint.desiredAge = milliseconds(message.desired_age_ms());
+    hint.upstreamsNext = {message.store_epoch(), message.upstreams_next()};
+    hint.upstreamsAge = milliseconds(message.upstreams_age_ms());
+    hint.started = message.started_ms();
+    hint.sequence = message.sequence();
+    for (const wire::UpstreamWork &row : message.upstreams()) {
+        upstream_work work;
+        work.upstream = row.upstream();
+        work.inFlight = toAmounts(row.in_flight(), 1);
+        work.unreadTokens = toAmounts(row.unread_tokens(), unreadTokensPerUnit);
+        hint.upstreams.push_back(work);
+    }
+    for (const wire::ServiceDemand &row : message.demands())
+        hint.demands.push_back(
+            {row.service(), row.sensitive_us_per_s() / 1000.0, double(row.sensitive_in_flight())});
+    hint.suspects = readSuspects(message);
+    for (const wire::UpstreamNotice &row : message.notices())
+        hint.notices.push_back(
+            {row.upstream(), row.started_ms(), row.leaving(), milliseconds(row.pause_ms())});
+    return hint;
+}
+
+std::string encodePromptNews(std::span<const told_suspect> suspects)
+{
+    wire::LoadHint message;
+    addSuspects(message, suspects);
+    return message.SerializeAsString();
+}
+
+std::string encodeHint(const load_hint &hint)
+{
+    wire::LoadHint message;
+    message.set_host(toString(hint.host));
+    message.set_started_ms(hint.started);
+    message.set_sequence(hint.sequence);
+    for (const upstream_work &work : hint.upstreams) {
+        wire::UpstreamWork *row = message.add_upstreams();
+        row->set_upstream(work.upstream);
+        for (std::size_t urgency = 0; urgency < usedUrgencyLevels(work.inFlight); ++urgency)
+            row->add_in_flight(std::uint32_t(std::lround(work.inFlight[urgency])));
+        for (std::size_t urgency = 0; urgency < usedUrgencyLevels(work.unreadTokens); ++urgency)
+            row->add_unread_tokens(
+                std::uint32_t(std::ceil(work.unreadTokens[urgency] / unreadTokensPerUnit)));
+    }
+    for (const service_demand &demand : hint.demands) {
+        wire::ServiceDemand *row = message.add_demands();
+        row->set_service(demand.service);
+        row->set_sensitive_us_per_s(std::uint32_t(std::lround(demand.prefillMsPerSecond * 1000)));
+        row->set_sensitive_in_flight(std::uint32_t(std::lround(demand.inFlight)));
+    }
+    message.set_desired_version(hint.desiredVersion);
+    message.set_desired_age_ms(std::uint32_t(hint.desiredAge.count()));
+    message.set_upstreams_next(hint.upstreamsNext.offset);
+    message.set_store_epoch(hint.upstreamsNext.epoch);
+    message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
+    addSuspects(message, hint.suspects);
+    for (const told_notice &notice : hint.notices) {
+        wire::UpstreamNotice *row = message.add_notices();
+        row->set_upstream(notice.upstream);
+        row->set_started_ms(notice.started);
+        row->set_leaving(notice.isLeaving);
+        row->set_pause_ms(std::uint32_t(notice.pause.count()));
+    }
+    return message.SerializeAsString();
+}
+
+std::optional<load_hint> decodeHint(std::string_view bytes)
+{
+    wire::LoadHint message;
+    if (!message.ParseFromArray(bytes.data(), int(bytes.size())))
+        return std::nullopt;
+    return readHint(message);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/hint_codec.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "peer.pb.h"
+#include "policy/fleet_load.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quincefall {
+
+/// Serializes a hint.
+std::string encodeHint(const load_hint &hint);
+
+/// Parses a hint; empty when @p bytes are not a valid one.
+std::optional<load_hint> decodeHint(std::string_view bytes);
+
+/// Serializes suspected prompt parts without a hint.
+std::string encodePromptNews(std::span<const told_suspect> suspects);
+
+/// Read a message that was parsed: a hint, empty if it has no valid host, and the prompt parts in
+/// it.
+std::optional<load_hint> readHint(const wire::LoadHint &message);
+std::vector<told_suspect> readSuspects(const wire::LoadHint &message);
+
+} // namespace quincefall
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -7,7 +7,7 @@
 #include "policy/placement.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace quincefall {
 namespace {
@@ -25,28 +25,8 @@
 // News may come this many times as often as hints are due, and not more often than minSendPause.
 constexpr int maxNewsPerHint = 4;
 constexpr milliseconds minSendPause{200};
-// Hints give unread tokens in multiples of this, which makes them shorter.
-constexpr double unreadTokensPerUnit = 16;
-
-/// Number of urgency levels up to the last one with a non-zero amount.
-std::size_t usedUrgencyLevels(const by_urgency &amounts)
-{
-    std::size_t levels = urgencyLevels;
-    while (levels > 0 && amounts[levels - 1] <= 0)
-        --levels;
-    return levels;
-}
-
-template <typename field_type>
-by_urgency toAmounts(const field_type &field, double unit)
-{
-    by_urgency amounts{};
-    const auto levels = std::min(urgencyLevels, std::size_t(field.size()));
-    for (std::size_t urgency = 0; urgency < levels; ++urgency)
-        amounts[urgency] = field.Get(int(urgency)) * unit;
-    return amounts;
-}
-
+// Between messages about prompt parts; several crashes are often told together.
+constexpr milliseconds promptNewsPause{100};
 upstream_work ownWork(const routed_upstream &upstream)
 {
     return {nameHash(upstream.listed.id), upstream.inFlight, upstream.unreadTokens};
@@ -68,6 +48,7 @@
     hint.desiredAge = advertisedAge(routing.desiredConfirmedAt, routing.isDesiredReadAnswered, now);
     hint.upstreamsNext = {routing.membership.epoch, advertisedOffset(routing.membership, now)};
     hint.notices = noticesToTell(routing.membership.notices, now);
+    hint.suspects = suspectsToTell(routing.quarantine, now);
     hint.upstreamsAge
         = advertisedAge(routing.upstreamsConfirmedAt,
                         routing.isUpstreamsReadAnswered && hint.upstreamsNext.offset > 0, now);
@@ -86,75 +67,7 @@
 
 } // namespace
 
-std::string encodeHint(const load_hint &hint)
-{
-    wire::LoadHint message;
-    message.set_host(toString(hint.host));
-    message.set_started_ms(hint.started);
-    message.set_sequence(hint.sequence);
-    for (const upstream_work &work : hint.upstreams) {
-        wire::UpstreamWork *row = message.add_upstreams();
-        row->set_upstream(work.upstream);
-        for (std::size_t urgency = 0; urgency < usedUrgencyLevels(work.inFlight); ++urgency)
-            row->add_in_flight(std::uint32_t(std::lround(work.inFlight[urgency])));
-        for (std::size_t urgency = 0; urgency < usedUrgencyLevels(work.unreadTokens); ++urgency)
-            row->add_unread_tokens(
-                std::uint32_t(std::ceil(work.unreadTokens[urgency] / unreadTokensPerUnit)));
-    }
-    for (const service_demand &demand : hint.demands) {
-        wire::ServiceDemand *row = message.add_demands();
-        row->set_service(demand.service);
-        row->set_sensitive_us_per_s(std::uint32_t(std::lround(demand.prefillMsPerSecond * 1000)));
-        row->set_sensitive_in_flight(std::uint32_t(std::lround(demand.inFlight)));
-    }
-    message.set_desired_version(hint.desiredVersion);
-    message.set_desired_age_ms(std::uint32_t(hint.desiredAge.count()));
-    message.set_upstreams_next(hint.upstreamsNext.offset);
-    message.set_store_epoch(hint.upstreamsNext.epoch);
-    message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
-    for (const told_notice &notice : hint.notices) {
-        wire::UpstreamNotice *row = message.add_notices();
-        row->set_upstream(notice.upstream);
-        row->set_started_ms(notice.started);
-        row->set_leaving(notice.isLeaving);
-        row->set_pause_ms(std::uint32_t(notice.pause.count()));
-    }
-    return message.SerializeAsString();
-}
-
-std::optional<load_hint> decodeHint(std::string_view bytes)
-{
-    wire::LoadHint message;
-    if (!message.ParseFromArray(bytes.data(), int(bytes.size())))
-        return std::nullopt;
-    const auto host = parseAddress(message.host());
-    if (!host)
-        return std::nullopt;
-    load_hint hint;
-    hint.host = *host;
-    hint.desiredVersion = message.desired_version();
-    hint.desiredAge = milliseconds(message.desired_age_ms());
-    hint.upstreamsNext = {message.store_epoch(), message.upstreams_next()};
-    hint.upstreamsAge = milliseconds(message.upstreams_age_ms());
-    hint.started = message.started_ms();
-    hint.sequence = message.sequence();
-    for (const wire::UpstreamWork &row : message.upstreams()) {
-        upstream_work work;
-        work.upstream = row.upstream();
-        work.inFlight = toAmounts(row.in_flight(), 1);
-        work.unreadTokens = toAmounts(row.unread_tokens(), unreadTokensPerUnit);
-        hint.upstreams.push_back(work);
-    }
-    for (const wire::ServiceDemand &row : message.demands())
-        hint.demands.push_back(
-            {row.service(), row.sensitive_us_per_s() / 1000.0, double(row.sensitive_in_flight())});
-    for (const wire::UpstreamNotice &row : message.notices())
-        hint.notices.push_back(
-            {row.upstream(), row.started_ms(), row.leaving(), milliseconds(row.pause_ms())});
-    return hint;
-}
-
-struct load_exchange::state
+struct load_exchange::state : std::enable_shared_from_this<load_exchange::state>
 {
     state(asio::io_context &io, routing_state &target, const host_address &peer,
           clock_source clocks)
@@ -181,6 +94,9 @@
     instant sentAt = instant::min();
     instant nextSend = instant::max(); ///< Planned.
     bool isStopped = false;
+    instant promptNewsSentAt = instant::min();
+    bool isPromptNewsPlanned = false;
+    std::function<void()> partHeldListener;
 
     std::string nextHint()
     {
@@ -264,7 +180,13 @@
     void receiveDatagram(std::string_view bytes)
     {
         numbers.receivedBytes += bytes.size();
-        auto hint = decodeHint(bytes);
+        wire::LoadHint message;
+        const bool isParsed = message.ParseFromArray(bytes.data(), int(bytes.size()));
+        if (isParsed && message.host().empty() && message.suspected_parts_size() > 0) {
+            applySuspects(readSuspects(message));
+            return;
+        }
+        auto hint = isParsed ? readHint(message) : std::nullopt;
         if (!hint)
             ++numbers.invalidDatagrams;
         else if (hint->host != host)
@@ -284,12 +206,48 @@
         }
         routing.storeEpoch = std::max(routing.storeEpoch, hint.upstreamsNext.epoch);
         const std::vector<told_notice> notices = hint.notices;
+        applySuspects(std::exchange(hint.suspects, {}));
         if (!applyHint(routing.otherHostsLoad, std::move(hint), clock.now()))
             return;
         for (const told_notice &notice : notices)
             applyNotice(routing, notice, clock.now());
     }
 
+    /// Merges what another host told of prompt parts; answers at once with what it lacks.
+    void applySuspects(const std::vector<told_suspect> &suspects)
+    {
+        if (suspects.empty())
+            return;
+        for (const told_suspect &suspect : suspects)
+            applySuspect(routing.quarantine, suspect, clock.now());
+        if (updateQuarantine(routing, clock.now()) && partHeldListener)
+            partHeldListener();
+        sendPromptNews();
+    }
+
+    void sendPromptNews()
+    {
+        if (!routing.quarantine.news.empty() && !std::exchange(isPromptNewsPlanned, true))
+            asio::co_spawn(context, sendPlannedPromptNews(shared_from_this()), asio::detached);
+    }
+
+    static asio::awaitable<void> sendPlannedPromptNews(std::shared_ptr<state> self)
+    {
+        if (self->promptNewsSentAt != instant::min()) {
+            asio::steady_timer timer(self->context);
+            timer.expires_at(self->promptNewsSentAt + promptNewsPause);
+            co_await timer.async_wait(asTuple);
+        }
+        self->isPromptNewsPlanned = false;
+        if (self->isStopped)
+            co_return;
+        self->promptNewsSentAt = self->clock.now();
+        const std::string bytes
+            = encodePromptNews(takeNews(self->routing.quarantine, self->clock.now()));
+        for (const host_announcement &peer : self->routing.peers)
+            self->sendTo(peer.peer, bytes);
+    }
+
     static asio::awaitable<void> receive(std::shared_ptr<state> self)
     {
         std::vector<char> buffer(maxDatagramBytes);
@@ -358,6 +316,16 @@
     m_state->sendSoon();
 }
 
+void load_exchange::sendPromptNews()
+{
+    m_state->sendPromptNews();
+}
+
+void load_exchange::onPartHeld(std::function<void()> listener)
+{
+    m_state->partHeldListener = std::move(listener);
+}
+
 load_exchange::counts load_exchange::numbers() const
 {
     return m_state->numbers;
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -3,25 +3,17 @@
 #include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
-#include "policy/fleet_load.h"
+#include "route/hint_codec.h"
 #include "route/routing_state.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
-#include <optional>
-#include <string>
-#include <string_view>
 
 namespace quincefall {
 
-/// Serializes a hint.
-std::string encodeHint(const load_hint &hint);
-
-/// Parses a hint; empty when @p bytes are not a valid one.
-std::optional<load_hint> decodeHint(std::string_view bytes);
-
 /// Sends this host's load to the other hosts over UDP and records the load that they send.
 class load_exchange
 {
@@ -49,6 +41,12 @@
     /// In a large fleet the interval is seconds. News from the store or from an upstream can't wait
     /// that long, while load can.
     void sendSoon();
+
+    /// Tells all other hosts at once which prompt parts are suspected.
+    void sendPromptNews();
+
+    /// Called when a prompt part has become held by what other hosts told.
+    void onPartHeld(std::function<void()> listener);
     counts numbers() const;
 
 private:
--- /dev/null
+++ b/src/route/prompt_guard.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "clients/connection_pool.h"
+#include "policy/prompt_quarantine.h"
+#include "route/proxy_job.h"
+#include "route/routing_state.h"
+#include "route/upstream_call.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace quincefall {
+
+/// Applies the quarantine of prompt parts to the requests of this host.
+struct prompt_guard
+{
+    routing_state &state;
+    std::shared_ptr<connection_pool> connections;
+    clock_source clock;
+    host_address self; ///< Peer address of this host.
+    std::function<void()> newsListener; ///< Called when other hosts should hear of a part at once.
+    std::map<proxy_job *, std::weak_ptr<upstream_call>> running{}; ///< Not known to be answered.
+};
+
+/// Record the begin and the end of an attempt. removeAttempt() is true if the prompt has shared
+/// parts and noteAnswered() was not called.
+void addAttempt(prompt_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call);
+bool removeAttempt(prompt_guard &guard, proxy_job &job);
+
+/// Records that the upstream has answered the job's prompt for a while, or to its end.
+void noteAnswered(prompt_guard &guard, proxy_job &job);
+
+/// Records that the upstream sent something to a request that it got at @p sent.
+void noteBytes(prompt_guard &guard, const upstream_entry &entry, instant sent);
+
+/// Finds out whether the upstream has crashed after it closed the connection of the job's attempt,
+/// and records that. @p wasAnswering tells whether its answer had just begun.
+boost::asio::awaitable<void> noteLostConnection(prompt_guard &guard, proxy_job &job,
+                                                const upstream_entry &entry, bool wasAnswering);
+
+/// The held part for which the job must not be sent; empty if it may be sent.
+std::optional<held_part> findHeldPart(prompt_guard &guard, const proxy_job &job);
+
+/// Cancels the running attempts whose prompts have a held part.
+void cancelHeldAttempts(prompt_guard &guard);
+
+/// Error for a request that is held back.
+error heldBackError(const held_part &held);
+
+} // namespace quincefall
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -24,6 +24,8 @@
 constexpr int busyTimeoutFactor = 4;
 // An attempt that the request's deadline ends sooner than this does not count against its upstream.
 constexpr milliseconds minAttemptTimeForFault{700};
+// An upstream that crashes under a prompt does so soon after the first byte of the answer.
+constexpr milliseconds crashTimeAfterFirstByte{500};
 
 /// One attempt while it runs. The upstream is looked up by id each time, since it may be removed
 /// meanwhile.
@@ -45,6 +47,7 @@
 
     void noteActivity()
     {
+        noteBytes(context.guard, entry, started);
         if (routed_upstream *target = upstream())
             target->lastByteAt = context.clock.now();
     }
@@ -87,8 +90,13 @@
                 recordSlowGap(*target, now);
         }
         lastEventsAt = now;
+        if (now - firstByteAt >= crashTimeAfterFirstByte)
+            noteAnswered(context.guard, job);
     }
 
+    /// Whether the answer has begun, but not gone on since.
+    bool hasJustBegun() const { return hasFirstByte && longestGap.count() == 0; }
+
     attempt_work work() const
     {
         return {chosen.unreadTokens, chosen.estimatedFirstByteMs, chosen.delayMs, job.urgency,
@@ -129,6 +137,12 @@
     attempt_end endWithFailure(const error &failure)
     {
         job.lastFailure = failure;
+        if (job.isHeldBack && failure.code == result_code::cancelled) {
+            job.lastFailure
+                = error{result_code::promptHeldBack,
+                        "a part of the prompt became held while it was sent to " + entry.id};
+            return attempt_end::failed;
+        }
         if (job.exchange.isCallerDisconnected() || failure.code == result_code::cancelled)
             return attempt_end::callerGone;
         const bool isDeadline = context.clock.now() >= job.deadline;
@@ -209,6 +223,8 @@
     if (!body)
         co_return attempt.endWithFailure(body.error());
     attempt.noteOutcome(head.status < 500, false);
+    if (head.status < 300)
+        noteAnswered(attempt.context.guard, attempt.job);
     const auto headers = toAnswerHeaders(head.forwardedFields);
     co_await attempt.job.exchange.respond(head.status, headers, std::move(*body));
     co_return attempt_end::answered;
@@ -260,6 +276,7 @@
             co_return attempt_end::callerGone;
     }
     attempt.noteOutcome(true, false);
+    noteAnswered(attempt.context.guard, job);
     if (!job.isGapSensitive)
         recordStream(attempt.context.state.pools[attempt.entry.service],
                      attempt.context.clock.now() - attempt.firstByteAt);
@@ -393,9 +410,13 @@
     recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
     attempt.call = upstream_call::makeUpstreamCall(context.connections, attempt.entry.address);
     job.exchange.setDisconnectListener([call = attempt.call] { call->cancel(); });
+    addAttempt(context.guard, job, attempt.call);
     attempt_end end = co_await sendAndRelay(attempt);
     job.exchange.setDisconnectListener(nullptr);
     attempt.call->finish();
+    const bool isUnanswered = removeAttempt(context.guard, job);
+    if (end == attempt_end::failed && isUnanswered && attempt.call->hasLostConnection())
+        co_await noteLostConnection(context.guard, job, attempt.entry, attempt.hasJustBegun());
     routed_upstream *target = attempt.upstream();
     if (target && !attempt.hasFirstByte)
         recordFirstByte(pool, *target, attempt.work(), std::nullopt, context.clock.now());
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -41,6 +41,8 @@
     int runs = 0; ///< Attempts that an upstream may have run.
     int sends = 0; ///< Attempts that may have reached an upstream.
     bool hasReservedAttempt = false; ///< A further attempt was taken from the budget.
+    bool hasCrashedUpstream = false; ///< One crashed as it began the answer; perhaps the cause.
+    bool isHeldBack = false; ///< A part of the prompt became held while an attempt ran.
     bool hasStartedResponse = false; ///< The answer's head was sent to the caller.
     event_splitter events{}; ///< Position in a stream, kept across attempts.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -58,6 +58,7 @@
                    connections,
                    clock,
                    [this](proxy_job &job) { return takeFurtherAttempt(job); },
+                   {routing, connections, clock, settings.self, nullptr},
                    nullptr}
     {
     }
@@ -203,6 +204,10 @@
     /// it needs one and none is reserved.
     bool mayContinue(proxy_job &job, attempt_end end)
     {
+        if (job.hasCrashedUpstream) {
+            job.noFurtherAttempt = "its upstream crashed as it began the answer";
+            return false;
+        }
         const bool isRepeat = end == attempt_end::failed;
         if (isRepeat && (!job.isRepeatable() || job.runs >= job.choice.route->maxAttempts)) {
             job.noFurtherAttempt = "the route allows no further one";
@@ -262,6 +267,11 @@
     {
         attempt_end end = attempt_end::notRun;
         while (true) {
+            if (const auto held = findHeldPart(attempts.guard, job)) {
+                job.lastFailure = heldBackError(*held);
+                job.retryAfter = std::chrono::ceil<milliseconds>(held->retryAfter);
+                co_return job.runs > 0 ? attempt_end::failed : attempt_end::notRun;
+            }
             const placement chosen = job.sends == 0 ? chooseOrRefuse(job) : choose(job);
             if (!chosen.upstream) {
                 setRetryAfterPause(job);
@@ -300,7 +310,10 @@
         if (end == attempt_end::notRun) {
             const milliseconds wait
                 = job.retryAfter.value_or(std::chrono::ceil<milliseconds>(retryAfterFor(job)));
-            problem refusal{result_code::overloaded, detail, run_state::notRun, wait};
+            const bool isHeldBack
+                = job.lastFailure && job.lastFailure->code == result_code::promptHeldBack;
+            problem refusal{isHeldBack ? result_code::promptHeldBack : result_code::overloaded,
+                            detail, run_state::notRun, wait};
             co_await refuse(job.exchange, job.request.id, refusal);
             co_return;
         }
@@ -401,6 +414,16 @@
     m_state->attempts.noticeListener = std::move(listener);
 }
 
+void proxy_service::onPromptNews(std::function<void()> listener)
+{
+    m_state->attempts.guard.newsListener = std::move(listener);
+}
+
+void proxy_service::cancelHeldAttempts()
+{
+    quincefall::cancelHeldAttempts(m_state->attempts.guard);
+}
+
 void proxy_service::refuseNewRequests()
 {
     m_state->isRefusingNew = true;
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -24,6 +24,7 @@
     {
         placement_site site;
         attempt_budget_rule budget;
+        host_address self; ///< Peer address of this host.
         /// A desired state that was not confirmed as the newest for longer than this may be
         /// outdated, so requests that it does not allow get notReady rather than 401 or 404.
         milliseconds staleAfter{4'000};
@@ -41,6 +42,12 @@
     /// Called when an upstream told something new of itself in an answer.
     void onNotice(std::function<void()> listener);
 
+    /// Called when other hosts should hear of a suspected prompt part at once.
+    void onPromptNews(std::function<void()> listener);
+
+    /// Cancels the attempts whose prompts have a part that is now held.
+    void cancelHeldAttempts();
+
     /// Refuses all requests that arrive from now on without running them.
     void refuseNewRequests();
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -43,6 +43,7 @@
     proxy_service::options options;
     options.site.failureDomain = values.failureDomain;
     options.site.region = values.region;
+    options.self = values.peerListen;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
@@ -194,7 +195,10 @@
         if (!made)
             return tl::unexpected(made.error());
         load_exchange &added = **made;
-        services->find<proxy_service>("route.proxy").onNotice([&added] { added.sendSoon(); });
+        auto &proxy = services->find<proxy_service>("route.proxy");
+        proxy.onNotice([&added] { added.sendSoon(); });
+        proxy.onPromptNews([&added] { added.sendPromptNews(); });
+        added.onPartHeld([&proxy] { proxy.cancelHeldAttempts(); });
         services->add("route.exchange", std::shared_ptr<load_exchange>(std::move(*made)),
                       {[&added]() -> result<void> {
                            added.start();
@@ -225,6 +229,9 @@
         numbers->addCallbackMetric(
             {"quincefall_desired_version", "gauge", "Version of the desired state in force.", "",
              [this] { return routing.desired ? double(routing.desired->version) : 0.0; }});
+        numbers->addCallbackMetric({"quincefall_prompt_parts_held", "gauge",
+                                    "Prompt parts for which requests are held back.", "",
+                                    [this] { return double(heldCount(routing.quarantine)); }});
         numbers->addCallbackMetric({"process_cpu_seconds_total", "counter",
                                     "Processor time of the process in user and kernel mode.", "",
                                     processCpuSeconds});
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -3,6 +3,10 @@
 #include "clients/compression.h"
 #include "observe/log_setup.h"
 
+#include <array>
+#include <cinttypes>
+#include <cmath>
+#include <cstdio>
 #include <utility>
 
 namespace quincefall {
@@ -109,6 +113,38 @@
         recordNotice(state, listing->second.entry, notice, notice_source::otherHost, now);
 }
 
+std::string formatPartId(std::uint64_t id)
+{
+    std::array<char, 20> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64, id);
+    return text.data();
+}
+
+bool updateQuarantine(routing_state &state, instant now)
+{
+    bool isNewlyHeld = false;
+    for (const std::uint64_t part : updateHeldParts(state.quarantine, now)) {
+        const suspected_part &suspect = state.quarantine.suspects.at(part);
+        if (!suspect.isHeld) {
+            logInfo("prompt part released", {{"part", formatPartId(part)}});
+            continue;
+        }
+        isNewlyHeld = true;
+        std::string crashes;
+        for (const crash_evidence &evidence : suspect.crashes) {
+            crashes += crashes.empty() ? "" : ",";
+            crashes += formatPartId(evidence.crash)
+                + (evidence.wasAnswering ? ":answering" : ":waiting") + ":"
+                + std::to_string(std::lround(toMilliseconds(now - evidence.at))) + "ms";
+        }
+        logWarning("prompt part held back",
+                   {{"part", formatPartId(part)},
+                    {"crashes", crashes},
+                    {"answered_before", suspect.answeredAt == instant::min() ? "no" : "yes"}});
+    }
+    return isNewlyHeld;
+}
+
 void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone)
 {
     for (auto &[service, pool] : state.pools) {
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -6,6 +6,7 @@
 #include "policy/fleet_load.h"
 #include "policy/fleet_members.h"
 #include "policy/overload.h"
+#include "policy/prompt_quarantine.h"
 #include "policy/routed_upstream.h"
 #include "policy/upstream_membership.h"
 
@@ -34,6 +35,7 @@
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
     caller_timeouts callerTimeouts;
     fleet_load otherHostsLoad; ///< Other hosts' requests, demands, data versions and ages.
+    prompt_quarantine quarantine;
     std::vector<host_announcement> peers; ///< Other hosts of the fleet.
     bool hasReadPeers = false; ///< `peers` was read at least once.
 
@@ -66,6 +68,12 @@
 /// Applies what an upstream told another host.
 void applyNotice(routing_state &state, const told_notice &notice, instant now);
 
+/// An id of a prompt part or of a crash, for logs.
+std::string formatPartId(std::uint64_t id);
+
+/// Updates which prompt parts are held and logs the changes. True if a part has become held.
+bool updateQuarantine(routing_state &state, instant now);
+
 /// Updates the pools from the membership. Upstreams that stay keep their measured load and health.
 /// Calls @p onGone with the address of each upstream that was removed or replaced.
 void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone);
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -33,6 +33,13 @@
     return fields;
 }
 
+bool isConnectionLoss(const boost::system::error_code &code)
+{
+    return code == http::error::end_of_stream || code == http::error::partial_message
+        || code == asio::error::eof || code == asio::error::connection_reset
+        || code == asio::error::connection_aborted || code == asio::error::broken_pipe;
+}
+
 } // namespace
 
 struct upstream_call::state
@@ -61,6 +68,7 @@
     bool isTimedOut = false;
     bool isCancelled = false;
     bool isFinished = false;
+    bool hasLostConnection = false;
 
     instant inactivityDeadline() const
     {
@@ -102,10 +110,11 @@
         armTimer(call);
     }
 
-    tl::unexpected<error> failure(const boost::system::error_code &code, result_code kind) const
+    tl::unexpected<error> failure(const boost::system::error_code &code, result_code kind)
     {
         if (isCancelled)
             return makeError(result_code::cancelled, "the call was cancelled");
+        hasLostConnection = !isTimedOut && isConnectionLoss(code);
         const bool hasTimedOut = isTimedOut || code == asio::error::timed_out;
         if (hasTimedOut && kind == result_code::upstreamFailed)
             kind = result_code::upstreamTimeout;
@@ -270,6 +279,11 @@
         m_state->armTimer(shared_from_this());
 }
 
+bool upstream_call::hasLostConnection() const
+{
+    return m_state->hasLostConnection;
+}
+
 void upstream_call::cancel()
 {
     m_state->isCancelled = true;
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -47,6 +47,9 @@
     /// returns true, the call fails with upstreamTimeout.
     void setInactivityTimeout(microseconds inactivityTimeout, std::function<bool()> mayGiveUp);
 
+    /// Whether the upstream closed or reset the connection before its answer was complete.
+    bool hasLostConnection() const;
+
     /// Closes the connection; a pending operation fails with cancelled.
     void cancel();
 
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -207,8 +207,13 @@
     def __enter__(self):
         for host in self.hosts:
             host.start()
-        for host in self.hosts:
-            wait_for(host.is_ready, f"{host.name} to be ready")
+        try:
+            for host in self.hosts:
+                wait_for(host.is_ready, f"{host.name} to be ready")
+        except AssertionError:
+            for host in self.hosts:
+                print(f"{host.name}:", *host.lines(), sep="\n")
+            raise
         return self
 
     def __exit__(self, *_):
