--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -185,7 +185,7 @@
     resets the connection), "crossed" (sends another request's response first) and "unstamped" (no
     Quincefall-Response-Stamp). `faults_left` is the number of requests that the fault still applies
     to. `pause` is the value of Retry-After with "full"; None leaves it out. With `is_leaving`, all
-    answers say so. `arrivals` counts all requests, also those that are turned away.
+    answers say so. `limit` is the value of Server-Limit in all answers unless None. `arrivals` counts all requests, also those that are turned away.
 
     A stream whose prompt has `deadly_part` crashes the engine just after its first event: all
     connections are reset, and new ones are refused for `down_seconds`.
@@ -202,7 +202,9 @@
         self.faults_left = 10 ** 9
         self.pause = None
         self.is_leaving = False
+        self.limit = None
         self.arrivals = 0
+        self.arrival_times = []
         self.runs = collections.Counter()
         self.request_heads = {}
         self.aborted_streams = collections.Counter()
@@ -236,7 +238,9 @@
     async def answer(self, writer, method, target, fields, body):
         request = fields.get("quincefall-request-id", "")
         self.arrivals += 1
+        self.arrival_times.append(time.monotonic())
         leaving = [("Server-Leaving", "1")] if self.is_leaving else []
+        leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
         if fields.get("quincefall-expect-instance") != self.identity:
             writer.write(answer_bytes(421, b"", [("Quincefall-Instance-Id", self.identity)]))
             await writer.drain()
