Give up answers that are bytes without end, and streams cut inside an event

Callers saw: a stream whose connection ended inside an event came as a whole one; an upstream that sends bytes without end in a body, as interim answers or in an answer to another request held a request until its deadline (504), and up to 64 MB of memory each.

Cause: silence was the only sign of a fault, and any byte ended it. The bytes of an unfinished event were passed on when the connection ended. A connection on which only interim answers had come went back to the idle ones, where the upstream went on sending.

Change: what is dropped is bounded in bytes and pieces, a whole answer in bytes, an event in bytes and in time. An answer without length and chunks that ends inside an event is a failure, after which a stream that may be resumed goes on elsewhere. A connection is reused only after the answer to its request. running_attempt has files of its own.

Evidence: route_endless_test, with the stand-in: on the code before, all cases with endless bytes failed, some since the fleet had not yet earned a further attempt, which the test now waits for; so did both cases of a cut stream. The case of interim answers every 50 ms failed once more with the bounds alone and found the reused connection.

--- a/src/policy/prompt_quarantine.cpp
+++ b/src/policy/prompt_quarantine.cpp
@@ -357,6 +357,7 @@
     });
     rows.resize(std::min(rows.size(), maxToldSuspects));
     std::vector<told_suspect> told;
+    told.reserve(rows.size());
     for (const row_type *row : rows)
         told.push_back(toTell(row->first, row->second, now));
     return told;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -1,6 +1,6 @@
 #include "route/proxy_attempt.h"
 
-#include "observe/log_setup.h"
+#include "route/running_attempt.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,142 +20,9 @@
 // starts after the caller's answer has begun.
 constexpr double gapTimeoutInTargets = 2.0;
 constexpr milliseconds minGapTimeout{800};
-// An upstream that answers other requests but not this one is given up after this many timeouts.
-constexpr int busyTimeoutFactor = 4;
-// An attempt that the request's deadline ends sooner than this does not count against its upstream.
-constexpr milliseconds minAttemptTimeForFault{700};
-// An upstream that crashes under a prompt does so soon after the first byte of the answer.
-constexpr milliseconds crashTimeAfterFirstByte{500};
-
-/// One attempt while it runs. The upstream is looked up by id each time, since it may be removed
-/// meanwhile.
-struct running_attempt
-{
-    attempt_context &context;
-    proxy_job &job;
-    upstream_entry entry;
-    placement chosen;
-    std::shared_ptr<upstream_call> call;
-    instant started;
-    bool hasFirstByte = false;
-    instant firstByteAt{};
-    instant lastEventsAt{}; ///< When the last whole events arrived.
-    microseconds longestGap{0}; ///< Longest pause between events.
-    std::optional<upstream_load> load{}; ///< As reported with the answer.
-
-    routed_upstream *upstream() const { return findUpstream(context.state, entry); }
-
-    void noteActivity()
-    {
-        noteBytes(context.guard, entry, started);
-        if (routed_upstream *target = upstream())
-            target->lastByteAt = context.clock.now();
-    }
-
-    /// Whether the upstream has sent nothing to any request of this host for @p limit or since the
-    /// attempt's start. One that answers other requests is only busy, and a further attempt would
-    /// add load to an overloaded service, so this request waits until busyTimeoutFactor times
-    /// @p limit after the attempt's start. The last byte may also be this request's own.
-    bool isUnresponsive(microseconds limit) const
-    {
-        const routed_upstream *target = upstream();
-        const instant now = context.clock.now();
-        const bool answersOtherRequests
-            = target && target->lastByteAt > started && now - target->lastByteAt < limit;
-        return !answersOtherRequests || now - started > limit * busyTimeoutFactor;
-    }
-
-    void noteFirstByte()
-    {
-        if (hasFirstByte)
-            return;
-        hasFirstByte = true;
-        const instant now = context.clock.now();
-        if (routed_upstream *target = upstream())
-            recordFirstByte(context.state.pools[entry.service], *target, work(), now - started,
-                            now);
-        firstByteAt = now;
-    }
-
-    void noteEvents()
-    {
-        const instant now = context.clock.now();
-        const microseconds gap = lastEventsAt == instant{} ? microseconds(0) : now - lastEventsAt;
-        if (routed_upstream *target = upstream(); target && lastEventsAt == instant{})
-            recordSuccess(target->health);
-        longestGap = std::max(longestGap, gap);
-        const auto &engine = job.choice.service->engine;
-        if (engine && gap > slowGapThreshold(*engine)) {
-            if (routed_upstream *target = upstream())
-                recordSlowGap(*target, now);
-        }
-        lastEventsAt = now;
-        if (now - firstByteAt >= crashTimeAfterFirstByte)
-            noteAnswered(context.guard, job);
-    }
-
-    /// Whether the answer has begun, but not gone on since.
-    bool hasJustBegun() const { return hasFirstByte && longestGap.count() == 0; }
-
-    attempt_work work() const
-    {
-        return {chosen.unreadTokens, chosen.estimatedFirstByteMs, chosen.delayMs, job.urgency,
-                job.isGapSensitive};
-    }
-
-    void noteOutcome(bool succeeded, bool isFault)
-    {
-        routed_upstream *target = upstream();
-        if (!target)
-            return;
-        recordOutcome(*target, succeeded, context.clock.now());
-        if (isFault)
-            recordFailure(target->health, context.clock.now());
-    }
-
-    /// Marks the upstream as disconnected if the attempt timed out or could not connect. Also
-    /// closes the idle connections to it, since they may not work either.
-    void noteDisconnect(result_code cause)
-    {
-        routed_upstream *target = upstream();
-        const bool isConnectionFault
-            = cause == result_code::upstreamTimeout || cause == result_code::upstreamUnreachable;
-        if (!target || !isConnectionFault)
-            return;
-        context.connections->closeIdle(entry.address);
-        if (!target->isDisconnected)
-            logWarning("upstream cut off",
-                       {{"upstream", entry.id},
-                        {"request", job.request.id},
-                        {"cause", job.lastFailure->detail},
-                        {"failures", std::to_string(target->health.failures)}});
-        recordDisconnect(*target);
-    }
-
-    /// Records @p failure for the request and, if it counts against the upstream, in the upstream's
-    /// health. Returns how the attempt ended.
-    attempt_end endWithFailure(const error &failure)
-    {
-        job.lastFailure = failure;
-        if (job.isHeldBack && failure.code == result_code::cancelled) {
-            job.lastFailure
-                = error{result_code::promptHeldBack,
-                        "a part of the prompt became held while it was sent to " + entry.id};
-            return attempt_end::failed;
-        }
-        if (job.exchange.isCallerDisconnected() || failure.code == result_code::cancelled)
-            return attempt_end::callerGone;
-        const bool isDeadline = context.clock.now() >= job.deadline;
-        const bool countsAgainstUpstream
-            = !isDeadline || context.clock.now() - started > minAttemptTimeForFault;
-        if (countsAgainstUpstream) {
-            noteOutcome(false, true);
-            noteDisconnect(failure.code);
-        }
-        return failure.code == result_code::upstreamUnreachable ? attempt_end::notRun
-                                                                : attempt_end::failed;
-    }
-};
+// Of an answer that is passed on only when it is complete, and of one event of a stream.
+constexpr std::size_t maxWholeAnswerBytes = 4UL * 1024 * 1024;
+constexpr std::size_t maxEventBytes = 256UL * 1024;
 
 /// Whether the request may run once more after the current attempt.
 bool mayRunAgain(const proxy_job &job)
@@ -213,6 +80,8 @@
         if (piece->empty())
             co_return body;
         body.append(*piece);
+        if (body.size() > maxWholeAnswerBytes)
+            co_return makeError(result_code::upstreamFailed, "the answer is too long");
     }
 }
 
@@ -251,21 +120,49 @@
     return std::max<microseconds>(allowed, minGapTimeout);
 }
 
+microseconds firstByteTimeout(const running_attempt &attempt)
+{
+    const milliseconds target = attempt.job.choice.route->targetLatency;
+    if (attempt.chosen.reason == "probe")
+        return probeTimeout(target);
+    const auto allowed
+        = std::chrono::duration_cast<microseconds>(target * firstByteTimeoutInTargets);
+    return std::max<microseconds>(allowed, minFirstByteTimeout);
+}
+
+/// Why a stream that sends bytes but no whole event since @p progressAt is given up; empty to go
+/// on.
+std::optional<error> faultOfPartialEvent(const running_attempt &attempt, instant progressAt)
+{
+    const proxy_job &job = attempt.job;
+    if (job.events.pending.size() > maxEventBytes)
+        return error{result_code::upstreamFailed, "an event of the stream has no end"};
+    const microseconds limit = std::max<microseconds>(gapTimeout(job), firstByteTimeout(attempt));
+    if (job.isRepeatable() && attempt.context.clock.now() - progressAt > limit)
+        return error{result_code::upstreamTimeout, "the upstream sends bytes but no whole event"};
+    return std::nullopt;
+}
+
 /// Passes on each event once it is complete.
 asio::awaitable<attempt_end> relayStream(running_attempt &attempt, answer_head &head)
 {
     proxy_job &job = attempt.job;
     job.events.pending.clear();
+    instant progressAt = attempt.context.clock.now();
     while (true) {
         const auto piece = co_await attempt.call->read();
         if (!piece)
             co_return attempt.endWithFailure(piece.error());
         if (piece->empty())
             break;
-        attempt.noteActivity();
         const std::string events = extractEvents(job.events, *piece);
-        if (events.empty())
+        if (events.empty()) {
+            if (const auto fault = faultOfPartialEvent(attempt, progressAt))
+                co_return attempt.endWithFailure(*fault);
             continue;
+        }
+        progressAt = attempt.context.clock.now();
+        attempt.noteActivity();
         attempt.noteEvents();
         if (!job.hasStartedResponse && job.isRepeatable())
             attempt.call->setInactivityTimeout(gapTimeout(job), [&attempt, &job] {
@@ -275,6 +172,9 @@
         if (!co_await writeEvents(job, head, events))
             co_return attempt_end::callerGone;
     }
+    if (attempt.call->endsWithConnection() && !job.events.pending.empty())
+        co_return attempt.endWithFailure(
+            {result_code::streamIncomplete, "the stream ended inside an event"});
     attempt.noteOutcome(true, false);
     noteAnswered(attempt.context.guard, job);
     if (!job.isGapSensitive)
@@ -290,11 +190,11 @@
 asio::awaitable<attempt_end> handleRejection(running_attempt &attempt, const answer_head &head)
 {
     // The body is read to its end so that the connection can be reused.
-    const auto dropped = co_await readWholeBody(*attempt.call);
+    const bool isDropped = co_await attempt.call->dropRest();
     attempt.job.lastFailure = error{result_code::overloaded,
                                     "upstream " + attempt.entry.id + " answered "
                                         + std::to_string(head.status) + " without running it"};
-    if (head.isMisdirected || !dropped)
+    if (head.isMisdirected || !isDropped)
         attempt.noteOutcome(false, true);
     co_return attempt_end::notRun;
 }
@@ -330,8 +230,8 @@
         co_return attempt.endWithFailure(
             {result_code::upstreamFailed, "the answer has no response stamp"});
     if (head.status >= 500 && reserveFurtherAttempt(attempt.context, job)) {
-        const auto dropped = co_await readWholeBody(*attempt.call);
-        attempt.noteOutcome(false, !dropped);
+        const bool isDropped = co_await attempt.call->dropRest();
+        attempt.noteOutcome(false, !isDropped);
         job.lastFailure = error{result_code::upstreamFailed,
                                 "the upstream answered " + std::to_string(head.status)};
         co_return attempt_end::failed;
@@ -344,16 +244,6 @@
     co_return co_await relayWholeAnswer(attempt, head);
 }
 
-microseconds firstByteTimeout(const running_attempt &attempt)
-{
-    const milliseconds target = attempt.job.choice.route->targetLatency;
-    if (attempt.chosen.reason == "probe")
-        return probeTimeout(target);
-    const auto allowed
-        = std::chrono::duration_cast<microseconds>(target * firstByteTimeoutInTargets);
-    return std::max<microseconds>(allowed, minFirstByteTimeout);
-}
-
 asio::awaitable<attempt_end> sendAndRelay(running_attempt &attempt)
 {
     proxy_job &job = attempt.job;
--- /dev/null
+++ b/src/route/running_attempt.cpp
@@ -0,0 +1,118 @@
+#include "route/running_attempt.h"
+
+#include "observe/log_setup.h"
+
+#include <algorithm>
+
+namespace quincefall {
+namespace {
+
+// An upstream that answers other requests but not this one is given up after this many timeouts.
+constexpr int busyTimeoutFactor = 4;
+// An attempt that the request's deadline ends sooner than this does not count against its upstream.
+constexpr milliseconds minAttemptTimeForFault{700};
+// An upstream that crashes under a prompt does so soon after the first byte of the answer.
+constexpr milliseconds crashTimeAfterFirstByte{500};
+
+} // namespace
+
+void running_attempt::noteActivity()
+{
+    noteBytes(context.guard, entry, started);
+    if (routed_upstream *target = upstream())
+        target->lastByteAt = context.clock.now();
+}
+
+bool running_attempt::isUnresponsive(microseconds limit) const
+{
+    const routed_upstream *target = upstream();
+    const instant now = context.clock.now();
+    const bool answersOtherRequests
+        = target && target->lastByteAt > started && now - target->lastByteAt < limit;
+    return !answersOtherRequests || now - started > limit * busyTimeoutFactor;
+}
+
+void running_attempt::noteFirstByte()
+{
+    if (hasFirstByte)
+        return;
+    hasFirstByte = true;
+    const instant now = context.clock.now();
+    if (routed_upstream *target = upstream())
+        recordFirstByte(context.state.pools[entry.service], *target, work(), now - started, now);
+    firstByteAt = now;
+}
+
+void running_attempt::noteEvents()
+{
+    const instant now = context.clock.now();
+    const microseconds gap = lastEventsAt == instant{} ? microseconds(0) : now - lastEventsAt;
+    if (routed_upstream *target = upstream(); target && lastEventsAt == instant{})
+        recordSuccess(target->health);
+    longestGap = std::max(longestGap, gap);
+    const auto &engine = job.choice.service->engine;
+    if (engine && gap > slowGapThreshold(*engine)) {
+        if (routed_upstream *target = upstream())
+            recordSlowGap(*target, now);
+    }
+    lastEventsAt = now;
+    if (now - firstByteAt >= crashTimeAfterFirstByte)
+        noteAnswered(context.guard, job);
+}
+
+attempt_work running_attempt::work() const
+{
+    return {chosen.unreadTokens, chosen.estimatedFirstByteMs, chosen.delayMs, job.urgency,
+            job.isGapSensitive};
+}
+
+void running_attempt::noteOutcome(bool succeeded, bool isFault)
+{
+    routed_upstream *target = upstream();
+    if (!target)
+        return;
+    recordOutcome(*target, succeeded, context.clock.now());
+    if (isFault)
+        recordFailure(target->health, context.clock.now());
+}
+
+void running_attempt::noteDisconnect(result_code cause)
+{
+    routed_upstream *target = upstream();
+    const bool isConnectionFault
+        = cause == result_code::upstreamTimeout || cause == result_code::upstreamUnreachable;
+    if (!target || !isConnectionFault)
+        return;
+    context.connections->closeIdle(entry.address);
+    if (!target->isDisconnected)
+        logWarning("upstream cut off",
+                   {{"upstream", entry.id},
+                    {"request", job.request.id},
+                    {"cause", job.lastFailure->detail},
+                    {"failures", std::to_string(target->health.failures)}});
+    recordDisconnect(*target);
+}
+
+attempt_end running_attempt::endWithFailure(const error &failure)
+{
+    job.lastFailure = failure;
+    if (job.isHeldBack && failure.code == result_code::cancelled) {
+        job.lastFailure
+            = error{result_code::promptHeldBack,
+                    "a part of the prompt became held while it was sent to " + entry.id};
+        return attempt_end::failed;
+    }
+    if (job.exchange.isCallerDisconnected() || failure.code == result_code::cancelled)
+        return attempt_end::callerGone;
+    const bool isDeadline = context.clock.now() >= job.deadline;
+    const bool countsAgainstUpstream
+        = !isDeadline || context.clock.now() - started > minAttemptTimeForFault;
+    if (countsAgainstUpstream) {
+        noteOutcome(false, true);
+        noteDisconnect(failure.code);
+    }
+    return failure.code == result_code::upstreamUnreachable ? attempt_end::notRun
+                                                            : attempt_end::failed;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/running_attempt.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "route/proxy_attempt.h"
+
+#include <memory>
+#include <optional>
+
+namespace quincefall {
+
+/// One attempt while it runs. The upstream is looked up by id each time, since it may be removed
+/// meanwhile.
+struct running_attempt
+{
+    attempt_context &context;
+    proxy_job &job;
+    upstream_entry entry;
+    placement chosen;
+    std::shared_ptr<upstream_call> call;
+    instant started;
+    bool hasFirstByte = false;
+    instant firstByteAt{};
+    instant lastEventsAt{}; ///< When the last whole events arrived.
+    microseconds longestGap{0}; ///< Longest pause between events.
+    std::optional<upstream_load> load{}; ///< As reported with the answer.
+
+    routed_upstream *upstream() const { return findUpstream(context.state, entry); }
+
+    void noteActivity();
+
+    /// Whether the upstream has sent nothing to any request of this host for @p limit or since the
+    /// attempt's start. One that answers other requests is only busy, and a further attempt would
+    /// add load to an overloaded service, so this request waits until busyTimeoutFactor times
+    /// @p limit after the attempt's start. The last byte may also be this request's own.
+    bool isUnresponsive(microseconds limit) const;
+    void noteFirstByte();
+    void noteEvents();
+
+    /// Whether the answer has begun, but not gone on since.
+    bool hasJustBegun() const { return hasFirstByte && longestGap.count() == 0; }
+
+    attempt_work work() const;
+    void noteOutcome(bool succeeded, bool isFault);
+
+    /// Marks the upstream as disconnected if the attempt timed out or could not connect. Also
+    /// closes the idle connections to it, since they may not work either.
+    void noteDisconnect(result_code cause);
+
+    /// Records @p failure for the request and, if it counts against the upstream, in the upstream's
+    /// health. Returns how the attempt ended.
+    attempt_end endWithFailure(const error &failure);
+};
+
+} // namespace quincefall
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -24,6 +24,11 @@
 constexpr double nonRepeatableKeepAliveShare = 0.35;
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
+// Of a body that nobody needs; a new connection costs less than reading more.
+constexpr std::size_t maxDroppedBytes = 65'536;
+constexpr int maxDroppedPieces = 16;
+// Answers before the one to this request: interim ones, and late ones to earlier requests.
+constexpr int maxDroppedAnswers = 16;
 
 std::vector<http_header> fieldsOf(const answer_parser &parser)
 {
@@ -69,6 +74,7 @@
     bool isCancelled = false;
     bool isFinished = false;
     bool hasLostConnection = false;
+    bool hasHead = false; ///< Of the answer to this request.
 
     instant inactivityDeadline() const
     {
@@ -150,7 +156,7 @@
     asio::awaitable<result<answer_head>> readHead(const wire_format &wire)
     {
         bool hasSaidLeaving = false;
-        while (true) {
+        for (int dropped = 0; dropped <= maxDroppedAnswers; ++dropped) {
             parser.emplace();
             parser->body_limit(maxAnswerBytes);
             parser->skip(request.hasNoAnswerBody);
@@ -168,23 +174,30 @@
             if (!isInterim && !isForOtherRequest) {
                 keepAlive = head.keepAlive.value_or(defaultKeepAlive);
                 head.isLeaving = head.isLeaving || hasSaidLeaving;
+                hasHead = true;
                 co_return head;
             }
             hasSaidLeaving = hasSaidLeaving || (head.isLeaving && !head.isMisdirected);
-            if (auto dropped = co_await dropBody(); !dropped)
-                co_return tl::unexpected(dropped.error());
+            if (auto isDropped = co_await dropBody(); !isDropped)
+                co_return tl::unexpected(isDropped.error());
         }
+        co_return makeError(result_code::upstreamFailed,
+                            toString(address) + ": sent only answers to other requests");
     }
 
     asio::awaitable<result<void>> dropBody()
     {
-        while (true) {
+        std::size_t size = 0;
+        for (int pieces = 0; pieces < maxDroppedPieces && size < maxDroppedBytes; ++pieces) {
             const auto bytes = co_await readPiece();
             if (!bytes)
                 co_return tl::unexpected(bytes.error());
             if (bytes->empty())
                 co_return result<void>();
+            size += bytes->size();
         }
+        co_return makeError(result_code::upstreamFailed,
+                            toString(address) + ": the body that is to be dropped has no end");
     }
 
     asio::awaitable<result<std::string_view>> readPiece()
@@ -209,7 +222,7 @@
 
     bool isReusable() const
     {
-        return connection && !isCancelled && !isTimedOut && !isWriting && parser
+        return connection && hasHead && !isCancelled && !isTimedOut && !isWriting && parser
             && parser->is_done() && parser->keep_alive() && !parser->need_eof()
             && buffer.size() == 0 && connection->socket.is_open();
     }
@@ -279,6 +292,18 @@
         m_state->armTimer(shared_from_this());
 }
 
+asio::awaitable<bool> upstream_call::dropRest()
+{
+    const auto keep = shared_from_this();
+    const auto isDropped = co_await m_state->dropBody();
+    co_return isDropped.has_value();
+}
+
+bool upstream_call::endsWithConnection() const
+{
+    return m_state->parser && m_state->parser->need_eof();
+}
+
 bool upstream_call::hasLostConnection() const
 {
     return m_state->hasLostConnection;
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -47,6 +47,13 @@
     /// returns true, the call fails with upstreamTimeout.
     void setInactivityTimeout(microseconds inactivityTimeout, std::function<bool()> mayGiveUp);
 
+    /// Reads the rest of the body, so that the connection can be reused. Gives up on a body that is
+    /// long or comes in many pieces; false then, or when the connection has ended.
+    boost::asio::awaitable<bool> dropRest();
+
+    /// Whether only the end of the connection ends the answer.
+    bool endsWithConnection() const;
+
     /// Whether the upstream closed or reset the connection before its answer was complete.
     bool hasLostConnection() const;
 
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -177,13 +177,20 @@
         return True
 
 
+ENDLESS = ("endless-head", "endless-body", "endless-chunk", "endless-interim", "endless-other",
+           "endless-rejection")
+
+
 class Engine:
     """An engine or a plain service. A stream has `events` events.
 
     `fault` is None or one of "cut" (the connection is reset in the middle of the third event),
     "hang" (runs, no response), "error" (runs, then 500), "full" (503, not run), "reset" (runs, then
     resets the connection), "crossed" (sends another request's response first) and "unstamped" (no
-    Quincefall-Response-Stamp). `faults_left` is the number of requests that the fault still applies
+    Quincefall-Response-Stamp), "unframed" (neither length nor chunks; the connection ends the
+    answer), "unframed-cut" (the same, ending inside the third event) and "unframed-reset"; or one of
+    ENDLESS, which sends bytes until the caller closes: in the head, in the body, in chunks, as
+    interim answers, in an answer to another request, or in the body of a rejection. `faults_left` is the number of requests that the fault still applies
     to. `pause` is the value of Retry-After with "full"; None leaves it out. With `is_leaving`, all
     answers say so. `limit` is the value of Server-Limit in all answers unless None. `arrivals` counts all requests, also those that are turned away.
 
@@ -208,6 +215,8 @@
         self.runs = collections.Counter()
         self.request_heads = {}
         self.aborted_streams = collections.Counter()
+        self.endless_bytes = 0
+        self.endless_gap_seconds = 0
         self.deadly_part = None
         self.down_seconds = 1.0
         self.deadly_arrivals = []  # Times.
@@ -258,6 +267,8 @@
         echo = [("Quincefall-Request-Id", request)] + leaving
         stamp = [] if fault == "unstamped" else [
             ("Quincefall-Response-Stamp", f"{self.identity}.{request}")]
+        if fault in ENDLESS:
+            return await self.send_without_end(writer, fault, echo + stamp)
         if fault == "hang":
             await asyncio.sleep(3600)
         if fault == "reset":
@@ -270,18 +281,58 @@
             writer.write(answer_bytes(500, b"failed", echo + stamp))
         elif target.startswith("/stream/"):
             return await self.stream(writer, fields, request, echo + stamp, fault)
+        elif fault == "unframed":
+            writer.write(answer_bytes(200, b"", echo + stamp).replace(b"Content-Length: 0\r\n", b"")
+                         + b"done:" + request.encode() + body)
+            await writer.drain()
+            return False
         else:
             writer.write(answer_bytes(200, b"done:" + request.encode() + body, echo + stamp))
         await writer.drain()
         return True
 
+    async def send_without_end(self, writer, fault, headers):
+        fields = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        ok = f"HTTP/1.1 200 OK\r\n{fields}"
+        other = "HTTP/1.1 200 OK\r\nQuincefall-Request-Id: other\r\n\r\n"
+        start, rest = {
+            "endless-head": (ok + "X-Filler: ", "x" * 1024),
+            "endless-body": (ok + "\r\n", "x" * 1024),
+            "endless-chunk": (ok + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + "x" * 1024 + "\r\n"),
+            "endless-interim": ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+            "endless-other": (other, "x" * 1024),
+            "endless-rejection": (f"HTTP/1.1 503 X\r\n{fields}Quincefall-Not-Run: 1\r\n\r\n",
+                                  "x" * 1024),
+        }[fault]
+        writer.write(start.encode())
+        try:
+            while True:
+                writer.write(rest.encode() * (1 if self.endless_gap_seconds else 64))
+                self.endless_bytes += len(rest)
+                await writer.drain()
+                await asyncio.sleep(self.endless_gap_seconds)
+        except (ConnectionError, OSError):
+            return False
+
     async def stream(self, writer, fields, request, headers, fault):
         first = int(fields.get("last-event-id", 0)) + 1
-        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n"
+        is_unframed = fault is not None and fault.startswith("unframed")
+        framing = "" if is_unframed else "Transfer-Encoding: chunked\r\n"
+        head = f"HTTP/1.1 200 OK\r\n{framing}Content-Type: text/event-stream\r\n"
         head += "".join(f"{name}: {value}\r\n" for name, value in headers)
         writer.write(head.encode() + b"\r\n")
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: {number}-of-{self.service}\n\n".encode()
+            if is_unframed:
+                is_end = number == first + 2 and fault != "unframed"
+                writer.write(event[:len(event) // 2] if is_end else event)
+                await writer.drain()
+                await asyncio.sleep(self.event_seconds)
+                if is_end and fault == "unframed-reset":
+                    writer.transport.abort()
+                if is_end:
+                    return False
+                continue
             if fault == "cut" and number == first + 2:
                 half = event[:len(event) // 2]
                 writer.write(b"%x\r\n%s\r\n" % (len(half), half))
@@ -300,6 +351,8 @@
                 self.tasks.append(asyncio.create_task(self.crash()))
                 return False
             await asyncio.sleep(self.event_seconds)
+        if is_unframed:
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
