Stop the hosts of route_endless_test at once

Cause: each of the twenty fleets of the test waited for the graceful stop of its host, three seconds; under the sanitizers beside other tests that comes near the limit of 180 s.

Change: the host is killed at the end of a case that passed its checks, which stay as they are.

--- a/tests/process/route_endless_test.py
+++ b/tests/process/route_endless_test.py
@@ -1,5 +1,6 @@
 """Answers without length and chunks, and bytes that are no answer and do not end."""
 
+import signal
 import threading
 import time
 import unittest
@@ -78,6 +79,7 @@
             time.sleep(0.3)
             self.assertEqual(sum(engine.endless_bytes for engine in engines), sent)
             self.assertLess(resident_kb(host) - before, MAX_GROWTH_KB)
+            host.send(signal.SIGKILL)  # A graceful stop takes seconds, which many fleets add up.
 
     def check_all(self, names, path, gaps):
         for fault in ENDLESS:
