Show in a test that a request which crashes engines goes on reaching them

Callers saw: no engine of rounds-app for seconds, four times in a row, and refusals or 502 for their bookings meanwhile.

--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -195,7 +195,8 @@
     answers say so. `limit` is the value of Server-Limit in all answers unless None. `arrivals` counts all requests, also those that are turned away.
 
     A stream whose prompt has `deadly_part` crashes the engine just after its first event: all
-    connections are reset, and new ones are refused for `down_seconds`.
+    connections are reset, and new ones are refused for `down_seconds`. A request of which target,
+    organisation and body are one of `deadly_requests` crashes it before the answer begins.
     """
 
     def __init__(self, loop, identity, service):
@@ -218,6 +219,7 @@
         self.endless_bytes = 0
         self.endless_gap_seconds = 0
         self.deadly_part = None
+        self.deadly_requests = set()
         self.down_seconds = 1.0
         self.deadly_arrivals = []  # Times.
         self.crashes = []  # Times.
@@ -227,6 +229,9 @@
         parts = fields.get("quincefall-prompt-prefix", "").split(",")[:-1]
         return self.deadly_part in [part.split(":")[0] for part in parts]
 
+    def is_deadly_request(self, target, fields, body):
+        return (target, fields.get("quincefall-tenant"), body) in self.deadly_requests
+
     async def crash(self):
         self.crashes.append(time.monotonic())
         await self.server.close()
@@ -254,7 +259,8 @@
             writer.write(answer_bytes(421, b"", [("Quincefall-Instance-Id", self.identity)]))
             await writer.drain()
             return True
-        if self.is_deadly(fields):
+        is_deadly_request = self.is_deadly_request(target, fields, body)
+        if is_deadly_request or self.is_deadly(fields):
             self.deadly_arrivals.append(time.monotonic())
         fault = self.next_fault()
         if fault == "full":
@@ -264,6 +270,10 @@
             return True
         self.runs[request] += 1
         self.request_heads[request] = dict(fields, method=method, target=target, body=body)
+        if is_deadly_request:
+            await asyncio.sleep(0.03)
+            self.tasks.append(asyncio.create_task(self.crash()))
+            return False
         echo = [("Quincefall-Request-Id", request)] + leaving
         stamp = [] if fault == "unstamped" else [
             ("Quincefall-Response-Stamp", f"{self.identity}.{request}")]
