Name the quarantine of prompt parts after what it records

It will also record whole requests, which are no prompt parts. Renames only: crash_quarantine, crash_guard, suspected_trait, held_trait and the functions that go with them. No change of logic; nothing was measured.

--- a/src/policy/prompt_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include "policy/prompt_quarantine.h"
+#include "policy/crash_quarantine.h"
 
 #include <xxhash.h>
 
@@ -46,7 +46,7 @@
     return parts.empty() ? parts : parts.first(parts.size() - 1);
 }
 
-bool counts(const suspected_part &suspect, const crash_evidence &evidence)
+bool counts(const suspected_trait &suspect, const crash_evidence &evidence)
 {
     return !evidence.isRefuted && evidence.at > suspect.answeredAt;
 }
@@ -58,7 +58,8 @@
 
 /// Weight of the evidence; only the strongest of each moment counts, and none of the crashes that
 /// are @p explained.
-double evidenceAgainst(const suspected_part &suspect, const std::set<std::uint64_t> &explained = {})
+double evidenceAgainst(const suspected_trait &suspect,
+                       const std::set<std::uint64_t> &explained = {})
 {
     double sum = 0;
     double ofMoment = 0;
@@ -76,12 +77,12 @@
     return sum + ofMoment;
 }
 
-double thresholdOf(const suspected_part &suspect)
+double thresholdOf(const suspected_trait &suspect)
 {
     return suspect.answeredAt == instant::min() ? heldFrom : answeredHeldFrom;
 }
 
-instant lastCrashAt(const suspected_part &suspect)
+instant lastCrashAt(const suspected_trait &suspect)
 {
     instant last = instant::min();
     for (const crash_evidence &evidence : suspect.crashes) {
@@ -91,20 +92,20 @@
     return last;
 }
 
-std::size_t crashCount(const suspected_part &suspect)
+std::size_t crashCount(const suspected_trait &suspect)
 {
     return std::size_t(std::count_if(
         suspect.crashes.begin(), suspect.crashes.end(),
         [&suspect](const crash_evidence &evidence) { return counts(suspect, evidence); }));
 }
 
-seconds holdTime(const suspected_part &suspect)
+seconds holdTime(const suspected_trait &suspect)
 {
     const int doublings = int(evidenceAgainst(suspect) - thresholdOf(suspect));
     return std::min(minHoldTime * (1 << std::clamp(doublings, 0, maxDoublings)), maxHoldTime);
 }
 
-std::int64_t currentRound(const suspected_part &suspect, instant now)
+std::int64_t currentRound(const suspected_trait &suspect, instant now)
 {
     return (now - lastCrashAt(suspect)) / holdTime(suspect);
 }
@@ -123,7 +124,7 @@
     });
 }
 
-told_suspect toTell(std::uint64_t part, const suspected_part &suspect, instant now)
+told_suspect toTell(std::uint64_t part, const suspected_trait &suspect, instant now)
 {
     const auto ageOf = [now](instant at) { return std::chrono::floor<milliseconds>(now - at); };
     told_suspect told;
@@ -138,7 +139,7 @@
     return told;
 }
 
-void dropOldestSuspect(prompt_quarantine &quarantine)
+void dropOldestSuspect(crash_quarantine &quarantine)
 {
     const auto oldest
         = std::min_element(quarantine.suspects.begin(), quarantine.suspects.end(),
@@ -149,14 +150,14 @@
     quarantine.suspects.erase(oldest);
 }
 
-suspected_part &suspectFor(prompt_quarantine &quarantine, std::uint64_t part, instant now)
+suspected_trait &suspectFor(crash_quarantine &quarantine, std::uint64_t part, instant now)
 {
     const auto found = quarantine.suspects.find(part);
     if (found != quarantine.suspects.end())
         return found->second;
     if (quarantine.suspects.size() >= maxSuspects)
         dropOldestSuspect(quarantine);
-    suspected_part &suspect = quarantine.suspects[part];
+    suspected_trait &suspect = quarantine.suspects[part];
     suspect.changedAt = now;
     const auto answered = quarantine.answeredParts.find(part);
     if (answered != quarantine.answeredParts.end())
@@ -166,7 +167,7 @@
 
 /// Adds evidence, or what is new in it. A time passed on by several hosts gets later with each, so
 /// the earliest holds.
-void addEvidence(suspected_part &suspect, const crash_evidence &added, instant now)
+void addEvidence(suspected_trait &suspect, const crash_evidence &added, instant now)
 {
     auto &crashes = suspect.crashes;
     const auto known
@@ -202,7 +203,7 @@
 /// A crash has one cause, so the part with most evidence is held and the crashes of its prompts
 /// speak against no other part. Of parts with the same evidence it is the one that comes last in
 /// prompts, which holds back the fewest.
-std::set<std::uint64_t> partsToHold(const prompt_quarantine &quarantine)
+std::set<std::uint64_t> partsToHold(const crash_quarantine &quarantine)
 {
     struct candidate
     {
@@ -223,7 +224,7 @@
     std::set<std::uint64_t> held;
     std::set<std::uint64_t> explained;
     for (const candidate &row : candidates) {
-        const suspected_part &suspect = quarantine.suspects.at(row.part);
+        const suspected_trait &suspect = quarantine.suspects.at(row.part);
         if (evidenceAgainst(suspect, explained) < thresholdOf(suspect))
             continue;
         held.insert(row.part);
@@ -233,7 +234,7 @@
     return held;
 }
 
-void dropExpired(prompt_quarantine &quarantine, instant now)
+void dropExpired(crash_quarantine &quarantine, instant now)
 {
     std::erase_if(quarantine.suspects, [now](const auto &row) {
         const auto lifetime = row.second.isHeld ? heldLifetime : suspicionLifetime;
@@ -250,7 +251,7 @@
     return XXH64(entry.id.data(), entry.id.size(), std::uint64_t(entry.started));
 }
 
-void recordAnswered(prompt_quarantine &quarantine, const prompt_outline &prompt, instant now)
+void recordAnswered(crash_quarantine &quarantine, const prompt_outline &prompt, instant now)
 {
     for (const prompt_part &part : sharedParts(prompt)) {
         quarantine.answeredParts[part.id] = now;
@@ -270,7 +271,7 @@
     }
 }
 
-void recordCrash(prompt_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
+void recordCrash(crash_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
                  bool wasAnswering, instant now)
 {
     dropExpired(quarantine, now);
@@ -281,14 +282,14 @@
         if (answered != quarantine.answeredParts.end() && now - answered->second < soundTime)
             continue;
         quarantine.news.insert(part.id);
-        suspected_part &suspect = suspectFor(quarantine, part.id, now);
+        suspected_trait &suspect = suspectFor(quarantine, part.id, now);
         suspect.isFirstHand = true;
         suspect.depth = std::max(suspect.depth, depth - 1);
         addEvidence(suspect, {crash, now, wasAnswering, false}, now);
     }
 }
 
-void recordSurvival(prompt_quarantine &quarantine, std::uint64_t crash, instant sent, instant now)
+void recordSurvival(crash_quarantine &quarantine, std::uint64_t crash, instant sent, instant now)
 {
     for (auto &[part, suspect] : quarantine.suspects) {
         for (crash_evidence &evidence : suspect.crashes) {
@@ -302,7 +303,7 @@
     }
 }
 
-bool hasUnansweredPart(const prompt_quarantine &quarantine, const prompt_outline &prompt)
+bool hasUnansweredPart(const crash_quarantine &quarantine, const prompt_outline &prompt)
 {
     const auto parts = sharedParts(prompt);
     return std::any_of(parts.begin(), parts.end(), [&quarantine](const prompt_part &part) {
@@ -310,15 +311,15 @@
     });
 }
 
-std::optional<held_part> findHeldPart(prompt_quarantine &quarantine, const prompt_outline &prompt,
-                                      const host_address &own, std::span<const host_address> others,
-                                      instant now)
+std::optional<held_trait> findHeldTrait(crash_quarantine &quarantine, const prompt_outline &prompt,
+                                        const host_address &own,
+                                        std::span<const host_address> others, instant now)
 {
     for (const prompt_part &part : sharedParts(prompt)) {
         const auto found = quarantine.suspects.find(part.id);
         if (found == quarantine.suspects.end() || !found->second.isHeld)
             continue;
-        suspected_part &suspect = found->second;
+        suspected_trait &suspect = found->second;
         if (crashCount(suspect) == 0)
             continue;
         const std::int64_t round = currentRound(suspect, now);
@@ -327,13 +328,13 @@
             continue;
         }
         const instant nextRound = lastCrashAt(suspect) + holdTime(suspect) * (round + 1);
-        return held_part{part.id, crashCount(suspect),
-                         std::chrono::duration_cast<microseconds>(nextRound - now)};
+        return held_trait{part.id, crashCount(suspect),
+                          std::chrono::duration_cast<microseconds>(nextRound - now)};
     }
     return std::nullopt;
 }
 
-bool isHeld(const prompt_quarantine &quarantine, const prompt_outline &prompt)
+bool isHeld(const crash_quarantine &quarantine, const prompt_outline &prompt)
 {
     const auto parts = sharedParts(prompt);
     return std::any_of(parts.begin(), parts.end(), [&quarantine](const prompt_part &part) {
@@ -342,9 +343,9 @@
     });
 }
 
-std::vector<told_suspect> suspectsToTell(const prompt_quarantine &quarantine, instant now)
+std::vector<told_suspect> suspectsToTell(const crash_quarantine &quarantine, instant now)
 {
-    using row_type = std::pair<const std::uint64_t, suspected_part>;
+    using row_type = std::pair<const std::uint64_t, suspected_trait>;
     std::vector<const row_type *> rows;
     for (const row_type &row : quarantine.suspects) {
         const bool isRecent = row.second.isFirstHand && now - row.second.changedAt < tellTime;
@@ -363,7 +364,7 @@
     return told;
 }
 
-std::vector<told_suspect> takeNews(prompt_quarantine &quarantine, instant now)
+std::vector<told_suspect> takeNews(crash_quarantine &quarantine, instant now)
 {
     std::vector<told_suspect> told;
     for (const std::uint64_t part : std::exchange(quarantine.news, {})) {
@@ -374,9 +375,9 @@
     return told;
 }
 
-void applySuspect(prompt_quarantine &quarantine, const told_suspect &told, instant now)
+void applySuspect(crash_quarantine &quarantine, const told_suspect &told, instant now)
 {
-    suspected_part &suspect = suspectFor(quarantine, told.part, now);
+    suspected_trait &suspect = suspectFor(quarantine, told.part, now);
     const instant toldAnsweredAt = told.answeredAge ? now - *told.answeredAge : instant::min();
     const bool isAnsweredLater = suspect.answeredAt != instant::min()
         && (!told.answeredAge || suspect.answeredAt - toldAnsweredAt > newerAnswer);
@@ -397,13 +398,13 @@
         quarantine.news.insert(told.part);
 }
 
-std::size_t heldCount(const prompt_quarantine &quarantine)
+std::size_t heldCount(const crash_quarantine &quarantine)
 {
     return std::size_t(std::count_if(quarantine.suspects.begin(), quarantine.suspects.end(),
                                      [](const auto &row) { return row.second.isHeld; }));
 }
 
-std::vector<std::uint64_t> updateHeldParts(prompt_quarantine &quarantine, instant now)
+std::vector<std::uint64_t> updateHeldTraits(crash_quarantine &quarantine, instant now)
 {
     dropExpired(quarantine, now);
     const std::set<std::uint64_t> held = partsToHold(quarantine);
--- a/src/policy/prompt_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -25,7 +25,7 @@
 };
 
 /// A part of prompts under which upstreams crashed.
-struct suspected_part
+struct suspected_trait
 {
     std::vector<crash_evidence> crashes; ///< In the order of their times.
     unsigned depth = 0; ///< Largest number of parts before it in a prompt.
@@ -43,10 +43,10 @@
 /// crash of an upstream ends many requests, so a part is held back only when several crashes have
 /// it in common and no prompt with it was answered since. A crash that a held part explains speaks
 /// against no other part. The last part of a prompt is its own and never suspected.
-struct prompt_quarantine
+struct crash_quarantine
 {
     std::unordered_map<std::uint64_t, instant> answeredParts; ///< Last answer on this host, by id.
-    std::map<std::uint64_t, suspected_part> suspects; ///< By id of the part.
+    std::map<std::uint64_t, suspected_trait> suspects; ///< By id of the part.
     std::set<std::uint64_t> news; ///< Suspects of which other hosts should hear at once.
 };
 
@@ -70,7 +70,7 @@
 };
 
 /// A part for which a request is refused.
-struct held_part
+struct held_trait
 {
     std::uint64_t part = 0;
     std::size_t crashes = 0; ///< That speak against it.
@@ -82,44 +82,44 @@
 
 /// Records that the answer to @p prompt has gone on for so long that none of its parts crashes an
 /// upstream.
-void recordAnswered(prompt_quarantine &quarantine, const prompt_outline &prompt, instant now);
+void recordAnswered(crash_quarantine &quarantine, const prompt_outline &prompt, instant now);
 
 /// Records that the upstream of @p crash crashed while it had @p prompt. @p wasAnswering tells
 /// whether its answer had begun, but not yet gone on; see recordAnswered().
-void recordCrash(prompt_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
+void recordCrash(crash_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
                  bool wasAnswering, instant now);
 
 /// Records that the upstream of @p crash answers a request that was sent to it at @p sent. That
 /// refutes a crash noticed after @p sent and some time ago.
-void recordSurvival(prompt_quarantine &quarantine, std::uint64_t crash, instant sent, instant now);
+void recordSurvival(crash_quarantine &quarantine, std::uint64_t crash, instant sent, instant now);
 
 /// Whether a part of the prompt was never seen to be answered on this host.
-bool hasUnansweredPart(const prompt_quarantine &quarantine, const prompt_outline &prompt);
+bool hasUnansweredPart(const crash_quarantine &quarantine, const prompt_outline &prompt);
 
 /// The first held part of the prompt; empty if the prompt may be sent. Once in a while, that is for
 /// a single prompt of a single host, which tries whether the part still crashes upstreams.
-std::optional<held_part> findHeldPart(prompt_quarantine &quarantine, const prompt_outline &prompt,
-                                      const host_address &own, std::span<const host_address> others,
-                                      instant now);
+std::optional<held_trait> findHeldTrait(crash_quarantine &quarantine, const prompt_outline &prompt,
+                                        const host_address &own,
+                                        std::span<const host_address> others, instant now);
 
 /// Whether a part of the prompt is held; never starts a trial.
-bool isHeld(const prompt_quarantine &quarantine, const prompt_outline &prompt);
+bool isHeld(const crash_quarantine &quarantine, const prompt_outline &prompt);
 
 /// What to repeat to other hosts: the parts that are held, and those under which this host has seen
 /// a crash a short time ago.
-std::vector<told_suspect> suspectsToTell(const prompt_quarantine &quarantine, instant now);
+std::vector<told_suspect> suspectsToTell(const crash_quarantine &quarantine, instant now);
 
 /// Takes what the other hosts should hear at once.
-std::vector<told_suspect> takeNews(prompt_quarantine &quarantine, instant now);
+std::vector<told_suspect> takeNews(crash_quarantine &quarantine, instant now);
 
 /// Merges what another host told. Where the other host holds a part back and this host knows what
 /// speaks for it, that is news.
-void applySuspect(prompt_quarantine &quarantine, const told_suspect &told, instant now);
+void applySuspect(crash_quarantine &quarantine, const told_suspect &told, instant now);
 
 /// Number of parts that are held.
-std::size_t heldCount(const prompt_quarantine &quarantine);
+std::size_t heldCount(const crash_quarantine &quarantine);
 
 /// Parts that have become held or are so no longer since the last call.
-std::vector<std::uint64_t> updateHeldParts(prompt_quarantine &quarantine, instant now);
+std::vector<std::uint64_t> updateHeldTraits(crash_quarantine &quarantine, instant now);
 
 } // namespace quincefall
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -2,7 +2,7 @@
 
 #include "kernel/address.h"
 #include "kernel/clock.h"
-#include "policy/prompt_quarantine.h"
+#include "policy/crash_quarantine.h"
 #include "policy/store_position.h"
 #include "policy/upstream_notice.h"
 
--- a/src/route/prompt_guard.cpp
+++ b/src/route/crash_guard.cpp
@@ -1,4 +1,4 @@
-#include "route/prompt_guard.h"
+#include "route/crash_guard.h"
 
 #include "kernel/asio_headers.h"
 #include "observe/log_setup.h"
@@ -18,7 +18,7 @@
     return job.request.prompt.parts.size() > 1;
 }
 
-void updateAndTell(prompt_guard &guard)
+void updateAndTell(crash_guard &guard)
 {
     if (guard.state.quarantine.news.empty())
         return;
@@ -30,18 +30,18 @@
 
 } // namespace
 
-void addAttempt(prompt_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call)
+void addAttempt(crash_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call)
 {
     if (hasSharedPart(job))
         guard.running[&job] = call;
 }
 
-bool removeAttempt(prompt_guard &guard, proxy_job &job)
+bool removeAttempt(crash_guard &guard, proxy_job &job)
 {
     return guard.running.erase(&job) > 0;
 }
 
-void noteAnswered(prompt_guard &guard, proxy_job &job)
+void noteAnswered(crash_guard &guard, proxy_job &job)
 {
     if (guard.running.erase(&job) == 0)
         return;
@@ -49,16 +49,16 @@
     updateAndTell(guard);
 }
 
-void noteBytes(prompt_guard &guard, const upstream_entry &entry, instant sent)
+void noteBytes(crash_guard &guard, const upstream_entry &entry, instant sent)
 {
-    prompt_quarantine &quarantine = guard.state.quarantine;
+    crash_quarantine &quarantine = guard.state.quarantine;
     if (quarantine.suspects.empty())
         return;
     recordSurvival(quarantine, crashId(entry), sent, guard.clock.now());
     updateAndTell(guard);
 }
 
-asio::awaitable<void> noteLostConnection(prompt_guard &guard, proxy_job &job,
+asio::awaitable<void> noteLostConnection(crash_guard &guard, proxy_job &job,
                                          const upstream_entry &entry, bool wasAnswering)
 {
     if (!hasSharedPart(job))
@@ -66,7 +66,7 @@
     const instant lostAt = guard.clock.now();
     if (!co_await guard.connections->isRefused(entry.address, connectTimeout, initialKeepAlive))
         co_return;
-    prompt_quarantine &quarantine = guard.state.quarantine;
+    crash_quarantine &quarantine = guard.state.quarantine;
     job.hasCrashedUpstream = wasAnswering && hasUnansweredPart(quarantine, job.request.prompt);
     recordCrash(quarantine, crashId(entry), job.request.prompt, wasAnswering, lostAt);
     logWarning("upstream crashed",
@@ -77,18 +77,18 @@
     updateAndTell(guard);
 }
 
-std::optional<held_part> findHeldPart(prompt_guard &guard, const proxy_job &job)
+std::optional<held_trait> findHeldTrait(crash_guard &guard, const proxy_job &job)
 {
     if (!isHeld(guard.state.quarantine, job.request.prompt))
         return std::nullopt;
     std::vector<host_address> others;
     for (const host_announcement &peer : guard.state.peers)
         others.push_back(peer.peer);
-    return findHeldPart(guard.state.quarantine, job.request.prompt, guard.self, others,
-                        guard.clock.now());
+    return findHeldTrait(guard.state.quarantine, job.request.prompt, guard.self, others,
+                         guard.clock.now());
 }
 
-void cancelHeldAttempts(prompt_guard &guard)
+void cancelHeldAttempts(crash_guard &guard)
 {
     std::vector<std::shared_ptr<upstream_call>> cancelled;
     for (auto &[job, call] : guard.running) {
@@ -102,11 +102,11 @@
         call->cancel();
 }
 
-error heldBackError(const held_part &held)
+error heldBackError(const held_trait &held)
 {
     return {result_code::promptHeldBack,
             std::to_string(held.crashes) + " upstreams crashed under prompts with part "
-                + formatPartId(held.part)};
+                + formatTraitId(held.part)};
 }
 
 } // namespace quincefall
--- a/src/route/prompt_guard.h
+++ b/src/route/crash_guard.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "clients/connection_pool.h"
-#include "policy/prompt_quarantine.h"
+#include "policy/crash_quarantine.h"
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
@@ -16,7 +16,7 @@
 namespace quincefall {
 
 /// Applies the quarantine of prompt parts to the requests of this host.
-struct prompt_guard
+struct crash_guard
 {
     routing_state &state;
     std::shared_ptr<connection_pool> connections;
@@ -28,27 +28,27 @@
 
 /// Record the begin and the end of an attempt. removeAttempt() is true if the prompt has shared
 /// parts and noteAnswered() was not called.
-void addAttempt(prompt_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call);
-bool removeAttempt(prompt_guard &guard, proxy_job &job);
+void addAttempt(crash_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call);
+bool removeAttempt(crash_guard &guard, proxy_job &job);
 
 /// Records that the upstream has answered the job's prompt for a while, or to its end.
-void noteAnswered(prompt_guard &guard, proxy_job &job);
+void noteAnswered(crash_guard &guard, proxy_job &job);
 
 /// Records that the upstream sent something to a request that it got at @p sent.
-void noteBytes(prompt_guard &guard, const upstream_entry &entry, instant sent);
+void noteBytes(crash_guard &guard, const upstream_entry &entry, instant sent);
 
 /// Finds out whether the upstream has crashed after it closed the connection of the job's attempt,
 /// and records that. @p wasAnswering tells whether its answer had just begun.
-boost::asio::awaitable<void> noteLostConnection(prompt_guard &guard, proxy_job &job,
+boost::asio::awaitable<void> noteLostConnection(crash_guard &guard, proxy_job &job,
                                                 const upstream_entry &entry, bool wasAnswering);
 
 /// The held part for which the job must not be sent; empty if it may be sent.
-std::optional<held_part> findHeldPart(prompt_guard &guard, const proxy_job &job);
+std::optional<held_trait> findHeldTrait(crash_guard &guard, const proxy_job &job);
 
 /// Cancels the running attempts whose prompts have a held part.
-void cancelHeldAttempts(prompt_guard &guard);
+void cancelHeldAttempts(crash_guard &guard);
 
 /// Error for a request that is held back.
-error heldBackError(const held_part &held);
+error heldBackError(const held_trait &held);
 
 } // namespace quincefall
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -102,7 +102,7 @@
     return hint;
 }
 
-std::string encodePromptNews(std::span<const told_suspect> suspects)
+std::string encodeSuspects(std::span<const told_suspect> suspects)
 {
     wire::LoadHint message;
     addSuspects(message, suspects);
--- a/src/route/hint_codec.h
+++ b/src/route/hint_codec.h
@@ -18,7 +18,7 @@
 std::optional<load_hint> decodeHint(std::string_view bytes);
 
 /// Serializes suspected prompt parts without a hint.
-std::string encodePromptNews(std::span<const told_suspect> suspects);
+std::string encodeSuspects(std::span<const told_suspect> suspects);
 
 /// Read a message that was parsed: a hint, empty if it has no valid host, and the prompt parts in
 /// it.
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -26,7 +26,7 @@
 constexpr int maxNewsPerHint = 4;
 constexpr milliseconds minSendPause{200};
 // Between messages about prompt parts; several crashes are often told together.
-constexpr milliseconds promptNewsPause{100};
+constexpr milliseconds suspectNewsPause{100};
 upstream_work ownWork(const routed_upstream &upstream)
 {
     return {nameHash(upstream.listed.id), upstream.inFlight, upstream.unreadTokens};
@@ -94,9 +94,9 @@
     instant sentAt = instant::min();
     instant nextSend = instant::max(); ///< Planned.
     bool isStopped = false;
-    instant promptNewsSentAt = instant::min();
-    bool isPromptNewsPlanned = false;
-    std::function<void()> partHeldListener;
+    instant suspectNewsSentAt = instant::min();
+    bool isSuspectNewsPlanned = false;
+    std::function<void()> traitHeldListener;
 
     std::string nextHint()
     {
@@ -220,30 +220,30 @@
             return;
         for (const told_suspect &suspect : suspects)
             applySuspect(routing.quarantine, suspect, clock.now());
-        if (updateQuarantine(routing, clock.now()) && partHeldListener)
-            partHeldListener();
-        sendPromptNews();
+        if (updateQuarantine(routing, clock.now()) && traitHeldListener)
+            traitHeldListener();
+        sendSuspectNews();
     }
 
-    void sendPromptNews()
+    void sendSuspectNews()
     {
-        if (!routing.quarantine.news.empty() && !std::exchange(isPromptNewsPlanned, true))
-            asio::co_spawn(context, sendPlannedPromptNews(shared_from_this()), asio::detached);
+        if (!routing.quarantine.news.empty() && !std::exchange(isSuspectNewsPlanned, true))
+            asio::co_spawn(context, sendPlannedSuspectNews(shared_from_this()), asio::detached);
     }
 
-    static asio::awaitable<void> sendPlannedPromptNews(std::shared_ptr<state> self)
+    static asio::awaitable<void> sendPlannedSuspectNews(std::shared_ptr<state> self)
     {
-        if (self->promptNewsSentAt != instant::min()) {
+        if (self->suspectNewsSentAt != instant::min()) {
             asio::steady_timer timer(self->context);
-            timer.expires_at(self->promptNewsSentAt + promptNewsPause);
+            timer.expires_at(self->suspectNewsSentAt + suspectNewsPause);
             co_await timer.async_wait(asTuple);
         }
-        self->isPromptNewsPlanned = false;
+        self->isSuspectNewsPlanned = false;
         if (self->isStopped)
             co_return;
-        self->promptNewsSentAt = self->clock.now();
+        self->suspectNewsSentAt = self->clock.now();
         const std::string bytes
-            = encodePromptNews(takeNews(self->routing.quarantine, self->clock.now()));
+            = encodeSuspects(takeNews(self->routing.quarantine, self->clock.now()));
         for (const host_announcement &peer : self->routing.peers)
             self->sendTo(peer.peer, bytes);
     }
@@ -316,14 +316,14 @@
     m_state->sendSoon();
 }
 
-void load_exchange::sendPromptNews()
+void load_exchange::sendSuspectNews()
 {
-    m_state->sendPromptNews();
+    m_state->sendSuspectNews();
 }
 
-void load_exchange::onPartHeld(std::function<void()> listener)
+void load_exchange::onTraitHeld(std::function<void()> listener)
 {
-    m_state->partHeldListener = std::move(listener);
+    m_state->traitHeldListener = std::move(listener);
 }
 
 load_exchange::counts load_exchange::numbers() const
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -43,10 +43,10 @@
     void sendSoon();
 
     /// Tells all other hosts at once which prompt parts are suspected.
-    void sendPromptNews();
+    void sendSuspectNews();
 
     /// Called when a prompt part has become held by what other hosts told.
-    void onPartHeld(std::function<void()> listener);
+    void onTraitHeld(std::function<void()> listener);
     counts numbers() const;
 
 private:
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -2,7 +2,7 @@
 
 #include "clients/connection_pool.h"
 #include "policy/placement.h"
-#include "route/prompt_guard.h"
+#include "route/crash_guard.h"
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
@@ -23,7 +23,7 @@
     clock_source clock;
     /// Takes a further attempt for the job from the budget; false when the budget is used up.
     std::function<bool(proxy_job &)> takeFurtherAttempt;
-    prompt_guard guard;
+    crash_guard guard;
     std::function<void()> noticeListener; ///< Called when an upstream told something new of itself.
 };
 
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -267,7 +267,7 @@
     {
         attempt_end end = attempt_end::notRun;
         while (true) {
-            if (const auto held = findHeldPart(attempts.guard, job)) {
+            if (const auto held = findHeldTrait(attempts.guard, job)) {
                 job.lastFailure = heldBackError(*held);
                 job.retryAfter = std::chrono::ceil<milliseconds>(held->retryAfter);
                 co_return job.runs > 0 ? attempt_end::failed : attempt_end::notRun;
@@ -414,7 +414,7 @@
     m_state->attempts.noticeListener = std::move(listener);
 }
 
-void proxy_service::onPromptNews(std::function<void()> listener)
+void proxy_service::onSuspectNews(std::function<void()> listener)
 {
     m_state->attempts.guard.newsListener = std::move(listener);
 }
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -42,7 +42,7 @@
     void onNotice(std::function<void()> listener);
 
     /// Called when other hosts should hear of a suspected prompt part at once.
-    void onPromptNews(std::function<void()> listener);
+    void onSuspectNews(std::function<void()> listener);
 
     /// Cancels the attempts whose prompts have a part that is now held.
     void cancelHeldAttempts();
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -197,8 +197,8 @@
         load_exchange &added = **made;
         auto &proxy = services->find<proxy_service>("route.proxy");
         proxy.onNotice([&added] { added.sendSoon(); });
-        proxy.onPromptNews([&added] { added.sendPromptNews(); });
-        added.onPartHeld([&proxy] { proxy.cancelHeldAttempts(); });
+        proxy.onSuspectNews([&added] { added.sendSuspectNews(); });
+        added.onTraitHeld([&proxy] { proxy.cancelHeldAttempts(); });
         services->add("route.exchange", std::shared_ptr<load_exchange>(std::move(*made)),
                       {[&added]() -> result<void> {
                            added.start();
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -126,7 +126,7 @@
         recordNotice(state, listing->second.entry, notice, notice_source::otherHost, now);
 }
 
-std::string formatPartId(std::uint64_t id)
+std::string formatTraitId(std::uint64_t id)
 {
     std::array<char, 20> text{};
     std::snprintf(text.data(), text.size(), "%016" PRIx64, id);
@@ -136,22 +136,22 @@
 bool updateQuarantine(routing_state &state, instant now)
 {
     bool isNewlyHeld = false;
-    for (const std::uint64_t part : updateHeldParts(state.quarantine, now)) {
-        const suspected_part &suspect = state.quarantine.suspects.at(part);
+    for (const std::uint64_t part : updateHeldTraits(state.quarantine, now)) {
+        const suspected_trait &suspect = state.quarantine.suspects.at(part);
         if (!suspect.isHeld) {
-            logInfo("prompt part released", {{"part", formatPartId(part)}});
+            logInfo("prompt part released", {{"part", formatTraitId(part)}});
             continue;
         }
         isNewlyHeld = true;
         std::string crashes;
         for (const crash_evidence &evidence : suspect.crashes) {
             crashes += crashes.empty() ? "" : ",";
-            crashes += formatPartId(evidence.crash)
+            crashes += formatTraitId(evidence.crash)
                 + (evidence.wasAnswering ? ":answering" : ":waiting") + ":"
                 + std::to_string(std::lround(toMilliseconds(now - evidence.at))) + "ms";
         }
         logWarning("prompt part held back",
-                   {{"part", formatPartId(part)},
+                   {{"part", formatTraitId(part)},
                     {"crashes", crashes},
                     {"answered_before", suspect.answeredAt == instant::min() ? "no" : "yes"}});
     }
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -2,11 +2,11 @@
 
 #include "kernel/clock.h"
 #include "policy/attempt_budget.h"
+#include "policy/crash_quarantine.h"
 #include "policy/desired_state.h"
 #include "policy/fleet_load.h"
 #include "policy/fleet_members.h"
 #include "policy/overload.h"
-#include "policy/prompt_quarantine.h"
 #include "policy/routed_upstream.h"
 #include "policy/upstream_membership.h"
 
@@ -36,7 +36,7 @@
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
     caller_timeouts callerTimeouts;
     fleet_load otherHostsLoad; ///< Other hosts' requests, demands, data versions and ages.
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     std::vector<host_announcement> peers; ///< Other hosts of the fleet.
     bool hasReadPeers = false; ///< `peers` was read at least once.
 
@@ -78,7 +78,7 @@
 void applyNotice(routing_state &state, const told_notice &notice, instant now);
 
 /// An id of a prompt part or of a crash, for logs.
-std::string formatPartId(std::uint64_t id);
+std::string formatTraitId(std::uint64_t id);
 
 /// Updates which prompt parts are held and logs the changes. True if a part has become held.
 bool updateQuarantine(routing_state &state, instant now);
--- a/tests/policy/prompt_quarantine_test.cpp
+++ b/tests/policy/crash_quarantine_test.cpp
@@ -1,4 +1,4 @@
-#include "policy/prompt_quarantine.h"
+#include "policy/crash_quarantine.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,42 +21,42 @@
     return prompt;
 }
 
-void crash(prompt_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
+void crash(crash_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
            instant now, bool wasAnswering = true)
 {
     recordCrash(quarantine, crash, prompt, wasAnswering, now);
-    updateHeldParts(quarantine, now);
+    updateHeldTraits(quarantine, now);
 }
 
-bool isHeldAt(prompt_quarantine &quarantine, std::uint64_t middle, instant now)
+bool isHeldAt(crash_quarantine &quarantine, std::uint64_t middle, instant now)
 {
-    updateHeldParts(quarantine, now);
-    return findHeldPart(quarantine, makePrompt(middle), self, {}, now).has_value();
+    updateHeldTraits(quarantine, now);
+    return findHeldTrait(quarantine, makePrompt(middle), self, {}, now).has_value();
 }
 
-void tell(prompt_quarantine &from, prompt_quarantine &to, instant now)
+void tell(crash_quarantine &from, crash_quarantine &to, instant now)
 {
     for (const told_suspect &told : takeNews(from, now))
         applySuspect(to, told, now);
-    updateHeldParts(to, now);
+    updateHeldTraits(to, now);
 }
 
 /// Tells all hosts the news of one of them.
-void tellAll(std::vector<prompt_quarantine> &hosts, std::size_t from, instant now)
+void tellAll(std::vector<crash_quarantine> &hosts, std::size_t from, instant now)
 {
     const auto news = takeNews(hosts[from], now);
-    for (prompt_quarantine &host : hosts) {
+    for (crash_quarantine &host : hosts) {
         for (const told_suspect &told : news)
             applySuspect(host, told, now);
-        updateHeldParts(host, now);
+        updateHeldTraits(host, now);
     }
 }
 
-BOOST_AUTO_TEST_SUITE(prompt_quarantine_tests)
+BOOST_AUTO_TEST_SUITE(crash_quarantine_tests)
 
 BOOST_AUTO_TEST_CASE(a_part_that_crashes_engines_seen_by_different_hosts_is_held_on_all)
 {
-    std::vector<prompt_quarantine> hosts(3);
+    std::vector<crash_quarantine> hosts(3);
     crash(hosts[0], 1, makePrompt(deadlyId, 11), start);
     tellAll(hosts, 0, start);
     BOOST_TEST(!isHeldAt(hosts[0], deadlyId, start));
@@ -67,21 +67,21 @@
         BOOST_TEST(isHeldAt(host, deadlyId, second));
     for (auto &host : hosts) {
         BOOST_TEST(!isHeldAt(host, 77, second));
-        BOOST_TEST(!findHeldPart(host, makePrompt(77, 11), self, {}, second));
+        BOOST_TEST(!findHeldTrait(host, makePrompt(77, 11), self, {}, second));
     }
 }
 
 BOOST_AUTO_TEST_CASE(a_host_that_restarts_or_joins_or_lost_the_news_learns_what_is_held)
 {
-    prompt_quarantine host;
+    crash_quarantine host;
     crash(host, 1, makePrompt(deadlyId, 11), start);
     crash(host, 2, makePrompt(deadlyId, 12), start + seconds(1));
-    prompt_quarantine second;
+    crash_quarantine second;
     const instant later = start + seconds(40);
     for (const told_suspect &told : suspectsToTell(host, later))
         applySuspect(second, told, later);
     BOOST_TEST(isHeldAt(second, deadlyId, later));
-    prompt_quarantine third; // From a host that has not seen a crash itself.
+    crash_quarantine third; // From a host that has not seen a crash itself.
     for (const told_suspect &told : suspectsToTell(second, later))
         applySuspect(third, told, later);
     BOOST_TEST(isHeldAt(third, deadlyId, later));
@@ -89,7 +89,7 @@
 
 BOOST_AUTO_TEST_CASE(the_loss_of_a_failure_domain_holds_no_part_back)
 {
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     for (std::uint64_t engine = 1; engine < 40; ++engine)
         crash(quarantine, engine, makePrompt(77), start + milliseconds(5 * engine));
     BOOST_TEST(!isHeldAt(quarantine, 77, start + seconds(1)));
@@ -97,7 +97,7 @@
 
 BOOST_AUTO_TEST_CASE(parts_that_are_answered_elsewhere_are_not_held)
 {
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     recordAnswered(quarantine, makePrompt(77), start - seconds(60));
     for (std::uint64_t engine = 1; engine < 4; ++engine)
         crash(quarantine, engine, makePrompt(77), start + seconds(engine));
@@ -111,7 +111,7 @@
 
 BOOST_AUTO_TEST_CASE(parts_that_only_accompany_a_deadly_one_are_not_held)
 {
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     // Both have the same first part, which no prompt was answered with.
     crash(quarantine, 1, makePrompt(deadlyId), start);
     crash(quarantine, 2, makePrompt(deadlyId), start + seconds(1));
@@ -124,8 +124,8 @@
 
 BOOST_AUTO_TEST_CASE(an_engine_that_is_only_cut_off_from_a_host_is_no_crash)
 {
-    prompt_quarantine cutOff;
-    prompt_quarantine other;
+    crash_quarantine cutOff;
+    crash_quarantine other;
     crash(cutOff, 1, makePrompt(77, 11), start);
     crash(cutOff, 2, makePrompt(77, 12), start + seconds(1));
     BOOST_TEST(isHeldAt(cutOff, 77, start + seconds(1)));
@@ -139,7 +139,7 @@
 
 BOOST_AUTO_TEST_CASE(requests_that_wait_at_a_crashed_engine_weigh_less)
 {
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     for (std::uint64_t engine = 1; engine < 4; ++engine)
         crash(quarantine, engine, makePrompt(77, engine), start + seconds(engine), false);
     BOOST_TEST(!isHeldAt(quarantine, 77, start + seconds(4)));
@@ -153,7 +153,7 @@
     std::vector<host_address> addresses(hostCount);
     for (std::size_t index = 0; index < hostCount; ++index)
         addresses[index] = {"10.1.0." + std::to_string(index), 1};
-    std::vector<prompt_quarantine> hosts(hostCount);
+    std::vector<crash_quarantine> hosts(hostCount);
     crash(hosts[0], 1, makePrompt(deadlyId, 11), start);
     crash(hosts[0], 2, makePrompt(deadlyId, 12), start + seconds(1));
     const auto news = takeNews(hosts[0], start + seconds(1));
@@ -162,11 +162,11 @@
     for (std::size_t index = 0; index < hostCount; ++index) {
         for (const told_suspect &told : news)
             applySuspect(hosts[index], told, start + seconds(1));
-        updateHeldParts(hosts[index], start + seconds(1));
+        updateHeldTraits(hosts[index], start + seconds(1));
         // Several requests at each host, over the second minute.
         for (const seconds at : {seconds(3), seconds(59), seconds(63), seconds(90), seconds(110)}) {
-            const bool isSent = !findHeldPart(hosts[index], makePrompt(deadlyId), addresses[index],
-                                              addresses, start + at);
+            const bool isSent = !findHeldTrait(hosts[index], makePrompt(deadlyId), addresses[index],
+                                               addresses, start + at);
             sent += isSent ? 1 : 0;
             trialHost = isSent ? index : trialHost;
         }
@@ -180,7 +180,7 @@
 
 BOOST_AUTO_TEST_CASE(the_quarantine_is_bounded_and_keeps_held_parts)
 {
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     crash(quarantine, 1, makePrompt(deadlyId, 11), start);
     crash(quarantine, 2, makePrompt(deadlyId, 12), start + seconds(1));
     for (std::uint64_t engine = 3; engine < 2'000; ++engine)
@@ -193,12 +193,12 @@
 
 BOOST_AUTO_TEST_CASE(a_prompt_of_one_part_is_never_held)
 {
-    prompt_quarantine quarantine;
+    crash_quarantine quarantine;
     prompt_outline prompt;
     prompt.parts = {{5, 100}};
     for (std::uint64_t engine = 1; engine < 9; ++engine)
         crash(quarantine, engine, prompt, start + seconds(engine));
-    BOOST_TEST(!findHeldPart(quarantine, prompt, self, {}, start + seconds(9)));
+    BOOST_TEST(!findHeldTrait(quarantine, prompt, self, {}, start + seconds(9)));
     BOOST_TEST(quarantine.suspects.empty());
 }
 
