--- a/src/kernel/result.cpp
+++ b/src/kernel/result.cpp
@@ -59,6 +59,8 @@
                 "No connection to the upstream could be opened; nothing was sent."},
     result_info{result_code::promptHeldBack, "prompt-held-back", 503,
                 "Upstreams crashed under prompts that share a part with this one."},
+    result_info{result_code::requestHeldBack, "request-held-back", 503,
+                "Upstreams crashed under this request."},
     result_info{result_code::logUnavailable, "log-unavailable", 503,
                 "The platform's log cannot be reached."},
     result_info{result_code::logTruncated, "log-truncated", 503,
--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -41,6 +41,7 @@
     streamMismatch = 405,
     upstreamUnreachable = 406,
     promptHeldBack = 407,
+    requestHeldBack = 408,
 
     logUnavailable = 501,
     logTruncated = 502,
--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace quincefall {
@@ -14,36 +15,77 @@
 // Crashes closer together may have one cause, such as the loss of a failure domain, which ends many
 // prompts with the same parts.
 constexpr milliseconds sameMoment{250};
+// Unless the request was sent after the earlier crash. Less than this apart, the second crash may
+// only have been noticed later.
+constexpr milliseconds minCrashGap{50};
+// Of a request whose sender does not tell it.
+constexpr seconds assumedWait{60};
 // Evidence of one moment: a prompt that waits at the upstream is less likely to have crashed it
 // than one whose answer has just begun.
 constexpr double answeringWeight = 1;
 constexpr double waitingWeight = 0.5;
 constexpr double heldFrom = 2;
+// Three crashes while the request waited. Requests that come again unchanged are rare, so the same
+// one is unlikely to be at that many crashes by chance.
+constexpr double requestHeldFrom = 1.5;
 // A part that was answered before most likely crashes nothing.
 constexpr double answeredHeldFrom = 4;
+constexpr double answeredRequestHeldFrom = 3;
 // Bytes of a crashed upstream may still arrive, and times of other hosts are off by their way here.
 constexpr milliseconds survivalTime{1'000};
-// Each trial costs an upstream if the part still crashes it.
+// Each trial costs an upstream if the trait still crashes it.
 constexpr seconds minHoldTime{60};
 constexpr seconds maxHoldTime{3'600};
 constexpr int maxDoublings = 6;
+// Of a whole request that is tried again: three to recognise it, and two trials.
+constexpr std::size_t maxCrashesForTrial = 4;
 constexpr seconds suspicionLifetime{600};
 constexpr seconds heldLifetime{6 * 3'600};
 constexpr seconds tellTime{6}; // Two hints of a large fleet.
-constexpr std::size_t maxCrashes = 8; // For each part.
-constexpr std::size_t maxSuspects = 256;
+constexpr std::size_t maxCrashes = 8; // For each trait.
+constexpr std::size_t maxSuspects = 1'024; // About 300 kB.
+constexpr seconds survivalWindow{60}; // After a crash, for requests that were sent before.
 constexpr std::size_t maxToldSuspects = 8; // About 1 kB.
 constexpr std::size_t maxAnsweredParts = 16'384; // About 600 kB.
+constexpr std::size_t maxAnsweredRequests = 8'192; // In each generation; about 300 kB.
 constexpr seconds answeredLifetime{600};
 constexpr milliseconds newerAnswer{1'000}; // Worth telling.
-// A part that was answered a short time ago crashes nothing. Most prompts share such parts, so the
+// A trait that was answered a short time ago crashes nothing. Most prompts share such parts, so the
 // crash of an upstream would otherwise make all hosts exchange messages about them.
 constexpr seconds soundTime{10};
 
-std::span<const prompt_part> sharedParts(const prompt_outline &prompt)
+/// When a request with the trait was last answered on this host.
+std::optional<instant> answeredHere(const crash_quarantine &quarantine, std::uint64_t trait,
+                                    bool isWholeRequest)
 {
-    const std::span<const prompt_part> parts(prompt.parts);
-    return parts.empty() ? parts : parts.first(parts.size() - 1);
+    const auto find = [trait](const auto &answers) {
+        const auto row = answers.find(trait);
+        return row == answers.end() ? std::nullopt : std::optional<instant>(row->second);
+    };
+    if (!isWholeRequest)
+        return find(quarantine.answeredParts);
+    const auto newer = find(quarantine.answeredRequests.newer);
+    return newer ? newer : find(quarantine.answeredRequests.older);
+}
+
+void recordAnsweredRequest(answered_requests &answered, std::uint64_t digest, instant now)
+{
+    if (answered.newer.size() >= maxAnsweredRequests) {
+        answered.older = std::move(answered.newer);
+        answered.newer.clear();
+    }
+    answered.newer[digest] = now;
+}
+
+void recordAnsweredPart(std::unordered_map<std::uint64_t, instant> &answered, std::uint64_t part,
+                        instant now)
+{
+    answered[part] = now;
+    if (answered.size() <= maxAnsweredParts)
+        return;
+    std::erase_if(answered, [now](const auto &row) { return now - row.second > answeredLifetime; });
+    if (answered.size() > maxAnsweredParts)
+        answered.clear();
 }
 
 bool counts(const suspected_trait &suspect, const crash_evidence &evidence)
@@ -56,6 +98,15 @@
     return evidence.wasAnswering ? answeringWeight : waitingWeight;
 }
 
+/// Whether a crash may have the same cause as one noticed at @p moment, such as the loss of a
+/// failure domain.
+bool isOfMoment(const crash_evidence &evidence, instant moment)
+{
+    const bool wasSentLater
+        = evidence.at - evidence.waited >= moment && evidence.at - moment >= minCrashGap;
+    return !wasSentLater && evidence.at - moment < sameMoment;
+}
+
 /// Weight of the evidence; only the strongest of each moment counts, and none of the crashes that
 /// are @p explained.
 double evidenceAgainst(const suspected_trait &suspect,
@@ -67,7 +118,7 @@
     for (const crash_evidence &evidence : suspect.crashes) {
         if (!counts(suspect, evidence) || explained.contains(evidence.crash))
             continue;
-        if (moment == instant::min() || evidence.at - moment >= sameMoment) {
+        if (moment == instant::min() || !isOfMoment(evidence, moment)) {
             sum += ofMoment;
             ofMoment = 0;
             moment = evidence.at;
@@ -79,6 +130,8 @@
 
 double thresholdOf(const suspected_trait &suspect)
 {
+    if (suspect.isWholeRequest)
+        return suspect.answeredAt == instant::min() ? requestHeldFrom : answeredRequestHeldFrom;
     return suspect.answeredAt == instant::min() ? heldFrom : answeredHeldFrom;
 }
 
@@ -111,12 +164,12 @@
 }
 
 /// The same on all hosts that know the same hosts.
-bool isTrialHost(std::uint64_t part, std::int64_t round, const host_address &own,
+bool isTrialHost(std::uint64_t trait, std::int64_t round, const host_address &own,
                  std::span<const host_address> others)
 {
-    const auto score = [part, round](const host_address &host) {
+    const auto score = [trait, round](const host_address &host) {
         const std::string name = toString(host);
-        return XXH64(name.data(), name.size(), part + std::uint64_t(round));
+        return XXH64(name.data(), name.size(), trait + std::uint64_t(round));
     };
     const auto ownScore = score(own);
     return std::none_of(others.begin(), others.end(), [&](const host_address &host) {
@@ -124,44 +177,47 @@
     });
 }
 
-told_suspect toTell(std::uint64_t part, const suspected_trait &suspect, instant now)
+told_suspect toTell(std::uint64_t trait, const suspected_trait &suspect, instant now)
 {
     const auto ageOf = [now](instant at) { return std::chrono::floor<milliseconds>(now - at); };
     told_suspect told;
-    told.part = part;
+    told.trait = trait;
+    told.isWholeRequest = suspect.isWholeRequest;
     told.depth = suspect.depth;
     told.isHeld = suspect.isHeld;
     if (suspect.answeredAt != instant::min())
         told.answeredAge = ageOf(suspect.answeredAt);
     for (const crash_evidence &evidence : suspect.crashes)
-        told.crashes.push_back(
-            {evidence.crash, ageOf(evidence.at), evidence.wasAnswering, evidence.isRefuted});
+        told.crashes.push_back({evidence.crash, ageOf(evidence.at), evidence.waited,
+                                evidence.wasAnswering, evidence.isRefuted});
     return told;
 }
 
-void dropOldestSuspect(crash_quarantine &quarantine)
+void dropLeastSuspect(crash_quarantine &quarantine)
 {
-    const auto oldest
+    const auto importance = [](const suspected_trait &suspect) {
+        return std::tuple(suspect.isHeld, suspect.crashes.size() > 1, suspect.changedAt);
+    };
+    const auto least
         = std::min_element(quarantine.suspects.begin(), quarantine.suspects.end(),
-                           [](const auto &left, const auto &right) {
-                               return std::pair(left.second.isHeld, left.second.changedAt)
-                                   < std::pair(right.second.isHeld, right.second.changedAt);
+                           [&importance](const auto &left, const auto &right) {
+                               return importance(left.second) < importance(right.second);
                            });
-    quarantine.suspects.erase(oldest);
+    quarantine.suspects.erase(least);
 }
 
-suspected_trait &suspectFor(crash_quarantine &quarantine, std::uint64_t part, instant now)
+suspected_trait &suspectFor(crash_quarantine &quarantine, std::uint64_t trait, bool isWholeRequest,
+                            instant now)
 {
-    const auto found = quarantine.suspects.find(part);
+    const auto found = quarantine.suspects.find(trait);
     if (found != quarantine.suspects.end())
         return found->second;
     if (quarantine.suspects.size() >= maxSuspects)
-        dropOldestSuspect(quarantine);
-    suspected_trait &suspect = quarantine.suspects[part];
+        dropLeastSuspect(quarantine);
+    suspected_trait &suspect = quarantine.suspects[trait];
+    suspect.isWholeRequest = isWholeRequest;
     suspect.changedAt = now;
-    const auto answered = quarantine.answeredParts.find(part);
-    if (answered != quarantine.answeredParts.end())
-        suspect.answeredAt = answered->second;
+    suspect.answeredAt = answeredHere(quarantine, trait, isWholeRequest).value_or(instant::min());
     return suspect;
 }
 
@@ -178,6 +234,7 @@
         const bool isNew = (added.wasAnswering && !known->wasAnswering)
             || (added.isRefuted && !known->isRefuted);
         known->at = std::min(known->at, added.at);
+        known->waited = std::min(known->waited, added.waited);
         known->wasAnswering = known->wasAnswering || added.wasAnswering;
         known->isRefuted = known->isRefuted || added.isRefuted;
         if (isNew)
@@ -200,44 +257,75 @@
               [](const auto &left, const auto &right) { return left.at < right.at; });
 }
 
-/// A crash has one cause, so the part with most evidence is held and the crashes of its prompts
-/// speak against no other part. Of parts with the same evidence it is the one that comes last in
-/// prompts, which holds back the fewest.
-std::set<std::uint64_t> partsToHold(const crash_quarantine &quarantine)
+/// Whether the same crashes speak against both.
+bool haveSameCrashes(const suspected_trait &left, const suspected_trait &right)
+{
+    return std::equal(left.crashes.begin(), left.crashes.end(), right.crashes.begin(),
+                      right.crashes.end(), [](const auto &one, const auto &other) {
+                          return one.crash == other.crash && one.isRefuted == other.isRefuted;
+                      });
+}
+
+/// A crash has one cause, so the trait with most evidence is held and the crashes of its requests
+/// speak against no other trait. Of traits with the same evidence it is the one that holds back the
+/// fewest requests: a whole request, or the part that comes last in prompts. Whole requests that
+/// were at the same crashes are all held until a further crash tells them apart.
+std::set<std::uint64_t> traitsToHold(const crash_quarantine &quarantine)
 {
     struct candidate
     {
         double evidence = 0;
+        bool isWholeRequest = false;
         unsigned depth = 0;
-        std::uint64_t part = 0;
+        std::uint64_t trait = 0;
 
         auto operator<=>(const candidate &) const = default;
     };
 
     std::vector<candidate> candidates;
-    for (const auto &[part, suspect] : quarantine.suspects) {
+    for (const auto &[trait, suspect] : quarantine.suspects) {
         const double evidence = evidenceAgainst(suspect);
         if (evidence >= thresholdOf(suspect))
-            candidates.push_back({evidence, suspect.depth, part});
+            candidates.push_back({evidence, suspect.isWholeRequest, suspect.depth, trait});
     }
     std::sort(candidates.begin(), candidates.end(), std::greater<>());
     std::set<std::uint64_t> held;
     std::set<std::uint64_t> explained;
     for (const candidate &row : candidates) {
-        const suspected_trait &suspect = quarantine.suspects.at(row.part);
-        if (evidenceAgainst(suspect, explained) < thresholdOf(suspect))
+        const suspected_trait &suspect = quarantine.suspects.at(row.trait);
+        const bool isLikeHeld
+            = row.isWholeRequest && std::any_of(held.begin(), held.end(), [&](std::uint64_t trait) {
+                  const suspected_trait &other = quarantine.suspects.at(trait);
+                  return other.isWholeRequest && haveSameCrashes(other, suspect);
+              });
+        if (!isLikeHeld && evidenceAgainst(suspect, explained) < thresholdOf(suspect))
             continue;
-        held.insert(row.part);
+        held.insert(row.trait);
         for (const crash_evidence &evidence : suspect.crashes)
             explained.insert(evidence.crash);
     }
     return held;
 }
 
+std::vector<told_suspect> tellAll(const crash_quarantine &quarantine,
+                                  const std::set<std::uint64_t> &traits, instant now)
+{
+    std::vector<told_suspect> told;
+    for (const std::uint64_t trait : traits) {
+        const auto suspect = quarantine.suspects.find(trait);
+        if (suspect != quarantine.suspects.end())
+            told.push_back(toTell(trait, suspect->second, now));
+    }
+    return told;
+}
+
 void dropExpired(crash_quarantine &quarantine, instant now)
 {
+    std::erase_if(quarantine.recentCrashes,
+                  [now](const auto &row) { return now - row.second > survivalWindow; });
     std::erase_if(quarantine.suspects, [now](const auto &row) {
-        const auto lifetime = row.second.isHeld ? heldLifetime : suspicionLifetime;
+        const bool isKeptLong = row.second.isHeld || row.second.isWholeRequest;
+        const auto lifetime = isKeptLong ? heldLifetime : suspicionLifetime;
         const instant newest
             = row.second.crashes.empty() ? row.second.changedAt : row.second.crashes.back().at;
         return now - newest > lifetime;
@@ -251,94 +339,122 @@
     return XXH64(entry.id.data(), entry.id.size(), std::uint64_t(entry.started));
 }
 
-void recordAnswered(crash_quarantine &quarantine, const prompt_outline &prompt, instant now)
+std::vector<request_trait> sharedPartTraits(const prompt_outline &prompt)
+{
+    std::vector<request_trait> traits;
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index)
+        traits.push_back({prompt.parts[index].id, unsigned(index), false});
+    return traits;
+}
+
+void recordAnswered(crash_quarantine &quarantine, std::span<const request_trait> traits,
+                    instant now)
 {
-    for (const prompt_part &part : sharedParts(prompt)) {
-        quarantine.answeredParts[part.id] = now;
-        const auto suspect = quarantine.suspects.find(part.id);
+    for (const request_trait &trait : traits) {
+        if (trait.isWholeRequest)
+            recordAnsweredRequest(quarantine.answeredRequests, trait.id, now);
+        else
+            recordAnsweredPart(quarantine.answeredParts, trait.id, now);
+        const auto suspect = quarantine.suspects.find(trait.id);
         if (suspect == quarantine.suspects.end())
             continue;
-        if (suspect->second.isHeld)
-            quarantine.news.insert(part.id);
+        if (suspect->second.isHeld) {
+            quarantine.news.insert(trait.id);
+        } else if (trait.isWholeRequest) {
+            quarantine.suspects.erase(suspect);
+            continue;
+        }
         suspect->second.answeredAt = now;
         suspect->second.changedAt = now;
     }
-    if (quarantine.answeredParts.size() > maxAnsweredParts) {
-        std::erase_if(quarantine.answeredParts,
-                      [now](const auto &row) { return now - row.second > answeredLifetime; });
-        if (quarantine.answeredParts.size() > maxAnsweredParts)
-            quarantine.answeredParts.clear();
-    }
 }
 
-void recordCrash(crash_quarantine &quarantine, std::uint64_t crash, const prompt_outline &prompt,
-                 bool wasAnswering, instant now)
+void recordCrash(crash_quarantine &quarantine, const upstream_crash &crash,
+                 std::span<const request_trait> traits, instant now)
 {
     dropExpired(quarantine, now);
-    unsigned depth = 0;
-    for (const prompt_part &part : sharedParts(prompt)) {
-        ++depth;
-        const auto answered = quarantine.answeredParts.find(part.id);
-        if (answered != quarantine.answeredParts.end() && now - answered->second < soundTime)
+    quarantine.recentCrashes.emplace(crash.crash, now);
+    const auto waited = std::chrono::ceil<milliseconds>(now - std::min(crash.sent, now));
+    for (const request_trait &trait : traits) {
+        const auto answered = answeredHere(quarantine, trait.id, trait.isWholeRequest);
+        if (answered && now - *answered < soundTime)
             continue;
-        quarantine.news.insert(part.id);
-        suspected_trait &suspect = suspectFor(quarantine, part.id, now);
+        suspected_trait &suspect = suspectFor(quarantine, trait.id, trait.isWholeRequest, now);
         suspect.isFirstHand = true;
-        suspect.depth = std::max(suspect.depth, depth - 1);
-        addEvidence(suspect, {crash, now, wasAnswering, false}, now);
+        suspect.depth = std::max(suspect.depth, trait.depth);
+        addEvidence(suspect, {crash.crash, now, waited, crash.wasAnswering, false}, now);
+        const bool isForKeepers = trait.isWholeRequest && crashCount(suspect) < 2;
+        (isForKeepers ? quarantine.keeperNews : quarantine.news).insert(trait.id);
     }
 }
 
 void recordSurvival(crash_quarantine &quarantine, std::uint64_t crash, instant sent, instant now)
 {
-    for (auto &[part, suspect] : quarantine.suspects) {
+    const auto recent = quarantine.recentCrashes.find(crash);
+    if (recent == quarantine.recentCrashes.end() || sent >= recent->second
+        || now - recent->second < survivalTime)
+        return;
+    quarantine.recentCrashes.erase(recent);
+    for (auto &[trait, suspect] : quarantine.suspects) {
         for (crash_evidence &evidence : suspect.crashes) {
-            if (evidence.crash != crash || evidence.isRefuted || sent >= evidence.at
-                || now - evidence.at < survivalTime)
+            if (evidence.crash != crash || evidence.isRefuted)
                 continue;
             evidence.isRefuted = true;
             suspect.changedAt = now;
-            quarantine.news.insert(part);
+            quarantine.news.insert(trait);
         }
     }
 }
 
-bool hasUnansweredPart(const crash_quarantine &quarantine, const prompt_outline &prompt)
+bool hasUnansweredPart(const crash_quarantine &quarantine, std::span<const request_trait> traits)
 {
-    const auto parts = sharedParts(prompt);
-    return std::any_of(parts.begin(), parts.end(), [&quarantine](const prompt_part &part) {
-        return !quarantine.answeredParts.contains(part.id);
+    return std::any_of(traits.begin(), traits.end(), [&quarantine](const request_trait &trait) {
+        return !trait.isWholeRequest && !quarantine.answeredParts.contains(trait.id);
     });
 }
 
-std::optional<held_trait> findHeldTrait(crash_quarantine &quarantine, const prompt_outline &prompt,
+std::size_t crashesOfRequest(const crash_quarantine &quarantine,
+                             std::span<const request_trait> traits)
+{
+    for (const request_trait &trait : traits) {
+        const auto suspect = quarantine.suspects.find(trait.id);
+        if (trait.isWholeRequest && suspect != quarantine.suspects.end())
+            return crashCount(suspect->second);
+    }
+    return 0;
+}
+
+std::optional<held_trait> findHeldTrait(crash_quarantine &quarantine,
+                                        std::span<const request_trait> traits,
                                         const host_address &own,
                                         std::span<const host_address> others, instant now)
 {
-    for (const prompt_part &part : sharedParts(prompt)) {
-        const auto found = quarantine.suspects.find(part.id);
+    for (const request_trait &trait : traits) {
+        const auto found = quarantine.suspects.find(trait.id);
         if (found == quarantine.suspects.end() || !found->second.isHeld)
             continue;
         suspected_trait &suspect = found->second;
-        if (crashCount(suspect) == 0)
+        const std::size_t crashes = crashCount(suspect);
+        if (crashes == 0)
             continue;
         const std::int64_t round = currentRound(suspect, now);
-        if (round > 0 && suspect.trialRound != round && isTrialHost(part.id, round, own, others)) {
+        const bool hasTrials = !suspect.isWholeRequest || crashes <= maxCrashesForTrial;
+        if (hasTrials && round > 0 && suspect.trialRound != round
+            && isTrialHost(trait.id, round, own, others)) {
             suspect.trialRound = round;
             continue;
         }
         const instant nextRound = lastCrashAt(suspect) + holdTime(suspect) * (round + 1);
-        return held_trait{part.id, crashCount(suspect),
+        return held_trait{trait.id, trait.isWholeRequest, crashes,
                           std::chrono::duration_cast<microseconds>(nextRound - now)};
     }
     return std::nullopt;
 }
 
-bool isHeld(const crash_quarantine &quarantine, const prompt_outline &prompt)
+bool isHeld(const crash_quarantine &quarantine, std::span<const request_trait> traits)
 {
-    const auto parts = sharedParts(prompt);
-    return std::any_of(parts.begin(), parts.end(), [&quarantine](const prompt_part &part) {
-        const auto suspect = quarantine.suspects.find(part.id);
+    return std::any_of(traits.begin(), traits.end(), [&quarantine](const request_trait &trait) {
+        const auto suspect = quarantine.suspects.find(trait.id);
         return suspect != quarantine.suspects.end() && suspect->second.isHeld;
     });
 }
@@ -348,7 +464,8 @@
     using row_type = std::pair<const std::uint64_t, suspected_trait>;
     std::vector<const row_type *> rows;
     for (const row_type &row : quarantine.suspects) {
-        const bool isRecent = row.second.isFirstHand && now - row.second.changedAt < tellTime;
+        const bool isRecent = !row.second.isWholeRequest && row.second.isFirstHand
+            && now - row.second.changedAt < tellTime;
         if (row.second.isHeld || isRecent)
             rows.push_back(&row);
     }
@@ -366,18 +483,17 @@
 
 std::vector<told_suspect> takeNews(crash_quarantine &quarantine, instant now)
 {
-    std::vector<told_suspect> told;
-    for (const std::uint64_t part : std::exchange(quarantine.news, {})) {
-        const auto suspect = quarantine.suspects.find(part);
-        if (suspect != quarantine.suspects.end())
-            told.push_back(toTell(part, suspect->second, now));
-    }
-    return told;
+    return tellAll(quarantine, std::exchange(quarantine.news, {}), now);
 }
 
-void applySuspect(crash_quarantine &quarantine, const told_suspect &told, instant now)
+std::vector<told_suspect> takeKeeperNews(crash_quarantine &quarantine, instant now)
 {
-    suspected_trait &suspect = suspectFor(quarantine, told.part, now);
+    return tellAll(quarantine, std::exchange(quarantine.keeperNews, {}), now);
+}
+
+bool applySuspect(crash_quarantine &quarantine, const told_suspect &told, instant now)
+{
+    suspected_trait &suspect = suspectFor(quarantine, told.trait, told.isWholeRequest, now);
     const instant toldAnsweredAt = told.answeredAge ? now - *told.answeredAge : instant::min();
     const bool isAnsweredLater = suspect.answeredAt != instant::min()
         && (!told.answeredAge || suspect.answeredAt - toldAnsweredAt > newerAnswer);
@@ -385,34 +501,47 @@
         suspect.answeredAt = toldAnsweredAt;
     suspect.depth = std::max(suspect.depth, told.depth);
     bool isRefutedHere = false;
+    bool isNewCrash = false;
     for (const told_crash &crash : told.crashes) {
-        addEvidence(suspect, {crash.crash, now - crash.age, crash.wasAnswering, crash.isRefuted},
+        const auto findOwn = [&suspect, &crash] {
+            return std::find_if(
+                suspect.crashes.begin(), suspect.crashes.end(),
+                [&crash](const crash_evidence &evidence) { return evidence.crash == crash.crash; });
+        };
+        if (findOwn() == suspect.crashes.end() && !crash.isRefuted) {
+            isNewCrash = true;
+            quarantine.recentCrashes.emplace(crash.crash, now - crash.age);
+        }
+        addEvidence(suspect,
+                    {crash.crash, now - crash.age, crash.waited.value_or(assumedWait),
+                     crash.wasAnswering, crash.isRefuted},
                     now);
-        const auto own = std::find_if(
-            suspect.crashes.begin(), suspect.crashes.end(),
-            [&crash](const crash_evidence &evidence) { return evidence.crash == crash.crash; });
+        const auto own = findOwn();
         isRefutedHere
             = isRefutedHere || (own != suspect.crashes.end() && own->isRefuted && !crash.isRefuted);
     }
     if (told.isHeld && (isAnsweredLater || isRefutedHere))
-        quarantine.news.insert(told.part);
+        quarantine.news.insert(told.trait);
+    return isNewCrash && suspect.isWholeRequest && suspect.crashes.size() > told.crashes.size();
 }
 
-std::size_t heldCount(const crash_quarantine &quarantine)
+std::size_t heldCount(const crash_quarantine &quarantine, bool wholeRequests)
 {
-    return std::size_t(std::count_if(quarantine.suspects.begin(), quarantine.suspects.end(),
-                                     [](const auto &row) { return row.second.isHeld; }));
+    return std::size_t(std::count_if(
+        quarantine.suspects.begin(), quarantine.suspects.end(), [wholeRequests](const auto &row) {
+            return row.second.isHeld && row.second.isWholeRequest == wholeRequests;
+        }));
 }
 
 std::vector<std::uint64_t> updateHeldTraits(crash_quarantine &quarantine, instant now)
 {
     dropExpired(quarantine, now);
-    const std::set<std::uint64_t> held = partsToHold(quarantine);
+    const std::set<std::uint64_t> held = traitsToHold(quarantine);
     std::vector<std::uint64_t> changed;
-    for (auto &[part, suspect] : quarantine.suspects) {
-        if (held.contains(part) != suspect.isHeld)
-            changed.push_back(part);
-        suspect.isHeld = held.contains(part);
+    for (auto &[trait, suspect] : quarantine.suspects) {
+        if (held.contains(trait) != suspect.isHeld)
+            changed.push_back(trait);
+        suspect.isHeld = held.contains(trait);
     }
     return changed;
 }
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -53,7 +53,7 @@
     /// Up to which the host has the list of upstreams; offset 0 while the list may be wrong.
     store_position upstreamsNext;
     milliseconds upstreamsAge{0}; ///< Since that list was last confirmed as complete.
-    std::vector<told_suspect> suspects; ///< Prompt parts under which upstreams crashed.
+    std::vector<told_suspect> suspects; ///< Traits of requests under which upstreams crashed.
     std::vector<told_notice> notices; ///< What upstreams recently told the host.
 };
 
--- /dev/null
+++ b/src/policy/keepers.cpp
@@ -0,0 +1,49 @@
+#include "policy/keepers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace quincefall {
+namespace {
+
+// With two thirds of all hosts lost at once, four in five objects still have a keeper.
+constexpr std::size_t keeperCount = 4;
+
+std::uint64_t scoreOf(const host_address &host, std::uint64_t key)
+{
+    return XXH64(host.ip.data(), host.ip.size(), key + host.port);
+}
+
+} // namespace
+
+std::vector<host_address> keepersOf(std::uint64_t key, const fleet_load &others,
+                                    const host_address &own)
+{
+    std::vector<std::pair<std::uint64_t, const host_address *>> ranked;
+    ranked.reserve(others.hosts.size() + 1);
+    ranked.emplace_back(scoreOf(own, key), &own);
+    for (const auto &[host, entry] : others.hosts)
+        ranked.emplace_back(scoreOf(host, key), &host);
+    const std::size_t count = std::min(keeperCount, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + std::ptrdiff_t(count), ranked.end(),
+                      [](const auto &left, const auto &right) { return left.first > right.first; });
+    std::vector<host_address> keepers;
+    for (std::size_t index = 0; index < count; ++index)
+        keepers.push_back(*ranked[index].second);
+    return keepers;
+}
+
+bool isKeeper(std::uint64_t key, const fleet_load &others, const host_address &own)
+{
+    const std::uint64_t ownScore = scoreOf(own, key);
+    const auto before
+        = std::count_if(others.hosts.begin(), others.hosts.end(), [key, ownScore](const auto &row) {
+              return scoreOf(row.first, key) > ownScore;
+          });
+    return std::size_t(before) < keeperCount;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/keepers.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "policy/fleet_load.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace quincefall {
+
+/// The hosts that keep what the fleet knows of the object @p key, @p own included if it is one of
+/// them: the first few by rendezvous hashing among the hosts whose hints arrive.
+///
+/// Needed where one host learns of something that any other host may soon need: to tell a few
+/// keepers costs the same in a fleet of any size, and several of them may fail at once.
+std::vector<host_address> keepersOf(std::uint64_t key, const fleet_load &others,
+                                    const host_address &own);
+
+/// Whether @p own is a keeper of the object.
+bool isKeeper(std::uint64_t key, const fleet_load &others, const host_address &own);
+
+} // namespace quincefall
--- a/src/route/crash_guard.cpp
+++ b/src/route/crash_guard.cpp
@@ -3,6 +3,8 @@
 #include "kernel/asio_headers.h"
 #include "observe/log_setup.h"
 
+#include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace quincefall {
@@ -13,14 +15,23 @@
 constexpr milliseconds connectTimeout{400}; // As in upstream_call.
 constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
 
-bool hasSharedPart(const proxy_job &job)
+// A request that was at this many crashes is not sent to a further upstream for the same caller.
+constexpr std::size_t maxCrashesForRepeat = 1;
+
+std::vector<request_trait> traitsOf(const proxy_job &job, bool wholeRequests)
 {
-    return job.request.prompt.parts.size() > 1;
+    std::vector<request_trait> traits;
+    std::copy_if(job.traits.begin(), job.traits.end(), std::back_inserter(traits),
+                 [wholeRequests](const request_trait &trait) {
+                     return trait.isWholeRequest == wholeRequests;
+                 });
+    return traits;
 }
 
 void updateAndTell(crash_guard &guard)
 {
-    if (guard.state.quarantine.news.empty())
+    crash_quarantine &quarantine = guard.state.quarantine;
+    if (quarantine.news.empty() && quarantine.keeperNews.empty())
         return;
     if (updateQuarantine(guard.state, guard.clock.now()))
         cancelHeldAttempts(guard);
@@ -32,8 +43,7 @@
 
 void addAttempt(crash_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call)
 {
-    if (hasSharedPart(job))
-        guard.running[&job] = call;
+    guard.running[&job] = call;
 }
 
 bool removeAttempt(crash_guard &guard, proxy_job &job)
@@ -41,51 +51,66 @@
     return guard.running.erase(&job) > 0;
 }
 
-void noteAnswered(crash_guard &guard, proxy_job &job)
+void noteGoingOn(crash_guard &guard, proxy_job &job)
 {
     if (guard.running.erase(&job) == 0)
         return;
-    recordAnswered(guard.state.quarantine, job.request.prompt, guard.clock.now());
+    recordAnswered(guard.state.quarantine, traitsOf(job, false), guard.clock.now());
+    updateAndTell(guard);
+}
+
+void noteAnswered(crash_guard &guard, proxy_job &job)
+{
+    guard.running.erase(&job);
+    recordAnswered(guard.state.quarantine, job.traits, guard.clock.now());
     updateAndTell(guard);
 }
 
 void noteBytes(crash_guard &guard, const upstream_entry &entry, instant sent)
 {
     crash_quarantine &quarantine = guard.state.quarantine;
-    if (quarantine.suspects.empty())
+    if (quarantine.recentCrashes.empty())
         return;
     recordSurvival(quarantine, crashId(entry), sent, guard.clock.now());
     updateAndTell(guard);
 }
 
 asio::awaitable<void> noteLostConnection(crash_guard &guard, proxy_job &job,
-                                         const upstream_entry &entry, bool wasAnswering)
+                                         const upstream_entry &entry, lost_attempt lost)
 {
-    if (!hasSharedPart(job))
-        co_return;
     const instant lostAt = guard.clock.now();
     if (!co_await guard.connections->isRefused(entry.address, connectTimeout, initialKeepAlive))
         co_return;
     crash_quarantine &quarantine = guard.state.quarantine;
-    job.hasCrashedUpstream = wasAnswering && hasUnansweredPart(quarantine, job.request.prompt);
-    recordCrash(quarantine, crashId(entry), job.request.prompt, wasAnswering, lostAt);
+    const auto traits = lost.hasGoneOn ? traitsOf(job, true) : job.traits;
+    recordCrash(quarantine, {crashId(entry), lost.sent, lost.wasAnswering}, traits, lostAt);
+    const std::size_t crashes = crashesOfRequest(quarantine, traits);
+    const bool isPartSuspect = lost.wasAnswering && hasUnansweredPart(quarantine, traits);
+    job.mayCrashUpstreams = isPartSuspect || crashes > maxCrashesForRepeat;
+    std::string digest;
+    for (const request_trait &trait : traitsOf(job, true))
+        digest = formatTraitId(trait.id);
     logWarning("upstream crashed",
                {{"upstream", entry.id},
                 {"request", job.request.id},
-                {"prompt", wasAnswering ? "answering" : "waiting"},
-                {"perhaps_the_cause", job.hasCrashedUpstream ? "yes" : "no"}});
+                {"digest", digest},
+                {"crashes_of_request", std::to_string(crashes)},
+                {"answer",
+                 lost.hasGoneOn          ? "going-on"
+                     : lost.wasAnswering ? "begun"
+                                         : "waiting"},
+                {"perhaps_the_cause", job.mayCrashUpstreams ? "yes" : "no"}});
     updateAndTell(guard);
 }
 
 std::optional<held_trait> findHeldTrait(crash_guard &guard, const proxy_job &job)
 {
-    if (!isHeld(guard.state.quarantine, job.request.prompt))
+    if (!isHeld(guard.state.quarantine, job.traits))
         return std::nullopt;
     std::vector<host_address> others;
     for (const host_announcement &peer : guard.state.peers)
         others.push_back(peer.peer);
-    return findHeldTrait(guard.state.quarantine, job.request.prompt, guard.self, others,
-                         guard.clock.now());
+    return findHeldTrait(guard.state.quarantine, job.traits, guard.self, others, guard.clock.now());
 }
 
 void cancelHeldAttempts(crash_guard &guard)
@@ -93,7 +118,7 @@
     std::vector<std::shared_ptr<upstream_call>> cancelled;
     for (auto &[job, call] : guard.running) {
         const auto alive = call.lock();
-        if (!alive || !isHeld(guard.state.quarantine, job->request.prompt))
+        if (!alive || !isHeld(guard.state.quarantine, job->traits))
             continue;
         job->isHeldBack = true;
         cancelled.push_back(alive);
@@ -104,9 +129,10 @@
 
 error heldBackError(const held_trait &held)
 {
-    return {result_code::promptHeldBack,
-            std::to_string(held.crashes) + " upstreams crashed under prompts with part "
-                + formatTraitId(held.part)};
+    const std::string crashes = std::to_string(held.crashes) + " upstreams crashed under ";
+    if (held.isWholeRequest)
+        return {result_code::requestHeldBack, crashes + "request " + formatTraitId(held.id)};
+    return {result_code::promptHeldBack, crashes + "prompts with part " + formatTraitId(held.id)};
 }
 
 } // namespace quincefall
--- a/src/route/crash_guard.h
+++ b/src/route/crash_guard.h
@@ -15,37 +15,50 @@
 
 namespace quincefall {
 
-/// Applies the quarantine of prompt parts to the requests of this host.
+/// Applies the quarantine of traits to the requests of this host.
 struct crash_guard
 {
     routing_state &state;
     std::shared_ptr<connection_pool> connections;
     clock_source clock;
     host_address self; ///< Peer address of this host.
-    std::function<void()> newsListener; ///< Called when other hosts should hear of a part at once.
-    std::map<proxy_job *, std::weak_ptr<upstream_call>> running{}; ///< Not known to be answered.
+    std::function<void()> newsListener; ///< Called when other hosts should hear of a trait at once.
+    /// Attempts whose answer has not gone on for a while.
+    std::map<proxy_job *, std::weak_ptr<upstream_call>> running{};
 };
 
-/// Record the begin and the end of an attempt. removeAttempt() is true if the prompt has shared
-/// parts and noteAnswered() was not called.
+/// An attempt that ended because the upstream closed its connection.
+struct lost_attempt
+{
+    instant sent; ///< When it was started.
+    bool wasAnswering = false; ///< The answer had just begun.
+    bool hasGoneOn = false; ///< The answer had gone on for a while; see noteGoingOn().
+};
+
+/// Record the begin and the end of an attempt. removeAttempt() is true if noteGoingOn() and
+/// noteAnswered() were not called.
 void addAttempt(crash_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call);
 bool removeAttempt(crash_guard &guard, proxy_job &job);
 
-/// Records that the upstream has answered the job's prompt for a while, or to its end.
+/// Records that the answer to the job has gone on for so long that no part of its prompt crashes
+/// the upstream.
+void noteGoingOn(crash_guard &guard, proxy_job &job);
+
+/// Records that the job was answered to its end.
 void noteAnswered(crash_guard &guard, proxy_job &job);
 
 /// Records that the upstream sent something to a request that it got at @p sent.
 void noteBytes(crash_guard &guard, const upstream_entry &entry, instant sent);
 
 /// Finds out whether the upstream has crashed after it closed the connection of the job's attempt,
-/// and records that. @p wasAnswering tells whether its answer had just begun.
+/// and records that.
 boost::asio::awaitable<void> noteLostConnection(crash_guard &guard, proxy_job &job,
-                                                const upstream_entry &entry, bool wasAnswering);
+                                                const upstream_entry &entry, lost_attempt lost);
 
-/// The held part for which the job must not be sent; empty if it may be sent.
+/// The held trait for which the job must not be sent; empty if it may be sent.
 std::optional<held_trait> findHeldTrait(crash_guard &guard, const proxy_job &job);
 
-/// Cancels the running attempts whose prompts have a held part.
+/// Cancels the running attempts of requests with a held trait.
 void cancelHeldAttempts(crash_guard &guard);
 
 /// Error for a request that is held back.
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -31,8 +31,9 @@
 void addSuspects(wire::LoadHint &message, std::span<const told_suspect> suspects)
 {
     for (const told_suspect &suspect : suspects) {
-        wire::SuspectedPart *row = message.add_suspected_parts();
-        row->set_part(suspect.part);
+        wire::SuspectedTrait *row = message.add_suspected_traits();
+        row->set_trait(suspect.trait);
+        row->set_whole_request(suspect.isWholeRequest);
         row->set_depth(suspect.depth);
         row->set_held(suspect.isHeld);
         if (suspect.answeredAge)
@@ -43,6 +44,8 @@
             evidence->set_age_ms(std::uint32_t(crash.age.count()));
             evidence->set_was_answering(crash.wasAnswering);
             evidence->set_refuted(crash.isRefuted);
+            if (crash.waited)
+                evidence->set_waited_ms(std::uint32_t(crash.waited->count()));
         }
     }
 }
@@ -52,16 +55,24 @@
 std::vector<told_suspect> readSuspects(const wire::LoadHint &message)
 {
     std::vector<told_suspect> suspects;
-    for (const wire::SuspectedPart &row : message.suspected_parts()) {
+    for (const wire::SuspectedTrait &row : message.suspected_traits()) {
         told_suspect &suspect = suspects.emplace_back();
-        suspect.part = row.part();
+        suspect.trait = row.trait();
+        suspect.isWholeRequest = row.whole_request();
         suspect.depth = row.depth();
         suspect.isHeld = row.held();
         if (row.has_answered_age_ms())
             suspect.answeredAge = milliseconds(row.answered_age_ms());
-        for (const wire::UpstreamCrash &crash : row.crashes())
-            suspect.crashes.push_back({crash.crash(), milliseconds(crash.age_ms()),
-                                       crash.was_answering(), crash.refuted()});
+        for (const wire::UpstreamCrash &crash : row.crashes()) {
+            told_crash &told = suspect.crashes.emplace_back();
+            told = {crash.crash(),
+                    milliseconds(crash.age_ms()),
+                    {},
+                    crash.was_answering(),
+                    crash.refuted()};
+            if (crash.has_waited_ms())
+                told.waited = milliseconds(crash.waited_ms());
+        }
     }
     return suspects;
 }
--- a/src/route/hint_codec.h
+++ b/src/route/hint_codec.h
@@ -17,11 +17,11 @@
 /// Parses a hint; empty when @p bytes are not a valid one.
 std::optional<load_hint> decodeHint(std::string_view bytes);
 
-/// Serializes suspected prompt parts without a hint.
+/// Serializes suspected traits without a hint.
 std::string encodeSuspects(std::span<const told_suspect> suspects);
 
-/// Read a message that was parsed: a hint, empty if it has no valid host, and the prompt parts in
-/// it.
+/// Read a message that was parsed: a hint, empty if it has no valid host, and the suspected
+/// traits in it.
 std::optional<load_hint> readHint(const wire::LoadHint &message);
 std::vector<told_suspect> readSuspects(const wire::LoadHint &message);
 
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -4,9 +4,12 @@
 #include "observe/log_setup.h"
 #include "peer.pb.h"
 #include "policy/feed_plan.h"
+#include "policy/keepers.h"
 #include "policy/placement.h"
 
 #include <algorithm>
+#include <map>
+#include <span>
 #include <utility>
 
 namespace quincefall {
@@ -25,7 +28,8 @@
 // News may come this many times as often as hints are due, and not more often than minSendPause.
 constexpr int maxNewsPerHint = 4;
 constexpr milliseconds minSendPause{200};
-// Between messages about prompt parts; several crashes are often told together.
+constexpr std::size_t maxSuspectsPerDatagram = 32;
+// Between messages about suspected traits; several crashes are often told together.
 constexpr milliseconds suspectNewsPause{100};
 upstream_work ownWork(const routed_upstream &upstream)
 {
@@ -182,7 +186,7 @@
         numbers.receivedBytes += bytes.size();
         wire::LoadHint message;
         const bool isParsed = message.ParseFromArray(bytes.data(), int(bytes.size()));
-        if (isParsed && message.host().empty() && message.suspected_parts_size() > 0) {
+        if (isParsed && message.host().empty() && message.suspected_traits_size() > 0) {
             applySuspects(readSuspects(message));
             return;
         }
@@ -213,13 +217,16 @@
             applyNotice(routing, notice, clock.now());
     }
 
-    /// Merges what another host told of prompt parts; answers at once with what it lacks.
+    /// Merges what another host told of suspected traits; answers at once with what it lacks.
     void applySuspects(const std::vector<told_suspect> &suspects)
     {
         if (suspects.empty())
             return;
-        for (const told_suspect &suspect : suspects)
-            applySuspect(routing.quarantine, suspect, clock.now());
+        for (const told_suspect &suspect : suspects) {
+            const bool isToPassOn = applySuspect(routing.quarantine, suspect, clock.now());
+            if (isToPassOn && isKeeper(suspect.trait, routing.otherHostsLoad, host))
+                routing.quarantine.news.insert(suspect.trait);
+        }
         if (updateQuarantine(routing, clock.now()) && traitHeldListener)
             traitHeldListener();
         sendSuspectNews();
@@ -227,7 +234,9 @@
 
     void sendSuspectNews()
     {
-        if (!routing.quarantine.news.empty() && !std::exchange(isSuspectNewsPlanned, true))
+        const bool isNews
+            = !routing.quarantine.news.empty() || !routing.quarantine.keeperNews.empty();
+        if (isNews && !std::exchange(isSuspectNewsPlanned, true))
             asio::co_spawn(context, sendPlannedSuspectNews(shared_from_this()), asio::detached);
     }
 
@@ -242,10 +251,28 @@
         if (self->isStopped)
             co_return;
         self->suspectNewsSentAt = self->clock.now();
-        const std::string bytes
-            = encodeSuspects(takeNews(self->routing.quarantine, self->clock.now()));
+        crash_quarantine &quarantine = self->routing.quarantine;
+        const auto news = takeNews(quarantine, self->clock.now());
         for (const host_announcement &peer : self->routing.peers)
-            self->sendTo(peer.peer, bytes);
+            self->sendSuspects(peer.peer, news);
+        std::map<host_address, std::vector<told_suspect>> byKeeper;
+        for (const told_suspect &suspect : takeKeeperNews(quarantine, self->clock.now())) {
+            for (const host_address &keeper :
+                 keepersOf(suspect.trait, self->routing.otherHostsLoad, self->host))
+                byKeeper[keeper].push_back(suspect);
+        }
+        byKeeper.erase(self->host);
+        for (const auto &[keeper, suspects] : byKeeper)
+            self->sendSuspects(keeper, suspects);
+    }
+
+    void sendSuspects(const host_address &peer, std::span<const told_suspect> suspects)
+    {
+        while (!suspects.empty()) {
+            const auto part = suspects.first(std::min(suspects.size(), maxSuspectsPerDatagram));
+            sendTo(peer, encodeSuspects(part));
+            suspects = suspects.subspan(part.size());
+        }
     }
 
     static asio::awaitable<void> receive(std::shared_ptr<state> self)
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -42,10 +42,10 @@
     /// that long, while load can.
     void sendSoon();
 
-    /// Tells all other hosts at once which prompt parts are suspected.
+    /// Tells the other hosts at once which traits of requests are suspected.
     void sendSuspectNews();
 
-    /// Called when a prompt part has become held by what other hosts told.
+    /// Called when a trait has become held by what other hosts told.
     void onTraitHeld(std::function<void()> listener);
     counts numbers() const;
 
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -92,7 +92,7 @@
     if (!body)
         co_return attempt.endWithFailure(body.error());
     attempt.noteOutcome(head.status < 500, false);
-    if (head.status < 300)
+    if (head.status < 500)
         noteAnswered(attempt.context.guard, attempt.job);
     const auto headers = toAnswerHeaders(head.forwardedFields);
     co_await attempt.job.exchange.respond(head.status, headers, std::move(*body));
@@ -315,8 +315,9 @@
     job.exchange.setDisconnectListener(nullptr);
     attempt.call->finish();
     const bool isUnanswered = removeAttempt(context.guard, job);
-    if (end == attempt_end::failed && isUnanswered && attempt.call->hasLostConnection())
-        co_await noteLostConnection(context.guard, job, attempt.entry, attempt.hasJustBegun());
+    if (end == attempt_end::failed && attempt.call->hasLostConnection())
+        co_await noteLostConnection(context.guard, job, attempt.entry,
+                                    {attempt.started, attempt.hasJustBegun(), !isUnanswered});
     routed_upstream *target = attempt.upstream();
     if (target && !attempt.hasFirstByte)
         recordFirstByte(pool, *target, attempt.work(), std::nullopt, context.clock.now());
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 #include "kernel/result.h"
+#include "policy/crash_quarantine.h"
 #include "policy/event_split.h"
 #include "policy/placement.h"
 #include "policy/route_choice.h"
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace quincefall {
 
@@ -33,6 +35,7 @@
     route_choice choice; ///< Points into `desired`.
     instant arrived;
     instant deadline;
+    std::vector<request_trait> traits{}; ///< That may crash upstreams.
     int urgency = 0;
     bool isGapSensitive = false;
     bool isCallerRetry = false; ///< Its short deadline shows an earlier refusal.
@@ -41,8 +44,8 @@
     int runs = 0; ///< Attempts that an upstream may have run.
     int sends = 0; ///< Attempts that may have reached an upstream.
     bool hasReservedAttempt = false; ///< A further attempt was taken from the budget.
-    bool hasCrashedUpstream = false; ///< One crashed as it began the answer; perhaps the cause.
-    bool isHeldBack = false; ///< A part of the prompt became held while an attempt ran.
+    bool mayCrashUpstreams = false; ///< One crashed, and this request may be the cause.
+    bool isHeldBack = false; ///< A trait of the request became held while an attempt ran.
     bool hasStartedResponse = false; ///< The answer's head was sent to the caller.
     event_splitter events{}; ///< Position in a stream, kept across attempts.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -6,6 +6,7 @@
 #include "policy/route_choice.h"
 #include "route/proxy_attempt.h"
 #include "route/proxy_job.h"
+#include "route/request_digest.h"
 #include "serve/problem.h"
 
 #include <algorithm>
@@ -138,6 +139,16 @@
                        run_state::notRun, std::nullopt};
     }
 
+    /// What an upstream gets of the request and a caller sends again unchanged.
+    static std::uint64_t digestOfRequest(const proxy_job &job)
+    {
+        const std::string organisation = job.organisation();
+        const std::array<std::string_view, 5> fields{job.request.method, job.request.authority,
+                                                     job.request.target, organisation,
+                                                     job.exchange.body()};
+        return digestOf(fields);
+    }
+
     void prepare(proxy_job &job)
     {
         const route_rule &route = *job.choice.route;
@@ -150,6 +161,8 @@
             job.isCallerRetry
                 = detectCallerRetry(routing.callerTimeouts, route.name, *job.request.deadline);
         depositAttempt(budgetOf(job.service()), settings.budget, job.arrived);
+        job.traits = sharedPartTraits(job.request.prompt);
+        job.traits.push_back({digestOfRequest(job), 0, true});
         if (!job.choice.service->engine || job.request.prompt.promptTokens <= 0)
             return;
         service_pool &pool = routing.pools[job.service()];
@@ -204,8 +217,8 @@
     /// it needs one and none is reserved.
     bool mayContinue(proxy_job &job, attempt_end end)
     {
-        if (job.hasCrashedUpstream) {
-            job.noFurtherAttempt = "its upstream crashed as it began the answer";
+        if (job.mayCrashUpstreams) {
+            job.noFurtherAttempt = "it may be what crashed its upstream";
             return false;
         }
         const bool isRepeat = end == attempt_end::failed;
@@ -310,10 +323,11 @@
         if (end == attempt_end::notRun) {
             const milliseconds wait
                 = job.retryAfter.value_or(std::chrono::ceil<milliseconds>(retryAfterFor(job)));
-            const bool isHeldBack
-                = job.lastFailure && job.lastFailure->code == result_code::promptHeldBack;
-            problem refusal{isHeldBack ? result_code::promptHeldBack : result_code::overloaded,
-                            detail, run_state::notRun, wait};
+            const bool isHeldBack = job.lastFailure
+                && (job.lastFailure->code == result_code::promptHeldBack
+                    || job.lastFailure->code == result_code::requestHeldBack);
+            problem refusal{isHeldBack ? job.lastFailure->code : result_code::overloaded, detail,
+                            run_state::notRun, wait};
             co_await refuse(job.exchange, job.request.id, refusal);
             co_return;
         }
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -230,8 +230,12 @@
             {"quincefall_desired_version", "gauge", "Version of the desired state in force.", "",
              [this] { return routing.desired ? double(routing.desired->version) : 0.0; }});
         numbers->addCallbackMetric({"quincefall_prompt_parts_held", "gauge",
-                                    "Prompt parts for which requests are held back.", "",
-                                    [this] { return double(heldCount(routing.quarantine)); }});
+                                    "Prompt parts for which requests are held back.", "", [this] {
+                                        return double(heldCount(routing.quarantine, false));
+                                    }});
+        numbers->addCallbackMetric(
+            {"quincefall_requests_held", "gauge", "Repeated requests that are held back.", "",
+             [this] { return double(heldCount(routing.quarantine, true)); }});
         numbers->addCallbackMetric({"process_cpu_seconds_total", "counter",
                                     "Processor time of the process in user and kernel mode.", "",
                                     processCpuSeconds});
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -136,10 +136,12 @@
 bool updateQuarantine(routing_state &state, instant now)
 {
     bool isNewlyHeld = false;
-    for (const std::uint64_t part : updateHeldTraits(state.quarantine, now)) {
-        const suspected_trait &suspect = state.quarantine.suspects.at(part);
+    for (const std::uint64_t trait : updateHeldTraits(state.quarantine, now)) {
+        const suspected_trait &suspect = state.quarantine.suspects.at(trait);
+        const std::string kind = suspect.isWholeRequest ? "digest" : "part";
         if (!suspect.isHeld) {
-            logInfo("prompt part released", {{"part", formatTraitId(part)}});
+            logInfo(suspect.isWholeRequest ? "request released" : "prompt part released",
+                    {{kind, formatTraitId(trait)}});
             continue;
         }
         isNewlyHeld = true;
@@ -150,8 +152,8 @@
                 + (evidence.wasAnswering ? ":answering" : ":waiting") + ":"
                 + std::to_string(std::lround(toMilliseconds(now - evidence.at))) + "ms";
         }
-        logWarning("prompt part held back",
-                   {{"part", formatTraitId(part)},
+        logWarning(suspect.isWholeRequest ? "request held back" : "prompt part held back",
+                   {{kind, formatTraitId(trait)},
                     {"crashes", crashes},
                     {"answered_before", suspect.answeredAt == instant::min() ? "no" : "yes"}});
     }
--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -57,7 +57,7 @@
     }
     lastEventsAt = now;
     if (now - firstByteAt >= crashTimeAfterFirstByte)
-        noteAnswered(context.guard, job);
+        noteGoingOn(context.guard, job);
 }
 
 attempt_work running_attempt::work() const
@@ -97,9 +97,8 @@
 {
     job.lastFailure = failure;
     if (job.isHeldBack && failure.code == result_code::cancelled) {
-        job.lastFailure
-            = error{result_code::promptHeldBack,
-                    "a part of the prompt became held while it was sent to " + entry.id};
+        job.lastFailure = error{result_code::requestHeldBack,
+                                "the request became held back while it was at " + entry.id};
         return attempt_end::failed;
     }
     if (job.exchange.isCallerDisconnected() || failure.code == result_code::cancelled)
--- /dev/null
+++ b/tests/policy/keepers_test.cpp
@@ -0,0 +1,78 @@
+#include "policy/keepers.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+namespace quincefall {
+namespace {
+
+std::vector<host_address> makeHosts(int count)
+{
+    std::vector<host_address> hosts;
+    for (int index = 0; index < count; ++index)
+        hosts.push_back(
+            {"10.1." + std::to_string(index / 200) + "." + std::to_string(index % 200), 7});
+    return hosts;
+}
+
+fleet_load othersOf(const std::vector<host_address> &hosts, const host_address &own)
+{
+    fleet_load load;
+    for (const host_address &host : hosts) {
+        if (host != own)
+            load.hosts[host] = {};
+    }
+    return load;
+}
+
+BOOST_AUTO_TEST_SUITE(keepers_tests)
+
+BOOST_AUTO_TEST_CASE(all_hosts_name_the_same_keepers_and_share_the_objects)
+{
+    const auto hosts = makeHosts(354);
+    std::map<host_address, int> kept;
+    for (std::uint64_t key = 1; key <= 2'000; ++key) {
+        const auto keepers
+            = keepersOf(key * 7'919, othersOf(hosts, hosts[key % 354]), hosts[key % 354]);
+        const auto other = keepersOf(key * 7'919, othersOf(hosts, hosts[3]), hosts[3]);
+        BOOST_TEST_REQUIRE((keepers == other));
+        BOOST_TEST_REQUIRE(keepers.size() == 4U);
+        BOOST_TEST_REQUIRE(std::set(keepers.begin(), keepers.end()).size() == 4U);
+        for (const host_address &keeper : keepers)
+            ++kept[keeper];
+    }
+    for (const host_address &host : hosts)
+        BOOST_TEST(kept[host] < 60); // 23 on average.
+}
+
+BOOST_AUTO_TEST_CASE(a_host_knows_whether_it_is_a_keeper)
+{
+    const auto hosts = makeHosts(9);
+    for (std::uint64_t key = 1; key <= 50; ++key) {
+        int count = 0;
+        for (const host_address &host : hosts) {
+            const fleet_load others = othersOf(hosts, host);
+            const auto keepers = keepersOf(key, others, host);
+            const bool isNamed = std::find(keepers.begin(), keepers.end(), host) != keepers.end();
+            BOOST_TEST(isKeeper(key, others, host) == isNamed);
+            count += isNamed ? 1 : 0;
+        }
+        BOOST_TEST(count == 4);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_others_keeps_all_objects)
+{
+    const auto hosts = makeHosts(1);
+    BOOST_TEST((keepersOf(5, {}, hosts[0]) == hosts));
+    BOOST_TEST(isKeeper(5, {}, hosts[0]));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
