--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -205,6 +205,8 @@
         self.service = service
         self.listed_port = 0
         self.events = 6
+        self.version = "v1"  # Of its software.
+        self.shows_version = False  # In each event.
         self.event_seconds = 0.02
         self.fault = None
         self.faults_left = 10 ** 9
@@ -240,7 +242,7 @@
 
     def entry(self, state="ready", sequence=1):
         return {"service": self.service, "address": f"127.0.0.1:{self.listed_port}",
-                "zone": "a", "version": "v1", "slots": 8, "state": state,
+                "zone": "a", "version": self.version, "slots": 8, "state": state,
                 "cold_remaining_ms": 0, "sequence": sequence, "born": 1700000000000}
 
     def next_fault(self):
@@ -332,7 +334,8 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in headers)
         writer.write(head.encode() + b"\r\n")
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: {number}-of-{self.service}\n\n".encode()
+            shown = f"-{self.version}" if self.shows_version else ""
+            event = f"id: {number}\ndata: {number}-of-{self.service}{shown}\n\n".encode()
             if is_unframed:
                 is_end = number == first + 2 and fault != "unframed"
                 writer.write(event[:len(event) // 2] if is_end else event)
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -197,8 +197,9 @@
             self.hosts.append(
                 RouteHost(f"h{index + 1}", port, seeds, exchange, f"127.0.0.{index + 2}"))
 
-    def add_engine(self, name, service):
+    def add_engine(self, name, service, version="v1"):
         engine = Engine(self.thread.loop, name, service)
+        engine.version = version
         self.thread.call(engine.server.listen())
         engine.listed_port = self.link(engine.server.port)
         self.engines[name] = engine
