Let a stream go on only at the software version that began it

Cause: the version in an engine's registration was not read, so any engine of a service counted as able to go on, in the host's own further attempt and when a caller took a stream up. Ruled out: engines that change their version under the same id; each start is listed with its own.

Change: a resumable stream is bound to the version of the engine that sends its first event. While a service has several versions, its host tells four keepers, which a host that takes the stream up asks by what the caller says in Resumes. A stream of unknown origin, or of a version without a usable engine, is refused with 503 and has not run.

Why it works: the binding is made before the caller has an event, and the keepers outlive the host; with two thirds of the hosts lost, four in five streams still have one.

--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -42,6 +42,8 @@
     upstreamUnreachable = 406,
     promptHeldBack = 407,
     requestHeldBack = 408,
+    streamOriginUnknown = 409,
+    streamVersionGone = 410,
 
     logUnavailable = 501,
     logTruncated = 502,
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -78,10 +78,16 @@
     return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
 }
 
+bool hasWantedVersion(const upstream_entry &entry, const placement_request &request)
+{
+    return !request.softwareVersion || entry.softwareVersion.empty()
+        || entry.softwareVersion == *request.softwareVersion;
+}
+
 bool isEligible(const routed_upstream &upstream, const placement_request &request, instant now)
 {
-    return !upstream.listed.isLeaving && upstream.pausedUntil <= now
-        && timeUntilRoom(upstream.limit, now) == microseconds(0)
+    return !upstream.listed.isLeaving && hasWantedVersion(upstream.listed, request)
+        && upstream.pausedUntil <= now && timeUntilRoom(upstream.limit, now) == microseconds(0)
         && (!request.tried || !request.tried->contains(upstream.listed.id));
 }
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -29,6 +29,9 @@
     int urgency = 0;
     bool isGapSensitive = false; ///< See isGapSensitive().
     const std::set<std::string, std::less<>> *tried = nullptr; ///< Ids of upstreams to exclude.
+    /// Software version that the upstream must have; null for any. Upstreams whose version is not
+    /// known have it.
+    const std::string *softwareVersion = nullptr;
     bool prefersLatency = false; ///< Ignores that a repeated prefill delays others.
     probe_candidate probe; ///< Whether it may probe a failing upstream.
 };
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -4,6 +4,7 @@
 #include "policy/fleet_load.h"
 #include "policy/prompt.h"
 #include "policy/request_limit.h"
+#include "policy/software_versions.h"
 #include "policy/upstream_entry.h"
 #include "policy/upstream_health.h"
 
@@ -60,6 +61,7 @@
 struct service_pool
 {
     std::map<std::string, routed_upstream, std::less<>> upstreams; ///< By id.
+    version_history versions;
     double prefillTokensPerMs = 0; ///< Smoothed prefill rate of an engine; 0 until known.
     std::unordered_map<std::uint64_t, part_use> partUses; ///< By id of the last shared part.
     double callMs = 0; ///< Smoothed latency of requests with nothing to prefill.
--- /dev/null
+++ b/src/policy/stream_origins.cpp
@@ -0,0 +1,57 @@
+#include "policy/stream_origins.h"
+
+#include <utility>
+
+namespace quincefall {
+namespace {
+
+constexpr std::size_t maxOrigins = 8'192; // In each generation; about 1 MB.
+
+} // namespace
+
+void recordOrigin(stream_origins &origins, std::uint64_t stream, stream_origin origin)
+{
+    if (findOrigin(origins, stream))
+        return;
+    if (origins.newer.size() >= maxOrigins) {
+        origins.older = std::move(origins.newer);
+        origins.newer.clear();
+    }
+    origins.newer.emplace(stream, std::move(origin));
+}
+
+const stream_origin *findOrigin(const stream_origins &origins, std::uint64_t stream)
+{
+    for (const auto *generation : {&origins.newer, &origins.older}) {
+        const auto row = generation->find(stream);
+        if (row != generation->end())
+            return &row->second;
+    }
+    return nullptr;
+}
+
+void forgetUntold(stream_origins &origins, std::uint64_t stream)
+{
+    for (auto *generation : {&origins.newer, &origins.older}) {
+        const auto row = generation->find(stream);
+        if (row != generation->end() && row->second.isUntold)
+            generation->erase(row);
+    }
+}
+
+std::vector<std::uint64_t> takeUntold(stream_origins &origins, std::string_view service,
+                                      instant from)
+{
+    std::vector<std::uint64_t> streams;
+    for (auto *generation : {&origins.newer, &origins.older}) {
+        for (auto &[stream, origin] : *generation) {
+            if (!origin.isUntold || origin.service != service || origin.begunAt < from)
+                continue;
+            origin.isUntold = false;
+            streams.push_back(stream);
+        }
+    }
+    return streams;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/stream_origins.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace quincefall {
+
+/// Which upstreams may continue a stream.
+struct stream_origin
+{
+    std::string service;
+    std::string version; ///< Software version of the upstream that sent its first event.
+    instant begunAt = instant::min(); ///< When this host learned of it.
+    bool isUntold = false; ///< Its keepers do not know it yet.
+};
+
+/// The origins of recent streams that this host has begun, continued or keeps for others, by
+/// digest of the caller's attempt that brought the first event. Bounded: the older generation is
+/// dropped when the newer one is full.
+///
+/// Needed when a caller takes a stream up after its host was lost: the host that it comes to has
+/// never met the stream, and an upstream does not check who began it.
+struct stream_origins
+{
+    std::unordered_map<std::uint64_t, stream_origin> newer;
+    std::unordered_map<std::uint64_t, stream_origin> older;
+};
+
+/// Records an origin. One that is known stays: a stream has only one.
+void recordOrigin(stream_origins &origins, std::uint64_t stream, stream_origin origin);
+
+/// The stream's origin; null if it is not known here.
+const stream_origin *findOrigin(const stream_origins &origins, std::uint64_t stream);
+
+/// Forgets a stream that has ended. Its origin is kept if other hosts were told.
+void forgetUntold(stream_origins &origins, std::uint64_t stream);
+
+/// The untold streams of @p service that were begun after @p from; they count as told from now on.
+std::vector<std::uint64_t> takeUntold(stream_origins &origins, std::string_view service,
+                                      instant from);
+
+} // namespace quincefall
--- a/src/policy/upstream_entry.h
+++ b/src/policy/upstream_entry.h
@@ -18,6 +18,7 @@
     unsigned slots = 1;
     bool isLeaving = false; ///< Takes no new work.
     std::int64_t started = 0; ///< Unix time in milliseconds; 0 if unknown.
+    std::string softwareVersion; ///< Empty if unknown.
 
     bool operator==(const upstream_entry &) const = default;
 };
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -86,7 +86,7 @@
 
     void publish()
     {
-        updatePools(target, goneListener, clock.now());
+        updatePools(target, goneListener, clock);
         if (changeListener)
             changeListener();
     }
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -101,6 +101,7 @@
     instant suspectNewsSentAt = instant::min();
     bool isSuspectNewsPlanned = false;
     std::function<void()> traitHeldListener;
+    std::function<void(const wire::LoadHint &, const host_address &)> streamListener;
 
     std::string nextHint()
     {
@@ -181,7 +182,7 @@
         sendTimer.cancel();
     }
 
-    void receiveDatagram(std::string_view bytes)
+    void receiveDatagram(std::string_view bytes, const udp::endpoint &sender)
     {
         numbers.receivedBytes += bytes.size();
         wire::LoadHint message;
@@ -190,6 +191,13 @@
             applySuspects(readSuspects(message));
             return;
         }
+        const bool isAboutStreams
+            = message.stream_origins_size() > 0 || message.stream_queries_size() > 0;
+        if (isParsed && message.host().empty() && isAboutStreams) {
+            if (streamListener)
+                streamListener(message, {sender.address().to_string(), sender.port()});
+            return;
+        }
         auto hint = isParsed ? readHint(message) : std::nullopt;
         if (!hint)
             ++numbers.invalidDatagrams;
@@ -285,7 +293,7 @@
             if (code == asio::error::operation_aborted || !self->socket.is_open())
                 co_return;
             if (!code)
-                self->receiveDatagram({buffer.data(), size});
+                self->receiveDatagram({buffer.data(), size}, sender);
         }
     }
 };
@@ -348,6 +356,17 @@
     m_state->sendSuspectNews();
 }
 
+void load_exchange::sendTo(const host_address &host, const std::string &bytes)
+{
+    m_state->sendTo(host, bytes);
+}
+
+void load_exchange::onStreamMessage(
+    std::function<void(const wire::LoadHint &message, const host_address &sender)> listener)
+{
+    m_state->streamListener = std::move(listener);
+}
+
 void load_exchange::onTraitHeld(std::function<void()> listener)
 {
     m_state->traitHeldListener = std::move(listener);
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -14,6 +14,10 @@
 
 namespace quincefall {
 
+namespace wire {
+class LoadHint;
+}
+
 /// Sends this host's load to the other hosts over UDP and records the load that they send.
 class load_exchange
 {
@@ -45,6 +49,13 @@
     /// Tells the other hosts at once which traits of requests are suspected.
     void sendSuspectNews();
 
+    /// Sends a message to one host. Lost if the host's or the link's buffers are full.
+    void sendTo(const host_address &host, const std::string &bytes);
+
+    /// Called with a message about streams and the host that sent it.
+    void onStreamMessage(
+        std::function<void(const wire::LoadHint &message, const host_address &sender)> listener);
+
     /// Called when a trait has become held by what other hosts told.
     void onTraitHeld(std::function<void()> listener);
     counts numbers() const;
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -57,6 +57,7 @@
     row.set_slots(listing.entry.slots);
     row.set_leaving(listing.entry.isLeaving);
     row.set_started_ms(listing.entry.started);
+    row.set_software_version(listing.entry.softwareVersion);
     row.set_sequence(listing.sequence);
     row.set_changed(listing.changed);
 }
@@ -67,8 +68,9 @@
     if (!address || row.id().empty())
         return std::nullopt;
     upstream_membership::listing listing;
-    listing.entry = {row.id(),     row.service(), *address,      row.failure_domain(),
-                     row.region(), row.slots(),   row.leaving(), row.started_ms()};
+    listing.entry
+        = {row.id(),    row.service(), *address,         row.failure_domain(),  row.region(),
+           row.slots(), row.leaving(), row.started_ms(), row.software_version()};
     listing.sequence = row.sequence();
     listing.changed = row.changed();
     return listing;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -143,6 +143,17 @@
     return std::nullopt;
 }
 
+/// Binds the stream to the upstream's software version before the caller gets its first event.
+void bindStream(running_attempt &attempt)
+{
+    proxy_job &job = attempt.job;
+    if (!job.choice.route->isResumable || job.streamVersion)
+        return;
+    job.streamVersion = attempt.entry.softwareVersion;
+    if (attempt.context.streams)
+        attempt.context.streams->recordBegin(job.stream, attempt.entry, job.longestStream());
+}
+
 /// Passes on each event once it is complete.
 asio::awaitable<attempt_end> relayStream(running_attempt &attempt, answer_head &head)
 {
@@ -169,6 +180,7 @@
                 return attempt.isUnresponsive(gapTimeout(job))
                     && reserveFurtherAttempt(attempt.context, job);
             });
+        bindStream(attempt);
         if (!co_await writeEvents(job, head, events))
             co_return attempt_end::callerGone;
     }
@@ -184,6 +196,8 @@
     if (!co_await writeEvents(job, head, rest))
         co_return attempt_end::callerGone;
     const bool isEnded = co_await job.exchange.endStream();
+    if (isEnded && attempt.context.streams)
+        attempt.context.streams->recordEnd(job.stream);
     co_return isEnded ? attempt_end::answered : attempt_end::callerGone;
 }
 
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -5,6 +5,7 @@
 #include "route/crash_guard.h"
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
+#include "route/stream_directory.h"
 #include "route/upstream_call.h"
 #include "route/wire_format.h"
 
@@ -24,6 +25,7 @@
     /// Takes a further attempt for the job from the budget; false when the budget is used up.
     std::function<bool(proxy_job &)> takeFurtherAttempt;
     crash_guard guard;
+    stream_directory *streams = nullptr; ///< Null until the host has one.
     std::function<void()> noticeListener; ///< Called when an upstream told something new of itself.
 };
 
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -48,6 +48,8 @@
     bool isHeldBack = false; ///< A trait of the request became held while an attempt ran.
     bool hasStartedResponse = false; ///< The answer's head was sent to the caller.
     event_splitter events{}; ///< Position in a stream, kept across attempts.
+    std::uint64_t stream = 0; ///< Digest of the attempt that brought the stream's first event.
+    std::optional<std::string> streamVersion{}; ///< At which alone it goes on; empty until begun.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
     std::optional<error> lastFailure{};
     std::string_view noFurtherAttempt = "none"; ///< Why a failed attempt was the last one.
@@ -57,6 +59,18 @@
 
     /// Also true on resumable routes.
     bool isRepeatable() const { return choice.route->isRepeatable || choice.route->isResumable; }
+    /// Time within which a stream that its caller takes up has begun.
+    microseconds longestStream() const
+    {
+        constexpr seconds withoutTimeout{60};
+        return choice.route->timeout.count() > 0 ? microseconds(choice.route->timeout)
+                                                 : microseconds(withoutTimeout);
+    }
+    /// Whether the caller takes up a stream of which it has events.
+    bool isTakenUp() const
+    {
+        return choice.route->isResumable && request.resumeAfter.value_or(0) > 0;
+    }
     const std::string &service() const { return choice.service->name; }
     /// Empty where the route needs no key.
     std::string organisation() const
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -60,6 +60,7 @@
                    clock,
                    [this](proxy_job &job) { return takeFurtherAttempt(job); },
                    {routing, connections, clock, settings.site.self, nullptr},
+                   nullptr,
                    nullptr}
     {
     }
@@ -149,6 +150,16 @@
         return digestOf(fields);
     }
 
+    /// Of the caller's attempt that brings the first event of the stream, also if it is another
+    /// one.
+    static std::uint64_t digestOfStream(const proxy_job &job)
+    {
+        const std::string organisation = job.organisation();
+        const std::array<std::string_view, 2> fields{
+            organisation, job.isTakenUp() ? job.request.resumedId : job.request.id};
+        return digestOf(fields);
+    }
+
     void prepare(proxy_job &job)
     {
         const route_rule &route = *job.choice.route;
@@ -163,6 +174,7 @@
         depositAttempt(budgetOf(job.service()), settings.budget, job.arrived);
         job.traits = sharedPartTraits(job.request.prompt);
         job.traits.push_back({digestOfRequest(job), 0, true});
+        job.stream = digestOfStream(job);
         if (!job.choice.service->engine || job.request.prompt.promptTokens <= 0)
             return;
         service_pool &pool = routing.pools[job.service()];
@@ -202,6 +214,7 @@
         wanted.urgency = job.urgency;
         wanted.isGapSensitive = job.isGapSensitive;
         wanted.prefersLatency = prefersLatency;
+        wanted.softwareVersion = job.streamVersion ? &*job.streamVersion : nullptr;
         wanted.tried = &job.tried;
         wanted.probe.isRetryable
             = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
@@ -241,7 +254,7 @@
         view.delayMs = chosen.delayMs;
         view.targetMs = double(job.choice.route->targetLatency.count());
         view.remainingMs = toMilliseconds(job.deadline - clock.now());
-        view.isCallerRetry = job.isCallerRetry;
+        view.isCallerRetry = job.isCallerRetry || job.isTakenUp();
         return view;
     }
 
@@ -268,6 +281,13 @@
         return {};
     }
 
+    static error versionGoneError(const proxy_job &job)
+    {
+        return {result_code::streamVersionGone,
+                "service " + job.service() + " has no usable upstream of software version \""
+                    + *job.streamVersion + "\", which began the stream"};
+    }
+
     /// If all upstreams have asked for time, the caller should return when the first is usable.
     void setRetryAfterPause(proxy_job &job)
     {
@@ -279,6 +299,17 @@
     asio::awaitable<attempt_end> run(proxy_job &job)
     {
         attempt_end end = attempt_end::notRun;
+        if (job.isTakenUp() && attempts.streams) {
+            job.streamVersion = co_await attempts.streams->findVersion(job.stream, job.service(),
+                                                                       job.longestStream());
+            if (!job.streamVersion) {
+                job.lastFailure = error{result_code::streamOriginUnknown,
+                                        "no host knows at which software version the stream of "
+                                        "request \""
+                                            + job.request.resumedId + "\" began"};
+                co_return end;
+            }
+        }
         while (true) {
             if (const auto held = findHeldTrait(attempts.guard, job)) {
                 job.lastFailure = heldBackError(*held);
@@ -287,6 +318,8 @@
             }
             const placement chosen = job.sends == 0 ? chooseOrRefuse(job) : choose(job);
             if (!chosen.upstream) {
+                if (job.streamVersion && !job.lastFailure)
+                    job.lastFailure = versionGoneError(job);
                 setRetryAfterPause(job);
                 if (!job.lastFailure)
                     job.lastFailure = error{result_code::noUpstream,
@@ -311,6 +344,19 @@
         return std::min<microseconds>(maxWait, std::max<microseconds>(minRetryAfter, maxWait / 2));
     }
 
+    static result_code refusalCodeOf(const proxy_job &job)
+    {
+        switch (job.lastFailure ? job.lastFailure->code : result_code::overloaded) {
+        case result_code::promptHeldBack:
+        case result_code::requestHeldBack:
+        case result_code::streamOriginUnknown:
+        case result_code::streamVersionGone:
+            return job.lastFailure->code;
+        default:
+            return result_code::overloaded;
+        }
+    }
+
     /// Ends a request that no upstream answered in full: aborts an answer that has begun, otherwise
     /// sends an error.
     asio::awaitable<void> giveUp(proxy_job &job, attempt_end end)
@@ -323,11 +369,7 @@
         if (end == attempt_end::notRun) {
             const milliseconds wait
                 = job.retryAfter.value_or(std::chrono::ceil<milliseconds>(retryAfterFor(job)));
-            const bool isHeldBack = job.lastFailure
-                && (job.lastFailure->code == result_code::promptHeldBack
-                    || job.lastFailure->code == result_code::requestHeldBack);
-            problem refusal{isHeldBack ? job.lastFailure->code : result_code::overloaded, detail,
-                            run_state::notRun, wait};
+            problem refusal{refusalCodeOf(job), detail, run_state::notRun, wait};
             co_await refuse(job.exchange, job.request.id, refusal);
             co_return;
         }
@@ -438,6 +480,11 @@
     quincefall::cancelHeldAttempts(m_state->attempts.guard);
 }
 
+void proxy_service::useStreamDirectory(stream_directory &directory)
+{
+    m_state->attempts.streams = &directory;
+}
+
 void proxy_service::refuseNewRequests()
 {
     m_state->isRefusingNew = true;
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -5,6 +5,7 @@
 #include "observe/metrics.h"
 #include "policy/placement.h"
 #include "route/routing_state.h"
+#include "route/stream_directory.h"
 #include "route/wire_format.h"
 #include "serve/http_server.h"
 
@@ -41,12 +42,15 @@
     /// Called when an upstream told something new of itself in an answer.
     void onNotice(std::function<void()> listener);
 
-    /// Called when other hosts should hear of a suspected prompt part at once.
+    /// Called when other hosts should hear of a suspected trait of requests at once.
     void onSuspectNews(std::function<void()> listener);
 
-    /// Cancels the attempts whose prompts have a part that is now held.
+    /// Cancels the attempts of requests with a trait that is now held.
     void cancelHeldAttempts();
 
+    /// Sets where the service finds the origin of streams that callers take up.
+    void useStreamDirectory(stream_directory &directory);
+
     /// Refuses all requests that arrive from now on without running them.
     void refuseNewRequests();
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -11,6 +11,7 @@
 #include "route/peer_calls.h"
 #include "route/proxy_service.h"
 #include "route/routing_state.h"
+#include "route/stream_directory.h"
 #include "serve/http_server.h"
 
 #include <algorithm>
@@ -84,6 +85,7 @@
     routing_state routing;
     std::unique_ptr<metrics> numbers = metrics::makeMetrics();
     std::shared_ptr<connection_pool> connections;
+    std::unique_ptr<stream_directory> streams;
     std::unique_ptr<kernel> services;
     state_answers answers; ///< To other hosts.
     bool isStopping = false;
@@ -145,7 +147,10 @@
                              feed::optionsFor(roundToMilliseconds(values.leaveMs),
                                               roundToMilliseconds(values.applyMs)),
                              values.peerListen, clock);
-        reader->onChange([this] { applyLimits(); });
+        reader->onChange([this] {
+            applyLimits();
+            streams->tellUntold();
+        });
         reader->onGone([this](const host_address &address) { connections->closeIdle(address); });
         auto &exchange = services->find<load_exchange>("route.exchange");
         reader->onStoreNews([&exchange] { exchange.sendSoon(); });
@@ -199,6 +204,15 @@
         proxy.onNotice([&added] { added.sendSoon(); });
         proxy.onSuspectNews([&added] { added.sendSuspectNews(); });
         added.onTraitHeld([&proxy] { proxy.cancelHeldAttempts(); });
+        streams = stream_directory::makeStreamDirectory(
+            context, routing, values.peerListen, clock,
+            [&added](const host_address &host, const std::string &bytes) {
+                added.sendTo(host, bytes);
+            });
+        added.onStreamMessage([this](const wire::LoadHint &message, const host_address &sender) {
+            streams->receive(message, sender);
+        });
+        proxy.useStreamDirectory(*streams);
         services->add("route.exchange", std::shared_ptr<load_exchange>(std::move(*made)),
                       {[&added]() -> result<void> {
                            added.start();
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -72,6 +72,23 @@
                  {"started", std::to_string(entry.started)}});
 }
 
+void updatePoolVersions(const std::string &service, service_pool &pool, const clock_source &clock)
+{
+    std::vector<listed_version> versions;
+    for (const auto &[id, upstream] : pool.upstreams) {
+        const std::int64_t ageMs = clock.wall() - upstream.listed.started;
+        versions.push_back({upstream.listed.softwareVersion, milliseconds(ageMs)});
+    }
+    const std::set<std::string> before = pool.versions.listed;
+    updateVersions(pool.versions, versions, clock.now());
+    if (pool.versions.listed == before)
+        return;
+    std::string names;
+    for (const std::string &version : pool.versions.listed)
+        names += (names.empty() ? "" : ",") + version;
+    logInfo("software versions listed", {{"service", service}, {"versions", names}});
+}
+
 } // namespace
 
 routed_upstream *findUpstream(routing_state &state, const upstream_entry &entry)
@@ -161,8 +178,9 @@
 }
 
 void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone,
-                 instant now)
+                 const clock_source &clock)
 {
+    const instant now = clock.now();
     for (auto &[service, pool] : state.pools) {
         for (auto row = pool.upstreams.begin(); row != pool.upstreams.end();) {
             const auto listing = state.membership.listings.find(row->first);
@@ -179,6 +197,8 @@
     }
     for (const auto &[id, listing] : state.membership.listings)
         applyListing(state, listing.entry, onGone, now);
+    for (auto &[service, pool] : state.pools)
+        updatePoolVersions(service, pool, clock);
 }
 
 } // namespace quincefall
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -8,6 +8,7 @@
 #include "policy/fleet_members.h"
 #include "policy/overload.h"
 #include "policy/routed_upstream.h"
+#include "policy/stream_origins.h"
 #include "policy/upstream_membership.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
     caller_timeouts callerTimeouts;
     fleet_load otherHostsLoad; ///< Other hosts' requests, demands, data versions and ages.
     crash_quarantine quarantine;
+    stream_origins streams;
     std::vector<host_announcement> peers; ///< Other hosts of the fleet.
     bool hasReadPeers = false; ///< `peers` was read at least once.
 
@@ -86,6 +88,6 @@
 /// Updates the pools from the membership. Upstreams that stay keep their measured load and health.
 /// Calls @p onGone with the address of each upstream that was removed or replaced.
 void updatePools(routing_state &state, const std::function<void(const host_address &)> &onGone,
-                 instant now);
+                 const clock_source &clock);
 
 } // namespace quincefall
--- /dev/null
+++ b/src/route/stream_directory.cpp
@@ -0,0 +1,244 @@
+#include "route/stream_directory.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/log_setup.h"
+#include "peer.pb.h"
+#include "policy/keepers.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+// More than the way to another region and back.
+constexpr milliseconds replyTimeout{50};
+constexpr int queryRounds = 2; // A lost datagram costs one.
+constexpr std::size_t maxOriginsPerDatagram = 64;
+// Streams that began before a second version was listed are told if they may still run.
+constexpr seconds untoldLifetime{60};
+
+/// One query for a stream's origin.
+struct stream_lookup
+{
+    explicit stream_lookup(asio::io_context &context)
+        : timer(context)
+    {
+    }
+
+    asio::steady_timer timer;
+    std::set<std::string> unheard; ///< Addresses of the keepers that have not answered.
+    std::optional<std::string> version; ///< As a keeper knows it.
+    std::set<std::string> assumed; ///< By keepers that know of one version only.
+};
+
+} // namespace
+
+struct stream_directory::state : std::enable_shared_from_this<stream_directory::state>
+{
+    state(asio::io_context &io, routing_state &target, const host_address &own, clock_source clocks,
+          send_function sender)
+        : context(io)
+        , routing(target)
+        , self(own)
+        , clock(std::move(clocks))
+        , send(std::move(sender))
+    {
+    }
+
+    asio::io_context &context;
+    routing_state &routing;
+    host_address self;
+    clock_source clock;
+    send_function send;
+    std::multimap<std::uint64_t, std::shared_ptr<stream_lookup>> lookups; ///< By stream.
+
+    std::optional<std::string> onlyVersionOf(const std::string &service, microseconds longest) const
+    {
+        const auto pool = routing.pools.find(service);
+        if (pool == routing.pools.end())
+            return std::nullopt;
+        return onlyVersion(pool->second.versions, longest, clock.now());
+    }
+
+    void tellKeepers(const std::vector<std::uint64_t> &streams)
+    {
+        std::map<host_address, wire::LoadHint> messages;
+        for (const std::uint64_t stream : streams) {
+            const stream_origin *origin = findOrigin(routing.streams, stream);
+            if (!origin)
+                continue;
+            for (const host_address &keeper : keepersOf(stream, routing.otherHostsLoad, self)) {
+                wire::LoadHint &message = messages[keeper];
+                wire::StreamOrigin *row = message.add_stream_origins();
+                row->set_stream(stream);
+                row->set_service(origin->service);
+                row->set_software_version(origin->version);
+                if (std::size_t(message.stream_origins_size()) < maxOriginsPerDatagram)
+                    continue;
+                sendTo(keeper, message);
+                message.Clear();
+            }
+        }
+        for (const auto &[keeper, message] : messages)
+            sendTo(keeper, message);
+    }
+
+    void sendTo(const host_address &host, const wire::LoadHint &message) const
+    {
+        if (host != self && message.ByteSizeLong() > 0)
+            send(host, message.SerializeAsString());
+    }
+
+    void applyOrigin(const wire::StreamOrigin &row, const host_address &sender)
+    {
+        if (!row.assumed() && !row.unknown())
+            recordOrigin(routing.streams, row.stream(),
+                         {row.service(), row.software_version(), clock.now(), false});
+        const auto [begin, end] = lookups.equal_range(row.stream());
+        for (auto lookup = begin; lookup != end; ++lookup) {
+            stream_lookup &found = *lookup->second;
+            found.unheard.erase(sender.ip);
+            if (row.assumed())
+                found.assumed.insert(row.software_version());
+            else if (!row.unknown())
+                found.version = row.software_version();
+            if (found.version || found.unheard.empty())
+                found.timer.cancel();
+        }
+    }
+
+    void answer(const wire::StreamQuery &query, wire::LoadHint &reply) const
+    {
+        wire::StreamOrigin *row = reply.add_stream_origins();
+        row->set_stream(query.stream());
+        row->set_service(query.service());
+        if (const stream_origin *origin = findOrigin(routing.streams, query.stream())) {
+            row->set_software_version(origin->version);
+            return;
+        }
+        const auto only = onlyVersionOf(query.service(), milliseconds(query.longest_ms()));
+        row->set_assumed(only.has_value());
+        row->set_unknown(!only);
+        if (only)
+            row->set_software_version(*only);
+    }
+
+    void ask(const stream_lookup &lookup, const std::vector<host_address> &keepers,
+             const wire::LoadHint &question) const
+    {
+        for (const host_address &keeper : keepers) {
+            if (lookup.unheard.contains(keeper.ip))
+                sendTo(keeper, question);
+        }
+    }
+
+    static asio::awaitable<std::optional<std::string>> askKeepers(std::shared_ptr<state> shared,
+                                                                  std::uint64_t stream,
+                                                                  std::string service,
+                                                                  microseconds longest)
+    {
+        auto lookup = std::make_shared<stream_lookup>(shared->context);
+        std::vector<host_address> keepers
+            = keepersOf(stream, shared->routing.otherHostsLoad, shared->self);
+        std::erase(keepers, shared->self);
+        for (const host_address &keeper : keepers)
+            lookup->unheard.insert(keeper.ip);
+        wire::LoadHint question;
+        wire::StreamQuery *query = question.add_stream_queries();
+        query->set_stream(stream);
+        query->set_service(service);
+        query->set_longest_ms(std::uint32_t(std::chrono::ceil<milliseconds>(longest).count()));
+        const auto row = shared->lookups.emplace(stream, lookup);
+        for (int round = 0; round < queryRounds; ++round) {
+            if (lookup->version || lookup->unheard.empty())
+                break;
+            shared->ask(*lookup, keepers, question);
+            lookup->timer.expires_after(replyTimeout);
+            co_await lookup->timer.async_wait(asTuple);
+        }
+        shared->lookups.erase(row);
+        if (!lookup->version && lookup->assumed.size() == 1)
+            co_return *lookup->assumed.begin();
+        co_return lookup->version;
+    }
+};
+
+std::unique_ptr<stream_directory> stream_directory::makeStreamDirectory(asio::io_context &context,
+                                                                        routing_state &target,
+                                                                        const host_address &self,
+                                                                        clock_source clock,
+                                                                        send_function send)
+{
+    return std::unique_ptr<stream_directory>(new stream_directory(
+        std::make_shared<state>(context, target, self, std::move(clock), std::move(send))));
+}
+
+stream_directory::stream_directory(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+stream_directory::~stream_directory() = default;
+
+void stream_directory::recordBegin(std::uint64_t stream, const upstream_entry &upstream,
+                                   microseconds longest)
+{
+    state &self = *m_state;
+    const bool isTold = !self.onlyVersionOf(upstream.service, longest);
+    recordOrigin(self.routing.streams, stream,
+                 {upstream.service, upstream.softwareVersion, self.clock.now(), !isTold});
+    if (isTold)
+        self.tellKeepers({stream});
+}
+
+void stream_directory::recordEnd(std::uint64_t stream)
+{
+    forgetUntold(m_state->routing.streams, stream);
+}
+
+void stream_directory::tellUntold()
+{
+    state &self = *m_state;
+    for (const auto &[service, pool] : self.routing.pools) {
+        if (pool.versions.listed.size() < 2)
+            continue;
+        const instant from = self.clock.now() - untoldLifetime;
+        self.tellKeepers(takeUntold(self.routing.streams, service, from));
+    }
+}
+
+asio::awaitable<std::optional<std::string>>
+stream_directory::findVersion(std::uint64_t stream, std::string service, microseconds longest)
+{
+    state &self = *m_state;
+    if (const stream_origin *origin = findOrigin(self.routing.streams, stream))
+        co_return origin->version;
+    if (auto only = self.onlyVersionOf(service, longest))
+        co_return only;
+    auto found = co_await state::askKeepers(m_state, stream, service, longest);
+    logInfo("stream looked up",
+            {{"stream", formatTraitId(stream)},
+             {"service", service},
+             {"software_version", found.value_or("unknown")}});
+    co_return found;
+}
+
+void stream_directory::receive(const wire::LoadHint &message, const host_address &sender)
+{
+    for (const wire::StreamOrigin &row : message.stream_origins())
+        m_state->applyOrigin(row, sender);
+    wire::LoadHint reply;
+    for (const wire::StreamQuery &query : message.stream_queries())
+        m_state->answer(query, reply);
+    m_state->sendTo(sender, reply);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/tests/policy/stream_origins_test.cpp
@@ -0,0 +1,56 @@
+#include "policy/stream_origins.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+const instant start = instant{} + seconds(1'000);
+
+stream_origin makeOrigin(const std::string &version, instant begunAt, bool isUntold = false)
+{
+    return {"engines", version, begunAt, isUntold};
+}
+
+BOOST_AUTO_TEST_SUITE(stream_origins_tests)
+
+BOOST_AUTO_TEST_CASE(the_first_origin_of_a_stream_holds)
+{
+    stream_origins origins;
+    recordOrigin(origins, 5, makeOrigin("v1", start));
+    recordOrigin(origins, 5, makeOrigin("v2", start));
+    BOOST_TEST(findOrigin(origins, 5)->version == "v1");
+    BOOST_TEST(findOrigin(origins, 6) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(untold_streams_are_taken_once_and_forgotten_at_their_end)
+{
+    stream_origins origins;
+    recordOrigin(origins, 1, makeOrigin("v1", start, true));
+    recordOrigin(origins, 2, makeOrigin("v1", start + seconds(9), true));
+    recordOrigin(origins, 3, makeOrigin("v1", start + seconds(9), true));
+    recordOrigin(origins, 4, makeOrigin("v1", start + seconds(9)));
+    forgetUntold(origins, 3);
+    forgetUntold(origins, 4);
+    BOOST_TEST(findOrigin(origins, 3) == nullptr);
+    BOOST_TEST(findOrigin(origins, 4) != nullptr);
+    BOOST_TEST(takeUntold(origins, "other", start).empty());
+    BOOST_TEST(
+        (takeUntold(origins, "engines", start + seconds(1)) == std::vector<std::uint64_t>{2}));
+    BOOST_TEST(takeUntold(origins, "engines", start + seconds(1)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_origins_are_bounded_and_keep_recent_ones)
+{
+    stream_origins origins;
+    for (std::uint64_t stream = 1; stream <= 100'000; ++stream)
+        recordOrigin(origins, stream, makeOrigin("v1", start));
+    BOOST_TEST(origins.newer.size() + origins.older.size() <= 16'384U);
+    for (std::uint64_t stream = 100'000; stream > 92'000; --stream)
+        BOOST_TEST_REQUIRE(findOrigin(origins, stream));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- a/tests/process/route_stream_version_test.py
+++ b/tests/process/route_stream_version_test.py
@@ -27,6 +27,10 @@
         engine.events, engine.shows_version = EVENTS, True
     wait_for(lambda: all(sum("upstream listed upstream=n" in line for line in host.lines())
                          >= per_version for host in fleet.hosts), "the engines to be listed")
+    others = len(fleet.hosts) - 1
+    wait_for(lambda: not others or all(any(f"hosts known others={others}" in line
+                                           for line in host.lines()) for host in fleet.hosts),
+             "the hosts to discover each other")
     time.sleep(0.5)
 
 
