Reserve the same engines whatever software version a stream needs

Cause: the engines reserved for gap-sensitive requests were computed among the engines of the bound stream's version only, so a long prompt that went on could be prefilled at an engine that the other requests of the fleet reserve for short ones. Evidence: the late answers are groom-query only.

Change: the reservation counts all usable engines; only the candidates are those of the version.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
 #include <limits>
 #include <numbers>
 #include <vector>
@@ -78,16 +79,16 @@
     return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
 }
 
-bool hasWantedVersion(const upstream_entry &entry, const placement_request &request)
+bool hasWantedVersion(const routed_upstream *upstream, const placement_request &request)
 {
-    return !request.softwareVersion || entry.softwareVersion.empty()
-        || entry.softwareVersion == *request.softwareVersion;
+    const std::string &version = upstream->listed.softwareVersion;
+    return !request.softwareVersion || version.empty() || version == *request.softwareVersion;
 }
 
 bool isEligible(const routed_upstream &upstream, const placement_request &request, instant now)
 {
-    return !upstream.listed.isLeaving && hasWantedVersion(upstream.listed, request)
-        && upstream.pausedUntil <= now && timeUntilRoom(upstream.limit, now) == microseconds(0)
+    return !upstream.listed.isLeaving && upstream.pausedUntil <= now
+        && timeUntilRoom(upstream.limit, now) == microseconds(0)
         && (!request.tried || !request.tried->contains(upstream.listed.id));
 }
 
@@ -304,12 +305,19 @@
     return value;
 }
 
+/// Upstreams of other software versions than the request's still count for the reservation, which
+/// is the same for all requests.
 placement chooseAmong(service_pool &pool, const std::vector<routed_upstream *> &usable,
                       const placement_request &request, const placement_site &site,
                       fleet_load &others, instant now)
 {
+    std::vector<routed_upstream *> candidates;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(candidates),
+                 [&request](const routed_upstream *upstream) {
+                     return hasWantedVersion(upstream, request);
+                 });
     placement best;
-    best.candidates = double(usable.size());
+    best.candidates = double(candidates.size());
     upstream_set reserved;
     upstream_set preferred;
     if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
@@ -318,11 +326,11 @@
             = reservedCountNeeded(fleetDemand(pool, any, others, now), any.listed.slots);
         reserved = reservedUpstreams(usable, updateReservedCount(pool, usable.size(), needed, now));
         const unsigned hosts = unsigned(others.hosts.size()) + 1;
-        preferred = preferredUpstreams(usable, reserved, request,
+        preferred = preferredUpstreams(candidates, reserved, request,
                                        preferredUpstreamCount(pool, *request.prompt, hosts, now));
     }
     double lowestCost = std::numeric_limits<double>::infinity();
-    for (routed_upstream *upstream : usable) {
+    for (routed_upstream *upstream : candidates) {
         const bool isReserved
             = reserved.empty() ? request.isGapSensitive : reserved.contains(upstream);
         const candidate_estimate value = estimate(
@@ -456,7 +464,8 @@
     for (auto &[id, upstream] : pool.upstreams)
         updateShare(upstream.limit, id, site.self, others, now);
     for (auto &[id, upstream] : pool.upstreams) {
-        if (!isEligible(upstream, request, now) || !shouldProbe(pool, upstream, request.probe, now))
+        if (!isEligible(upstream, request, now) || !hasWantedVersion(&upstream, request)
+            || !shouldProbe(pool, upstream, request.probe, now))
             continue;
         placement probe = chooseAmong(pool, {&upstream}, request, site, others, now);
         probe.reason = "probe";
@@ -464,7 +473,11 @@
         return probe;
     }
     const auto usable = usableUpstreams(pool, request, false, now);
-    if (!usable.empty())
+    const bool hasCandidate
+        = std::any_of(usable.begin(), usable.end(), [&request](const routed_upstream *upstream) {
+              return hasWantedVersion(upstream, request);
+          });
+    if (hasCandidate)
         return chooseAmong(pool, usable, request, site, others, now);
     placement last
         = chooseAmong(pool, usableUpstreams(pool, request, true, now), request, site, others, now);
--- a/tests/policy/placement_test.cpp
+++ b/tests/policy/placement_test.cpp
@@ -64,6 +64,44 @@
     BOOST_TEST(preferredIds.size() >= 7U);
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_that_goes_on_gets_an_upstream_of_its_software_version)
+{
+    service_pool pool = makePool(9);
+    for (auto &[id, upstream] : pool.upstreams)
+        upstream.listed.softwareVersion = id < "engine-3" ? "v1" : "v2";
+    fleet_load others;
+    const placement_site site;
+    const std::string version = "v1";
+    for (std::uint64_t subject = 1; subject <= 40; ++subject) {
+        const prompt_outline prompt = makePrompt(subject, 1'000);
+        placement_request request;
+        request.prompt = &prompt;
+        request.softwareVersion = &version;
+        const placement chosen = chooseUpstream(pool, request, site, others, instant{});
+        BOOST_TEST_REQUIRE(chosen.upstream);
+        BOOST_TEST(chosen.upstream->listed.softwareVersion == "v1");
+        BOOST_TEST(chosen.candidates == 3);
+    }
+    // Not another version while all of this one fail or have left.
+    const prompt_outline prompt = makePrompt(1, 1'000);
+    placement_request request;
+    request.prompt = &prompt;
+    request.softwareVersion = &version;
+    for (auto &[id, upstream] : pool.upstreams) {
+        upstream.health.state = upstream.listed.softwareVersion == "v1"
+            ? upstream_health::condition::failing
+            : upstream_health::condition::good;
+        upstream.health.probeFrom = instant::max();
+    }
+    const placement last = chooseUpstream(pool, request, site, others, instant{});
+    BOOST_TEST_REQUIRE(last.upstream);
+    BOOST_TEST(last.upstream->listed.softwareVersion == "v1");
+    BOOST_TEST(last.reason == "last");
+    for (auto &[id, upstream] : pool.upstreams)
+        upstream.listed.isLeaving = upstream.listed.softwareVersion == "v1";
+    BOOST_TEST(!chooseUpstream(pool, request, site, others, instant{}).upstream);
+}
+
 BOOST_AUTO_TEST_CASE(losing_an_engine_moves_only_its_prefixes)
 {
     for (std::uint64_t subject = 1; subject <= 40; ++subject) {
