Take the ports of test servers from below the ephemeral range

Seen: process_route_crash_test failed once in its start, since a host's process was gone; its log was lost.

Cause: free_ports() and the engines' first start took ports from the range that the kernel gives to outgoing connections, so a connection could take the port between its choice and the start of the server, or while an engine was down. Evidence: of 400 ports chosen so, 2 could not be bound again beside 1500 new connections. That the lost start had this cause is likely, not shown.

Change: ports from 15000 to 31999, each process from another one on.

--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -14,6 +14,8 @@
 import time
 import urllib.parse
 
+from support.ports import free_ports
+
 
 def parse_head(data):
     """Parses a request head into method, target and header fields (names in lower case)."""
@@ -62,7 +64,8 @@
         self.connections = set()
 
     async def listen(self, port=0):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1",
+                                                 port or free_ports(1)[0])
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def close(self):
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -9,20 +9,11 @@
 import time
 
 from support.platform_standin import Engine, LoopThread, Store
+from support.ports import free_ports
 
 KEY = "key-of-stable"
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
-
-
 def desired_state(version, **changes):
     """A desired state with a streaming, an idempotent and a non-idempotent route."""
     def route(name, prefix, kind, service, **more):
