Keep held traits in the store, for a restart of all hosts at once

Callers saw, after all hosts of a fleet were killed at once: a request or a prompt part that had been held back ended engines again, since what is known of it was in the hosts' memory only.

Cause: evidence is passed on from host to host, and no host was left that had it. Ruled out: lost hints, which other hosts repeat.

Change: the keepers of a trait write it to a topic of the platform's store when it becomes held, and withdraw it when it is released or expires. A host that starts reads the topic, unless hints tell of hosts that have run for longer.

Why it works: the store outlives the hosts, and the record has the crashes with their ages, so the time until the next trial goes on.

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -323,12 +323,15 @@
 {
     std::erase_if(quarantine.recentCrashes,
                   [now](const auto &row) { return now - row.second > survivalWindow; });
-    std::erase_if(quarantine.suspects, [now](const auto &row) {
+    std::erase_if(quarantine.suspects, [&quarantine, now](const auto &row) {
         const bool isKeptLong = row.second.isHeld || row.second.isWholeRequest;
         const auto lifetime = isKeptLong ? heldLifetime : suspicionLifetime;
         const instant newest
             = row.second.crashes.empty() ? row.second.changedAt : row.second.crashes.back().at;
-        return now - newest > lifetime;
+        const bool isExpired = now - newest > lifetime;
+        if (isExpired && row.second.isHeld)
+            quarantine.holdChanges.insert(row.first);
+        return isExpired;
     });
 }
 
@@ -491,6 +494,15 @@
     return tellAll(quarantine, std::exchange(quarantine.keeperNews, {}), now);
 }
 
+std::optional<told_suspect> findHeld(const crash_quarantine &quarantine, std::uint64_t trait,
+                                     instant now)
+{
+    const auto suspect = quarantine.suspects.find(trait);
+    if (suspect == quarantine.suspects.end() || !suspect->second.isHeld)
+        return std::nullopt;
+    return toTell(trait, suspect->second, now);
+}
+
 bool applySuspect(crash_quarantine &quarantine, const told_suspect &told, instant now)
 {
     suspected_trait &suspect = suspectFor(quarantine, told.trait, told.isWholeRequest, now);
@@ -539,8 +551,10 @@
     const std::set<std::uint64_t> held = traitsToHold(quarantine);
     std::vector<std::uint64_t> changed;
     for (auto &[trait, suspect] : quarantine.suspects) {
-        if (held.contains(trait) != suspect.isHeld)
+        if (held.contains(trait) != suspect.isHeld) {
             changed.push_back(trait);
+            quarantine.holdChanges.insert(trait);
+        }
         suspect.isHeld = held.contains(trait);
     }
     return changed;
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -72,6 +72,7 @@
     std::map<std::uint64_t, suspected_trait> suspects; ///< By id of the trait.
     std::map<std::uint64_t, instant> recentCrashes; ///< Not refuted, by crashId().
     std::set<std::uint64_t> news; ///< Suspects of which all other hosts should hear at once.
+    std::set<std::uint64_t> holdChanges; ///< Held or released since they were last stored.
     std::set<std::uint64_t> keeperNews; ///< Suspects of which their keepers should hear at once.
 };
 
@@ -157,6 +158,10 @@
 std::vector<told_suspect> takeNews(crash_quarantine &quarantine, instant now);
 std::vector<told_suspect> takeKeeperNews(crash_quarantine &quarantine, instant now);
 
+/// The trait as hosts tell each other; empty if it is not held.
+std::optional<told_suspect> findHeld(const crash_quarantine &quarantine, std::uint64_t trait,
+                                     instant now);
+
 /// Merges what another host told. Where the other host holds a trait back and this host knows what
 /// speaks for it, that is news. True if a keeper of the trait should tell all hosts: the other host
 /// told a crash that was new here and does not know of another one.
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -28,26 +28,51 @@
     return amounts;
 }
 
-void addSuspects(wire::LoadHint &message, std::span<const told_suspect> suspects)
+void writeSuspect(wire::SuspectedTrait &row, const told_suspect &suspect)
 {
-    for (const told_suspect &suspect : suspects) {
-        wire::SuspectedTrait *row = message.add_suspected_traits();
-        row->set_trait(suspect.trait);
-        row->set_whole_request(suspect.isWholeRequest);
-        row->set_depth(suspect.depth);
-        row->set_held(suspect.isHeld);
-        if (suspect.answeredAge)
-            row->set_answered_age_ms(std::uint32_t(suspect.answeredAge->count()));
-        for (const told_crash &crash : suspect.crashes) {
-            wire::UpstreamCrash *evidence = row->add_crashes();
-            evidence->set_crash(crash.crash);
-            evidence->set_age_ms(std::uint32_t(crash.age.count()));
-            evidence->set_was_answering(crash.wasAnswering);
-            evidence->set_refuted(crash.isRefuted);
-            if (crash.waited)
-                evidence->set_waited_ms(std::uint32_t(crash.waited->count()));
-        }
+    row.set_trait(suspect.trait);
+    row.set_whole_request(suspect.isWholeRequest);
+    row.set_depth(suspect.depth);
+    row.set_held(suspect.isHeld);
+    if (suspect.answeredAge)
+        row.set_answered_age_ms(std::uint32_t(suspect.answeredAge->count()));
+    for (const told_crash &crash : suspect.crashes) {
+        wire::UpstreamCrash *evidence = row.add_crashes();
+        evidence->set_crash(crash.crash);
+        evidence->set_age_ms(std::uint32_t(crash.age.count()));
+        evidence->set_was_answering(crash.wasAnswering);
+        evidence->set_refuted(crash.isRefuted);
+        if (crash.waited)
+            evidence->set_waited_ms(std::uint32_t(crash.waited->count()));
+    }
+}
+
+told_suspect readSuspect(const wire::SuspectedTrait &row)
+{
+    told_suspect suspect;
+    suspect.trait = row.trait();
+    suspect.isWholeRequest = row.whole_request();
+    suspect.depth = row.depth();
+    suspect.isHeld = row.held();
+    if (row.has_answered_age_ms())
+        suspect.answeredAge = milliseconds(row.answered_age_ms());
+    for (const wire::UpstreamCrash &crash : row.crashes()) {
+        told_crash &told = suspect.crashes.emplace_back();
+        told = {crash.crash(),
+                milliseconds(crash.age_ms()),
+                {},
+                crash.was_answering(),
+                crash.refuted()};
+        if (crash.has_waited_ms())
+            told.waited = milliseconds(crash.waited_ms());
     }
+    return suspect;
+}
+
+void addSuspects(wire::LoadHint &message, std::span<const told_suspect> suspects)
+{
+    for (const told_suspect &suspect : suspects)
+        writeSuspect(*message.add_suspected_traits(), suspect);
 }
 
 } // namespace
@@ -55,25 +80,8 @@
 std::vector<told_suspect> readSuspects(const wire::LoadHint &message)
 {
     std::vector<told_suspect> suspects;
-    for (const wire::SuspectedTrait &row : message.suspected_traits()) {
-        told_suspect &suspect = suspects.emplace_back();
-        suspect.trait = row.trait();
-        suspect.isWholeRequest = row.whole_request();
-        suspect.depth = row.depth();
-        suspect.isHeld = row.held();
-        if (row.has_answered_age_ms())
-            suspect.answeredAge = milliseconds(row.answered_age_ms());
-        for (const wire::UpstreamCrash &crash : row.crashes()) {
-            told_crash &told = suspect.crashes.emplace_back();
-            told = {crash.crash(),
-                    milliseconds(crash.age_ms()),
-                    {},
-                    crash.was_answering(),
-                    crash.refuted()};
-            if (crash.has_waited_ms())
-                told.waited = milliseconds(crash.waited_ms());
-        }
-    }
+    for (const wire::SuspectedTrait &row : message.suspected_traits())
+        suspects.push_back(readSuspect(row));
     return suspects;
 }
 
@@ -120,6 +128,29 @@
     return message.SerializeAsString();
 }
 
+std::string encodeHeldTrait(const told_suspect &suspect, wall_milliseconds now)
+{
+    wire::HeldTrait message;
+    writeSuspect(*message.mutable_suspect(), suspect);
+    message.set_written_ms(now);
+    return message.SerializeAsString();
+}
+
+std::optional<told_suspect> decodeHeldTrait(std::string_view bytes, wall_milliseconds now)
+{
+    wire::HeldTrait message;
+    if (!message.ParseFromArray(bytes.data(), int(bytes.size())) || !message.has_suspect())
+        return std::nullopt;
+    told_suspect suspect = readSuspect(message.suspect());
+    // Wall clocks of hosts differ.
+    const milliseconds since(std::max<std::int64_t>(0, now - message.written_ms()));
+    for (told_crash &crash : suspect.crashes)
+        crash.age += since;
+    if (suspect.answeredAge)
+        *suspect.answeredAge += since;
+    return suspect;
+}
+
 std::string encodeHint(const load_hint &hint)
 {
     wire::LoadHint message;
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -6,6 +6,7 @@
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/feed.h"
+#include "route/held_archive.h"
 #include "route/host_directory.h"
 #include "route/load_exchange.h"
 #include "route/peer_calls.h"
@@ -139,8 +140,24 @@
         return added;
     }
 
+    void addArchive(const state_source &source)
+    {
+        auto &proxy = services->find<proxy_service>("route.proxy");
+        std::shared_ptr<held_archive> archive
+            = held_archive::makeHeldArchive(context, routing, source, values.peerListen, clock,
+                                            [&proxy] { proxy.cancelHeldAttempts(); });
+        held_archive &added = *archive;
+        services->add("route.archive", std::move(archive),
+                      {[&added]() -> result<void> {
+                           added.start();
+                           return {};
+                       },
+                       [&added] { added.stop(); }});
+    }
+
     void addFeed(state_source source)
     {
+        addArchive(source);
         addPeers(source);
         std::shared_ptr<feed> reader
             = feed::makeFeed(context, routing, std::move(source),
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -60,6 +60,12 @@
     std::function<boost::asio::awaitable<result<std::uint64_t>>(host_announcement own)> announce;
     /// All announcements that were not withdrawn.
     std::function<boost::asio::awaitable<result<std::vector<host_announcement>>>()> hosts;
+    /// Stores the record of a held trait, or withdraws it if @p record is empty.
+    std::function<boost::asio::awaitable<result<void>>(std::string trait,
+                                                       std::optional<std::string> record)>
+        storeHeld;
+    /// The records of all held traits that were not withdrawn.
+    std::function<boost::asio::awaitable<result<std::vector<std::string>>>()> held;
 };
 
 } // namespace quincefall
--- a/tests/process/route_deadly_request_test.py
+++ b/tests/process/route_deadly_request_test.py
@@ -136,6 +136,27 @@
             self.assertGreaterEqual(len(crashes_of(fleet)), 2)
             self.assertLessEqual(len(late_arrivals(fleet)), MOST_RETRIES)
 
+    def test_a_held_request_stays_held_when_all_hosts_start_anew_at_once(self):
+        with RouteFleet(hosts=3) as fleet:
+            self.prepare(fleet, "/book/7", "desk")
+            deadly = Sender(fleet, "d", 0.24, 5, lambda number: post("/book/7"))
+            deadly.join()
+            wait_for(lambda: fleet.store.topics["keyed.quincefall-held"], "the hold to be stored")
+            for host in fleet.hosts:
+                host.send(signal.SIGKILL)
+                host.process.wait(5)
+            crashes = len(crashes_of(fleet))
+            for host in fleet.hosts:
+                host.start()
+            for host in fleet.hosts:
+                wait_for(host.is_ready, f"{host.name} to be ready")
+                wait_for(lambda host=host: any("held traits read" in line
+                                               for line in host.lines()), "the records to be read")
+            Sender(fleet, "e", 0.24, 3, lambda number: post("/book/7")).join()
+            self.assertEqual(len(crashes_of(fleet)), crashes)
+            sound = ask(fleet.hosts[0].caller, "sound", **post("/book/7", body=b"sound"))
+            self.assertEqual(sound.status, 200)
+
     def test_engines_that_are_killed_under_a_sound_request_do_not_condemn_it(self):
         with RouteFleet(hosts=3) as fleet:
             time.sleep(0.5)
--- a/tests/route/load_exchange_test.cpp
+++ b/tests/route/load_exchange_test.cpp
@@ -69,6 +69,22 @@
     BOOST_TEST(!suspect.crashes.at(0).isRefuted);
 }
 
+BOOST_AUTO_TEST_CASE(a_stored_trait_is_older_when_it_is_read)
+{
+    const told_suspect stored = makeHint().suspects.at(0);
+    const auto read
+        = decodeHeldTrait(encodeHeldTrait(stored, 1'700'000'000'000), 1'700'000'005'000);
+    BOOST_TEST_REQUIRE(read.has_value());
+    BOOST_TEST(read->trait == stored.trait);
+    BOOST_TEST((read->crashes.at(0).age == milliseconds(5'040)));
+    BOOST_TEST((read->answeredAge == std::optional(milliseconds(5'000))));
+    // The reader's clock is behind.
+    const auto early
+        = decodeHeldTrait(encodeHeldTrait(stored, 1'700'000'000'000), 1'699'999'999'000);
+    BOOST_TEST((early->crashes.at(0).age == milliseconds(40)));
+    BOOST_TEST(!decodeHeldTrait("not a record", 0).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_hint_with_140_upstreams_takes_less_than_4500_bytes)
 {
     load_hint hint = makeHint();
