Count the upstreams to which connections from a host fail

Seen: no line and no metric told that a host had lost all engines; the attempts had to be added up by hand from lines about one engine each.

Change: quincefall_upstreams_disconnected. No decision uses it.

--- a/src/policy/probation.cpp
+++ b/src/policy/probation.cpp
@@ -29,6 +29,16 @@
     upstream.isDisconnected = true;
 }
 
+std::size_t countDisconnected(const std::map<std::string, service_pool, std::less<>> &pools)
+{
+    std::size_t count = 0;
+    for (const auto &[service, pool] : pools)
+        count += std::size_t(
+            std::count_if(pool.upstreams.begin(), pool.upstreams.end(),
+                          [](const auto &row) { return row.second.isDisconnected; }));
+    return count;
+}
+
 void recordReconnect(routed_upstream &upstream, bool isOpen, instant now)
 {
     upstream.isDisconnected = !isOpen;
--- a/src/policy/probation.h
+++ b/src/policy/probation.h
@@ -2,6 +2,9 @@
 
 #include "policy/routed_upstream.h"
 
+#include <cstddef>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace quincefall {
@@ -21,6 +24,9 @@
 /// or could not connect.
 void recordDisconnect(routed_upstream &upstream);
 
+/// Number of disconnected upstreams in all pools.
+std::size_t countDisconnected(const std::map<std::string, service_pool, std::less<>> &pools);
+
 /// Records whether a new connection to a disconnected upstream could be opened.
 void recordReconnect(routed_upstream &upstream, bool isOpen, instant now);
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -257,6 +257,9 @@
                                     "Requests sent on a connection that was open.", "", [this] {
                                         return double(connections->connectionCounts().reused);
                                     }});
+        numbers->addCallbackMetric({"quincefall_upstreams_disconnected", "gauge",
+                                    "Upstreams to which connections from this host fail.", "",
+                                    [this] { return double(countDisconnected(routing.pools)); }});
         numbers->addCallbackMetric(
             {"quincefall_desired_version", "gauge", "Version of the desired state in force.", "",
              [this] { return routing.desired ? double(routing.desired->version) : 0.0; }});
