Show in tests that hosts cut from engines serve none of their callers

Callers of a host whose links to the engines fail get 503, 502 or nothing, on new connections and on those kept open, while the hosts beside it reach every engine. Three hosts, four servers; links that hang, are reset, or live on while new connections are refused; one host cut or two of three; one engine of each service, one whole service; with the store down; each kind of call and route (idempotent, not repeatable, resumable stream, stream that runs once, without key). The bound is the rule's: at most a third, and 10 + 1 in 50, of first tries fail from 4 s after the cut.

--- /dev/null
+++ b/tests/process/support/cut_link.py
@@ -0,0 +1,142 @@
+"""Links between one host and the servers of a fleet that a test can cut."""
+
+import asyncio
+import json
+import socket
+
+from support.platform_standin import Store
+from support.ports import free_ports
+
+
+class CutLink:
+    """A TCP proxy in front of the port `target`.
+
+    `cut` takes "hang" (open connections pass nothing, attempts to connect get no answer), "reset"
+    (open connections are reset, attempts to connect refused) or "refuse" (open connections live on,
+    attempts to connect are refused). `heal` ends the cut.
+    """
+
+    def __init__(self, loop, target):
+        self.loop = loop
+        self.target = target
+        self.port = free_ports(1)[0]
+        self.listener = None
+        self.accepting = None
+        self.pending = []  # Connections that fill the listen queue.
+        self.writers = set()
+        self.is_stalled = False
+
+    async def listen(self):
+        self.listener = socket.socket()
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.setblocking(False)
+        self.listener.bind(("127.0.0.1", self.port))
+        self.listener.listen(100)
+        self.accepting = self.loop.create_task(self.accept())
+
+    async def accept(self):
+        while True:
+            connection, _ = await self.loop.sock_accept(self.listener)
+            self.loop.create_task(self.serve(connection))
+
+    async def serve(self, connection):
+        reader, writer = await asyncio.open_connection(sock=connection)
+        try:
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, target_writer}
+        await asyncio.gather(self.pump(reader, target_writer), self.pump(target_reader, writer))
+        self.writers -= {writer, target_writer}
+
+    async def pump(self, reader, writer):
+        try:
+            while data := await reader.read(16384):
+                while self.is_stalled:
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+            while self.is_stalled:
+                await asyncio.sleep(0.05)
+            writer.close()
+        except (asyncio.CancelledError, ConnectionError, OSError):
+            writer.transport.abort()
+
+    async def cut(self, how):
+        self.accepting.cancel()
+        if how == "hang":
+            self.is_stalled = True
+            self.listener.listen(0)
+            for _ in range(3):
+                one = socket.socket()
+                one.setblocking(False)
+                one.connect_ex(("127.0.0.1", self.port))
+                self.pending.append(one)
+            return
+        self.listener.close()
+        if how == "reset":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def heal(self):
+        self.is_stalled = False
+        await self.close_listener()
+        await self.listen()
+
+    async def close_listener(self):
+        self.accepting.cancel()
+        self.listener.close()
+        for one in self.pending:
+            one.close()
+        self.pending = []
+
+    async def close(self):
+        await self.close_listener()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class HostView(Store):
+    """A store server for one host, which lists the servers at the ports of the host's links."""
+
+    def __init__(self, loop, topics):
+        super().__init__(loop, topics)
+        self.links = {}  # By the port of the server.
+
+    def records(self, topic):
+        if topic != "keyed.servers":
+            return self.topics[topic]
+        return [(key, value and self.with_link(value)) for key, value in self.topics[topic]]
+
+    def with_link(self, value):
+        entry = json.loads(value)
+        port = int(entry["address"].split(":")[1])
+        if port in self.links:
+            entry["address"] = f"127.0.0.1:{self.links[port].port}"
+        return json.dumps(entry).encode()
+
+
+class HostLinks:
+    """The links of one host of `fleet` to all servers of the fleet."""
+
+    def __init__(self, fleet, view):
+        self.thread = fleet.thread
+        self.by_engine = {}
+        for name, engine in fleet.engines.items():
+            link = CutLink(self.thread.loop, engine.server.port)
+            self.thread.call(link.listen())
+            self.by_engine[name] = link
+            view.links[engine.server.port] = link
+
+    def cut(self, how, engines=None):
+        for name in engines or self.by_engine:
+            self.thread.call(self.by_engine[name].cut(how))
+
+    def heal(self):
+        for link in self.by_engine.values():
+            self.thread.call(link.heal())
+
+    def close(self):
+        for link in self.by_engine.values():
+            self.thread.call(link.close())
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -126,9 +126,12 @@
         for writer in list(self.server.connections):
             writer.transport.abort()
 
+    def records(self, topic):
+        return self.topics[topic]
+
     def newest(self, topic):
         items = {}
-        for offset, (key, value) in enumerate(self.topics[topic]):
+        for offset, (key, value) in enumerate(self.records(topic)):
             items[key] = (value, offset)
         return [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
                 for key, (value, offset) in items.items() if value is not None]
@@ -137,7 +140,7 @@
         deadline = time.monotonic() + wait_ms / 1000
         while len(self.topics[topic]) <= start and time.monotonic() < deadline:
             await asyncio.sleep(0.02)
-        records = self.topics[topic][start:]
+        records = self.records(topic)[start:]
         body = struct.pack(">QQ", len(self.topics[topic]), 0)
         for key, value in records:
             content = bytes([len(key)]) + key.encode() + (value or b"")
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -28,6 +28,8 @@
             route("plans", "/stream/", "streaming", "engines", stream_resume=True, gap_aim_ms=500),
             route("read", "/read/", "idempotent", "desk"),
             route("book", "/book/", "non_idempotent", "desk"),
+            route("once", "/once/", "streaming", "engines", gap_aim_ms=500),
+            route("open", "/open/", "idempotent", "desk", auth_exempt=True),
         ],
         "services": [{"name": "engines", "max_connections": 50},
                      {"name": "desk", "max_connections": 50}],
@@ -77,20 +79,28 @@
         self.caller, self.ready, self.peer = free_ports(3)
         self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
         self.settings = tempfile.NamedTemporaryFile("w", suffix=".yaml")
-        self.settings.write(f"""host: {{name: {name}, region: north, failure_domain: a}}
+        self.seeds = seeds
+        self.exchange_port = exchange_port
+        self.use_store(store_port)
+        self.process = None
+
+    def use_store(self, store_port):
+        """Writes the settings, with the store at `store_port`."""
+        self.settings.seek(0)
+        self.settings.truncate()
+        self.settings.write(f"""host: {{name: {self.name}, region: north, failure_domain: a}}
 listen:
   caller: 127.0.0.1:{self.caller}
   ready: 127.0.0.1:{self.ready}
-  peer: {ip}:{self.peer}
-  exchange: {ip}:{exchange_port}
+  peer: {self.ip}:{self.peer}
+  exchange: {self.ip}:{self.exchange_port}
 fleet:
   store: 127.0.0.1:{store_port}
-  seeds: [{', '.join(f'"{seed}"' for seed in seeds)}]
+  seeds: [{', '.join(f'"{seed}"' for seed in self.seeds)}]
   failure_domains: [{{name: a, region: north}}]
 bounds: {{leave_ms: 1000, apply_ms: 1000, stop_s: 4}}
 """)
         self.settings.flush()
-        self.process = None
 
     def start(self):
         self.process = subprocess.Popen(
@@ -211,12 +221,15 @@
 
     def __exit__(self, *_):
         codes = [host.stop() for host in self.hosts]
+        self.close_servers()
+        self.thread.stop()
+        self.codes = codes
+
+    def close_servers(self):
         for engine in self.engines.values():
             self.thread.call(engine.server.close())
         for store in [self.store, *self.own_stores]:
             self.thread.call(store.server.close())
-        self.thread.stop()
-        self.codes = codes
 
     def runs(self, request_id):
         return sum(engine.runs[request_id] for engine in self.engines.values())
