Reach engines through another host when only this host's links are cut

Cause: a host held each engine for failing by itself, and every path to an engine was a direct connection. The host beside it reached all of them.

Change: a connection that cannot be opened is opened through another host, which passes its bytes to the engine (upstream_paths, relay_client, relay_server). That another host reaches the engine is also the evidence that the link is cut and the engine sound (upstream_links): failures over it no longer count against the engine, and a reset beside refused connections is no crash. After two such links without a byte from any engine the host is isolated and takes the other way for all engines; it says so in its hints and relays nothing itself. Silence of half a second opens connections to three silent engines, so links that hang are found without a request that waits for them. Relays are chosen near the engine, spread by a hash; the second one asked is in another failure domain, for a domain that is cut as a whole.

Why connections and not requests pass the other host: choice, budgets, limits, deadlines, versions and at-most-once stay with the host that has the caller, so nothing of them has to be agreed on. A relay reaches listed engines only, and only directly: one hop, no circle, nothing for a caller to send. When a relay dies its connections are reset, also by a kill (SO_LINGER), so an answer that ends with its connection never looks complete.

Readiness is as before: a cut host that reaches engines through others serves its callers, on kept connections too.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -75,7 +75,7 @@
         if (code)
             co_return std::pair(nullptr, code);
         auto opened = std::make_unique<pooled_connection>(
-            pooled_connection{tcp::socket(context), milliseconds(0), {}});
+            pooled_connection{tcp::socket(context), milliseconds(0), {}, false});
         const tcp::endpoint endpoint(ip, address.port);
         asio::steady_timer timer(context, timeout);
         const auto outcome = co_await (opened->socket.async_connect(endpoint, asTuple)
@@ -154,6 +154,15 @@
     co_return std::move(opened);
 }
 
+asio::awaitable<tl::expected<connection_ptr, boost::system::error_code>>
+connection_pool::connect(host_address address, milliseconds timeout)
+{
+    auto [opened, code] = co_await m_state->connect(std::move(address), timeout);
+    if (code)
+        co_return tl::unexpected(code);
+    co_return std::move(opened);
+}
+
 asio::awaitable<bool> connection_pool::isRefused(host_address address, milliseconds timeout,
                                                  milliseconds keepAlive)
 {
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -19,6 +19,7 @@
     boost::asio::ip::tcp::socket socket;
     milliseconds keepAlive{0}; ///< Idle time after which the other end closes it.
     instant idleSince{};
+    bool isRelayed = false; ///< Passes another host; see route/upstream_paths.h.
 };
 
 using connection_ptr = std::unique_ptr<pooled_connection>;
@@ -54,6 +55,10 @@
     /// Opens a connection. Fails with upstreamUnreachable, after @p timeout at the latest.
     boost::asio::awaitable<result<connection_ptr>> open(host_address address, milliseconds timeout);
 
+    /// As open(), but fails with the code of the operating system, timed_out after @p timeout.
+    boost::asio::awaitable<tl::expected<connection_ptr, boost::system::error_code>>
+    connect(host_address address, milliseconds timeout);
+
     /// Whether @p address refuses connections: its machine answers, but no process listens. Keeps a
     /// connection that opens, as idle with @p keepAlive.
     boost::asio::awaitable<bool> isRefused(host_address address, milliseconds timeout,
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -55,6 +55,7 @@
     milliseconds upstreamsAge{0}; ///< Since that list was last confirmed as complete.
     std::vector<told_suspect> suspects; ///< Traits of requests under which upstreams crashed.
     std::vector<told_notice> notices; ///< What upstreams recently told the host.
+    bool cannotRelay = false; ///< The host is stopping or reaches no upstream itself.
 };
 
 /// Work of the other hosts, by host and summed.
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
 #include "policy/probation.h"
 #include "policy/routed_upstream.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -20,6 +21,7 @@
     double crossDomainMs = 5; ///< For another failure domain of the same region.
     double crossRegionMs = 45; ///< For another region.
     host_address self; ///< Peer address of this host.
+    std::map<std::string, std::string> regions; ///< Region of each failure domain.
 };
 
 /// The properties of a request that decide which upstream it gets.
--- a/src/policy/probation.cpp
+++ b/src/policy/probation.cpp
@@ -11,7 +11,6 @@
 constexpr double longTargetShare = 0.8;
 // Four times the shortest backoff; see upstream_health.cpp.
 constexpr milliseconds maxProbeDelay{1'000};
-constexpr milliseconds reconnectInterval{500}; // Links recover after seconds.
 constexpr double probeTimeoutShare = 0.4; // Leaves most of the target to the next attempt.
 // Two trips between regions and the prefill of a long prompt.
 constexpr milliseconds minProbeTimeout{400};
@@ -42,6 +41,10 @@
 void recordReconnect(routed_upstream &upstream, bool isOpen, instant now)
 {
     upstream.isDisconnected = !isOpen;
+    if (isOpen) {
+        upstream.isRelayed = false;
+        upstream.relay.reset();
+    }
     upstream.health.probeFrom = isOpen ? now : now + reconnectInterval;
 }
 
@@ -63,7 +66,8 @@
 {
     pool.maxTargetMs = std::max(pool.maxTargetMs, request.targetMs);
     const bool isDue = upstream.health.probeFrom <= now;
-    if (!request.isRetryable || upstream.isDisconnected || !isDue || !isWithheld(upstream, now))
+    const bool isReachable = !upstream.isDisconnected || upstream.isRelayed;
+    if (!request.isRetryable || !isReachable || !isDue || !isWithheld(upstream, now))
         return false;
     const bool hasLongTarget = request.targetMs >= pool.maxTargetMs * longTargetShare;
     // An upstream that fails only some of its requests has no backoff between probes.
--- a/src/policy/probation.h
+++ b/src/policy/probation.h
@@ -20,6 +20,9 @@
 /// gets probes only, unless no other upstream is usable.
 bool isWithheld(const routed_upstream &upstream, instant now);
 
+/// Between two attempts to connect to a disconnected upstream. Links recover after seconds.
+inline constexpr milliseconds reconnectInterval{500};
+
 /// Records that an attempt that counts against the upstream timed out, before or during its answer,
 /// or could not connect.
 void recordDisconnect(routed_upstream &upstream);
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -163,6 +163,9 @@
     upstream.failureRateAt = instant::min();
     upstream.health = {};
     upstream.isDisconnected = false;
+    upstream.isRelayed = false;
+    upstream.relay.reset();
+    upstream.linkCheckedAt = instant::min();
 }
 
 double failureRateOf(const routed_upstream &upstream, instant now)
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -40,6 +40,9 @@
     instant busySince = instant::min(); ///< Since when it has had requests of this host.
     upstream_health health;
     bool isDisconnected = false; ///< Its connections failed; see policy/probation.h.
+    bool isRelayed = false; ///< Only the link to it is cut; see policy/upstream_links.h.
+    std::optional<host_address> relay; ///< Host through which it was last reached.
+    instant linkCheckedAt = instant::min(); ///< See takeDueLinkChecks().
     instant lastSlowGap = instant::min(); ///< See recordSlowGap().
     /// End of the period in which it counts as slow by its gaps; condition::slow is by token rate.
     instant slowUntil = instant::min();
--- a/src/route/crash_guard.cpp
+++ b/src/route/crash_guard.cpp
@@ -12,9 +12,6 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds connectTimeout{400}; // As in upstream_call.
-constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
-
 // A request that was at more crashes is not repeated at a further upstream.
 constexpr std::size_t maxCrashesForRepeat = 1;
 
@@ -79,7 +76,7 @@
                                          const upstream_entry &entry, lost_attempt lost)
 {
     const instant lostAt = guard.clock.now();
-    if (!co_await guard.connections->isRefused(entry.address, connectTimeout, initialKeepAlive))
+    if (!co_await guard.paths->isRefused(entry))
         co_return;
     crash_quarantine &quarantine = guard.state.quarantine;
     const auto traits = lost.hasGoneOn ? traitsOf(job, true) : job.traits;
--- a/src/route/crash_guard.h
+++ b/src/route/crash_guard.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "clients/connection_pool.h"
 #include "policy/crash_quarantine.h"
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
 #include "route/upstream_call.h"
+#include "route/upstream_paths.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -19,7 +19,7 @@
 struct crash_guard
 {
     routing_state &state;
-    std::shared_ptr<connection_pool> connections;
+    std::shared_ptr<upstream_paths> paths;
     clock_source clock;
     host_address self; ///< Peer address of this host.
     std::function<void()> newsListener; ///< Called when other hosts should hear of a trait at once.
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -98,6 +98,7 @@
     hint.upstreamsAge = milliseconds(message.upstreams_age_ms());
     hint.started = message.started_ms();
     hint.sequence = message.sequence();
+    hint.cannotRelay = message.cannot_relay();
     for (const wire::UpstreamWork &row : message.upstreams()) {
         upstream_work work;
         work.upstream = row.upstream();
@@ -177,6 +178,7 @@
     message.set_upstreams_next(hint.upstreamsNext.offset);
     message.set_store_epoch(hint.upstreamsNext.epoch);
     message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
+    message.set_cannot_relay(hint.cannotRelay);
     addSuspects(message, hint.suspects);
     for (const told_notice &notice : hint.notices) {
         wire::UpstreamNotice *row = message.add_notices();
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -51,6 +51,7 @@
     hint.desiredVersion = routing.desired ? routing.desired->version : 0;
     hint.desiredAge = advertisedAge(routing.desiredConfirmedAt, routing.isDesiredReadAnswered, now);
     hint.upstreamsNext = {routing.membership.epoch, advertisedOffset(routing.membership, now)};
+    hint.cannotRelay = routing.isStopping || routing.links.isIsolated;
     hint.notices = noticesToTell(routing.membership.notices, now);
     hint.suspects = suspectsToTell(routing.quarantine, now);
     hint.upstreamsAge
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -322,7 +322,7 @@
                             chosen,  nullptr, context.clock.now()};
     service_pool &pool = context.state.pools[attempt.entry.service];
     recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
-    attempt.call = upstream_call::makeUpstreamCall(context.connections, attempt.entry.address);
+    attempt.call = upstream_call::makeUpstreamCall(context.paths, attempt.entry);
     job.exchange.setDisconnectListener([call = attempt.call] { call->cancel(); });
     addAttempt(context.guard, job, attempt.call);
     attempt_end end = co_await sendAndRelay(attempt);
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "clients/connection_pool.h"
 #include "policy/placement.h"
 #include "route/crash_guard.h"
 #include "route/proxy_job.h"
 #include "route/routing_state.h"
 #include "route/stream_directory.h"
 #include "route/upstream_call.h"
+#include "route/upstream_paths.h"
 #include "route/wire_format.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -20,7 +20,7 @@
 {
     routing_state &state;
     const wire_format &wire;
-    std::shared_ptr<connection_pool> connections;
+    std::shared_ptr<upstream_paths> paths;
     clock_source clock;
     /// Takes a further attempt for the job from the budget; false when the budget is used up.
     std::function<bool(proxy_job &)> takeFurtherAttempt;
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -24,8 +24,6 @@
 // With less time than this left, no upstream can answer.
 constexpr milliseconds minUsefulTime{10};
 constexpr milliseconds minRetryAfter{100};
-constexpr milliseconds connectTimeout{400}; // As in upstream_call.
-constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
 constexpr std::uint64_t drawSteps = 1'000'000; // Resolution of a draw.
 // Share of the time left; callers honour a Retry-After of up to a third of it.
 constexpr double maxRetryAfterShare = 0.3;
@@ -41,25 +39,25 @@
 
 } // namespace
 
-struct proxy_service::state : std::enable_shared_from_this<proxy_service::state>
+struct proxy_service::state
 {
     state(asio::io_context &io, routing_state &target, wire_format format,
-          std::shared_ptr<connection_pool> pool, metrics &meters, clock_source clocks,
+          std::shared_ptr<upstream_paths> connections, metrics &meters, clock_source clocks,
           options values)
         : context(io)
         , routing(target)
         , wire(std::move(format))
-        , connections(std::move(pool))
+        , paths(std::move(connections))
         , numbers(meters)
         , clock(std::move(clocks))
         , settings(std::move(values))
         , started(clock.now())
         , attempts{routing,
                    wire,
-                   connections,
+                   paths,
                    clock,
                    [this](proxy_job &job) { return takeFurtherAttempt(job); },
-                   {routing, connections, clock, settings.site.self, nullptr},
+                   {routing, paths, clock, settings.site.self, nullptr},
                    nullptr,
                    nullptr}
     {
@@ -68,7 +66,7 @@
     asio::io_context &context;
     routing_state &routing;
     wire_format wire;
-    std::shared_ptr<connection_pool> connections;
+    std::shared_ptr<upstream_paths> paths;
     metrics &numbers;
     clock_source clock;
     options settings;
@@ -186,27 +184,6 @@
         recordDemand(pool, wanted, job.arrived);
     }
 
-    /// Opens a connection to a disconnected upstream. Records whether it is still disconnected and
-    /// when it may next be tried; its failures and the state of its health stay.
-    static asio::awaitable<void> reconnect(std::shared_ptr<state> self, upstream_entry entry)
-    {
-        auto opened = co_await self->connections->open(entry.address, connectTimeout);
-        const bool isOpen = opened.has_value();
-        if (isOpen) {
-            (*opened)->keepAlive = initialKeepAlive;
-            self->connections->putIdle(entry.address, std::move(*opened));
-        }
-        routed_upstream *upstream = findUpstream(self->routing, entry);
-        if (!upstream)
-            co_return;
-        recordReconnect(*upstream, isOpen, self->clock.now());
-        if (isOpen)
-            logInfo("upstream connected again",
-                    {{"upstream", entry.id},
-                     {"address", toString(entry.address)},
-                     {"failures", std::to_string(upstream->health.failures)}});
-    }
-
     placement choose(proxy_job &job, bool prefersLatency = false)
     {
         placement_request wanted;
@@ -221,8 +198,7 @@
         wanted.probe.targetMs = double(job.choice.route->targetLatency.count());
         service_pool &pool = routing.pools[job.service()];
         for (const routed_upstream *upstream : takeDueReconnects(pool, clock.now()))
-            asio::co_spawn(context, reconnect(shared_from_this(), upstream->listed),
-                           asio::detached);
+            asio::co_spawn(context, paths->checkLink(upstream->listed), asio::detached);
         return chooseUpstream(pool, wanted, settings.site, routing.otherHostsLoad, clock.now());
     }
 
@@ -445,11 +421,11 @@
 
 std::unique_ptr<proxy_service>
 proxy_service::makeProxyService(asio::io_context &context, routing_state &target, wire_format wire,
-                                std::shared_ptr<connection_pool> connections, metrics &numbers,
+                                std::shared_ptr<upstream_paths> paths, metrics &numbers,
                                 clock_source clock, options settings)
 {
     return std::unique_ptr<proxy_service>(new proxy_service(
-        std::make_shared<state>(context, target, std::move(wire), std::move(connections), numbers,
+        std::make_shared<state>(context, target, std::move(wire), std::move(paths), numbers,
                                 std::move(clock), std::move(settings))));
 }
 
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "clients/connection_pool.h"
 #include "kernel/clock.h"
 #include "observe/metrics.h"
 #include "policy/placement.h"
 #include "route/routing_state.h"
 #include "route/stream_directory.h"
+#include "route/upstream_paths.h"
 #include "route/wire_format.h"
 #include "serve/http_server.h"
 
@@ -30,10 +30,11 @@
         milliseconds staleAfter{4'000};
     };
 
-    static std::unique_ptr<proxy_service>
-    makeProxyService(boost::asio::io_context &context, routing_state &state, wire_format wire,
-                     std::shared_ptr<connection_pool> connections, metrics &numbers,
-                     clock_source clock, options settings);
+    static std::unique_ptr<proxy_service> makeProxyService(boost::asio::io_context &context,
+                                                           routing_state &state, wire_format wire,
+                                                           std::shared_ptr<upstream_paths> paths,
+                                                           metrics &numbers, clock_source clock,
+                                                           options settings);
     ~proxy_service();
 
     /// Answers one request.
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -11,8 +11,11 @@
 #include "route/load_exchange.h"
 #include "route/peer_calls.h"
 #include "route/proxy_service.h"
+#include "route/relay_client.h"
+#include "route/relay_server.h"
 #include "route/routing_state.h"
 #include "route/stream_directory.h"
+#include "route/upstream_paths.h"
 #include "serve/http_server.h"
 
 #include <algorithm>
@@ -46,12 +49,19 @@
     options.site.failureDomain = values.failureDomain;
     options.site.region = values.region;
     options.site.self = values.peerListen;
+    options.site.regions = values.regions;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
     return options;
 }
 
+/// A relayed connection takes two descriptors, and this host's own callers come first.
+std::size_t maxRelayed(const route_settings &values)
+{
+    return values.maxConnections / 4;
+}
+
 http_server::options serverOptions(const host_address &listen, const caller_limits &limits,
                                    const route_settings &values)
 {
@@ -86,6 +96,8 @@
     routing_state routing;
     std::unique_ptr<metrics> numbers = metrics::makeMetrics();
     std::shared_ptr<connection_pool> connections;
+    std::shared_ptr<upstream_paths> paths;
+    std::unique_ptr<relay_server> relays;
     std::unique_ptr<stream_directory> streams;
     std::unique_ptr<kernel> services;
     state_answers answers; ///< To other hosts.
@@ -116,6 +128,10 @@
             co_await answerStateQuery(exchange, routing, answers, clock);
             co_return;
         }
+        if (exchange.path() == peerRelayPath) {
+            co_await relays->handle(exchange);
+            co_return;
+        }
         if (exchange.path() != "/metrics") {
             co_await exchange.respond(resultInfo(result_code::notFound).httpStatus, {}, "");
             co_return;
@@ -168,7 +184,7 @@
             applyLimits();
             streams->tellUntold();
         });
-        reader->onGone([this](const host_address &address) { connections->closeIdle(address); });
+        reader->onGone([this](const host_address &address) { paths->closeIdle(address); });
         auto &exchange = services->find<load_exchange>("route.exchange");
         reader->onStoreNews([&exchange] { exchange.sendSoon(); });
         feed &added = *reader;
@@ -219,6 +235,7 @@
         load_exchange &added = **made;
         auto &proxy = services->find<proxy_service>("route.proxy");
         proxy.onNotice([&added] { added.sendSoon(); });
+        paths->onIsolationChange([&added] { added.sendSoon(); });
         proxy.onSuspectNews([&added] { added.sendSuspectNews(); });
         added.onTraitHeld([&proxy] { proxy.cancelHeldAttempts(); });
         streams = stream_directory::makeStreamDirectory(
@@ -247,6 +264,33 @@
             .setLimits(serverOptions(values.callerListen, routing.desired->limits, values));
     }
 
+    void addRelayMetrics()
+    {
+        numbers->addCallbackMetric({"quincefall_host_isolated", "gauge",
+                                    "1 while the host reaches no upstream directly.", "",
+                                    [this] { return routing.links.isIsolated ? 1.0 : 0.0; }});
+        numbers->addCallbackMetric({"quincefall_upstreams_relayed", "gauge",
+                                    "Upstreams that are reached through other hosts.", "",
+                                    [this] { return double(countRelayed(routing.pools)); }});
+        numbers->addCallbackMetric({"quincefall_relayed_connections_opened_total", "counter",
+                                    "Connections opened to upstreams through other hosts.", "",
+                                    [this] { return double(paths->numbers().relayed); }});
+        numbers->addCallbackMetric({"quincefall_relay_failures_total", "counter",
+                                    "Hosts that did not relay a connection for this host.", "",
+                                    [this] { return double(paths->numbers().relayFailures); }});
+        numbers->addCallbackMetric({"quincefall_relays_open", "gauge",
+                                    "Connections that this host relays for others.", "",
+                                    [this] { return double(relays->numbers().open); }});
+        const auto addRelays = [this](const std::string &end, std::function<double()> read) {
+            numbers->addCallbackMetric({"quincefall_relays_total", "counter",
+                                        "Connections that other hosts asked for, by the answer.",
+                                        "answer=\"" + end + "\"", std::move(read)});
+        };
+        addRelays("opened", [this] { return double(relays->numbers().opened); });
+        addRelays("unreachable", [this] { return double(relays->numbers().unreachable); });
+        addRelays("unavailable", [this] { return double(relays->numbers().unavailable); });
+    }
+
     void addMetrics()
     {
         numbers->addCallbackMetric({"quincefall_upstream_connections_opened_total", "counter",
@@ -257,6 +301,7 @@
                                     "Requests sent on a connection that was open.", "", [this] {
                                         return double(connections->connectionCounts().reused);
                                     }});
+        addRelayMetrics();
         numbers->addCallbackMetric({"quincefall_upstreams_disconnected", "gauge",
                                     "Upstreams to which connections from this host fail.", "",
                                     [this] { return double(countDisconnected(routing.pools)); }});
@@ -280,11 +325,20 @@
     result<void> start(state_source source, wire_format wire)
     {
         connections = connection_pool::makeConnectionPool(context, {maxIdlePerUpstream, true});
+        paths = upstream_paths::makeUpstreamPaths(context, routing, connections,
+                                                  proxyOptions(values).site, clock);
+        relays = relay_server::makeRelayServer(routing, connections, maxRelayed(values), clock);
         addMetrics();
         services->add<proxy_service>(
             "route.proxy",
-            proxy_service::makeProxyService(context, routing, std::move(wire), connections,
-                                            *numbers, clock, proxyOptions(values)));
+            proxy_service::makeProxyService(context, routing, std::move(wire), paths, *numbers,
+                                            clock, proxyOptions(values)));
+        services->add("route.paths", paths,
+                      {[this]() -> result<void> {
+                           paths->start();
+                           return {};
+                       },
+                       [this] { paths->stop(); }});
         if (auto added = addServers(); !added)
             return added;
         if (auto added = addExchange(); !added)
@@ -301,12 +355,15 @@
             = started + roundToMilliseconds(self->values.stopSeconds * 1000) - exitReserve;
         // New connections arrive until the load balancer has noticed that this host is not ready.
         server.announceClose();
+        self->routing.isStopping = true;
+        self->services->find<load_exchange>("route.exchange").sendSoon();
         asio::steady_timer pause(self->context, balancerRemovalTime);
         co_await pause.async_wait(asTuple);
         // Requests that arrive later on an open connection might not finish before the end.
         self->services->find<proxy_service>("route.proxy").refuseNewRequests();
         server.stopAccepting();
-        while (server.openConnections() > 0 && self->clock.now() < end) {
+        while (server.openConnections() + self->relays->numbers().open > 0
+               && self->clock.now() < end) {
             pause.expires_after(drainPollInterval);
             co_await pause.async_wait(asTuple);
         }
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -9,6 +9,7 @@
 #include "policy/overload.h"
 #include "policy/routed_upstream.h"
 #include "policy/stream_origins.h"
+#include "policy/upstream_links.h"
 #include "policy/upstream_membership.h"
 
 #include <functional>
@@ -37,6 +38,8 @@
     std::map<std::string, attempt_budget, std::less<>> budgets; ///< By service.
     caller_timeouts callerTimeouts;
     fleet_load otherHostsLoad; ///< Other hosts' requests, demands, data versions and ages.
+    upstream_links links;
+    bool isStopping = false; ///< The host accepts no more work of other hosts.
     crash_quarantine quarantine;
     stream_origins streams;
     std::vector<host_announcement> peers; ///< Other hosts of the fleet.
--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -19,8 +19,7 @@
 void running_attempt::noteActivity()
 {
     noteBytes(context.guard, entry, started);
-    if (routed_upstream *target = upstream())
-        target->lastByteAt = context.clock.now();
+    context.paths->noteContact(entry, call->isRelayed());
 }
 
 bool running_attempt::isUnresponsive(microseconds limit) const
@@ -83,7 +82,11 @@
         = cause == result_code::upstreamTimeout || cause == result_code::upstreamUnreachable;
     if (!target || !isConnectionFault)
         return;
-    context.connections->closeIdle(entry.address);
+    if (call->isRelayed())
+        context.paths->noteRelayFault(entry);
+    if (target->isRelayed)
+        return;
+    context.paths->closeIdle(entry.address);
     if (!target->isDisconnected)
         logWarning("upstream cut off",
                    {{"upstream", entry.id},
@@ -93,6 +96,12 @@
     recordDisconnect(*target);
 }
 
+bool running_attempt::isLinkFault() const
+{
+    const routed_upstream *target = upstream();
+    return target && target->isRelayed && call->isConnected() && !call->isRelayed();
+}
+
 attempt_end running_attempt::endWithFailure(const error &failure)
 {
     job.lastFailure = failure;
@@ -106,7 +115,7 @@
     const bool isDeadline = context.clock.now() >= job.deadline;
     const bool countsAgainstUpstream
         = !isDeadline || context.clock.now() - started > minAttemptTimeForFault;
-    if (countsAgainstUpstream) {
+    if (countsAgainstUpstream && !isLinkFault()) {
         noteOutcome(false, true);
         noteDisconnect(failure.code);
     }
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -45,6 +45,9 @@
     /// closes the idle connections to it, since they may not work either.
     void noteDisconnect(result_code cause);
 
+    /// Whether the attempt went over a direct link that was since found cut.
+    bool isLinkFault() const;
+
     /// Records @p failure for the request and, if it counts against the upstream, in the upstream's
     /// health. Returns how the attempt ended.
     attempt_end endWithFailure(const error &failure);
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -49,15 +49,15 @@
 
 struct upstream_call::state
 {
-    state(std::shared_ptr<connection_pool> pool, host_address target)
-        : connectionPool(std::move(pool))
-        , address(std::move(target))
-        , timer(connectionPool->context())
+    state(std::shared_ptr<upstream_paths> connections, upstream_entry target)
+        : paths(std::move(connections))
+        , entry(std::move(target))
+        , timer(paths->context())
     {
     }
 
-    std::shared_ptr<connection_pool> connectionPool;
-    host_address address;
+    std::shared_ptr<upstream_paths> paths;
+    upstream_entry entry;
     connection_ptr connection;
     asio::steady_timer timer;
     std::optional<answer_parser> parser;
@@ -74,6 +74,7 @@
     bool isCancelled = false;
     bool isFinished = false;
     bool hasLostConnection = false;
+    bool isRelayed = false;
     bool hasHead = false; ///< Of the answer to this request.
 
     instant inactivityDeadline() const
@@ -124,14 +125,14 @@
         const bool hasTimedOut = isTimedOut || code == asio::error::timed_out;
         if (hasTimedOut && kind == result_code::upstreamFailed)
             kind = result_code::upstreamTimeout;
-        return makeError(kind,
-                         toString(address) + ": " + (isTimedOut ? "timed out" : code.message()));
+        return makeError(
+            kind, toString(entry.address) + ": " + (isTimedOut ? "timed out" : code.message()));
     }
 
     asio::awaitable<result<void>> connect()
     {
         const auto left = std::chrono::ceil<milliseconds>(deadline - steadyNow());
-        auto opened = co_await connectionPool->open(address, std::min(connectTimeout, left));
+        auto opened = co_await paths->open(entry, std::min(connectTimeout, left));
         if (!opened)
             co_return tl::unexpected(opened.error());
         connection = std::move(*opened);
@@ -182,7 +183,7 @@
                 co_return tl::unexpected(isDropped.error());
         }
         co_return makeError(result_code::upstreamFailed,
-                            toString(address) + ": sent only answers to other requests");
+                            toString(entry.address) + ": sent only answers to other requests");
     }
 
     asio::awaitable<result<void>> dropBody()
@@ -197,7 +198,8 @@
             size += bytes->size();
         }
         co_return makeError(result_code::upstreamFailed,
-                            toString(address) + ": the body that is to be dropped has no end");
+                            toString(entry.address)
+                                + ": the body that is to be dropped has no end");
     }
 
     asio::awaitable<result<std::string_view>> readPiece()
@@ -229,11 +231,10 @@
 };
 
 std::shared_ptr<upstream_call>
-upstream_call::makeUpstreamCall(std::shared_ptr<connection_pool> connections,
-                                const host_address &address)
+upstream_call::makeUpstreamCall(std::shared_ptr<upstream_paths> paths, upstream_entry entry)
 {
     return std::shared_ptr<upstream_call>(
-        new upstream_call(std::make_unique<state>(std::move(connections), address)));
+        new upstream_call(std::make_unique<state>(std::move(paths), std::move(entry))));
 }
 
 upstream_call::upstream_call(std::unique_ptr<state> owned)
@@ -248,7 +249,7 @@
     if (!m_state->isReusable())
         return;
     m_state->connection->keepAlive = m_state->keepAlive;
-    m_state->connectionPool->putIdle(m_state->address, std::move(m_state->connection));
+    m_state->paths->putIdle(m_state->entry, std::move(m_state->connection));
 }
 
 asio::awaitable<result<answer_head>> upstream_call::begin(message request, const wire_format &wire,
@@ -259,8 +260,8 @@
     self.request = std::move(request);
     self.deadline = deadline;
     self.lastByteAt = steadyNow();
-    self.connection = self.connectionPool->takeIdle(
-        self.address, self.request.isNonRepeatable ? nonRepeatableKeepAliveShare : 1);
+    self.connection = self.paths->takeIdle(
+        self.entry, self.request.isNonRepeatable ? nonRepeatableKeepAliveShare : 1);
     if (!self.connection) {
         auto opened = co_await self.connect();
         if (!opened && !self.isCancelled)
@@ -268,6 +269,7 @@
     }
     if (self.isCancelled)
         co_return self.failure({}, result_code::upstreamUnreachable);
+    self.isRelayed = self.connection->isRelayed;
     self.lastByteAt = steadyNow();
     self.armTimer(keep);
     self.startWriting(keep);
@@ -304,6 +306,16 @@
     return m_state->parser && m_state->parser->need_eof();
 }
 
+bool upstream_call::isConnected() const
+{
+    return m_state->connection != nullptr;
+}
+
+bool upstream_call::isRelayed() const
+{
+    return m_state->isRelayed;
+}
+
 bool upstream_call::hasLostConnection() const
 {
     return m_state->hasLostConnection;
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "clients/connection_pool.h"
-#include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
+#include "route/upstream_paths.h"
 #include "route/wire_format.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -19,9 +18,9 @@
 class upstream_call : public std::enable_shared_from_this<upstream_call>
 {
 public:
-    /// Makes a call to @p address without starting it.
-    static std::shared_ptr<upstream_call>
-    makeUpstreamCall(std::shared_ptr<connection_pool> connections, const host_address &address);
+    /// Makes a call to the upstream of @p entry without starting it.
+    static std::shared_ptr<upstream_call> makeUpstreamCall(std::shared_ptr<upstream_paths> paths,
+                                                           upstream_entry entry);
     ~upstream_call();
 
     /// The request. Its views must stay valid until the call is destroyed.
@@ -54,6 +53,12 @@
     /// Whether only the end of the connection ends the answer.
     bool endsWithConnection() const;
 
+    /// Whether the request had a connection, of which some bytes may have arrived.
+    bool isConnected() const;
+
+    /// Whether the connection passes another host.
+    bool isRelayed() const;
+
     /// Whether the upstream closed or reset the connection before its answer was complete.
     bool hasLostConnection() const;
 
--- /dev/null
+++ b/src/route/upstream_paths.cpp
@@ -0,0 +1,345 @@
+#include "route/upstream_paths.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/log_setup.h"
+#include "policy/probation.h"
+#include "policy/relay_choice.h"
+#include "route/relay_client.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds connectTimeout{400}; // As in upstream_call.
+constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
+constexpr milliseconds watchInterval{100};
+constexpr milliseconds relayTimeout{500};
+// While a request waits that another upstream could serve.
+constexpr milliseconds waitingRelayTimeout{250};
+constexpr std::size_t maxRelaysAsked = 5;
+constexpr std::size_t maxIdlePerUpstream = 24; // A host has only few requests at one upstream.
+
+} // namespace
+
+struct upstream_paths::state
+{
+    state(asio::io_context &io, routing_state &target, std::shared_ptr<connection_pool> pool,
+          placement_site place, clock_source clocks)
+        : context(io)
+        , routing(target)
+        , direct(std::move(pool))
+        , relayed(connection_pool::makeConnectionPool(io, {maxIdlePerUpstream, true}))
+        , site(std::move(place))
+        , clock(std::move(clocks))
+    {
+    }
+
+    asio::io_context &context;
+    routing_state &routing;
+    std::shared_ptr<connection_pool> direct;
+    std::shared_ptr<connection_pool> relayed; ///< By the address of the upstream.
+    placement_site site;
+    clock_source clock;
+    relay_failures failures;
+    std::function<void()> isolationListener;
+    counts totals;
+    bool isStopped = false;
+
+    bool usesRelay(const upstream_entry &entry) const
+    {
+        const routed_upstream *upstream = findUpstream(routing, entry);
+        return upstream && needsRelay(routing.links, *upstream);
+    }
+
+    /// Drops the relay of an upstream when its hints say that it can't relay, or have ended.
+    void dropLostRelay(const upstream_entry &entry)
+    {
+        routed_upstream *upstream = findUpstream(routing, entry);
+        if (!upstream || !upstream->relay || mayRelay(routing.otherHostsLoad, *upstream->relay))
+            return;
+        upstream->relay.reset();
+        relayed->closeIdle(entry.address);
+    }
+
+    void tellIsolation(bool isIsolated)
+    {
+        if (isIsolated)
+            logWarning("host cut off from upstreams",
+                       {{"cut_links", std::to_string(routing.links.cut.size())}});
+        else
+            logInfo("host reaches upstreams again", {});
+        if (isolationListener)
+            isolationListener();
+    }
+
+    void noteDirectContact()
+    {
+        if (recordContact(routing.links, clock.now()))
+            tellIsolation(false);
+    }
+
+    void noteRelay(const upstream_entry &entry, const host_address &relay)
+    {
+        routed_upstream *upstream = findUpstream(routing, entry);
+        if (!upstream)
+            return;
+        if (!upstream->isRelayed || upstream->relay != relay)
+            logWarning("upstream reached through another host",
+                       {{"upstream", entry.id}, {"relay", toString(relay)}});
+        if (!upstream->isRelayed)
+            direct->closeIdle(entry.address);
+        recordRelay(*upstream, relay, clock.now());
+    }
+
+    /// Records that a direct attempt which began at @p triedAt failed, unlike one through @p relay.
+    void noteCutLink(const upstream_entry &entry, const host_address &relay, instant triedAt)
+    {
+        noteRelay(entry, relay);
+        const routed_upstream *upstream = findUpstream(routing, entry);
+        if (upstream && recordCutLink(routing.links, *upstream, triedAt))
+            tellIsolation(true);
+    }
+
+    std::vector<host_address> relaysOf(const upstream_entry &entry)
+    {
+        auto relays
+            = relaysFor(entry, routing.peers, routing.otherHostsLoad, site, failures, clock.now());
+        if (relays.size() > maxRelaysAsked)
+            relays.resize(maxRelaysAsked);
+        const routed_upstream *upstream = findUpstream(routing, entry);
+        if (upstream && upstream->relay) {
+            std::erase(relays, *upstream->relay);
+            relays.insert(relays.begin(), *upstream->relay);
+        }
+        return relays;
+    }
+
+    asio::awaitable<relay_outcome> askRelays(upstream_entry entry, milliseconds timeout)
+    {
+        relay_outcome outcome = co_await openThroughRelays(direct, entry, relaysOf(entry), timeout);
+        for (const host_address &relay : outcome.failed) {
+            ++totals.relayFailures;
+            recordFailure(failures, relay, clock.now());
+        }
+        if (outcome.connection) {
+            ++totals.relayed;
+            outcome.connection->keepAlive = initialKeepAlive;
+            outcome.connection->isRelayed = true;
+        }
+        co_return outcome;
+    }
+
+    asio::awaitable<result<connection_ptr>> openRelayed(upstream_entry entry, milliseconds timeout)
+    {
+        relay_outcome outcome = co_await askRelays(entry, timeout);
+        if (outcome.connection) {
+            noteRelay(entry, outcome.relay);
+            co_return std::move(outcome.connection);
+        }
+        if (routed_upstream *upstream = findUpstream(routing, entry))
+            upstream->relay.reset();
+        co_return makeError(
+            result_code::upstreamUnreachable,
+            toString(entry.address) + ": not reached directly, and "
+                + std::to_string(outcome.failed.size() + std::size_t(outcome.refusals))
+                + " other hosts did not reach it either");
+    }
+
+    asio::awaitable<result<connection_ptr>> openDirect(upstream_entry entry, milliseconds timeout)
+    {
+        const instant triedAt = clock.now();
+        auto opened = co_await direct->open(entry.address, timeout);
+        if (opened) {
+            noteDirectContact();
+            co_return std::move(*opened);
+        }
+        relay_outcome outcome = co_await askRelays(entry, waitingRelayTimeout);
+        if (!outcome.connection)
+            co_return tl::unexpected(opened.error());
+        noteCutLink(entry, outcome.relay, triedAt);
+        co_return std::move(outcome.connection);
+    }
+
+    asio::awaitable<bool> checkDirectLink(upstream_entry entry)
+    {
+        auto opened = co_await direct->open(entry.address, connectTimeout);
+        if (!opened)
+            co_return false;
+        (*opened)->keepAlive = initialKeepAlive;
+        direct->putIdle(entry.address, std::move(*opened));
+        noteDirectContact();
+        routed_upstream *upstream = findUpstream(routing, entry);
+        if (!upstream || !upstream->isDisconnected)
+            co_return true;
+        if (upstream->isRelayed)
+            relayed->closeIdle(entry.address);
+        recordReconnect(*upstream, true, clock.now());
+        logInfo("upstream connected again",
+                {{"upstream", entry.id},
+                 {"address", toString(entry.address)},
+                 {"failures", std::to_string(upstream->health.failures)}});
+        co_return true;
+    }
+
+    asio::awaitable<void> checkLink(upstream_entry entry)
+    {
+        const instant triedAt = clock.now();
+        if (co_await checkDirectLink(entry))
+            co_return;
+        if (!usesRelay(entry)) {
+            relay_outcome outcome = co_await askRelays(entry, relayTimeout);
+            if (outcome.connection) {
+                relayed->putIdle(entry.address, std::move(outcome.connection));
+                noteCutLink(entry, outcome.relay, triedAt);
+                co_return;
+            }
+        }
+        routed_upstream *upstream = findUpstream(routing, entry);
+        if (upstream && upstream->isDisconnected)
+            recordReconnect(*upstream, false, clock.now());
+    }
+
+    static asio::awaitable<void> checkOne(std::shared_ptr<state> self, upstream_entry entry)
+    {
+        co_await self->checkLink(std::move(entry));
+    }
+
+    static asio::awaitable<void> watch(std::shared_ptr<state> self)
+    {
+        asio::steady_timer timer(self->context);
+        while (!self->isStopped) {
+            timer.expires_after(watchInterval);
+            co_await timer.async_wait(asTuple);
+            for (const upstream_entry &entry :
+                 takeDueLinkChecks(self->routing.pools, self->routing.links, self->clock.now()))
+                asio::co_spawn(self->context, checkOne(self, entry), asio::detached);
+        }
+    }
+};
+
+std::shared_ptr<upstream_paths>
+upstream_paths::makeUpstreamPaths(asio::io_context &context, routing_state &routing,
+                                  std::shared_ptr<connection_pool> direct, placement_site site,
+                                  clock_source clock)
+{
+    return std::shared_ptr<upstream_paths>(new upstream_paths(std::make_shared<state>(
+        context, routing, std::move(direct), std::move(site), std::move(clock))));
+}
+
+upstream_paths::upstream_paths(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+upstream_paths::~upstream_paths()
+{
+    stop();
+}
+
+void upstream_paths::start()
+{
+    asio::co_spawn(m_state->context, state::watch(m_state), asio::detached);
+}
+
+void upstream_paths::stop()
+{
+    m_state->isStopped = true;
+}
+
+void upstream_paths::onIsolationChange(std::function<void()> listener)
+{
+    m_state->isolationListener = std::move(listener);
+}
+
+connection_ptr upstream_paths::takeIdle(const upstream_entry &entry, double maxIdleFraction)
+{
+    m_state->dropLostRelay(entry);
+    connection_pool &pool = m_state->usesRelay(entry) ? *m_state->relayed : *m_state->direct;
+    return pool.takeIdle(entry.address, maxIdleFraction);
+}
+
+void upstream_paths::putIdle(const upstream_entry &entry, connection_ptr used)
+{
+    // The path of the upstream may have changed since the connection was opened.
+    if (used->isRelayed == m_state->usesRelay(entry)) {
+        connection_pool &pool = used->isRelayed ? *m_state->relayed : *m_state->direct;
+        pool.putIdle(entry.address, std::move(used));
+    }
+}
+
+asio::awaitable<result<connection_ptr>> upstream_paths::open(upstream_entry entry,
+                                                             milliseconds timeout)
+{
+    const auto self = m_state;
+    if (self->usesRelay(entry)) {
+        auto opened = co_await self->openRelayed(std::move(entry), timeout);
+        co_return opened;
+    }
+    auto opened = co_await self->openDirect(std::move(entry), timeout);
+    co_return opened;
+}
+
+asio::awaitable<void> upstream_paths::checkLink(upstream_entry entry)
+{
+    return state::checkOne(m_state, std::move(entry));
+}
+
+asio::awaitable<bool> upstream_paths::isRefused(upstream_entry entry)
+{
+    const auto self = m_state;
+    const instant triedAt = self->clock.now();
+    const bool isRelayed = self->usesRelay(entry);
+    if (!isRelayed) {
+        const bool isDirectRefused
+            = co_await self->direct->isRefused(entry.address, connectTimeout, initialKeepAlive);
+        if (!isDirectRefused)
+            co_return false;
+    }
+    relay_outcome outcome = co_await self->askRelays(entry, relayTimeout);
+    if (!outcome.connection)
+        co_return !isRelayed || outcome.refusals > 0;
+    self->relayed->putIdle(entry.address, std::move(outcome.connection));
+    if (isRelayed)
+        self->noteRelay(entry, outcome.relay);
+    else
+        self->noteCutLink(entry, outcome.relay, triedAt);
+    co_return false;
+}
+
+void upstream_paths::noteContact(const upstream_entry &entry, bool isRelayed)
+{
+    if (!isRelayed)
+        m_state->noteDirectContact();
+    if (routed_upstream *upstream = findUpstream(m_state->routing, entry))
+        upstream->lastByteAt = m_state->clock.now();
+}
+
+void upstream_paths::noteRelayFault(const upstream_entry &entry)
+{
+    m_state->relayed->closeIdle(entry.address);
+    routed_upstream *upstream = findUpstream(m_state->routing, entry);
+    if (!upstream || !upstream->relay)
+        return;
+    recordFailure(m_state->failures, *upstream->relay, m_state->clock.now());
+    upstream->relay.reset();
+}
+
+void upstream_paths::closeIdle(const host_address &address)
+{
+    m_state->direct->closeIdle(address);
+    m_state->relayed->closeIdle(address);
+}
+
+upstream_paths::counts upstream_paths::numbers() const
+{
+    return m_state->totals;
+}
+
+asio::io_context &upstream_paths::context() const
+{
+    return m_state->context;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/upstream_paths.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "clients/connection_pool.h"
+#include "kernel/clock.h"
+#include "kernel/result.h"
+#include "policy/placement.h"
+#include "route/routing_state.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace quincefall {
+
+/// Connections to upstreams, directly or, where only this host's link to an upstream is cut,
+/// through another host that reaches it. A relayed connection passes exactly one other host.
+class upstream_paths
+{
+public:
+    struct counts
+    {
+        std::uint64_t relayed = 0; ///< Connections opened through other hosts.
+        std::uint64_t relayFailures = 0; ///< Other hosts that did not relay.
+    };
+
+    static std::shared_ptr<upstream_paths>
+    makeUpstreamPaths(boost::asio::io_context &context, routing_state &routing,
+                      std::shared_ptr<connection_pool> direct, placement_site site,
+                      clock_source clock);
+    ~upstream_paths();
+
+    /// Starts to watch for links that fail silently.
+    void start();
+    void stop();
+
+    /// Called when the host becomes isolated, and when it no longer is.
+    void onIsolationChange(std::function<void()> listener);
+
+    /// As connection_pool::takeIdle(), on the path that open() would take.
+    connection_ptr takeIdle(const upstream_entry &entry, double maxIdleFraction);
+    void putIdle(const upstream_entry &entry, connection_ptr used);
+
+    /// Opens a connection. Fails with upstreamUnreachable.
+    boost::asio::awaitable<result<connection_ptr>> open(upstream_entry entry, milliseconds timeout);
+
+    /// Tries to reach a disconnected or silent upstream, and records on which path it is reached.
+    boost::asio::awaitable<void> checkLink(upstream_entry entry);
+
+    /// Whether the upstream's machine refuses connections, also those through another host.
+    boost::asio::awaitable<bool> isRefused(upstream_entry entry);
+
+    /// Records that the upstream sent something over @p connection's path.
+    void noteContact(const upstream_entry &entry, bool isRelayed);
+
+    /// Records that a request over a relayed connection failed, whose cause may be the relay.
+    void noteRelayFault(const upstream_entry &entry);
+
+    /// Closes the idle connections to @p address on all paths.
+    void closeIdle(const host_address &address);
+
+    counts numbers() const;
+    boost::asio::io_context &context() const;
+
+private:
+    struct state;
+    explicit upstream_paths(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- a/src/serve/http_exchange.cpp
+++ b/src/serve/http_exchange.cpp
@@ -106,6 +106,19 @@
     co_return m_state->handleWriteResult(code);
 }
 
+asio::awaitable<asio::ip::tcp::socket *> http_exchange::upgrade(std::string_view protocol)
+{
+    http::response<http::empty_body> response(http::status::switching_protocols, 11);
+    response.set(http::field::connection, "Upgrade");
+    response.set(http::field::upgrade, protocol);
+    m_state->hasStartedResponse = true;
+    m_state->keepAlive = false;
+    m_state->stream.expires_after(m_state->core->settings.requestTimeout);
+    const auto [code, size] = co_await http::async_write(m_state->stream, response, asTuple);
+    m_state->stream.expires_never();
+    co_return m_state->handleWriteResult(code) ? &m_state->stream.socket() : nullptr;
+}
+
 void http_exchange::abort()
 {
     m_state->keepAlive = false;
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -50,6 +51,11 @@
     boost::asio::awaitable<bool> write(std::string_view piece);
     boost::asio::awaitable<bool> endStream();
 
+    /// Answers 101 and switches the connection to @p protocol. From then on the handler reads and
+    /// writes the socket itself; the connection is closed when it returns. Null if the answer could
+    /// not be sent.
+    boost::asio::awaitable<boost::asio::ip::tcp::socket *> upgrade(std::string_view protocol);
+
     /// Closes the connection before the response is complete, so that the caller detects the
     /// truncation.
     void abort();
