Keep streams and connections of an engine that is silent for a second

Seen: streams at an engine that sent nothing for 1.2 s and went on ran twice. Their callers got the whole answer, at the price of a second run; where the first byte was due the same. The TCP options would have ended the connection itself after 800 ms without an acknowledgement.

Cause: a stream was started elsewhere after twice its allowed pause, 800 ms at least, or twice its target, 400 ms at least. And TCP_USER_TIMEOUT was 800 ms beside keep-alive probes meant to take 3 s: on Linux it also decides when the probes give up, at the probe after the first unanswered one.

Change: a stream waits 1.5 s at least, which its callers wait too (2 s, more on slow routes). Connections are given up after 4 s, by data and by probes alike. Links that are cut are found sooner by connecting, so nothing depends on the short time any more. Idempotent calls are tried elsewhere after twice their target as before: they are late for certain then, short, and their deadlines leave no time to wait longer.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -19,9 +19,12 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr milliseconds unacknowledgedDataTimeout{800}; // Several round trips between regions.
+// Sound peers fall silent for a second or two, so both ways to find a dead one take longer.
 constexpr int keepAliveProbeSeconds = 1; // Before the first keep-alive probe and between probes.
-constexpr int keepAliveProbeCount = 2;
+constexpr int keepAliveProbeCount = 3;
+// Linux gives up probes after this time, too, whatever their count.
+constexpr milliseconds unacknowledgedDataTimeout{
+    seconds(keepAliveProbeSeconds * (keepAliveProbeCount + 1))};
 // Below 1, since the peer counts its idle time from sending the last response, and that response
 // was in transit before this side started to count.
 constexpr double maxReusableIdleFraction = 0.7;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -15,11 +15,13 @@
 // an upstream that is only slow rarely takes that long.
 constexpr double firstByteTimeoutInTargets = 2.0;
 constexpr milliseconds minFirstByteTimeout{400};
+// A sound engine may send nothing for a second or so. To start its running work again elsewhere
+// would do that work twice.
+constexpr milliseconds minStreamTimeout{1'500};
 // Time without a byte after the first event, as a multiple of the longest pause that the route
 // allows. Replaces the timeout for the first byte once an event arrived, except in an attempt that
 // starts after the caller's answer has begun.
 constexpr double gapTimeoutInTargets = 2.0;
-constexpr milliseconds minGapTimeout{800};
 // Of an answer that is passed on only when it is complete, and of one event of a stream.
 constexpr std::size_t maxWholeAnswerBytes = 4UL * 1024 * 1024;
 constexpr std::size_t maxEventBytes = 256UL * 1024;
@@ -117,7 +119,7 @@
 {
     const auto allowed = std::chrono::duration_cast<microseconds>(job.choice.route->gapTarget
                                                                   * gapTimeoutInTargets);
-    return std::max<microseconds>(allowed, minGapTimeout);
+    return std::max<microseconds>(allowed, minStreamTimeout);
 }
 
 microseconds firstByteTimeout(const running_attempt &attempt)
@@ -127,7 +129,8 @@
         return probeTimeout(target);
     const auto allowed
         = std::chrono::duration_cast<microseconds>(target * firstByteTimeoutInTargets);
-    return std::max<microseconds>(allowed, minFirstByteTimeout);
+    const bool isStream = attempt.job.choice.route->isStream;
+    return std::max<microseconds>(allowed, isStream ? minStreamTimeout : minFirstByteTimeout);
 }
 
 /// Why a stream that sends bytes but no whole event since @p progressAt is given up; empty to go
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -227,6 +227,7 @@
         self.aborted_streams = collections.Counter()
         self.endless_bytes = 0
         self.endless_gap_seconds = 0
+        self.silent_until = 0  # Until then nothing is sent, though the engine is sound.
         self.deadly_part = None
         self.deadly_requests = set()
         self.deadly_after_event = False
@@ -248,6 +249,9 @@
         await asyncio.sleep(self.down_seconds)
         await self.server.listen(self.server.port)
 
+    async def keep_silent(self):
+        await asyncio.sleep(max(0, self.silent_until - time.monotonic()))
+
     def entry(self, state="ready", sequence=1):
         return {"service": self.service, "address": f"127.0.0.1:{self.listed_port}",
                 "zone": "a", "version": self.version, "slots": 8, "state": state,
@@ -273,6 +277,7 @@
         if is_deadly_request or self.is_deadly(fields):
             self.deadly_arrivals.append(time.monotonic())
         fault = self.next_fault()
+        await self.keep_silent()
         if fault == "full":
             pause = [] if self.pause is None else [("Retry-After", self.pause)]
             writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")] + pause + leaving))
@@ -345,6 +350,7 @@
         writer.write(head.encode() + b"\r\n")
         for number in range(first, self.events + 1):
             shown = f"-{self.version}" if self.shows_version else ""
+            await self.keep_silent()
             event = f"id: {number}\ndata: {number}-of-{self.service}{shown}\n\n".encode()
             if is_unframed:
                 is_end = number == first + 2 and fault != "unframed"
