Keep brittle engines from rejecting more than they withstand

Seen: engines that say Server-Brittle fall over when they turn more than so many requests away in a second.

Cause: nothing read the header, and a full engine got requests like any other.

Change: each host bounds what it could have rejected. Half of the number is shared among as many hosts as there are pieces, by the hash that shares Server-Limit (fleet_share, now one for both); a host keeps the requests that were neither answered nor rejected yet within its part, its requests there within its part of the slots, and pauses for a second after a rejection (rejection_guard). What one engine says counts for its service and is told with the hints; an answer that no longer says it ends it. A request for which no engine has room at the moment waits up to a quarter of its target for it.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -89,6 +89,7 @@
 {
     return !upstream.listed.isLeaving && upstream.pausedUntil <= now
         && timeUntilRoom(upstream.limit, now) == microseconds(0)
+        && timeUntilRoom(upstream.rejections, ownInFlight(upstream), now) == microseconds(0)
         && (!request.tried || !request.tried->contains(upstream.listed.id));
 }
 
@@ -448,21 +449,36 @@
         if (upstream.listed.isLeaving)
             continue;
         const auto untilRoom = timeUntilRoom(upstream.limit, now);
-        if (!untilRoom)
+        const auto untilPlace = timeUntilRoom(upstream.rejections, ownInFlight(upstream), now);
+        if (!untilRoom || !untilPlace)
             continue;
         const microseconds paused
             = upstream.pausedUntil > now ? upstream.pausedUntil - now : microseconds(0);
-        const microseconds left = std::max(paused, *untilRoom);
+        const microseconds left = std::max({paused, *untilRoom, *untilPlace});
         shortest = std::min(shortest.value_or(left), left);
     }
     return shortest;
 }
 
+std::optional<double> maxRejectionsOf(const service_pool &pool)
+{
+    std::optional<double> lowest;
+    for (const auto &[id, upstream] : pool.upstreams) {
+        if (upstream.maxRejections)
+            lowest = std::min(lowest.value_or(*upstream.maxRejections), *upstream.maxRejections);
+    }
+    return lowest;
+}
+
 placement chooseUpstream(service_pool &pool, const placement_request &request,
                          const placement_site &site, fleet_load &others, instant now)
 {
-    for (auto &[id, upstream] : pool.upstreams)
+    const auto maxRejections = maxRejectionsOf(pool);
+    for (auto &[id, upstream] : pool.upstreams) {
         updateShare(upstream.limit, id, site.self, others, now);
+        setMaxRejections(upstream.rejections, maxRejections);
+        updateShare(upstream.rejections, id, upstream.listed.slots, site.self, others, now);
+    }
     for (auto &[id, upstream] : pool.upstreams) {
         if (!isEligible(upstream, request, now) || !hasWantedVersion(&upstream, request)
             || !shouldProbe(pool, upstream, request.probe, now))
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -101,6 +101,11 @@
 /// them is back, instead of an upstream being asked in vain.
 std::optional<microseconds> timeUntilUsable(const service_pool &pool, instant now);
 
+/// Rejections a second that each of the pool's upstreams withstands, by the lowest number that one
+/// of them names; empty if none does. All upstreams of a service are brittle at the same time, but
+/// this host may have heard it from one of them only.
+std::optional<double> maxRejectionsOf(const service_pool &pool);
+
 /// Chooses the upstream with the lowest cost, which is mainly the estimated time to the first byte.
 ///
 /// Keeps bursts of long prompts from being prefilled on many engines: rendezvous hashing gives each
--- a/src/policy/request_limit.cpp
+++ b/src/policy/request_limit.cpp
@@ -1,12 +1,10 @@
 #include "policy/request_limit.h"
 
 #include "policy/fleet_load.h"
-
-#include <xxhash.h>
+#include "policy/fleet_share.h"
 
 #include <algorithm>
 #include <cmath>
-#include <string>
 
 namespace quincefall {
 namespace {
@@ -21,12 +19,6 @@
 constexpr double minPerSecond = 0.1;
 constexpr milliseconds shareLifetime{500};
 
-std::uint64_t scoreOf(const host_address &host, std::uint64_t key)
-{
-    const std::string name = toString(host);
-    return XXH64(name.data(), name.size(), key);
-}
-
 double tokensAt(const limit_bucket &bucket, instant now)
 {
     if (bucket.refilledAt == instant::min())
@@ -54,17 +46,12 @@
         || (bucket.sharedAt != instant::min() && now - bucket.sharedAt < shareLifetime))
         return;
     const double limit = std::max(*bucket.perSecond, minPerSecond);
-    const double hosts = double(others.hosts.size()) + 1;
-    const double sharing = std::clamp(std::floor(limit * hostsPerRequest), 1.0, hosts);
-    const std::uint64_t key = nameHash(upstream);
-    const std::uint64_t ownScore = scoreOf(self, key);
-    const auto before
-        = std::count_if(others.hosts.begin(), others.hosts.end(),
-                        [&](const auto &row) { return scoreOf(row.first, key) > ownScore; });
+    const fleet_share part
+        = shareAmongHosts(nameHash(upstream), limit * hostsPerRequest, self, others);
     bucket.tokens = tokensAt(bucket, now);
     bucket.refilledAt = now;
-    bucket.share = double(before) < sharing ? limit * usedShare / sharing : 0;
-    bucket.burst = std::max(1.0, limit * hostsPerRequest / sharing);
+    bucket.share = part.hasPart ? limit * usedShare / part.hosts : 0;
+    bucket.burst = std::max(1.0, limit * hostsPerRequest / part.hosts);
     bucket.sharedAt = now;
 }
 
--- a/src/policy/routed_upstream.cpp
+++ b/src/policy/routed_upstream.cpp
@@ -75,6 +75,7 @@
                  const attempt_work &work, instant now)
 {
     takeRequest(upstream.limit, now);
+    recordSent(upstream.rejections, now);
     if (work.isGapSensitive)
         pool.sensitiveInFlight += 1;
     if (ownInFlight(upstream) == 0)
@@ -94,6 +95,7 @@
     pending = std::max(0.0, pending - work.unreadTokens);
     if (!waited)
         return;
+    recordAccepted(upstream.rejections);
     const double waitedMs = toMilliseconds(*waited);
     const double excess = std::max(0.0, waitedMs - work.estimatedFirstByteMs);
     const double before = recentFirstByteExcessMs(upstream, now);
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -3,6 +3,7 @@
 #include "kernel/clock.h"
 #include "policy/fleet_load.h"
 #include "policy/prompt.h"
+#include "policy/rejection_guard.h"
 #include "policy/request_limit.h"
 #include "policy/software_versions.h"
 #include "policy/upstream_entry.h"
@@ -49,6 +50,8 @@
     instant pausedUntil = instant::min(); ///< It asked for no requests until then.
     instant othersPausedUntil = instant::min(); ///< It asked another host for none.
     limit_bucket limit;
+    std::optional<double> maxRejections; ///< A second, as it says; see policy/rejection_guard.h.
+    rejection_guard rejections;
     double failureRate = 0; ///< Smoothed share of attempts that failed.
     instant failureRateAt = instant::min();
 };
--- a/src/policy/upstream_notice.cpp
+++ b/src/policy/upstream_notice.cpp
@@ -16,8 +16,8 @@
 
 instant lastChange(const upstream_notice &notice)
 {
-    return std::max(
-        {notice.leavingToldAt, notice.pausedUntil, notice.othersPausedUntil, notice.limit.saidAt});
+    return std::max({notice.leavingToldAt, notice.pausedUntil, notice.othersPausedUntil,
+                     notice.limit.saidAt, notice.maxRejections.saidAt});
 }
 
 upstream_notice makeNotice(std::int64_t started)
@@ -52,6 +52,39 @@
     return found != notices.end() && found->second.started > entry.started;
 }
 
+/// Where a notice keeps a statement.
+struct statement_fields
+{
+    limit_statement upstream_notice::*said;
+    instant upstream_notice::*heardAt;
+};
+
+bool recordStatement(upstream_notices &notices, const upstream_entry &entry,
+                     const statement_fields &fields, const limit_statement &said,
+                     notice_source source, instant now)
+{
+    if (isOutdated(notices, entry))
+        return false;
+    const upstream_notice *known = findNotice(notices, entry);
+    if (!said.perSecond && !(known && (known->*fields.said).perSecond))
+        return false;
+    if (known && said.saidAt <= (known->*fields.said).saidAt)
+        return false;
+    if (!said.perSecond && said.saidAt - (known->*fields.said).saidAt < answerDisorder)
+        return false;
+    upstream_notice &notice = noticeFor(notices, entry);
+    const bool isNew = (notice.*fields.said).perSecond != said.perSecond;
+    notice.*fields.said = said;
+    if (source == notice_source::ownAnswer)
+        notice.*fields.heardAt = now;
+    return isNew;
+}
+
+bool isToTell(instant heardAt, instant now)
+{
+    return heardAt != instant::min() && now - heardAt < tellTime;
+}
+
 } // namespace
 
 bool recordLeaving(upstream_notices &notices, const upstream_entry &entry, notice_source source,
@@ -82,21 +115,17 @@
 bool recordLimit(upstream_notices &notices, const upstream_entry &entry,
                  const limit_statement &said, notice_source source, instant now)
 {
-    if (isOutdated(notices, entry))
-        return false;
-    const upstream_notice *known = findNotice(notices, entry);
-    if (!said.perSecond && !(known && known->limit.perSecond))
-        return false;
-    if (known && said.saidAt <= known->limit.saidAt)
-        return false;
-    if (!said.perSecond && said.saidAt - known->limit.saidAt < answerDisorder)
-        return false;
-    upstream_notice &notice = noticeFor(notices, entry);
-    const bool isNew = notice.limit.perSecond != said.perSecond;
-    notice.limit = said;
-    if (source == notice_source::ownAnswer)
-        notice.limitHeardAt = now;
-    return isNew;
+    return recordStatement(notices, entry,
+                           {&upstream_notice::limit, &upstream_notice::limitHeardAt}, said, source,
+                           now);
+}
+
+bool recordMaxRejections(upstream_notices &notices, const upstream_entry &entry,
+                         const limit_statement &said, notice_source source, instant now)
+{
+    return recordStatement(
+        notices, entry, {&upstream_notice::maxRejections, &upstream_notice::maxRejectionsHeardAt},
+        said, source, now);
 }
 
 void applyRegistration(upstream_notices &notices, const upstream_entry &entry)
@@ -137,17 +166,25 @@
         const bool tellsLeaving = notice.isLeaving && notice.leavingToldAt != instant::min()
             && now - notice.leavingToldAt < tellTime;
         const bool tellsPause = notice.pausedUntil > now;
-        const bool tellsLimit
-            = notice.limitHeardAt != instant::min() && now - notice.limitHeardAt < tellTime;
-        if (!tellsLeaving && !tellsPause && !tellsLimit)
+        const bool tellsLimit = isToTell(notice.limitHeardAt, now);
+        const bool tellsRejections = isToTell(notice.maxRejectionsHeardAt, now);
+        if (!tellsLeaving && !tellsPause && !tellsLimit && !tellsRejections)
             continue;
         const auto pause = tellsPause ? notice.pausedUntil - now : microseconds(0);
         told_notice &row = told.emplace_back();
-        row = {id, notice.started, tellsLeaving, std::chrono::ceil<milliseconds>(pause), {}, {}};
+        row.upstream = id;
+        row.started = notice.started;
+        row.isLeaving = tellsLeaving;
+        row.pause = std::chrono::ceil<milliseconds>(pause);
         if (tellsLimit) {
             row.limit = notice.limit.perSecond;
             row.limitAge = std::chrono::ceil<milliseconds>(now - notice.limit.saidAt);
         }
+        if (tellsRejections) {
+            row.maxRejections = notice.maxRejections.perSecond;
+            row.maxRejectionsAge
+                = std::chrono::ceil<milliseconds>(now - notice.maxRejections.saidAt);
+        }
     }
     return told;
 }
--- a/src/policy/upstream_notice.h
+++ b/src/policy/upstream_notice.h
@@ -24,6 +24,8 @@
     instant othersPausedUntil = instant::min(); ///< It asked another host for none.
     limit_statement limit;
     instant limitHeardAt = instant::min(); ///< Last answer to this host that gave `limit`.
+    limit_statement maxRejections; ///< See policy/rejection_guard.h.
+    instant maxRejectionsHeardAt = instant::min(); ///< Last answer to this host that gave it.
 };
 
 /// By id of the upstream.
@@ -38,6 +40,8 @@
     milliseconds pause{0}; ///< Remaining time for which it wants no requests from the sender.
     std::optional<double> limit; ///< Requests a second that it takes from all hosts together.
     std::optional<milliseconds> limitAge; ///< Since it said so; empty if it says nothing of it.
+    std::optional<double> maxRejections; ///< A second, of all hosts, above which it fails.
+    std::optional<milliseconds> maxRejectionsAge; ///< As `limitAge`.
 };
 
 /// Who received the answer with the notice.
@@ -66,6 +70,10 @@
 bool recordLimit(upstream_notices &notices, const upstream_entry &entry,
                  const limit_statement &said, notice_source source, instant now);
 
+/// As recordLimit(), for the rejections that the upstream withstands.
+bool recordMaxRejections(upstream_notices &notices, const upstream_entry &entry,
+                         const limit_statement &said, notice_source source, instant now);
+
 /// Applies a registration: a new start of the upstream ends its notices; one as ready after one as
 /// leaving ends the leaving.
 void applyRegistration(upstream_notices &notices, const upstream_entry &entry);
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -112,12 +112,20 @@
     hint.suspects = readSuspects(message);
     for (const wire::UpstreamNotice &row : message.notices()) {
         told_notice &notice = hint.notices.emplace_back();
-        notice = {
-            row.upstream(), row.started_ms(), row.leaving(), milliseconds(row.pause_ms()), {}, {}};
+        notice.upstream = row.upstream();
+        notice.started = row.started_ms();
+        notice.isLeaving = row.leaving();
+        notice.pause = milliseconds(row.pause_ms());
         if (row.has_limit_age_ms() && std::isfinite(row.limit()) && row.limit() >= 0) {
             notice.limit = row.has_limit() ? std::optional(row.limit()) : std::nullopt;
             notice.limitAge = milliseconds(row.limit_age_ms());
         }
+        if (row.has_max_rejections_age_ms() && std::isfinite(row.max_rejections())
+            && row.max_rejections() >= 0) {
+            if (row.has_max_rejections())
+                notice.maxRejections = row.max_rejections();
+            notice.maxRejectionsAge = milliseconds(row.max_rejections_age_ms());
+        }
     }
     return hint;
 }
@@ -190,6 +198,10 @@
             row->set_limit(*notice.limit);
         if (notice.limitAge)
             row->set_limit_age_ms(std::uint32_t(notice.limitAge->count()));
+        if (notice.maxRejections)
+            row->set_max_rejections(*notice.maxRejections);
+        if (notice.maxRejectionsAge)
+            row->set_max_rejections_age_ms(std::uint32_t(notice.maxRejectionsAge->count()));
     }
     return message.SerializeAsString();
 }
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -206,6 +206,8 @@
 
 asio::awaitable<attempt_end> handleRejection(running_attempt &attempt, const answer_head &head)
 {
+    if (routed_upstream *target = attempt.upstream(); target && head.wasNotRun)
+        recordRejected(target->rejections, attempt.context.clock.now());
     // The body is read to its end so that the connection can be reused.
     const bool isDropped = co_await attempt.call->dropRest();
     attempt.job.lastFailure = error{result_code::overloaded,
@@ -218,10 +220,12 @@
 
 answer_notice noticeOf(const answer_head &head, instant now)
 {
-    answer_notice said{head.isLeaving, head.pause.value_or(microseconds(0)), {}};
+    answer_notice said{head.isLeaving, head.pause.value_or(microseconds(0)), {}, {}};
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (head.limit || (isSuccess && !head.hasUnreadableLimit))
         said.limit = limit_statement{head.limit, now};
+    if (head.maxRejections || (isSuccess && !head.hasUnreadableMaxRejections))
+        said.maxRejections = limit_statement{head.maxRejections, now};
     return said;
 }
 
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -24,6 +24,8 @@
 // With less time than this left, no upstream can answer.
 constexpr milliseconds minUsefulTime{10};
 constexpr milliseconds minRetryAfter{100};
+constexpr milliseconds roomCheckInterval{10};
+constexpr int roomWaitPerTarget = 4; // A request waits for room at most this part of its target.
 constexpr std::uint64_t drawSteps = 1'000'000; // Resolution of a draw.
 // Share of the time left; callers honour a Retry-After of up to a third of it.
 constexpr double maxRetryAfterShare = 0.3;
@@ -272,6 +274,18 @@
             job.retryAfter = std::chrono::ceil<milliseconds>(*wait);
     }
 
+    /// Whether an upstream will soon have room for the request, early enough to answer it within
+    /// its target.
+    bool mayWaitForRoom(const proxy_job &job)
+    {
+        if (job.lastFailure || job.exchange.isCallerDisconnected())
+            return false;
+        const auto wait = timeUntilUsable(routing.pools[job.service()], clock.now());
+        const microseconds waited = clock.now() - job.arrived;
+        const microseconds longest = job.choice.route->targetLatency / roomWaitPerTarget;
+        return wait && wait->count() > 0 && waited + *wait <= longest;
+    }
+
     asio::awaitable<attempt_end> run(proxy_job &job)
     {
         attempt_end end = attempt_end::notRun;
@@ -293,6 +307,11 @@
                 co_return job.runs > 0 ? attempt_end::failed : attempt_end::notRun;
             }
             const placement chosen = job.sends == 0 ? chooseOrRefuse(job) : choose(job);
+            if (!chosen.upstream && mayWaitForRoom(job)) {
+                asio::steady_timer pause(context, roomCheckInterval);
+                co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+                continue;
+            }
             if (!chosen.upstream) {
                 if (job.streamVersion && !job.lastFailure)
                     job.lastFailure = versionGoneError(job);
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -19,6 +19,7 @@
     const upstream_notice *notice = findNotice(notices, upstream.listed);
     upstream.pausedUntil = notice ? notice->pausedUntil : instant::min();
     upstream.othersPausedUntil = notice ? notice->othersPausedUntil : instant::min();
+    upstream.maxRejections = notice ? notice->maxRejections.perSecond : std::nullopt;
     setLimit(upstream.limit, notice ? notice->limit.perSecond : std::nullopt, now);
 }
 
@@ -31,6 +32,14 @@
     const bool isNewPause = recordPause(notices, entry, told.pause, source, now);
     const bool isNewLimit = told.limitAge
         && recordLimit(notices, entry, {told.limit, now - *told.limitAge}, source, now);
+    const bool isNewBrittleness = told.maxRejectionsAge
+        && recordMaxRejections(notices, entry, {told.maxRejections, now - *told.maxRejectionsAge},
+                               source, now);
+    if (isNewBrittleness)
+        logInfo("upstream named the rejections that it withstands",
+                {{"upstream", entry.id},
+                 {"source", heardFrom},
+                 {"per_second", told.maxRejections ? std::to_string(*told.maxRejections) : "any"}});
     if (isNewLimit)
         logInfo("upstream named a limit",
                 {{"upstream", entry.id},
@@ -45,7 +54,7 @@
                  {"pause_ms", std::to_string(told.pause.count())}});
     if (routed_upstream *upstream = findUpstream(state, entry))
         copyNotice(notices, *upstream, now);
-    return isNewLeaving || isNewPause || isNewLimit;
+    return isNewLeaving || isNewPause || isNewLimit || isNewBrittleness;
 }
 
 void applyListing(routing_state &state, const upstream_entry &entry,
@@ -122,15 +131,21 @@
 bool applyAnswerNotice(routing_state &state, const upstream_entry &entry, const answer_notice &said,
                        instant now)
 {
-    if (!said.isLeaving && said.pause.count() <= 0 && !said.limit)
+    if (!said.isLeaving && said.pause.count() <= 0 && !said.limit && !said.maxRejections)
         return false;
-    told_notice told{
-        entry.id, entry.started, said.isLeaving, std::chrono::ceil<milliseconds>(said.pause), {},
-        {}};
+    told_notice told;
+    told.upstream = entry.id;
+    told.started = entry.started;
+    told.isLeaving = said.isLeaving;
+    told.pause = std::chrono::ceil<milliseconds>(said.pause);
     if (said.limit) {
         told.limit = said.limit->perSecond;
         told.limitAge = milliseconds(0);
     }
+    if (said.maxRejections) {
+        told.maxRejections = said.maxRejections->perSecond;
+        told.maxRejectionsAge = milliseconds(0);
+    }
     return recordNotice(state, entry, told, notice_source::ownAnswer, now);
 }
 
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -73,6 +73,7 @@
     microseconds pause{0}; ///< For which it wants no requests; 0 for none.
     /// Empty if the answer says nothing of a limit, not even by naming none.
     std::optional<limit_statement> limit;
+    std::optional<limit_statement> maxRejections; ///< As `limit`; see policy/rejection_guard.h.
 };
 
 /// Applies what the upstream of @p entry told in an answer to this host. True when that is new.
--- a/src/route/wire_format.h
+++ b/src/route/wire_format.h
@@ -53,6 +53,8 @@
     std::optional<microseconds> pause; ///< Time for which it wants no requests; above 0.
     std::optional<double> limit; ///< Requests a second that it takes from all hosts together.
     bool hasUnreadableLimit = false;
+    std::optional<double> maxRejections; ///< A second, of all hosts, above which it fails.
+    bool hasUnreadableMaxRejections = false;
     std::optional<upstream_load> load;
     std::optional<milliseconds> keepAlive; ///< Idle time limit of the connection.
     std::vector<http_header> forwardedFields; ///< Header fields for the caller, unchanged.
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -131,6 +131,21 @@
     BOOST_TEST(!wire.readAnswer(200, {}).hasUnreadableLimit);
 }
 
+BOOST_AUTO_TEST_CASE(a_brittle_upstream_says_how_many_rejections_a_second_it_withstands)
+{
+    const wire_format wire = makePlatformWireFormat();
+    const auto answerWith = [&wire](const char *value) {
+        const std::vector<http_header> fields{{"server-brittle", value}};
+        return wire.readAnswer(503, fields);
+    };
+    BOOST_TEST((answerWith("12").maxRejections == std::optional(12.0)));
+    for (const char *value : {"", "-1", "few", "nan", "inf"}) {
+        BOOST_TEST(!answerWith(value).maxRejections, value);
+        BOOST_TEST(answerWith(value).hasUnreadableMaxRejections, value);
+    }
+    BOOST_TEST(!wire.readAnswer(200, {}).hasUnreadableMaxRejections);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -220,6 +220,11 @@
         self.pause = None
         self.is_leaving = False
         self.limit = None
+        self.brittle = None  # Value of Server-Brittle in all answers unless None.
+        self.call_seconds = 0  # Work of a call that is no stream.
+        self.capacity = None  # Requests that run at the same time; others are turned away.
+        self.running = 0
+        self.rejections = []  # Times.
         self.arrivals = 0
         self.arrival_times = []
         self.runs = collections.Counter()
@@ -269,6 +274,7 @@
         self.arrival_times.append(time.monotonic())
         leaving = [("Server-Leaving", "1")] if self.is_leaving else []
         leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
+        leaving += [] if self.brittle is None else [("Server-Brittle", self.brittle)]
         if fields.get("quincefall-expect-instance") != self.identity:
             writer.write(answer_bytes(421, b"", [("Quincefall-Instance-Id", self.identity)]))
             await writer.drain()
@@ -283,8 +289,30 @@
             writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")] + pause + leaving))
             await writer.drain()
             return True
+        if self.capacity is not None and self.running >= self.capacity:
+            return await self.reject(writer, leaving)
+        self.running += 1
+        try:
+            return await self.run(writer, method, target, fields, body, request, leaving, fault)
+        finally:
+            self.running -= 1
+
+    async def reject(self, writer, fields):
+        """Turns a request away. A brittle engine crashes when it has to do so too often."""
+        now = time.monotonic()
+        self.rejections.append(now)
+        recent = [at for at in self.rejections if at > now - 1]
+        if self.brittle is not None and len(recent) > self.brittle:
+            self.tasks.append(asyncio.create_task(self.crash()))
+            return False
+        writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")] + fields))
+        await writer.drain()
+        return True
+
+    async def run(self, writer, method, target, fields, body, request, leaving, fault):
         self.runs[request] += 1
         self.request_heads[request] = dict(fields, method=method, target=target, body=body)
+        is_deadly_request = self.is_deadly_request(target, fields, body)
         is_stream = target.startswith(("/stream/", "/once/"))
         crashes_stream = is_deadly_request and is_stream and self.deadly_after_event
         if is_deadly_request and not crashes_stream:
@@ -314,6 +342,7 @@
             await writer.drain()
             return False
         else:
+            await asyncio.sleep(self.call_seconds)
             writer.write(answer_bytes(200, b"done:" + request.encode() + body, echo + stamp))
         await writer.drain()
         return True
