--- a/tests/process/support/stranded_fleet.py
+++ b/tests/process/support/stranded_fleet.py
@@ -3,9 +3,12 @@
 import http.client
 import threading
 import time
+import unittest
 
 from support.cut_link import HostLinks, HostView
-from support.route_fleet import KEY, RouteFleet, ask
+from support.route_fleet import KEY, RouteFleet, ask, wait_for
+
+STABLE_SECONDS = 4.0  # stable_window_ms of the platform.
 
 
 class StrandedFleet(RouteFleet):
@@ -109,3 +112,53 @@
     lines = connection.getresponse().read().decode().splitlines()
     connection.close()
     return next(float(line.split()[1]) for line in lines if line.startswith(name + " "))
+
+
+class CutTestCase(unittest.TestCase):
+    """Cuts links of hosts and checks that their callers are served, and then the direct links used."""
+
+    def check_served(self, fleet, cut_at, callers):
+        """RECOVER, for each kind of request."""
+        for one in callers:
+            for kind in CALLS:
+                ends = [served for sent, of, served in one.ends
+                        if of == kind and sent >= cut_at + STABLE_SECONDS]
+                self.assertGreater(len(ends), 5, (one.label, kind))
+                failed = ends.count(False)
+                self.assertFalse(failed > 10 + len(ends) / 50 or 3 * failed > len(ends),
+                                 (one.label, kind, failed, len(ends)))
+
+    def play_cut(self, how, cuttable=1, engines=None, before=None):
+        with StrandedFleet(cuttable) as fleet:
+            settle(fleet)
+            if before:
+                before(fleet)
+            fleet.cut(how, engines)
+            cut_at = time.monotonic()
+            callers = run_callers(fleet.hosts[:cuttable], STABLE_SECONDS + 2)
+            try:
+                self.check_served(fleet, cut_at, callers)
+            except AssertionError:
+                for host in fleet.hosts[:cuttable]:
+                    print(f"{host.name}:", *host.lines(), sep="\n")
+                raise
+            fleet.heal()
+            self.check_direct_again(fleet.hosts[:cuttable])
+        self.assertEqual(fleet.codes, [0, 0, 0])
+        for request, count in self.repeated_bookings(fleet):
+            self.assertLessEqual(count, 1, request)
+
+    def check_direct_again(self, hosts):
+        def are_direct():
+            run_callers(hosts, 0.3)
+            return all(metric(host, "quincefall_upstreams_relayed") == 0 for host in hosts)
+
+        wait_for(are_direct, "the direct links to be used again", 5)
+
+    @staticmethod
+    def repeated_bookings(fleet):
+        for engine in fleet.engines.values():
+            for request, count in engine.runs.items():
+                head = engine.request_heads.get(request, {})
+                if head.get("target", "").startswith(("/book/", "/once/")):
+                    yield request, fleet.runs(request)
