End one request or task, not the process, after an unexpected error

Change: the server ends a request whose handler throws without an answer, since whether it ran is unknown, and logs it. The event loop goes on after any other exception.

With it, in upstream_paths: a request whose connection times out while other engines answer no longer waits for relays too; they are asked in the background, once at a time for each engine. Idle relayed connections are closed as soon as the relay says that it stops, so it need not wait for them. A relay query that fails without an answer no longer holds up the others.

--- a/src/cli/route_verb.cpp
+++ b/src/cli/route_verb.cpp
@@ -1,6 +1,7 @@
 #include "cli/verbs.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "platform/state_reader.h"
 #include "platform/wire_codec.h"
@@ -77,7 +78,7 @@
     }
     asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     waitForSignals(signals, **host, context);
-    context.run();
+    runContext(context);
     return exit_code::success;
 }
 
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -1,6 +1,7 @@
 #include "route/feed.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "policy/feed_plan.h"
 #include "route/peer_calls.h"
@@ -436,8 +437,10 @@
 
 void feed::start()
 {
-    asio::co_spawn(m_state->context, state::followDesired(m_state), asio::detached);
-    asio::co_spawn(m_state->context, state::followUpstreams(m_state), asio::detached);
+    startService(m_state->context, "desired state",
+                 [shared = m_state] { return state::followDesired(shared); });
+    startService(m_state->context, "upstreams",
+                 [shared = m_state] { return state::followUpstreams(shared); });
 }
 
 void feed::stop()
--- a/src/route/held_archive.cpp
+++ b/src/route/held_archive.cpp
@@ -1,6 +1,7 @@
 #include "route/held_archive.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "policy/keepers.h"
 #include "route/hint_codec.h"
@@ -147,7 +148,8 @@
 
 void held_archive::start()
 {
-    asio::co_spawn(m_state->context, state::run(m_state), asio::detached);
+    startService(m_state->context, "held archive",
+                 [shared = m_state] { return state::run(shared); });
 }
 
 void held_archive::stop()
--- a/src/route/host_directory.cpp
+++ b/src/route/host_directory.cpp
@@ -1,6 +1,7 @@
 #include "route/host_directory.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 
 #include <algorithm>
@@ -147,7 +148,8 @@
 
 void host_directory::start()
 {
-    asio::co_spawn(m_state->context, state::run(m_state), asio::detached);
+    startService(m_state->context, "host directory",
+                 [shared = m_state] { return state::run(shared); });
 }
 
 void host_directory::stop()
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "route/load_exchange.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "peer.pb.h"
 #include "policy/feed_plan.h"
@@ -246,7 +247,7 @@
         const bool isNews
             = !routing.quarantine.news.empty() || !routing.quarantine.keeperNews.empty();
         if (isNews && !std::exchange(isSuspectNewsPlanned, true))
-            asio::co_spawn(context, sendPlannedSuspectNews(shared_from_this()), asio::detached);
+            startTask(context, "suspect news", sendPlannedSuspectNews(shared_from_this()));
     }
 
     static asio::awaitable<void> sendPlannedSuspectNews(std::shared_ptr<state> self)
@@ -334,9 +335,11 @@
 
 void load_exchange::start()
 {
-    asio::co_spawn(m_state->context, state::send(m_state), asio::detached);
-    asio::co_spawn(m_state->context, state::sendToCandidates(m_state), asio::detached);
-    asio::co_spawn(m_state->context, state::receive(m_state), asio::detached);
+    startService(m_state->context, "hints", [shared = m_state] { return state::send(shared); });
+    startService(m_state->context, "hints to candidates",
+                 [shared = m_state] { return state::sendToCandidates(shared); });
+    startService(m_state->context, "hints of others",
+                 [shared = m_state] { return state::receive(shared); });
 }
 
 void load_exchange::stop()
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/asio_headers.h"
 
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "policy/route_choice.h"
 #include "route/proxy_attempt.h"
@@ -200,7 +201,7 @@
         wanted.probe.targetMs = double(job.choice.route->targetLatency.count());
         service_pool &pool = routing.pools[job.service()];
         for (const routed_upstream *upstream : takeDueReconnects(pool, clock.now()))
-            asio::co_spawn(context, paths->checkLink(upstream->listed), asio::detached);
+            startTask(context, "reconnect", paths->checkLink(upstream->listed));
         return chooseUpstream(pool, wanted, settings.site, routing.otherHostsLoad, clock.now());
     }
 
--- a/src/route/relay_client.cpp
+++ b/src/route/relay_client.cpp
@@ -1,6 +1,7 @@
 #include "route/relay_client.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/url/url.hpp>
@@ -119,14 +120,13 @@
         if (isDecided(race->outcome) || now >= deadline)
             break;
         ++race->pending;
-        asio::co_spawn(connections->context(),
-                       tryRelay(race, connections, entry, relay,
-                                std::chrono::ceil<milliseconds>(deadline - now)),
-                       asio::detached);
+        startTask(connections->context(), "relay query",
+                  tryRelay(race, connections, entry, relay,
+                           std::chrono::ceil<milliseconds>(deadline - now)));
         race->changed.expires_at(std::min<instant>(now + patience, deadline));
         co_await race->changed.async_wait(asTuple);
     }
-    while (race->pending > 0 && !isDecided(race->outcome)) {
+    while (race->pending > 0 && !isDecided(race->outcome) && steadyNow() < deadline + patience) {
         race->changed.expires_at(deadline + patience);
         co_await race->changed.async_wait(asTuple);
     }
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -3,6 +3,7 @@
 #include "clients/connection_pool.h"
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/feed.h"
@@ -418,7 +419,7 @@
         return;
     m_state->isStopping = true;
     logInfo("host stopping", {{"host", m_state->values.hostName}});
-    asio::co_spawn(m_state->context, state::drain(m_state, std::move(done)), asio::detached);
+    startTask(m_state->context, "stop", state::drain(m_state, std::move(done)));
 }
 
 } // namespace quincefall
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -1,11 +1,15 @@
 #include "route/upstream_paths.h"
 
 #include "kernel/asio_headers.h"
+#include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "policy/probation.h"
 #include "policy/relay_choice.h"
 #include "route/relay_client.h"
 
+#include <set>
+#include <string>
+
 namespace quincefall {
 namespace {
 
@@ -23,7 +27,7 @@
 
 } // namespace
 
-struct upstream_paths::state
+struct upstream_paths::state : std::enable_shared_from_this<upstream_paths::state>
 {
     state(asio::io_context &io, routing_state &target, std::shared_ptr<connection_pool> pool,
           placement_site place, clock_source clocks)
@@ -43,6 +47,7 @@
     placement_site site;
     clock_source clock;
     relay_failures failures;
+    std::set<std::string, std::less<>> searching; ///< Ids of upstreams for which relays are asked.
     std::function<void()> isolationListener;
     counts totals;
     bool isStopped = false;
@@ -53,14 +58,18 @@
         return upstream && needsRelay(routing.links, *upstream);
     }
 
-    /// Drops the relay of an upstream when its hints say that it can't relay, or have ended.
-    void dropLostRelay(const upstream_entry &entry)
+    /// Drops relays whose hints say that they can't relay, or have ended. A stopping relay waits
+    /// for the idle connections to be closed.
+    void dropLostRelays()
     {
-        routed_upstream *upstream = findUpstream(routing, entry);
-        if (!upstream || !upstream->relay || mayRelay(routing.otherHostsLoad, *upstream->relay))
-            return;
-        upstream->relay.reset();
-        relayed->closeIdle(entry.address);
+        for (auto &[service, pool] : routing.pools) {
+            for (auto &[id, upstream] : pool.upstreams) {
+                if (!upstream.relay || mayRelay(routing.otherHostsLoad, *upstream.relay))
+                    continue;
+                upstream.relay.reset();
+                relayed->closeIdle(upstream.listed.address);
+            }
+        }
     }
 
     void tellIsolation(bool isIsolated)
@@ -150,18 +159,42 @@
     asio::awaitable<result<connection_ptr>> openDirect(upstream_entry entry, milliseconds timeout)
     {
         const instant triedAt = clock.now();
-        auto opened = co_await direct->open(entry.address, timeout);
+        auto opened = co_await direct->connect(entry.address, timeout);
         if (opened) {
             noteDirectContact();
             co_return std::move(*opened);
         }
+        const bool isTimeout = opened.error() == asio::error::timed_out;
+        const error failure{result_code::upstreamUnreachable,
+                            toString(entry.address) + ": "
+                                + (isTimeout ? "timed out" : opened.error().message())};
+        // The request has waited long enough if another upstream is likely to be reached.
+        if (isTimeout && routing.links.lastContactAt > triedAt) {
+            startTask(context, "relay search", findRelay(shared_from_this(), entry, triedAt));
+            co_return tl::unexpected(failure);
+        }
         relay_outcome outcome = co_await askRelays(entry, waitingRelayTimeout);
         if (!outcome.connection)
-            co_return tl::unexpected(opened.error());
+            co_return tl::unexpected(failure);
         noteCutLink(entry, outcome.relay, triedAt);
         co_return std::move(outcome.connection);
     }
 
+    /// Records the relay through which the upstream is reached, if there is one, after a direct
+    /// attempt that began at @p triedAt and failed.
+    static asio::awaitable<void> findRelay(std::shared_ptr<state> self, upstream_entry entry,
+                                           instant triedAt)
+    {
+        if (!self->searching.insert(entry.id).second)
+            co_return;
+        relay_outcome outcome = co_await self->askRelays(entry, relayTimeout);
+        self->searching.erase(entry.id);
+        if (!outcome.connection)
+            co_return;
+        self->relayed->putIdle(entry.address, std::move(outcome.connection));
+        self->noteCutLink(entry, outcome.relay, triedAt);
+    }
+
     asio::awaitable<bool> checkDirectLink(upstream_entry entry)
     {
         auto opened = co_await direct->open(entry.address, connectTimeout);
@@ -188,14 +221,8 @@
         const instant triedAt = clock.now();
         if (co_await checkDirectLink(entry))
             co_return;
-        if (!usesRelay(entry)) {
-            relay_outcome outcome = co_await askRelays(entry, relayTimeout);
-            if (outcome.connection) {
-                relayed->putIdle(entry.address, std::move(outcome.connection));
-                noteCutLink(entry, outcome.relay, triedAt);
-                co_return;
-            }
-        }
+        if (!usesRelay(entry))
+            co_await findRelay(shared_from_this(), entry, triedAt);
         routed_upstream *upstream = findUpstream(routing, entry);
         if (upstream && upstream->isDisconnected)
             recordReconnect(*upstream, false, clock.now());
@@ -212,9 +239,10 @@
         while (!self->isStopped) {
             timer.expires_after(watchInterval);
             co_await timer.async_wait(asTuple);
+            self->dropLostRelays();
             for (const upstream_entry &entry :
                  takeDueLinkChecks(self->routing.pools, self->routing.links, self->clock.now()))
-                asio::co_spawn(self->context, checkOne(self, entry), asio::detached);
+                startTask(self->context, "link check", checkOne(self, entry));
         }
     }
 };
@@ -240,7 +268,7 @@
 
 void upstream_paths::start()
 {
-    asio::co_spawn(m_state->context, state::watch(m_state), asio::detached);
+    startService(m_state->context, "links", [shared = m_state] { return state::watch(shared); });
 }
 
 void upstream_paths::stop()
@@ -255,7 +283,6 @@
 
 connection_ptr upstream_paths::takeIdle(const upstream_entry &entry, double maxIdleFraction)
 {
-    m_state->dropLostRelay(entry);
     connection_pool &pool = m_state->usesRelay(entry) ? *m_state->relayed : *m_state->direct;
     return pool.takeIdle(entry.address, maxIdleFraction);
 }
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -1,9 +1,11 @@
 #include "serve/http_server.h"
 
+#include "observe/log_setup.h"
 #include "serve/http_exchange_state.h"
 #include "serve/problem.h"
 
 #include <array>
+#include <exception>
 
 namespace quincefall {
 namespace {
@@ -53,6 +55,21 @@
     return size == 0 && code != asio::error::would_block;
 }
 
+/// Ends an exchange whose handler threw, without an answer: whether the request ran is unknown.
+void endFailedExchange(http_exchange &exchange, const std::exception_ptr &failure)
+{
+    std::string cause = "not a std::exception";
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception &reason) {
+        cause = reason.what();
+    } catch (...) {
+    }
+    logError("request handler failed",
+             {{"path", std::string(exchange.path())}, {"cause", std::move(cause)}});
+    exchange.abort();
+}
+
 } // namespace
 
 struct http_server::state
@@ -139,9 +156,16 @@
     asio::co_spawn(stream.get_executor(), watchDisconnect(*exchange.m_state, isOver),
                    asio::detached);
     ++core->active;
-    co_await core->requestHandler(exchange);
+    std::exception_ptr failure;
+    try {
+        co_await core->requestHandler(exchange);
+    } catch (...) {
+        failure = std::current_exception();
+    }
     --core->active;
     *isOver = true;
+    if (failure)
+        endFailedExchange(exchange, failure);
     boost::system::error_code ignored;
     stream.socket().cancel(ignored);
     co_return exchange.m_state->keepAlive && !exchange.isCallerDisconnected();
