Take no new callers while neither links nor relays reach an engine

A host that was found isolated and whose relays are lost too said that it was ready and refused what came. It is not ready now until a link or a relay works; since it has no requests then, the watch of links tries both every half second.

Tests: a_host_that_lost_its_links_and_all_relays_takes_no_new_callers, test_a_cut_host_whose_relays_are_gone_is_ready_again_once_its_links_are.

--- a/src/policy/upstream_links.cpp
+++ b/src/policy/upstream_links.cpp
@@ -74,6 +74,16 @@
     return upstream.isRelayed || links.isIsolated;
 }
 
+bool reachesUpstreams(const upstream_links &links,
+                      const std::map<std::string, service_pool, std::less<>> &pools)
+{
+    const auto hasRelay = [](const auto &row) { return row.second.relay.has_value(); };
+    return !links.isIsolated || std::any_of(pools.begin(), pools.end(), [&](const auto &pool) {
+        const auto &upstreams = pool.second.upstreams;
+        return std::any_of(upstreams.begin(), upstreams.end(), hasRelay);
+    });
+}
+
 std::size_t countRelayed(const std::map<std::string, service_pool, std::less<>> &pools)
 {
     std::size_t count = 0;
--- a/src/policy/upstream_links.h
+++ b/src/policy/upstream_links.h
@@ -44,6 +44,13 @@
 /// Whether the next connection to the upstream goes through another host.
 bool needsRelay(const upstream_links &links, const routed_upstream &upstream);
 
+/// Whether the host reaches upstreams, directly or through other hosts.
+///
+/// A host that reaches them through others serves its callers as well as those hosts do; to turn
+/// callers away then would help none of those on open connections.
+bool reachesUpstreams(const upstream_links &links,
+                      const std::map<std::string, service_pool, std::less<>> &pools);
+
 /// Number of upstreams that are reached through other hosts.
 std::size_t countRelayed(const std::map<std::string, service_pool, std::less<>> &pools);
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -119,7 +119,8 @@
 
     asio::awaitable<void> answerReady(http_exchange &exchange) const
     {
-        const bool isReady = routing.isReady() && !isStopping;
+        const bool isReady
+            = routing.isReady() && !isStopping && reachesUpstreams(routing.links, routing.pools);
         co_await exchange.respond(isReady ? statusReady : statusNotReady, {}, "");
     }
 
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -58,6 +58,12 @@
         return upstream && needsRelay(routing.links, *upstream);
     }
 
+    bool hasRelay(const upstream_entry &entry) const
+    {
+        const routed_upstream *upstream = findUpstream(routing, entry);
+        return upstream && upstream->relay;
+    }
+
     /// Drops relays whose hints say that they can't relay, or have ended. A stopping relay waits
     /// for the idle connections to be closed.
     void dropLostRelays()
@@ -221,7 +227,7 @@
         const instant triedAt = clock.now();
         if (co_await checkDirectLink(entry))
             co_return;
-        if (!usesRelay(entry))
+        if (!hasRelay(entry))
             co_await findRelay(shared_from_this(), entry, triedAt);
         routed_upstream *upstream = findUpstream(routing, entry);
         if (upstream && upstream->isDisconnected)
@@ -233,6 +239,20 @@
         co_await self->checkLink(std::move(entry));
     }
 
+    std::vector<upstream_entry> takeDueChecks()
+    {
+        const instant now = clock.now();
+        auto due = takeDueLinkChecks(routing.pools, routing.links, now);
+        // A host that takes no callers has no requests whose upstreams would be connected again.
+        if (!reachesUpstreams(routing.links, routing.pools)) {
+            for (auto &[service, pool] : routing.pools) {
+                for (const routed_upstream *upstream : takeDueReconnects(pool, now))
+                    due.push_back(upstream->listed);
+            }
+        }
+        return due;
+    }
+
     static asio::awaitable<void> watch(std::shared_ptr<state> self)
     {
         asio::steady_timer timer(self->context);
@@ -240,8 +260,7 @@
             timer.expires_after(watchInterval);
             co_await timer.async_wait(asTuple);
             self->dropLostRelays();
-            for (const upstream_entry &entry :
-                 takeDueLinkChecks(self->routing.pools, self->routing.links, self->clock.now()))
+            for (const upstream_entry &entry : self->takeDueChecks())
                 startTask(self->context, "link check", checkOne(self, entry));
         }
     }
--- a/tests/policy/upstream_links_test.cpp
+++ b/tests/policy/upstream_links_test.cpp
@@ -87,6 +87,22 @@
     BOOST_TEST(isWithheld(upstream, at(1'200)));
 }
 
+BOOST_AUTO_TEST_CASE(a_host_that_lost_its_links_and_all_relays_takes_no_new_callers)
+{
+    pool_map pools;
+    upstream_links links;
+    routed_upstream &upstream = addUpstream(pools, "engines", "e1");
+    addUpstream(pools, "desk", "d1");
+    BOOST_TEST(reachesUpstreams(links, pools));
+    recordRelay(upstream, relay, at(0));
+    links.isIsolated = true;
+    BOOST_TEST(reachesUpstreams(links, pools));
+    upstream.relay.reset();
+    BOOST_TEST(!reachesUpstreams(links, pools));
+    recordContact(links, at(100));
+    BOOST_TEST(reachesUpstreams(links, pools));
+}
+
 BOOST_AUTO_TEST_CASE(a_direct_link_that_works_again_ends_the_relay)
 {
     pool_map pools;
--- a/tests/process/route_relay_test.py
+++ b/tests/process/route_relay_test.py
@@ -80,6 +80,17 @@
                 thread.join()
             self.assertEqual([answer.body for answer in answers], [complete_stream(30)] * 4)
 
+    def test_a_cut_host_whose_relays_are_gone_is_ready_again_once_its_links_are(self):
+        with StrandedFleet() as fleet:
+            host = self.cut_and_wait(fleet)
+            self.assertTrue(host.is_ready())
+            for relay in fleet.hosts[1:]:
+                relay.send(signal.SIGKILL)
+            wait_for(lambda: not host.is_ready(), "the host to lose its relays", 8)
+            fleet.heal()
+            wait_for(host.is_ready, "the host to use its links again", 8)
+            self.assertEqual(ask(host.caller, "after").status, 200)
+
     def test_a_caller_that_leaves_ends_its_relayed_request(self):
         with StrandedFleet() as fleet:
             host = self.cut_and_wait(fleet)
--- a/tests/process/route_soak.py
+++ b/tests/process/route_soak.py
@@ -18,7 +18,8 @@
 import time
 
 from support.platform_standin import LoopThread, complete_stream
-from support.route_fleet import RouteFleet, ask, desired_state, wait_for
+from support.route_fleet import ask, desired_state, wait_for
+from support.stranded_fleet import StrandedFleet
 from support.tcp_proxy import TcpProxy
 
 # Seeds that have failed before, each with its cause.
@@ -43,6 +44,7 @@
         self.proxies = []
         self.fleet = None
         self.version = 1
+        self.is_cut = False  # Whether the links of the first host are.
         self.sent = 0
         self.served = 0
         self.taken_up = 0  # Streams that a caller went on with, and those that came to their end.
@@ -141,13 +143,31 @@
         else:
             proxy.mode = how
 
+    def inject_cut(self):
+        """Cuts the first host from all upstreams, or from some."""
+        if self.is_cut:
+            self.fleet.heal()
+        names = sorted(self.fleet.engines)
+        self.fleet.cut(self.random.choice(("hang", "reset", "refuse")),
+                       self.random.sample(names, self.random.choice((2, len(names)))))
+        self.is_cut = True
+
     def inject_engine_fault(self):
         engine = self.random.choice(list(self.fleet.engines.values()))
+        kind = self.random.choice(("fault", "fault", "silent", "brittle"))
+        if kind == "silent":
+            engine.silent_until = time.monotonic() + self.random.uniform(0.3, 1.5)
+            return
+        if kind == "brittle":
+            engine.brittle, engine.capacity = self.random.choice((2, 5)), self.random.choice((1, 3))
+            return
         engine.fault = self.random.choice(ENGINE_FAULTS)
         engine.faults_left = self.random.randint(1, 8)
 
     def inject_store_fault(self):
-        self.fleet.store.mode = self.random.choice(("refuse", "hang", "ok"))
+        mode = self.random.choice(("refuse", "hang", "ok"))
+        for store in [self.fleet.store, *self.fleet.own_stores]:
+            store.mode = mode
 
     def change_desired(self):
         self.version += self.random.randint(1, 3)
@@ -159,14 +179,18 @@
             proxy.delay = 0
             self.thread.call(proxy.reset())
         for engine in self.fleet.engines.values():
-            engine.fault = None
-        self.fleet.store.mode = "ok"
+            engine.fault = engine.brittle = engine.capacity = None
+        if self.is_cut:
+            self.fleet.heal()
+            self.is_cut = False
+        for store in [self.fleet.store, *self.fleet.own_stores]:
+            store.mode = "ok"
 
     def inject_faults(self):
         while time.monotonic() < self.end:
             step = self.random.choice((self.inject_host_fault, self.inject_link_fault,
-                                       self.inject_link_fault, self.inject_engine_fault,
-                                       self.inject_engine_fault, self.inject_store_fault,
+                                       self.inject_link_fault, self.inject_cut,
+                                       self.inject_engine_fault, self.inject_engine_fault, self.inject_store_fault,
                                        self.change_desired))
             step()
             time.sleep(self.random.uniform(0.05, 0.5))
@@ -196,7 +220,7 @@
                 self.violations.append(f"{host.name} did not apply the last change")
 
     def run(self):
-        self.fleet = fleet = RouteFleet(hosts=3, link=self.link, thread=self.thread)
+        self.fleet = fleet = StrandedFleet(cuttable=1, hosts=3, link=self.link, thread=self.thread)
         for index, name in enumerate(("e1", "e2", "e3", "e4")):
             if name not in fleet.engines:
                 fleet.add_engine(name, "engines")
@@ -219,12 +243,16 @@
         return logs
 
 
-def run_seed(seed, seconds):
+def run_seed(seed, seconds, keep_logs=None):
     soak = Soak(seed, seconds)
     logs = soak.run()
     state = "failed" if soak.violations else "passed"
     print(f"seed {seed}: {state}, {soak.served} of {soak.sent} served, "
           f"{soak.gone_on} of {soak.taken_up} streams went on", flush=True)
+    if soak.violations and keep_logs:
+        for name, lines in logs.items():
+            with open(f"{keep_logs}/seed{seed}-{name}.log", "w", encoding="utf-8") as file:
+                file.write("\n".join(lines))
     for violation in soak.violations[:5]:
         print("   ", violation)
         request = violation.split(" ")[0]
@@ -240,9 +268,10 @@
     parser.add_argument("--seeds", default="1-2", help="range of seeds, FIRST-LAST")
     parser.add_argument("--seconds", type=float, default=6,
                         help="duration of the fault phase of each seed, in seconds")
+    parser.add_argument("--keep-logs", help="folder for the hosts' logs of failed seeds")
     arguments = parser.parse_args()
     first, last = (int(word) for word in (arguments.seeds + "-" + arguments.seeds).split("-")[:2])
-    results = [run_seed(seed, arguments.seconds) for seed in range(first, last + 1)]
+    results = [run_seed(seed, arguments.seconds, arguments.keep_logs) for seed in range(first, last + 1)]
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
     sys.exit(0 if all(results) else 1)
 
--- a/tests/process/support/cut_link.py
+++ b/tests/process/support/cut_link.py
@@ -122,12 +122,16 @@
 
     def __init__(self, fleet, view):
         self.thread = fleet.thread
+        self.view = view
         self.by_engine = {}
-        for name, engine in fleet.engines.items():
-            link = CutLink(self.thread.loop, engine.server.port)
-            self.thread.call(link.listen())
-            self.by_engine[name] = link
-            view.links[engine.server.port] = link
+        for engine in fleet.engines.values():
+            self.add(engine)
+
+    def add(self, engine):
+        link = CutLink(self.thread.loop, engine.listed_port)
+        self.thread.call(link.listen())
+        self.by_engine[engine.identity] = link
+        self.view.links[engine.listed_port] = link
 
     def cut(self, how, engines=None):
         for name in engines or self.by_engine:
--- a/tests/process/support/stranded_fleet.py
+++ b/tests/process/support/stranded_fleet.py
@@ -14,9 +14,9 @@
 class StrandedFleet(RouteFleet):
     """A fleet of three hosts, of which the first `cuttable` have links that can be cut."""
 
-    def __init__(self, cuttable=1, hosts=3):
-        super().__init__(hosts=hosts)
+    def __init__(self, cuttable=1, hosts=3, **more):
         self.links = []
+        super().__init__(hosts=hosts, **more)
         for host in self.hosts[:cuttable]:
             view = HostView(self.thread.loop, self.store.topics)
             self.thread.call(view.server.listen())
@@ -24,6 +24,11 @@
             self.own_stores.append(view)
             self.links.append(HostLinks(self, view))
 
+    def add_engine(self, name, service, version="v1"):
+        super().add_engine(name, service, version)
+        for links in self.links:
+            links.add(self.engines[name])
+
     def cut(self, how, engines=None):
         for links in self.links:
             links.cut(how, engines)
