Let all hosts use brittle engines that have room, and take turns otherwise

Cause: gave half of what an engine withstands to as many hosts as there are pieces, always the same ones. With two rejections a second that is one host for each engine; a host with a piece of none served nobody, and got no answer that would have told it of the end.

Change: while an engine seems at most half full and no rejection was heard of for 30 s, each host may send, a quarter of its slots at a time. Otherwise hosts take turns of two seconds by the wall clock. A rejection by a brittle engine is told to the other hosts at once, as a pause of a second.

Open: one fall of each engine when all of several hundred hosts begin in the same moment at an engine with fewer slots.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -89,7 +89,7 @@
 {
     return !upstream.listed.isLeaving && upstream.pausedUntil <= now
         && timeUntilRoom(upstream.limit, now) == microseconds(0)
-        && timeUntilRoom(upstream.rejections, ownInFlight(upstream), now) == microseconds(0)
+        && timeUntilRoom(upstream.rejections, ownInFlight(upstream), now).count() == 0
         && (!request.tried || !request.tried->contains(upstream.listed.id));
 }
 
@@ -450,16 +450,28 @@
             continue;
         const auto untilRoom = timeUntilRoom(upstream.limit, now);
         const auto untilPlace = timeUntilRoom(upstream.rejections, ownInFlight(upstream), now);
-        if (!untilRoom || !untilPlace)
+        if (!untilRoom)
             continue;
         const microseconds paused
             = upstream.pausedUntil > now ? upstream.pausedUntil - now : microseconds(0);
-        const microseconds left = std::max({paused, *untilRoom, *untilPlace});
+        const microseconds left = std::max({paused, *untilRoom, untilPlace});
         shortest = std::min(shortest.value_or(left), left);
     }
     return shortest;
 }
 
+void updateRejections(routed_upstream &upstream, std::optional<double> maxRejections,
+                      std::uint64_t turn, const host_address &self, fleet_load &others, instant now)
+{
+    rejection_guard &guard = upstream.rejections;
+    setMaxRejections(guard, maxRejections);
+    guard.slots = upstream.listed.slots;
+    guard.load = loadOf(upstream, others, now);
+    if (upstream.othersPausedUntil > now)
+        guard.rejectionHeardAt = now;
+    updateShare(guard, upstream.listed.id, turn, self, others, now);
+}
+
 std::optional<double> maxRejectionsOf(const service_pool &pool)
 {
     std::optional<double> lowest;
@@ -476,8 +488,8 @@
     const auto maxRejections = maxRejectionsOf(pool);
     for (auto &[id, upstream] : pool.upstreams) {
         updateShare(upstream.limit, id, site.self, others, now);
-        setMaxRejections(upstream.rejections, maxRejections);
-        updateShare(upstream.rejections, id, upstream.listed.slots, site.self, others, now);
+        if (maxRejections || upstream.rejections.maxRejections)
+            updateRejections(upstream, maxRejections, request.turn, site.self, others, now);
     }
     for (auto &[id, upstream] : pool.upstreams) {
         if (!isEligible(upstream, request, now) || !hasWantedVersion(&upstream, request)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
 #include "policy/probation.h"
 #include "policy/routed_upstream.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,6 +35,7 @@
     /// Software version that the upstream must have; null for any. Upstreams whose version is not
     /// known have it.
     const std::string *softwareVersion = nullptr;
+    std::uint64_t turn = 0; ///< See rejectionTurn.
     bool prefersLatency = false; ///< Ignores that a repeated prefill delays others.
     probe_candidate probe; ///< Whether it may probe a failing upstream.
 };
@@ -101,6 +103,11 @@
 /// them is back, instead of an upstream being asked in vain.
 std::optional<microseconds> timeUntilUsable(const service_pool &pool, instant now);
 
+/// Updates what bounds the requests to an upstream that is brittle, or was so.
+void updateRejections(routed_upstream &upstream, std::optional<double> maxRejections,
+                      std::uint64_t turn, const host_address &self, fleet_load &others,
+                      instant now);
+
 /// Rejections a second that each of the pool's upstreams withstands, by the lowest number that one
 /// of them names; empty if none does. All upstreams of a service are brittle at the same time, but
 /// this host may have heard it from one of them only.
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -221,6 +221,9 @@
 answer_notice noticeOf(const answer_head &head, instant now)
 {
     answer_notice said{head.isLeaving, head.pause.value_or(microseconds(0)), {}, {}};
+    // Other hosts have to hear of a rejection before they send more.
+    if (head.wasNotRun && head.maxRejections)
+        said.pause = std::max<microseconds>(said.pause, pauseAfterRejection);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (head.limit || (isSuccess && !head.hasUnreadableLimit))
         said.limit = limit_statement{head.limit, now};
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -196,6 +196,7 @@
         wanted.prefersLatency = prefersLatency;
         wanted.softwareVersion = job.streamVersion ? &*job.streamVersion : nullptr;
         wanted.tried = &job.tried;
+        wanted.turn = std::uint64_t(clock.wall() / rejectionTurn.count());
         wanted.probe.isRetryable
             = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
         wanted.probe.targetMs = double(job.choice.route->targetLatency.count());
--- a/tests/policy/rejection_guard_test.cpp
+++ b/tests/policy/rejection_guard_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <set>
 #include <vector>
 
 namespace quincefall {
@@ -20,6 +21,9 @@
 constexpr milliseconds step{5};
 constexpr milliseconds roundTrip{25};
 constexpr milliseconds callTime{30};
+constexpr milliseconds downTime{3'000};
+constexpr milliseconds minNewsDelay{200}; // As in route/load_exchange.
+constexpr int newsPerHint = 4;
 constexpr unsigned slots = 16;
 
 host_address addressOf(std::size_t host)
@@ -44,91 +48,150 @@
     instant arrives;
 };
 
-/// One engine with few places, and hosts that all want to send to it.
+/// One brittle engine that lets nobody wait, and hosts that send to it. Hosts hear of each other's
+/// requests and rejections as often as hints come.
 struct engine_model
 {
-    explicit engine_model(std::size_t hosts, double maxRejections)
+    engine_model(std::size_t hosts, double withstands)
+        : maxRejections(withstands)
     {
         for (std::size_t host = 0; host < hosts; ++host) {
             others.push_back(othersOf(host, hosts));
             setMaxRejections(guards.emplace_back(), maxRejections);
+            guards.back().slots = slots;
             inFlight.push_back(0);
         }
     }
 
+    void hearHints(instant now)
+    {
+        if (now < hintsAt)
+            return;
+        hintsAt = now + hintInterval(unsigned(guards.size()));
+        hintedLoad = 0;
+        for (const double count : inFlight)
+            hintedLoad += count;
+    }
+
+    void hearNews(instant now)
+    {
+        if (now < newsAt)
+            return;
+        newsAt = instant::max();
+        for (rejection_guard &guard : guards)
+            guard.rejectionHeardAt = now;
+    }
+
     void tryToSend(std::size_t host, instant now)
     {
-        updateShare(guards[host], "e", slots, addressOf(host), others[host], now);
-        if (timeUntilRoom(guards[host], inFlight[host], now) != microseconds(0))
+        rejection_guard &guard = guards[host];
+        guard.load = std::max(inFlight[host], hintedLoad);
+        const auto turn = std::uint64_t((now - start) / rejectionTurn);
+        updateShare(guard, "e", turn, addressOf(host), others[host], now);
+        if (timeUntilRoom(guard, inFlight[host], now).count() > 0)
             return;
-        recordSent(guards[host], now);
+        recordSent(guard, now);
         inFlight[host] += 1;
         onTheWay.push_back({host, now + roundTrip});
     }
 
-    void advance(instant now, std::size_t places)
+    void reject(const sent_request &request, instant now)
+    {
+        inFlight[request.host] -= 1;
+        recordRejected(guards[request.host], now);
+        const milliseconds interval = hintInterval(unsigned(guards.size()));
+        newsAt = std::min<instant>(newsAt, now + std::max(minNewsDelay, interval / newsPerHint));
+        rejections.push_back(now);
+        if (double(rejections.size()) <= maxRejections)
+            return;
+        ++falls;
+        rejections.clear();
+        downUntil = now + downTime;
+    }
+
+    void advance(instant now)
     {
         while (!running.empty() && running.front().arrives + callTime <= now) {
             const std::size_t host = running.front().host;
             running.pop_front();
             recordAccepted(guards[host]);
             inFlight[host] -= 1;
-            ++served;
+            served.insert(host);
         }
         while (!onTheWay.empty() && onTheWay.front().arrives <= now) {
             const sent_request request = onTheWay.front();
             onTheWay.pop_front();
-            if (running.size() < places) {
+            if (now < downUntil)
+                inFlight[request.host] -= 1;
+            else if (running.size() < slots)
                 running.push_back(request);
-                continue;
-            }
-            inFlight[request.host] -= 1;
-            recordRejected(guards[request.host], now);
-            rejections.push_back(now);
+            else
+                reject(request, now);
         }
         while (!rejections.empty() && now - rejections.front() >= seconds(1))
             rejections.pop_front();
-        mostRejections = std::max(mostRejections, rejections.size());
+        hearHints(now);
+        hearNews(now);
     }
 
+    double maxRejections;
     std::vector<fleet_load> others;
     std::vector<rejection_guard> guards;
     std::vector<double> inFlight;
+    double hintedLoad = 0;
+    instant hintsAt = start;
     std::deque<sent_request> onTheWay;
     std::deque<sent_request> running;
     std::deque<instant> rejections;
-    std::size_t mostRejections = 0;
-    std::size_t served = 0;
+    instant newsAt = instant::max();
+    instant downUntil = start;
+    int falls = 0;
+    std::set<std::size_t> served; ///< Hosts.
 };
 
 BOOST_AUTO_TEST_SUITE(rejection_guard_tests)
 
-BOOST_DATA_TEST_CASE(a_brittle_upstream_without_room_rejects_no_more_than_it_withstands,
+BOOST_DATA_TEST_CASE(a_brittle_upstream_under_a_storm_from_all_hosts_does_not_fall_again_and_again,
                      data::make({1, 9, 82, 354}) * data::make({2.0, 5.0, 12.0, 60.0}), hosts,
                      maxRejections)
 {
     engine_model engine(std::size_t(hosts), maxRejections);
-    // All hosts always have a request for it. Its places vanish, return and vanish again.
-    for (instant now = start; now < start + seconds(12); now += step) {
-        const auto second = (now - start) / seconds(1);
-        for (std::size_t host = 0; host < engine.guards.size(); ++host)
-            engine.tryToSend(host, now);
-        engine.advance(now, second % 4 < 2 ? slots : 0);
+    // Quiet, then all hosts always have a request for it.
+    for (instant now = start; now < start + seconds(25); now += step) {
+        for (std::size_t host = 0; host < engine.guards.size(); ++host) {
+            if (now > start + seconds(3))
+                engine.tryToSend(host, now);
+        }
+        engine.advance(now);
+    }
+    BOOST_TEST(engine.falls <= 2);
+}
+
+BOOST_DATA_TEST_CASE(every_host_uses_a_brittle_upstream_that_has_room, data::make({1, 9, 82, 354}),
+                     hosts)
+{
+    engine_model engine(std::size_t(hosts), 2);
+    std::size_t turns = 0;
+    for (instant now = start; now < start + seconds(10); now += step) {
+        engine.tryToSend(turns++ % engine.guards.size(), now);
+        engine.advance(now);
     }
-    BOOST_TEST(double(engine.mostRejections) <= maxRejections);
+    BOOST_TEST(engine.served.size() == engine.guards.size());
+    BOOST_TEST(engine.falls == 0);
 }
 
-BOOST_DATA_TEST_CASE(a_brittle_upstream_with_room_is_used, data::make({1, 9, 82, 354}), hosts)
+BOOST_AUTO_TEST_CASE(after_a_rejection_hosts_take_turns_at_a_brittle_upstream)
 {
-    engine_model engine(std::size_t(hosts), 12);
-    for (instant now = start; now < start + seconds(4); now += step) {
+    engine_model engine(9, 2);
+    for (rejection_guard &guard : engine.guards)
+        guard.rejectionHeardAt = start;
+    for (instant now = start; now < start + seconds(28); now += step) {
         for (std::size_t host = 0; host < engine.guards.size(); ++host)
             engine.tryToSend(host, now);
-        engine.advance(now, slots);
+        engine.advance(now);
     }
-    // A request takes a round trip and its call; few hosts may have one on the way each.
-    const double perHost = 4'000.0 / toMilliseconds(roundTrip + callTime);
-    BOOST_TEST(double(engine.served) > 0.7 * perHost * std::min(hosts, 6));
+    BOOST_TEST(engine.served.size() > 6U);
+    BOOST_TEST(engine.falls == 0);
 }
 
 BOOST_AUTO_TEST_CASE(hosts_that_send_nothing_to_a_brittle_upstream_hear_of_it_and_of_its_end)
@@ -168,6 +231,8 @@
     placement_request request;
     placement_site site;
     site.self = addressOf(0);
+    for (const char *id : {"a", "b"})
+        pool.upstreams[id].rejections.rejectionHeardAt = start;
     for (int sent = 0; sent < 2; ++sent) {
         const placement chosen = chooseUpstream(pool, request, site, others, start);
         BOOST_TEST_REQUIRE(chosen.upstream);
--- a/tests/process/route_brittle_test.py
+++ b/tests/process/route_brittle_test.py
@@ -8,8 +8,7 @@
 
 STABLE_SECONDS = 4.0  # stable_window_ms of the platform.
 BRITTLE = 4
-CAPACITY = 3
-SLOTS = 8  # As the stand-in registers.
+CAPACITY = 8  # The slots that the stand-in registers; nobody may wait.
 
 
 def press(hosts, seconds, path, method="GET", body=None, per_host=8):
--- a/tests/process/route_soak.py
+++ b/tests/process/route_soak.py
@@ -23,7 +23,9 @@
 from support.tcp_proxy import TcpProxy
 
 # Seeds that have failed before, each with its cause.
-REGRESSION_SEEDS = {}
+REGRESSION_SEEDS = {
+    seed: "a host without a part of what a brittle service withstands served nobody"
+    for seed in (2, 25, 41, 45, 47)}
 
 VERSIONS = ("v1", "v2")
 NOT_RUN = (408, 421, 429, 503)
--- a/tests/process/support/cut_link.py
+++ b/tests/process/support/cut_link.py
@@ -63,8 +63,12 @@
         except (asyncio.CancelledError, ConnectionError, OSError):
             writer.transport.abort()
 
-    async def cut(self, how):
+    async def stop_accepting(self):
         self.accepting.cancel()
+        await asyncio.gather(self.accepting, return_exceptions=True)
+
+    async def cut(self, how):
+        await self.stop_accepting()
         if how == "hang":
             self.is_stalled = True
             self.listener.listen(0)
@@ -85,7 +89,7 @@
         await self.listen()
 
     async def close_listener(self):
-        self.accepting.cancel()
+        await self.stop_accepting()
         self.listener.close()
         for one in self.pending:
             one.close()
