Go on with streams elsewhere as soon as their link is found cut

Seen: streams that ran when their host's links began to hang were not resumed: two of four were cut at their route's time limit, though the host had found the cut within a second and reached the engine through another host.

Cause: a stream without a byte is given up only if its engine answers no other request of the host; one that does is busy. Answers through the relay counted, so the engine looked busy for four times the wait, while the stream's own connection was dead.

Change: an attempt over a direct link that is found cut counts as unresponsive; when an attempt to connect found the cut by its silence, calls that may be repeated and got no byte since are given up at once. Where connections are refused, open ones may live on and are left alone.

--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -24,6 +24,8 @@
 
 bool running_attempt::isUnresponsive(microseconds limit) const
 {
+    if (isLinkFault())
+        return true;
     const routed_upstream *target = upstream();
     const instant now = context.clock.now();
     const bool answersOtherRequests
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -30,7 +30,8 @@
     /// Whether the upstream has sent nothing to any request of this host for @p limit or since the
     /// attempt's start. One that answers other requests is only busy, and a further attempt would
     /// add load to an overloaded service, so this request waits until busyTimeoutFactor times
-    /// @p limit after the attempt's start. The last byte may also be this request's own.
+    /// @p limit after the attempt's start. The last byte may also be this request's own. An
+    /// upstream whose link was found cut may answer only requests that go through another host.
     bool isUnresponsive(microseconds limit) const;
     void noteFirstByte();
     void noteEvents();
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -75,6 +75,7 @@
     bool isFinished = false;
     bool hasLostConnection = false;
     bool isRelayed = false;
+    std::shared_ptr<void> linkWatch; ///< Of a direct connection.
     bool hasHead = false; ///< Of the answer to this request.
 
     instant inactivityDeadline() const
@@ -117,6 +118,17 @@
         armTimer(call);
     }
 
+    /// Gives up a call over a link that was found cut, if it may and nothing came since the attempt
+    /// that found it.
+    void giveUpCutLink()
+    {
+        const bool isSilent = steadyNow() - lastByteAt >= connectTimeout;
+        if (isFinished || !mayGiveUp || !isSilent || !mayGiveUp())
+            return;
+        isTimedOut = true;
+        cut();
+    }
+
     tl::unexpected<error> failure(const boost::system::error_code &code, result_code kind)
     {
         if (isCancelled)
@@ -270,6 +282,11 @@
     if (self.isCancelled)
         co_return self.failure({}, result_code::upstreamUnreachable);
     self.isRelayed = self.connection->isRelayed;
+    if (!self.isRelayed)
+        self.linkWatch = self.paths->watchLink(self.entry, [weak = weak_from_this()] {
+            if (const auto alive = weak.lock())
+                alive->m_state->giveUpCutLink();
+        });
     self.lastByteAt = steadyNow();
     self.armTimer(keep);
     self.startWriting(keep);
@@ -332,6 +349,7 @@
     // A pending write keeps this call alive, but not its caller, which owns the request's body.
     m_state->isFinished = true;
     m_state->mayGiveUp = nullptr;
+    m_state->linkWatch.reset();
     m_state->timer.cancel();
     if (m_state->isWriting)
         m_state->cut();
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -7,6 +7,8 @@
 #include "policy/relay_choice.h"
 #include "route/relay_client.h"
 
+#include <iterator>
+#include <map>
 #include <set>
 #include <string>
 
@@ -25,6 +27,13 @@
 constexpr std::size_t maxRelaysAsked = 5;
 constexpr std::size_t maxIdlePerUpstream = 24; // A host has only few requests at one upstream.
 
+/// An attempt to open a direct connection.
+struct failed_attempt
+{
+    instant triedAt;
+    bool wasSilent = false; ///< It timed out; otherwise it was refused or reset.
+};
+
 } // namespace
 
 struct upstream_paths::state : std::enable_shared_from_this<upstream_paths::state>
@@ -49,6 +58,7 @@
     relay_failures failures;
     std::set<std::string, std::less<>> searching; ///< Ids of upstreams for which relays are asked.
     std::function<void()> isolationListener;
+    std::multimap<std::string, std::weak_ptr<std::function<void()>>, std::less<>> linkListeners;
     counts totals;
     bool isStopped = false;
 
@@ -108,13 +118,30 @@
         recordRelay(*upstream, relay, clock.now());
     }
 
-    /// Records that a direct attempt which began at @p triedAt failed, unlike one through @p relay.
-    void noteCutLink(const upstream_entry &entry, const host_address &relay, instant triedAt)
+    /// Records that a direct attempt failed, unlike one through @p relay.
+    void noteCutLink(const upstream_entry &entry, const host_address &relay,
+                     const failed_attempt &failed)
     {
         noteRelay(entry, relay);
         const routed_upstream *upstream = findUpstream(routing, entry);
-        if (upstream && recordCutLink(routing.links, *upstream, triedAt))
+        if (!upstream)
+            return;
+        if (recordCutLink(routing.links, *upstream, failed.triedAt))
             tellIsolation(true);
+        if (failed.wasSilent)
+            tellSilentLink(entry.id);
+    }
+
+    void tellSilentLink(const std::string &id)
+    {
+        std::vector<std::shared_ptr<std::function<void()>>> listeners;
+        const auto [begin, end] = linkListeners.equal_range(id);
+        for (auto row = begin; row != end; ++row) {
+            if (auto listener = row->second.lock())
+                listeners.push_back(std::move(listener));
+        }
+        for (const auto &listener : listeners)
+            (*listener)();
     }
 
     std::vector<host_address> relaysOf(const upstream_entry &entry)
@@ -175,21 +202,22 @@
                             toString(entry.address) + ": "
                                 + (isTimeout ? "timed out" : opened.error().message())};
         // The request has waited long enough if another upstream is likely to be reached.
+        const failed_attempt failed{triedAt, isTimeout};
         if (isTimeout && routing.links.lastContactAt > triedAt) {
-            startTask(context, "relay search", findRelay(shared_from_this(), entry, triedAt));
+            startTask(context, "relay search", findRelay(shared_from_this(), entry, failed));
             co_return tl::unexpected(failure);
         }
         relay_outcome outcome = co_await askRelays(entry, waitingRelayTimeout);
         if (!outcome.connection)
             co_return tl::unexpected(failure);
-        noteCutLink(entry, outcome.relay, triedAt);
+        noteCutLink(entry, outcome.relay, failed);
         co_return std::move(outcome.connection);
     }
 
     /// Records the relay through which the upstream is reached, if there is one, after a direct
-    /// attempt that began at @p triedAt and failed.
+    /// attempt failed.
     static asio::awaitable<void> findRelay(std::shared_ptr<state> self, upstream_entry entry,
-                                           instant triedAt)
+                                           failed_attempt failed)
     {
         if (!self->searching.insert(entry.id).second)
             co_return;
@@ -198,20 +226,22 @@
         if (!outcome.connection)
             co_return;
         self->relayed->putIdle(entry.address, std::move(outcome.connection));
-        self->noteCutLink(entry, outcome.relay, triedAt);
+        self->noteCutLink(entry, outcome.relay, failed);
     }
 
-    asio::awaitable<bool> checkDirectLink(upstream_entry entry)
+    /// Empty if the link works.
+    asio::awaitable<std::optional<failed_attempt>> checkDirectLink(upstream_entry entry)
     {
-        auto opened = co_await direct->open(entry.address, connectTimeout);
+        const instant triedAt = clock.now();
+        auto opened = co_await direct->connect(entry.address, connectTimeout);
         if (!opened)
-            co_return false;
+            co_return failed_attempt{triedAt, opened.error() == asio::error::timed_out};
         (*opened)->keepAlive = initialKeepAlive;
         direct->putIdle(entry.address, std::move(*opened));
         noteDirectContact();
         routed_upstream *upstream = findUpstream(routing, entry);
         if (!upstream || !upstream->isDisconnected)
-            co_return true;
+            co_return std::nullopt;
         if (upstream->isRelayed)
             relayed->closeIdle(entry.address);
         recordReconnect(*upstream, true, clock.now());
@@ -219,16 +249,16 @@
                 {{"upstream", entry.id},
                  {"address", toString(entry.address)},
                  {"failures", std::to_string(upstream->health.failures)}});
-        co_return true;
+        co_return std::nullopt;
     }
 
     asio::awaitable<void> checkLink(upstream_entry entry)
     {
-        const instant triedAt = clock.now();
-        if (co_await checkDirectLink(entry))
+        const auto failed = co_await checkDirectLink(entry);
+        if (!failed)
             co_return;
         if (!hasRelay(entry))
-            co_await findRelay(shared_from_this(), entry, triedAt);
+            co_await findRelay(shared_from_this(), entry, *failed);
         routed_upstream *upstream = findUpstream(routing, entry);
         if (upstream && upstream->isDisconnected)
             recordReconnect(*upstream, false, clock.now());
@@ -315,6 +345,18 @@
     }
 }
 
+std::shared_ptr<void> upstream_paths::watchLink(const upstream_entry &entry,
+                                                std::function<void()> listener)
+{
+    auto &listeners = m_state->linkListeners;
+    const auto [begin, end] = listeners.equal_range(entry.id);
+    for (auto row = begin; row != end;)
+        row = row->second.expired() ? listeners.erase(row) : std::next(row);
+    auto handle = std::make_shared<std::function<void()>>(std::move(listener));
+    listeners.emplace(entry.id, handle);
+    return handle;
+}
+
 asio::awaitable<result<connection_ptr>> upstream_paths::open(upstream_entry entry,
                                                              milliseconds timeout)
 {
@@ -350,7 +392,7 @@
     if (isRelayed)
         self->noteRelay(entry, outcome.relay);
     else
-        self->noteCutLink(entry, outcome.relay, triedAt);
+        self->noteCutLink(entry, outcome.relay, {triedAt, false});
     co_return false;
 }
 
--- a/src/route/upstream_paths.h
+++ b/src/route/upstream_paths.h
@@ -43,6 +43,10 @@
     connection_ptr takeIdle(const upstream_entry &entry, double maxIdleFraction);
     void putIdle(const upstream_entry &entry, connection_ptr used);
 
+    /// Calls @p listener when the upstream's direct link is found cut in silence, until the
+    /// returned handle is destroyed.
+    std::shared_ptr<void> watchLink(const upstream_entry &entry, std::function<void()> listener);
+
     /// Opens a connection. Fails with upstreamUnreachable.
     boost::asio::awaitable<result<connection_ptr>> open(upstream_entry entry, milliseconds timeout);
 
