Drop the listeners of links whose calls have ended in one place

They were dropped at the next call to the same engine only, so those of engines that left stayed: a few dozen bytes for each, for good. The watch of links does it for all every 100 ms. No change of behaviour; route_stranded_test is run again with the whole suite.

--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -7,7 +7,6 @@
 #include "policy/relay_choice.h"
 #include "route/relay_client.h"
 
-#include <iterator>
 #include <map>
 #include <set>
 #include <string>
@@ -290,6 +289,8 @@
             timer.expires_after(watchInterval);
             co_await timer.async_wait(asTuple);
             self->dropLostRelays();
+            std::erase_if(self->linkListeners,
+                          [](const auto &row) { return row.second.expired(); });
             for (const upstream_entry &entry : self->takeDueChecks())
                 startTask(self->context, "link check", checkOne(self, entry));
         }
@@ -348,12 +349,8 @@
 std::shared_ptr<void> upstream_paths::watchLink(const upstream_entry &entry,
                                                 std::function<void()> listener)
 {
-    auto &listeners = m_state->linkListeners;
-    const auto [begin, end] = listeners.equal_range(entry.id);
-    for (auto row = begin; row != end;)
-        row = row->second.expired() ? listeners.erase(row) : std::next(row);
     auto handle = std::make_shared<std::function<void()>>(std::move(listener));
-    listeners.emplace(entry.id, handle);
+    m_state->linkListeners.emplace(entry.id, handle);
     return handle;
 }
 
