--- a/src/kernel/result.cpp
+++ b/src/kernel/result.cpp
@@ -101,6 +101,10 @@
                 "This host does not hold the lease that the action needs."},
     result_info{result_code::fencingStale, "fencing-stale", 409,
                 "The upstream has seen a higher fencing number."},
+    result_info{result_code::enginesUnavailable, "engines-unavailable", 409,
+                "The platform has no engines of the ordered kind at the moment."},
+    result_info{result_code::dutyRateLimited, "duty-rate-limited", 429,
+                "All hosts together call the platform too often."},
     result_info{result_code::cancelled, "cancelled", 499, "The caller went away."},
     result_info{result_code::internal, "internal", 500, "A fault inside quincefall."},
 };
--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -66,6 +66,8 @@
     callInProgress = 802,
     leaseNotHeld = 803,
     fencingStale = 804,
+    enginesUnavailable = 805,
+    dutyRateLimited = 806,
 
     cancelled = 901,
     internal = 902,
--- a/src/policy/desired_state.h
+++ b/src/policy/desired_state.h
@@ -45,6 +45,18 @@
     unsigned tokensPerEvent = 1;
 };
 
+/// Bounds and prices of the engines that may be ordered for a service.
+struct autoscale_rule
+{
+    unsigned minCount = 0; ///< In each failure domain, of both kinds together.
+    unsigned maxCount = 0;
+    milliseconds bootTime{0}; ///< From an order to the first request.
+    /// Price of an interruptible engine, as a share of the price of another one; empty if there are
+    /// none.
+    std::optional<double> interruptiblePrice;
+    std::map<std::string, double> domainPrices; ///< Of one engine and second.
+};
+
 /// A group of equivalent upstreams.
 struct service_rule
 {
@@ -52,6 +64,7 @@
     std::string healthPath;
     unsigned maxConnections = 0; ///< To one upstream, from all hosts together; 0 if unset.
     std::optional<engine_rule> engine;
+    std::optional<autoscale_rule> autoscale; ///< Empty if no engines may be ordered.
 };
 
 /// The organisation that owns an API key.
--- a/src/policy/upstream_entry.h
+++ b/src/policy/upstream_entry.h
@@ -19,6 +19,8 @@
     bool isLeaving = false; ///< Takes no new work.
     std::int64_t started = 0; ///< Unix time in milliseconds; 0 if unknown.
     std::string softwareVersion; ///< Empty if unknown.
+    bool isInterruptible = false; ///< It may be taken away at short notice.
+    std::int64_t leavesAt = 0; ///< Unix time in milliseconds at which it ends; 0 if unknown.
 
     bool operator==(const upstream_entry &) const = default;
 };
--- /dev/null
+++ b/src/route/duty_holder.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "kernel/address.h"
+#include "kernel/clock.h"
+#include "kernel/result.h"
+#include "peer.pb.h"
+#include "route/routing_state.h"
+#include "route/state_source.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace quincefall {
+
+/// Agrees with the other hosts on the one that holds the fleet's duties, through a record in the
+/// platform's store that is replaced only by a conditional append. Its offset is the fencing token,
+/// so no two hosts ever have the same one and each commit() of a holder raises it.
+class duty_holder
+{
+public:
+    struct options
+    {
+        host_address self; ///< Peer address of this host.
+        milliseconds lease{6'000}; ///< Without a new record, after which another host takes over.
+        bool checksFence = true; ///< The platform refuses calls with an outdated token.
+    };
+
+    static std::unique_ptr<duty_holder> makeDutyHolder(boost::asio::io_context &context,
+                                                       routing_state &state, state_source source,
+                                                       clock_source clock, options settings);
+    ~duty_holder();
+
+    void start();
+    /// Releases the duties, so that another host can take over at once.
+    boost::asio::awaitable<void> stop();
+
+    /// Whether this host holds the duties and may act for them now.
+    bool isHolder() const;
+
+    /// What the duties keep. The holder changes it, then calls commit(); a new holder finds what
+    /// its predecessor stored.
+    wire::DutyRecord &record();
+
+    /// Stores the record and returns the fencing token for the calls that follow. Fails with
+    /// leaseNotHeld when another host took over, and with logUnavailable when the store doesn't
+    /// answer; the record may be stored all the same. Concurrent calls are joined.
+    boost::asio::awaitable<result<std::uint64_t>> commit();
+
+    /// Gives the duties up after a call failed with fencingStale.
+    void yield();
+
+    /// The holder's newest fencing token, 0 on other hosts.
+    std::uint64_t fence() const;
+
+private:
+    struct state;
+    explicit duty_holder(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -6,12 +6,26 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace quincefall {
 
+/// What the platform asks of the one host that holds the fleet's duties.
+struct duty_settings
+{
+    host_address platform; ///< Takes usage reports and orders of engines.
+    bool reportsUsage = false;
+    bool ordersEngines = false;
+    double callsPerSecond = 50; ///< Of all hosts together.
+    bool checksFence = false; ///< The platform refuses calls with an outdated fencing token.
+    milliseconds lease{3'000}; ///< Within which duties may not change back to an earlier holder.
+    milliseconds usageWindow{5'000};
+    milliseconds usageDue{10'000}; ///< After a window's end.
+};
+
 /// Settings of one `quincefall route` process, read from a YAML file.
 struct route_settings
 {
@@ -41,6 +55,8 @@
     double furtherAttemptRatio = 0.2; ///< Attempts beyond the first, per request.
     double furtherAttemptSlack = 50; ///< Further attempts per window on top.
     double furtherAttemptWindowSeconds = 10;
+
+    std::optional<duty_settings> duties; ///< Empty if the settings name none.
 };
 
 using route_settings_reading = checked_settings<route_settings>;
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -41,6 +41,13 @@
     store_position next; ///< For the next read.
 };
 
+/// The newest record of the holder of the duties.
+struct duty_page
+{
+    std::optional<std::string> record; ///< Empty when there is none newer.
+    store_position next; ///< After the newest record; the next one is appended there.
+};
+
 /// Reads desired state and upstreams from the platform, and the hosts' announcements. Without a
 /// position `from`, reads return all current entries; with one, the changes after it, the first of
 /// which they await for up to `wait`. They fail with logTruncated when those changes are no longer
@@ -66,6 +73,16 @@
         storeHeld;
     /// The records of all held traits that were not withdrawn.
     std::function<boost::asio::awaitable<result<std::vector<std::string>>>()> held;
+    /// The duty record; with `from`, waits up to `wait` for a newer one.
+    std::function<boost::asio::awaitable<result<duty_page>>(std::optional<store_position> from,
+                                                            milliseconds wait)>
+        duties;
+    /// Appends the duty record if the newest record ends at @p at. Returns the position after it.
+    /// Fails with versionConflict when another record was appended; after another failure the
+    /// record may be stored all the same, also later.
+    std::function<boost::asio::awaitable<result<store_position>>(std::string record,
+                                                                 store_position at)>
+        appendDuty;
 };
 
 } // namespace quincefall
