--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -28,6 +28,14 @@
                        : membership.storeRecoveredAt + reregistrationTime;
 }
 
+/// Keeps the first end that an upstream told. The ends in its later entries differ by the time that
+/// the entries took, and each difference would be sent to all hosts as a change.
+void keepKnownEnd(upstream_entry &entry, const upstream_entry &known)
+{
+    if (entry.started == known.started && entry.leavesAt != 0 && known.leavesAt != 0)
+        entry.leavesAt = known.leavesAt;
+}
+
 using listing_row = decltype(upstream_membership::listings)::iterator;
 
 void remove(upstream_membership &membership, listing_row row, std::uint64_t next)
@@ -107,6 +115,7 @@
         // propagate the removal.
         if (std::exchange(current.removalDeadline, instant::max()) != instant::max())
             current.changed = std::max(current.changed, next);
+        keepKnownEnd(entry, current.entry);
         isChange = entry != current.entry;
     }
     applyRegistration(membership.notices, entry);
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -58,6 +58,8 @@
     row.set_leaving(listing.entry.isLeaving);
     row.set_started_ms(listing.entry.started);
     row.set_software_version(listing.entry.softwareVersion);
+    row.set_interruptible(listing.entry.isInterruptible);
+    row.set_leaves_at_ms(listing.entry.leavesAt);
     row.set_sequence(listing.sequence);
     row.set_changed(listing.changed);
 }
@@ -68,9 +70,17 @@
     if (!address || row.id().empty())
         return std::nullopt;
     upstream_membership::listing listing;
-    listing.entry
-        = {row.id(),    row.service(), *address,         row.failure_domain(),  row.region(),
-           row.slots(), row.leaving(), row.started_ms(), row.software_version()};
+    listing.entry = {row.id(),
+                     row.service(),
+                     *address,
+                     row.failure_domain(),
+                     row.region(),
+                     row.slots(),
+                     row.leaving(),
+                     row.started_ms(),
+                     row.software_version(),
+                     row.interruptible(),
+                     row.leaves_at_ms()};
     listing.sequence = row.sequence();
     listing.changed = row.changed();
     return listing;
--- a/tests/platform/state_codec_test.cpp
+++ b/tests/platform/state_codec_test.cpp
@@ -29,6 +29,8 @@
   "zone":"espoo","version":"v1","slots":64,"state":"ready","cold_remaining_ms":0,"sequence":4,
   "born":1700000000123})";
 
+constexpr wall_milliseconds entryReadAt = 1700000005000;
+
 std::string replaced(std::string text, std::string_view from, std::string_view to)
 {
     text.replace(text.find(from), from.size(), to);
@@ -72,7 +74,7 @@
 
 BOOST_AUTO_TEST_CASE(an_upstream_entry_is_decoded_in_full)
 {
-    const auto change = decodeUpstream("i-1", entryText, regions);
+    const auto change = decodeUpstream("i-1", entryText, regions, entryReadAt);
     BOOST_TEST_REQUIRE(change.has_value());
     BOOST_TEST_REQUIRE(change->entry.has_value());
     BOOST_TEST(change->entry->id == "i-1");
@@ -91,8 +93,73 @@
           replaced(text, "64", "\"many\""), replaced(text, "10.128.0.9:8080", "nowhere"),
           replaced(text, "1700000000123", "\"today\""), replaced(text, "1700000000123", "1.5"),
           std::string("\x00\xff", 2), std::string()}) {
-        BOOST_TEST(!decodeUpstream("i-1", invalid, regions).has_value(), invalid);
+        BOOST_TEST(!decodeUpstream("i-1", invalid, regions, entryReadAt).has_value(), invalid);
+    }
+}
+
+constexpr std::string_view autoscaleText = R"({"version":1,"services":[{"name":"s1","autoscale":
+  {"min":1,"max":30,"boot_s":4.5,"spot_price":0.22,"zone_prices":{"espoo":1.0,"nokia":0.8}}}]})";
+
+BOOST_AUTO_TEST_CASE(bounds_and_prices_of_engines_are_decoded)
+{
+    const auto desired = decodeDesiredState(autoscaleText);
+    BOOST_TEST_REQUIRE(desired.has_value());
+    BOOST_TEST_REQUIRE(desired->services.at("s1").autoscale.has_value());
+    const autoscale_rule &rule = *desired->services.at("s1").autoscale;
+    BOOST_TEST(rule.minCount == 1U);
+    BOOST_TEST(rule.maxCount == 30U);
+    BOOST_TEST(rule.bootTime.count() == 4500);
+    BOOST_TEST(rule.interruptiblePrice.value() == 0.22);
+    BOOST_TEST(rule.domainPrices.at("nokia") == 0.8);
+    const auto plain = decodeDesiredState(desiredText);
+    BOOST_TEST(!plain->services.at("s1").autoscale.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_bounds_of_engines_leave_the_service_in_force)
+{
+    const std::string text(autoscaleText);
+    for (const std::string &invalid :
+         {replaced(text, R"("min":1)", R"("min":"1")"), replaced(text, R"("min":1)", R"("min":31)"),
+          replaced(text, R"("max":30)", R"("max":-1)"), replaced(text, R"("max":30)", R"("m":30)"),
+          replaced(text, R"("max":30)", R"("max":2.5)"), replaced(text, "4.5", "null")}) {
+        const auto desired = decodeDesiredState(invalid);
+        BOOST_TEST_REQUIRE(desired.has_value(), invalid);
+        BOOST_TEST(!desired->services.at("s1").autoscale.has_value(), invalid);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_prices_are_left_out)
+{
+    const auto priceless = decodeDesiredState(replaced(std::string(autoscaleText), "0.22", "true"));
+    BOOST_TEST_REQUIRE(priceless->services.at("s1").autoscale.has_value());
+    BOOST_TEST(!priceless->services.at("s1").autoscale->interruptiblePrice.has_value());
+    const auto partial = decodeDesiredState(replaced(std::string(autoscaleText), "0.8", "\"low\""));
+    const auto &prices = partial->services.at("s1").autoscale->domainPrices;
+    BOOST_TEST(prices.size() == 1U);
+    BOOST_TEST(prices.at("espoo") == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(an_interruptible_upstream_tells_when_it_ends)
+{
+    const std::string text(entryText);
+    const auto plain = decodeUpstream("i-1", text, regions, entryReadAt);
+    BOOST_TEST(!plain->entry->isInterruptible);
+    BOOST_TEST(plain->entry->leavesAt == 0);
+    const auto leaving = decodeUpstream(
+        "i-1",
+        replaced(text, R"("state":"ready")", R"("state":"draining","spot":true,"leaves_ms":2500)"),
+        regions, entryReadAt);
+    BOOST_TEST_REQUIRE(leaving.has_value());
+    BOOST_TEST(leaving->entry->isInterruptible);
+    BOOST_TEST(leaving->entry->isLeaving);
+    BOOST_TEST(leaving->entry->leavesAt == entryReadAt + 2500);
+    for (const std::string &field : {R"("spot":"yes")", R"("spot":1)", R"("leaves_ms":"soon")"}) {
+        const std::string invalid = replaced(text, R"("state")", field + R"(,"state")");
+        BOOST_TEST(!decodeUpstream("i-1", invalid, regions, entryReadAt).has_value(), invalid);
     }
+    const auto negative = decodeUpstream(
+        "i-1", replaced(text, R"("state")", R"("leaves_ms":-5,"state")"), regions, entryReadAt);
+    BOOST_TEST(negative->entry->leavesAt == 0);
 }
 
 BOOST_AUTO_TEST_CASE(corrupted_texts_do_not_crash_the_decoders)
@@ -104,7 +171,7 @@
             text[random() % text.size()] = char(random() % 256);
         text.resize(text.size() - (random() % 3 == 0 ? random() % text.size() : 0));
         (void)decodeDesiredState(text);
-        (void)decodeUpstream("i-1", text, regions);
+        (void)decodeUpstream("i-1", text, regions, entryReadAt);
     }
 }
 
--- a/tests/policy/placement_test.cpp
+++ b/tests/policy/placement_test.cpp
@@ -114,6 +114,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_engine_that_is_about_to_be_taken_away_gets_no_work)
+{
+    service_pool pool = makePool(2);
+    upstream_entry &taken = pool.upstreams.at("engine-0").listed;
+    taken.isInterruptible = true;
+    std::set<std::string> chosen;
+    for (std::uint64_t subject = 1; subject <= 20; ++subject)
+        chosen.insert(chosenFor(pool, makePrompt(subject, 1), "north"));
+    BOOST_TEST(chosen.size() == 2U); // Until it is announced, it is an engine like any other.
+    taken.isLeaving = true;
+    taken.leavesAt = 60'000; // No request is known to end before.
+    for (std::uint64_t subject = 1; subject <= 20; ++subject)
+        BOOST_TEST(chosenFor(pool, makePrompt(subject, 1), "north") == "engine-1");
+}
+
 BOOST_AUTO_TEST_CASE(leaving_and_tried_upstreams_get_no_requests)
 {
     service_pool pool = makePool(3);
--- a/tests/policy/upstream_membership_test.cpp
+++ b/tests/policy/upstream_membership_test.cpp
@@ -33,6 +33,19 @@
     BOOST_TEST(membership.listings.at("a").changed == 30U);
 }
 
+BOOST_AUTO_TEST_CASE(an_end_told_again_is_no_change)
+{
+    upstream_membership membership;
+    upstream_entry leaving = makeEntry("a");
+    leaving.isLeaving = true;
+    leaving.leavesAt = 9'000;
+    BOOST_TEST(applyEntry(membership, leaving, 1, 10));
+    leaving.leavesAt = 9'040;
+    BOOST_TEST(!applyEntry(membership, leaving, 2, 20));
+    BOOST_TEST(membership.listings.at("a").changed == 10U);
+    BOOST_TEST(membership.listings.at("a").entry.leavesAt == 9'000);
+}
+
 BOOST_AUTO_TEST_CASE(an_older_entry_does_not_bring_a_leaving_upstream_back)
 {
     upstream_membership membership;
