--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -23,6 +23,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /// Time that work takes on the upstream's machine now, as a multiple of the usual time. Empty
+    /// if the upstream doesn't say.
+    std::optional<double> slowdown{};
 };
 
 /// State of one upstream as this host sees it.
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -15,6 +15,12 @@
     return request;
 }
 
+std::optional<upstream_load> readLoadField(const char *value)
+{
+    const std::vector<http_header> fields{{"Quincefall-Server-Load", value}};
+    return makePlatformWireFormat().readAnswer(200, fields).load;
+}
+
 BOOST_AUTO_TEST_SUITE(wire_codec_tests)
 
 BOOST_AUTO_TEST_CASE(an_attempt_names_its_upstream_and_the_time_left)
@@ -83,6 +89,49 @@
     BOOST_TEST(!head.keepAlive.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_load_of_three_figures_has_no_slowdown)
+{
+    const auto load = readLoadField("3,1,8");
+    BOOST_REQUIRE(load.has_value());
+    BOOST_TEST(load->running == 3U);
+    BOOST_TEST(load->waiting == 1U);
+    BOOST_TEST(load->slots == 8U);
+    BOOST_TEST(!load->slowdown.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_fourth_load_figure_is_the_slowdown_in_hundredths)
+{
+    const auto slowdownOf = [](const char *value) {
+        const auto load = readLoadField(value);
+        return load && load->slowdown ? *load->slowdown : -1;
+    };
+    BOOST_TEST(slowdownOf("3,1,8,100") == 1);
+    BOOST_TEST(slowdownOf("3,1,8,250") == 2.5);
+    BOOST_TEST(slowdownOf("3,1,8,40") == 0.4);
+    BOOST_TEST(slowdownOf("3, 1, 8, 117.5") == 1.175);
+    BOOST_TEST(slowdownOf("3,1,8,250,7") == 2.5);
+    BOOST_TEST(slowdownOf("3,1,8,250,") == 2.5);
+}
+
+BOOST_AUTO_TEST_CASE(an_invalid_slowdown_does_not_cost_the_other_load_figures)
+{
+    for (const char *value : {"3,1,8,", "3,1,8,0", "3,1,8,-100", "3,1,8,x", "3,1,8,nan",
+                              "3,1,8,inf", "3,1,8,1e999", "3,1,8,100x", "3,1,8,x,7"}) {
+        const auto load = readLoadField(value);
+        BOOST_REQUIRE_MESSAGE(load.has_value(), value);
+        BOOST_TEST(load->running == 3U, value);
+        BOOST_TEST(load->waiting == 1U, value);
+        BOOST_TEST(load->slots == 8U, value);
+        BOOST_TEST(!load->slowdown.has_value(), value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_load_without_its_first_three_figures_is_ignored)
+{
+    for (const char *value : {"", "3", "3,1", "3,1,", ",,,100", "3,x,8,100", "-3,1,8,100"})
+        BOOST_TEST(!readLoadField(value).has_value(), value);
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_says_that_it_is_leaving_with_any_status)
 {
     const wire_format wire = makePlatformWireFormat();
