--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -56,6 +56,8 @@
     std::vector<told_suspect> suspects; ///< Traits of requests under which upstreams crashed.
     std::vector<told_notice> notices; ///< What upstreams recently told the host.
     bool cannotRelay = false; ///< The host is stopping or reaches no upstream itself.
+    std::uint64_t dutyFence = 0; ///< Newest fencing token of the holder of the duties; else 0.
+    wall_milliseconds wall = 0; ///< The host's wall clock; 0 if no duty is declared.
 };
 
 /// Work of the other hosts, by host and summed.
--- a/src/policy/keepers.h
+++ b/src/policy/keepers.h
@@ -7,6 +7,9 @@
 
 namespace quincefall {
 
+/// Any fixed number: the keepers of this object are the hosts that may come to hold the duties.
+inline constexpr std::uint64_t dutiesKey = 0x6475'7469'6573;
+
 /// The hosts that keep what the fleet knows of the object @p key, @p own included if it is one of
 /// them: the first few by rendezvous hashing among the hosts whose hints arrive.
 ///
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -99,6 +99,8 @@
     hint.started = message.started_ms();
     hint.sequence = message.sequence();
     hint.cannotRelay = message.cannot_relay();
+    hint.dutyFence = message.duty_fence();
+    hint.wall = message.wall_ms();
     for (const wire::UpstreamWork &row : message.upstreams()) {
         upstream_work work;
         work.upstream = row.upstream();
@@ -187,6 +189,8 @@
     message.set_store_epoch(hint.upstreamsNext.epoch);
     message.set_upstreams_age_ms(std::uint32_t(hint.upstreamsAge.count()));
     message.set_cannot_relay(hint.cannotRelay);
+    message.set_duty_fence(hint.dutyFence);
+    message.set_wall_ms(hint.wall);
     addSuspects(message, hint.suspects);
     for (const told_notice &notice : hint.notices) {
         wire::UpstreamNotice *row = message.add_notices();
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -103,6 +103,9 @@
     instant suspectNewsSentAt = instant::min();
     bool isSuspectNewsPlanned = false;
     std::function<void()> traitHeldListener;
+    std::function<std::uint64_t()> ownFence; ///< Empty where no duty is declared.
+    std::function<void(const host_address &, wall_milliseconds)> wallClockListener;
+    std::function<void(const wire::LoadHint &)> usageListener;
     std::function<void(const wire::LoadHint &, const host_address &)> streamListener;
 
     std::string nextHint()
@@ -111,6 +114,10 @@
         hint.host = host;
         hint.started = started;
         hint.sequence = ++sequence;
+        if (ownFence) {
+            hint.dutyFence = ownFence();
+            hint.wall = clock.wall();
+        }
         return encodeHint(hint);
     }
 
@@ -200,6 +207,11 @@
                 streamListener(message, {sender.address().to_string(), sender.port()});
             return;
         }
+        if (isParsed && message.host().empty() && message.usage_size() > 0) {
+            if (usageListener)
+                usageListener(message);
+            return;
+        }
         auto hint = isParsed ? readHint(message) : std::nullopt;
         if (!hint)
             ++numbers.invalidDatagrams;
@@ -221,6 +233,8 @@
         routing.storeEpoch = std::max(routing.storeEpoch, hint.upstreamsNext.epoch);
         const std::vector<told_notice> notices = hint.notices;
         applySuspects(std::exchange(hint.suspects, {}));
+        if (wallClockListener && hint.wall > 0)
+            wallClockListener(hint.host, hint.wall);
         if (!applyHint(routing.otherHostsLoad, std::move(hint), clock.now()))
             return;
         for (const told_notice &notice : notices)
@@ -371,6 +385,22 @@
     m_state->streamListener = std::move(listener);
 }
 
+void load_exchange::tellDuties(std::function<std::uint64_t()> fence)
+{
+    m_state->ownFence = std::move(fence);
+}
+
+void load_exchange::onWallClock(
+    std::function<void(const host_address &host, wall_milliseconds wall)> listener)
+{
+    m_state->wallClockListener = std::move(listener);
+}
+
+void load_exchange::onUsage(std::function<void(const wire::LoadHint &message)> listener)
+{
+    m_state->usageListener = std::move(listener);
+}
+
 void load_exchange::onTraitHeld(std::function<void()> listener)
 {
     m_state->traitHeldListener = std::move(listener);
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -52,6 +52,17 @@
     void onStreamMessage(
         std::function<void(const wire::LoadHint &message, const host_address &sender)> listener);
 
+    /// From now on hints carry this host's wall clock and @p fence, its newest fencing token of the
+    /// duties.
+    void tellDuties(std::function<std::uint64_t()> fence);
+
+    /// Called with the wall clock of a host as its hint tells it.
+    void
+    onWallClock(std::function<void(const host_address &host, wall_milliseconds wall)> listener);
+
+    /// Called with a message that has counts of usage.
+    void onUsage(std::function<void(const wire::LoadHint &message)> listener);
+
     /// Called when a trait has become held by what other hosts told.
     void onTraitHeld(std::function<void()> listener);
     counts numbers() const;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace quincefall {
 namespace {
@@ -232,6 +233,13 @@
     return said;
 }
 
+/// Reports that the request has begun to run, once however many attempts it takes.
+void noteRun(running_attempt &attempt)
+{
+    if (!std::exchange(attempt.job.hasBegunToRun, true) && attempt.context.runListener)
+        attempt.context.runListener(attempt.job.organisation());
+}
+
 asio::awaitable<attempt_end> handleAnswer(running_attempt &attempt, answer_head &head)
 {
     proxy_job &job = attempt.job;
@@ -249,6 +257,8 @@
         attempt.context.noticeListener();
     if (head.wasNotRun || head.isMisdirected)
         co_return co_await handleRejection(attempt, head);
+    if (head.hasRunStamp)
+        noteRun(attempt);
     const bool isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && !head.hasRunStamp)
         co_return attempt.endWithFailure(
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -27,6 +27,8 @@
     crash_guard guard;
     stream_directory *streams = nullptr; ///< Null until the host has one.
     std::function<void()> noticeListener; ///< Called when an upstream told something new of itself.
+    /// Called with the organisation of each request that begins to run.
+    std::function<void(const std::string &organisation)> runListener;
 };
 
 /// Sends the request to the chosen upstream and relays what it answers.
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -42,6 +42,7 @@
 
     std::set<std::string, std::less<>> tried{}; ///< Ids of upstreams not to choose again.
     int runs = 0; ///< Attempts that an upstream may have run.
+    bool hasBegunToRun = false; ///< An upstream has begun to answer it, in any attempt.
     int sends = 0; ///< Attempts that may have reached an upstream.
     bool hasReservedAttempt = false; ///< A further attempt was taken from the budget.
     bool mayCrashUpstreams = false; ///< One crashed, and this request may be the cause.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -62,6 +62,7 @@
                    [this](proxy_job &job) { return takeFurtherAttempt(job); },
                    {routing, paths, clock, settings.site.self, nullptr},
                    nullptr,
+                   nullptr,
                    nullptr}
     {
     }
@@ -467,6 +468,11 @@
     m_state->attempts.noticeListener = std::move(listener);
 }
 
+void proxy_service::onRun(std::function<void(const std::string &organisation)> listener)
+{
+    m_state->attempts.runListener = std::move(listener);
+}
+
 void proxy_service::onSuspectNews(std::function<void()> listener)
 {
     m_state->attempts.guard.newsListener = std::move(listener);
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -43,6 +43,10 @@
     /// Called when an upstream told something new of itself in an answer.
     void onNotice(std::function<void()> listener);
 
+    /// Called with the organisation of each request that an upstream begins to run; empty where the
+    /// route needs no key.
+    void onRun(std::function<void(const std::string &organisation)> listener);
+
     /// Called when other hosts should hear of a suspected trait of requests at once.
     void onSuspectNews(std::function<void()> listener);
 
--- /dev/null
+++ b/src/route/usage_reports.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "peer.pb.h"
+#include "policy/usage_ledger.h"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+
+namespace quincefall {
+
+/// Newest window that has a report in the record; empty if none has.
+std::optional<std::int64_t> newestReported(const wire::DutyRecord &record);
+
+/// The first window for which a report may still be made. Windows up to the newest report have
+/// theirs, also if it was dropped since; counts of windows before @p oldestKept are gone. With
+/// neither reports nor open counts in the record, no host counted before @p ownFirst.
+std::int64_t firstOpenWindow(const wire::DutyRecord &record, std::int64_t ownFirst,
+                             std::int64_t oldestKept);
+
+/// Adds the reports of the windows from @p first to @p last to the record, with a count of zero for
+/// each of @p organisations without requests. A report in the record never changes.
+void addReports(wire::DutyRecord &record, const usage_ledger &ledger, std::int64_t first,
+                std::int64_t last, std::span<const std::string> organisations);
+
+/// Drops the oldest reports that are acknowledged, and the oldest of all if there are too many.
+/// Returns the windows whose reports were dropped unacknowledged.
+std::set<std::int64_t> dropOldReports(wire::DutyRecord &record);
+
+/// The report to send next, of windows up to @p newestCommitted; null if there is none. Those that
+/// are not overdue come first.
+wire::UsageReport *nextReport(wire::DutyRecord &record, std::int64_t newestCommitted,
+                              const usage_windows &windows, wall_milliseconds time);
+
+} // namespace quincefall
--- a/tests/route/load_exchange_test.cpp
+++ b/tests/route/load_exchange_test.cpp
@@ -27,6 +27,8 @@
     hint.notices = {{"engine-7", 1700000000000, true, milliseconds(250), 3.5, milliseconds(20),
                      12.0, milliseconds(40)}};
     hint.cannotRelay = true;
+    hint.dutyFence = 88;
+    hint.wall = 1700000000456;
     hint.upstreamsAge = milliseconds(30);
     hint.suspects = {{66,
                       {{5, milliseconds(40), milliseconds(70), true, false}},
@@ -60,6 +62,8 @@
     BOOST_TEST((read->notices.at(0).maxRejections == std::optional(12.0)));
     BOOST_TEST((read->notices.at(0).maxRejectionsAge == std::optional(milliseconds(40))));
     BOOST_TEST(read->cannotRelay);
+    BOOST_TEST(read->dutyFence == 88U);
+    BOOST_TEST(read->wall == 1700000000456);
     BOOST_TEST((read->upstreamsAge == sent.upstreamsAge));
     const told_suspect &suspect = read->suspects.at(0);
     BOOST_TEST(suspect.trait == 66U);
