--- a/src/operate/section_reader.cpp
+++ b/src/operate/section_reader.cpp
@@ -89,6 +89,23 @@
     }
 }
 
+void section_reader::texts(const std::string &key, std::vector<std::string> &values)
+{
+    const YAML::Node child = lookUp(key);
+    if (!child.IsDefined())
+        return;
+    if (!child.IsSequence()) {
+        report(lineOf(child), pathOf(key), "a list");
+        return;
+    }
+    for (const auto &item : child) {
+        if (item.IsScalar())
+            values.push_back(item.Scalar());
+        else
+            report(lineOf(item), pathOf(key), "texts");
+    }
+}
+
 void section_reader::forEachItem(const std::string &key,
                                  const std::function<void(section_reader &)> &function)
 {
@@ -121,6 +138,19 @@
         reportScalar(child, key, expected.str());
 }
 
+void section_reader::flag(const std::string &key, bool &value)
+{
+    const std::string expected = "true or false";
+    const YAML::Node child = scalar(key, expected, false);
+    if (!child.IsDefined())
+        return;
+    bool parsed = false;
+    if (YAML::convert<bool>::decode(child, parsed))
+        value = parsed;
+    else
+        reportScalar(child, key, expected);
+}
+
 void section_reader::rejectUnknown()
 {
     if (!isMap())
--- a/src/operate/section_reader.h
+++ b/src/operate/section_reader.h
@@ -43,6 +43,7 @@
                 std::span<const std::string_view> options);
     void address(const std::string &key, host_address &value);
     void addresses(const std::string &key, std::vector<host_address> &values);
+    void texts(const std::string &key, std::vector<std::string> &values);
     void forEachItem(const std::string &key, const std::function<void(section_reader &)> &function);
 
     /// Reads an optional whole number from @p minimum to @p maximum.
@@ -65,6 +66,9 @@
     /// Reads an optional number from @p minimum to @p maximum, which may have a fractional part.
     void fraction(const std::string &key, double &value, double minimum, double maximum);
 
+    /// Reads an optional `true` or `false`.
+    void flag(const std::string &key, bool &value);
+
     /// Reports the keys of the mapping that were not read.
     void rejectUnknown();
 
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -1,8 +1,16 @@
 #include "route/route_settings.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace quincefall {
 namespace {
 
+milliseconds toWholeMilliseconds(double seconds)
+{
+    return milliseconds(std::llround(seconds * 1000));
+}
+
 void readHost(section_reader &root, route_settings &values)
 {
     section_reader host = root.section("host", true);
@@ -51,6 +59,35 @@
     bounds.rejectUnknown();
 }
 
+/// Names of duties that this version does not know are ignored.
+void readDuties(section_reader &root, route_settings &values)
+{
+    section_reader section = root.section("duties", false);
+    if (!section.isMap())
+        return;
+    duty_settings duties;
+    std::vector<std::string> names;
+    double usageWindowSeconds = 5;
+    double usageDueSeconds = 10;
+    section.address("platform", duties.platform);
+    section.texts("names", names);
+    section.fraction("calls_per_s", duties.callsPerSecond, 0.1, 1e6);
+    section.flag("checks_fence", duties.checksFence);
+    section.number("lease_ms", duties.lease, 100, 600'000);
+    section.fraction("usage_window_s", usageWindowSeconds, 0.1, 86'400);
+    section.fraction("usage_due_s", usageDueSeconds, 0.1, 86'400);
+    section.rejectUnknown();
+    const auto isNamed = [&names](std::string_view name) {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    };
+    duties.reportsUsage = isNamed("usage_report");
+    duties.ordersEngines = isNamed("autoscale");
+    duties.usageWindow = toWholeMilliseconds(usageWindowSeconds);
+    duties.usageDue = toWholeMilliseconds(usageDueSeconds);
+    if (duties.reportsUsage || duties.ordersEngines)
+        values.duties = std::move(duties);
+}
+
 } // namespace
 
 route_settings_reading readRouteSettings(std::string_view yaml)
@@ -62,6 +99,7 @@
         readFleet(root, reading.values);
         readLogSection(root, reading.values.logTarget, reading.values.logLevel);
         readBounds(root, reading.values);
+        readDuties(root, reading.values);
     });
     return reading;
 }
