--- a/tests/platform/state_codec_test.cpp
+++ b/tests/platform/state_codec_test.cpp
@@ -153,8 +153,8 @@
     BOOST_TEST(leaving->entry->isInterruptible);
     BOOST_TEST(leaving->entry->isLeaving);
     BOOST_TEST(leaving->entry->leavesAt == entryReadAt + 2500);
-    for (const std::string &field : {R"("spot":"yes")", R"("spot":1)", R"("leaves_ms":"soon")"}) {
-        const std::string invalid = replaced(text, R"("state")", field + R"(,"state")");
+    for (const char *field : {R"("spot":"yes",)", R"("spot":1,)", R"("leaves_ms":"soon",)"}) {
+        const std::string invalid = replaced(text, R"("state")", field + std::string(R"("state")"));
         BOOST_TEST(!decodeUpstream("i-1", invalid, regions, entryReadAt).has_value(), invalid);
     }
     const auto negative = decodeUpstream(
