Agree on one host for the fleet's duties through a record in the store

The record is replaced by conditional appends; its offset, with the store's epoch above it, is the fencing token. The four keepers wait for the next record in long reads and take over after a lease without one, measured by answered reads only and on a clock that counts suspensions. A lost answer to a write is resolved by the nonce of the newest record.

Orders that are refused while the holder's next commit succeeds fail with enginesUnavailable, since the platform has one status for both.

--- a/src/cli/route_verb.cpp
+++ b/src/cli/route_verb.cpp
@@ -3,6 +3,7 @@
 #include "kernel/asio_headers.h"
 #include "observe/background_task.h"
 #include "observe/log_setup.h"
+#include "platform/duty_client.h"
 #include "platform/state_reader.h"
 #include "platform/wire_codec.h"
 #include "route/route_process.h"
@@ -62,6 +63,13 @@
     });
 }
 
+duty_calls makeDutyCalls(asio::io_context &context, const route_settings &values)
+{
+    if (!values.duties)
+        return {};
+    return makePlatformDutyCalls(context, values.duties->platform, values.hostName);
+}
+
 exit_code route(const route_settings &values)
 {
     if (auto log = setUpLog(values.logTarget, values.logLevel); !log) {
@@ -71,7 +79,7 @@
     asio::io_context context(1);
     auto host = route_process::makeRouteProcess(
         context, values, makePlatformStateSource(context, values.store, values.regions),
-        makePlatformWireFormat());
+        makePlatformWireFormat(), makeDutyCalls(context, values));
     if (!host) {
         std::cerr << "quincefall: " << host.error().detail << '\n';
         return exit_code::failure;
--- a/src/route/duty_holder.h
+++ b/src/route/duty_holder.h
@@ -29,6 +29,17 @@
         bool checksFence = true; ///< The platform refuses calls with an outdated token.
     };
 
+    /// What this host did for the tenure since it started.
+    struct counts
+    {
+        std::uint64_t takeovers = 0;
+        std::uint64_t losses = 0; ///< Of the duties to another host.
+        std::uint64_t commits = 0;
+        std::uint64_t failedCommits = 0;
+        std::uint64_t refusals = 0; ///< Calls that failed with fencingStale.
+    };
+
+    /// @p clock has to advance while the machine is suspended; see makeSuspensionClock().
     static std::unique_ptr<duty_holder> makeDutyHolder(boost::asio::io_context &context,
                                                        routing_state &state, state_source source,
                                                        clock_source clock, options settings);
@@ -50,12 +61,18 @@
     /// answer; the record may be stored all the same. Concurrent calls are joined.
     boost::asio::awaitable<result<std::uint64_t>> commit();
 
-    /// Gives the duties up after a call failed with fencingStale.
+    /// Called when this host begins to hold the duties, with the record that it found.
+    void onTakeover(std::function<void()> listener);
+
+    /// Stops to act after a call failed with fencingStale, until a commit shows that no other host
+    /// has taken over.
     void yield();
 
     /// The holder's newest fencing token, 0 on other hosts.
     std::uint64_t fence() const;
 
+    counts numbers() const;
+
 private:
     struct state;
     explicit duty_holder(std::shared_ptr<state> shared);
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -3,9 +3,12 @@
 #include "clients/connection_pool.h"
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
+#include "kernel/suspension_clock.h"
 #include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
+#include "route/duty_holder.h"
+#include "route/duty_refusals.h"
 #include "route/feed.h"
 #include "route/held_archive.h"
 #include "route/host_directory.h"
@@ -101,6 +104,7 @@
     std::unique_ptr<relay_server> relays;
     std::unique_ptr<stream_directory> streams;
     std::unique_ptr<kernel> services;
+    duty_calls calls; ///< Of the duties that the settings name.
     state_answers answers; ///< To other hosts.
     bool isStopping = false;
 
@@ -199,6 +203,55 @@
                        [&added] { added.stop(); }});
     }
 
+    /// If the settings name duties, adds the service that agrees on the host that performs them.
+    void addDuties(const state_source &source)
+    {
+        if (!values.duties)
+            return;
+        duty_holder::options options;
+        options.self = values.peerListen;
+        // Also calls that are carried out late must not follow those of the next holder.
+        options.lease = values.duties->lease * 2;
+        options.checksFence = values.duties->checksFence;
+        std::shared_ptr<duty_holder> holder
+            = duty_holder::makeDutyHolder(context, routing, source, makeSuspensionClock(), options);
+        duty_holder &added = *holder;
+        calls = tellRefusalsApart(std::move(calls), added);
+        addDutyMetrics(added);
+        services->add("route.duties", std::move(holder),
+                      {[&added]() -> result<void> {
+                           added.start();
+                           return {};
+                       },
+                       {}}); // drain() releases them.
+    }
+
+    void addDutyMetrics(const duty_holder &holder)
+    {
+        numbers->addCallbackMetric({"quincefall_duty_holder", "gauge",
+                                    "1 while this host holds the duties and may act.", "",
+                                    [&holder] { return holder.isHolder() ? 1.0 : 0.0; }});
+        numbers->addCallbackMetric({"quincefall_duty_fence", "gauge",
+                                    "Newest fencing token of this host; 0 on other hosts.", "",
+                                    [&holder] { return double(holder.fence()); }});
+        numbers->addCallbackMetric({"quincefall_duty_takeovers_total", "counter",
+                                    "Times that this host began to hold the duties.", "",
+                                    [&holder] { return double(holder.numbers().takeovers); }});
+        numbers->addCallbackMetric({"quincefall_duty_losses_total", "counter",
+                                    "Times that another host took the duties over.", "",
+                                    [&holder] { return double(holder.numbers().losses); }});
+        numbers->addCallbackMetric({"quincefall_duty_refusals_total", "counter",
+                                    "Calls that were refused for an outdated fencing token.", "",
+                                    [&holder] { return double(holder.numbers().refusals); }});
+        const auto addCommits = [this](const std::string &end, std::function<double()> read) {
+            numbers->addCallbackMetric({"quincefall_duty_commits_total", "counter",
+                                        "Commits of the duty record by this host, by their end.",
+                                        "end=\"" + end + "\"", std::move(read)});
+        };
+        addCommits("stored", [&holder] { return double(holder.numbers().commits); });
+        addCommits("failed", [&holder] { return double(holder.numbers().failedCommits); });
+    }
+
     void addFeedMetrics(const feed &reader)
     {
         const auto addQueries = [this](const std::string &end, std::function<double()> read) {
@@ -345,6 +398,7 @@
             return added;
         if (auto added = addExchange(); !added)
             return added;
+        addDuties(source);
         addFeed(std::move(source));
         return services->start();
     }
@@ -358,6 +412,9 @@
         // New connections arrive until the load balancer has noticed that this host is not ready.
         server.announceClose();
         self->routing.isStopping = true;
+        if (self->values.duties)
+            startTask(self->context, "duty release",
+                      self->services->find<duty_holder>("route.duties").stop());
         self->services->find<load_exchange>("route.exchange").sendSoon();
         asio::steady_timer pause(self->context, balancerRemovalTime);
         co_await pause.async_wait(asTuple);
@@ -379,12 +436,12 @@
     }
 };
 
-result<std::unique_ptr<route_process>> route_process::makeRouteProcess(asio::io_context &context,
-                                                                       route_settings values,
-                                                                       state_source source,
-                                                                       wire_format wire)
+result<std::unique_ptr<route_process>>
+route_process::makeRouteProcess(asio::io_context &context, route_settings values,
+                                state_source source, wire_format wire, duty_calls calls)
 {
     auto shared = std::make_shared<state>(context, std::move(values));
+    shared->calls = std::move(calls);
     if (auto started = shared->start(std::move(source), std::move(wire)); !started)
         return tl::unexpected(started.error());
     logInfo("host started",
--- a/src/route/route_process.h
+++ b/src/route/route_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/result.h"
+#include "route/duty_calls.h"
 #include "route/route_settings.h"
 #include "route/state_source.h"
 #include "route/wire_format.h"
@@ -16,10 +17,10 @@
 class route_process
 {
 public:
-    static result<std::unique_ptr<route_process>> makeRouteProcess(boost::asio::io_context &context,
-                                                                   route_settings values,
-                                                                   state_source source,
-                                                                   wire_format wire);
+    /// @p calls are used only if the settings name duties.
+    static result<std::unique_ptr<route_process>>
+    makeRouteProcess(boost::asio::io_context &context, route_settings values, state_source source,
+                     wire_format wire, duty_calls calls);
     ~route_process();
 
     /// Applies the values of `stop_s` and `max_connections`; the other settings stay as they are.
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -98,8 +98,9 @@
 class Store:
     """A log with keyed topics; log-newest returns the newest record of each key.
 
-    `mode` is "ok", "refuse" (503) or "hang" (no response). `calls` counts requests by path. `era`
-    is sent with all answers unless it is None.
+    `mode` is "ok", "refuse" (503) or "hang" (no response). `calls` counts requests by path,
+    `topic_calls` by topic. `era` is sent with all answers unless it is None. Appends to
+    `lost_topic` are stored, but get no answer.
     """
 
     def __init__(self, loop, topics=None):
@@ -108,6 +109,8 @@
         self.topics = collections.defaultdict(list) if topics is None else topics
         self.mode = "ok"
         self.calls = collections.Counter()
+        self.topic_calls = collections.Counter()
+        self.lost_topic = None
 
     def put(self, topic, key, value):
         """Appends a record; a `value` of None deletes the key."""
@@ -147,6 +150,15 @@
             body += struct.pack(">I", len(content)) + content
         return body
 
+    def append(self, topic, at, content):
+        """Appends a record, if the topic ends at `at` or that is None; returns status and body."""
+        records = self.topics[topic]
+        if at is not None and int(at) != len(records):
+            return 412, {"end": len(records)}
+        size = content[0]
+        records.append((content[1:1 + size].decode(), content[1 + size:] or None))
+        return 200, {"offset": len(records) - 1, "end": len(records)}
+
     def answer_bytes(self, status, body=b""):
         era = [] if self.era is None else [("Store-Era", self.era)]
         return answer_bytes(status, body, era)
@@ -155,6 +167,7 @@
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
         self.calls[url.path] += 1
+        self.topic_calls[query.get("topic")] += 1
         if self.mode == "hang":
             await asyncio.sleep(3600)
         if self.mode == "refuse":
@@ -172,17 +185,66 @@
                 records = await self.read(query["topic"], start, wait_ms)
                 writer.write(self.answer_bytes(200, records))
         elif url.path == "/-/log-append":
-            content = body[4:]
-            size = content[0]
-            self.topics[query["topic"]].append(
-                (content[1:1 + size].decode(), content[1 + size:] or None))
-            writer.write(self.answer_bytes(200, b'{"offset":0,"end":1}'))
+            status, answer = self.append(query["topic"], query.get("at"), body[4:])
+            if query["topic"] == self.lost_topic and status == 200:
+                await asyncio.sleep(3600)
+            writer.write(self.answer_bytes(status, json.dumps(answer).encode()))
         else:
             writer.write(self.answer_bytes(404))
         await writer.drain()
         return True
 
 
+class DutyPlatform:
+    """The platform's side of calls that are one host's duty.
+
+    `mode` is "ok", "down" (503), "limited" (429), "silent" (no answer, not carried out) or "late"
+    (no answer, carried out after `late_seconds`). `accepted` and `refused` have a tuple of time,
+    path, holder, token and body for each call, in the order in which they were carried out.
+    `unavailable` has the failure domains that have no engines to order.
+    """
+
+    def __init__(self, loop):
+        self.server = HttpServer(loop, self.answer)
+        self.mode = "ok"
+        self.late_seconds = 1.0
+        self.accepted = []
+        self.refused = []
+        self.tokens = collections.defaultdict(int)
+        self.unavailable = set()
+        self.tasks = []
+
+    @staticmethod
+    def subject(path, body):
+        return (path, body.get("service"), body.get("zone"))
+
+    def carry_out(self, path, holder, token, body):
+        call = (time.monotonic(), path, holder, token, body)
+        subject = self.subject(path, body)
+        if token < self.tokens[subject] or body.get("zone") in self.unavailable:
+            self.refused.append(call)
+            return 409
+        self.tokens[subject] = token
+        self.accepted.append(call)
+        return 200
+
+    async def carry_out_late(self, *call):
+        await asyncio.sleep(self.late_seconds)
+        self.carry_out(*call)
+
+    async def answer(self, writer, method, target, fields, body):
+        call = (target, fields["quincefall-duty-holder"], int(fields["quincefall-fence-token"]),
+                json.loads(body))
+        if self.mode in ("silent", "late"):
+            if self.mode == "late":
+                self.tasks.append(asyncio.ensure_future(self.carry_out_late(*call)))
+            await asyncio.sleep(3600)
+        status = {"down": 503, "limited": 429}.get(self.mode) or self.carry_out(*call)
+        writer.write(answer_bytes(status))
+        await writer.drain()
+        return fields.get("connection") != "close"
+
+
 ENDLESS = ("endless-head", "endless-body", "endless-chunk", "endless-interim", "endless-other",
            "endless-rejection")
 
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -73,13 +73,14 @@
 
 
 class RouteHost:
-    def __init__(self, name, store_port, seeds, exchange_port, ip="127.0.0.1"):
+    def __init__(self, name, store_port, seeds, exchange_port, ip="127.0.0.1", more_settings=""):
         self.name = name
         self.ip = ip
         self.caller, self.ready, self.peer = free_ports(3)
         self.log = tempfile.NamedTemporaryFile("w+", suffix=".log")
         self.settings = tempfile.NamedTemporaryFile("w", suffix=".yaml")
         self.seeds = seeds
+        self.more_settings = more_settings
         self.exchange_port = exchange_port
         self.use_store(store_port)
         self.process = None
@@ -99,7 +100,7 @@
   seeds: [{', '.join(f'"{seed}"' for seed in self.seeds)}]
   failure_domains: [{{name: a, region: north}}]
 bounds: {{leave_ms: 1000, apply_ms: 1000, stop_s: 4}}
-""")
+{self.more_settings}""")
         self.settings.flush()
 
     def start(self):
@@ -173,10 +174,11 @@
 
     The last `own_stores` hosts each use a separate store server with the same records, so that a
     test can fail the store for one host only. `link` maps a server's port to the port that clients
-    connect to, for example that of a proxy.
+    connect to, for example that of a proxy. `more_settings` is added to the settings of each host.
     """
 
-    def __init__(self, hosts=1, own_stores=0, link=lambda port: port, thread=None):
+    def __init__(self, hosts=1, own_stores=0, link=lambda port: port, thread=None,
+                 more_settings=""):
         self.thread = thread or LoopThread()
         self.store = Store(self.thread.loop)
         self.thread.call(self.store.server.listen())
@@ -196,7 +198,8 @@
             port = link((self.own_stores[own] if own >= 0 else self.store).server.port)
             seeds = [f"{host.ip}:{host.peer}" for host in self.hosts]
             self.hosts.append(
-                RouteHost(f"h{index + 1}", port, seeds, exchange, f"127.0.0.{index + 2}"))
+                RouteHost(f"h{index + 1}", port, seeds, exchange, f"127.0.0.{index + 2}",
+                          more_settings))
 
     def add_engine(self, name, service, version="v1"):
         engine = Engine(self.thread.loop, name, service)
--- a/tests/route/route_settings_test.cpp
+++ b/tests/route/route_settings_test.cpp
@@ -91,8 +91,8 @@
         = std::string(validYaml) + "duties: {names: [autoscale], checks_fence: maybe}\n";
     const auto mistakes = mistakesOf(yaml);
     BOOST_TEST_REQUIRE(mistakes.size() == 2U);
-    BOOST_TEST(mistakes.at(0).starts_with("f:13: duties.platform: expected an address"));
-    BOOST_TEST(mistakes.at(1) == "f:13: duties.checks_fence: expected true or false");
+    BOOST_TEST(mistakes.at(0).starts_with("f:14: duties.platform: expected an address"));
+    BOOST_TEST(mistakes.at(1) == "f:14: duties.checks_fence: expected true or false");
 }
 
 BOOST_AUTO_TEST_CASE(a_missing_section_is_a_mistake)
