--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -3,12 +3,11 @@
 #include "clients/connection_pool.h"
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
-#include "kernel/suspension_clock.h"
 #include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/duty_holder.h"
-#include "route/duty_refusals.h"
+#include "route/duty_services.h"
 #include "route/feed.h"
 #include "route/held_archive.h"
 #include "route/host_directory.h"
@@ -203,53 +202,11 @@
                        [&added] { added.stop(); }});
     }
 
-    /// If the settings name duties, adds the service that agrees on the host that performs them.
     void addDuties(const state_source &source)
     {
         if (!values.duties)
             return;
-        duty_holder::options options;
-        options.self = values.peerListen;
-        // Also calls that are carried out late must not follow those of the next holder.
-        options.lease = values.duties->lease * 2;
-        options.checksFence = values.duties->checksFence;
-        std::shared_ptr<duty_holder> holder
-            = duty_holder::makeDutyHolder(context, routing, source, makeSuspensionClock(), options);
-        duty_holder &added = *holder;
-        calls = tellRefusalsApart(std::move(calls), added);
-        addDutyMetrics(added);
-        services->add("route.duties", std::move(holder),
-                      {[&added]() -> result<void> {
-                           added.start();
-                           return {};
-                       },
-                       {}}); // drain() releases them.
-    }
-
-    void addDutyMetrics(const duty_holder &holder)
-    {
-        numbers->addCallbackMetric({"quincefall_duty_holder", "gauge",
-                                    "1 while this host holds the duties and may act.", "",
-                                    [&holder] { return holder.isHolder() ? 1.0 : 0.0; }});
-        numbers->addCallbackMetric({"quincefall_duty_fence", "gauge",
-                                    "Newest fencing token of this host; 0 on other hosts.", "",
-                                    [&holder] { return double(holder.fence()); }});
-        numbers->addCallbackMetric({"quincefall_duty_takeovers_total", "counter",
-                                    "Times that this host began to hold the duties.", "",
-                                    [&holder] { return double(holder.numbers().takeovers); }});
-        numbers->addCallbackMetric({"quincefall_duty_losses_total", "counter",
-                                    "Times that another host took the duties over.", "",
-                                    [&holder] { return double(holder.numbers().losses); }});
-        numbers->addCallbackMetric({"quincefall_duty_refusals_total", "counter",
-                                    "Calls that were refused for an outdated fencing token.", "",
-                                    [&holder] { return double(holder.numbers().refusals); }});
-        const auto addCommits = [this](const std::string &end, std::function<double()> read) {
-            numbers->addCallbackMetric({"quincefall_duty_commits_total", "counter",
-                                        "Commits of the duty record by this host, by their end.",
-                                        "end=\"" + end + "\"", std::move(read)});
-        };
-        addCommits("stored", [&holder] { return double(holder.numbers().commits); });
-        addCommits("failed", [&holder] { return double(holder.numbers().failedCommits); });
+        addDutyServices({context, routing, *services, *numbers, clock, values}, source, calls);
     }
 
     void addFeedMetrics(const feed &reader)
