--- a/tests/policy/duty_tenure_test.cpp
+++ b/tests/policy/duty_tenure_test.cpp
@@ -143,6 +143,7 @@
     applySilence(held.b.tenure, lease);
     BOOST_TEST(held.b.write(held.store, at(8'100)));
     applyStored(held.a.tenure, record, end, at(9'000));
+    BOOST_TEST(held.a.tenure.needsCommit);
     BOOST_TEST(!mayAct(held.a.tenure, at(9'000)));
     BOOST_TEST(!held.a.write(held.store, at(9'000)));
     BOOST_TEST(!held.a.tenure.isHolder);
