--- a/src/route/usage_counter.cpp
+++ b/src/route/usage_counter.cpp
@@ -54,6 +54,7 @@
         , source{settings.self, std::uint64_t(clock.wall())}
         , startedAt(clock.now())
     {
+        recordWallClock(wallClocks, settings.self, clock.wall(), startedAt);
     }
 
     asio::io_context &context;
