--- a/src/route/duty_holder.cpp
+++ b/src/route/duty_holder.cpp
@@ -17,8 +17,6 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-// Any fixed number: the keepers of this object are the hosts that may come to hold the duties.
-constexpr std::uint64_t dutiesKey = 0x6475'7469'6573;
 // Until the hints of the other hosts arrive, each host would take itself for a keeper, and all
 // would read the store.
 constexpr milliseconds shortestStart{1'500};
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -20,6 +20,8 @@
 #include "route/routing_state.h"
 #include "route/stream_directory.h"
 #include "route/upstream_paths.h"
+#include "route/usage_counter.h"
+#include "route/usage_reporter.h"
 #include "serve/http_server.h"
 
 #include <algorithm>
@@ -252,6 +254,97 @@
         addCommits("failed", [&holder] { return double(holder.numbers().failedCommits); });
     }
 
+    usage_windows usageWindows() const
+    {
+        return {values.duties->usageWindow, values.duties->usageDue};
+    }
+
+    std::vector<std::string> declaredOrganisations() const
+    {
+        std::vector<std::string> names;
+        if (!routing.desired)
+            return names;
+        for (const auto &[key, organisation] : routing.desired->organisationsByKey)
+            names.push_back(organisation.name);
+        return names;
+    }
+
+    usage_counter &addUsageCounter()
+    {
+        auto &exchange = services->find<load_exchange>("route.exchange");
+        std::shared_ptr<usage_counter> made = usage_counter::makeUsageCounter(
+            context, routing, makeSuspensionClock(), {values.peerListen, usageWindows()},
+            [&exchange](const host_address &host, const std::string &bytes) {
+                exchange.sendTo(host, bytes);
+            });
+        usage_counter &counter = *made;
+        exchange.onWallClock([&counter](const host_address &host, wall_milliseconds wall) {
+            counter.noteWallClock(host, wall);
+        });
+        exchange.onUsage([&counter](const wire::LoadHint &message) { counter.receive(message); });
+        services->find<proxy_service>("route.proxy")
+            .onRun([&counter](const std::string &organisation) { counter.countRun(organisation); });
+        services->add("route.usage-counts", std::move(made),
+                      {[&counter]() -> result<void> {
+                           counter.start();
+                           return {};
+                       },
+                       [&counter] { counter.stop(); }});
+        return counter;
+    }
+
+    /// If usage is to be reported, adds the services that count and report it.
+    void addUsage()
+    {
+        if (!values.duties)
+            return;
+        auto &holder = services->find<duty_holder>("route.duties");
+        services->find<load_exchange>("route.exchange").tellDuties([&holder] {
+            return holder.fence();
+        });
+        if (!values.duties->reportsUsage)
+            return;
+        usage_counter &counter = addUsageCounter();
+        usage_reporter::options options;
+        options.windows = usageWindows();
+        options.callsPerSecond = values.duties->callsPerSecond;
+        options.organisations = [this] { return declaredOrganisations(); };
+        std::shared_ptr<usage_reporter> made = usage_reporter::makeUsageReporter(
+            context, counter, dutiesOf(holder), calls.reportUsage, std::move(options));
+        usage_reporter &reporter = *made;
+        addUsageMetrics(counter, reporter);
+        services->add("route.usage-reports", std::move(made),
+                      {[&reporter]() -> result<void> {
+                           reporter.start();
+                           return {};
+                       },
+                       [&reporter] { reporter.stop(); }});
+    }
+
+    void addUsageMetrics(const usage_counter &counter, const usage_reporter &reporter)
+    {
+        numbers->addCallbackMetric(
+            {"quincefall_usage_reports_acknowledged_total", "counter",
+             "Usage reports of this host that the platform took.", "",
+             [&reporter] { return double(reporter.numbers().acknowledged); }});
+        numbers->addCallbackMetric(
+            {"quincefall_usage_calls_failed_total", "counter",
+             "Usage reports of this host that the platform did not take.", "",
+             [&reporter] { return double(reporter.numbers().failedCalls); }});
+        for (const usage_obstacle obstacle : usageObstacles) {
+            numbers->addCallbackMetric(
+                {"quincefall_usage_windows_missed_total", "counter",
+                 "Windows whose usage report was not acknowledged in time, by the reason.",
+                 "reason=\"" + std::string(toString(obstacle)) + "\"", [&reporter, obstacle] {
+                     return double(reporter.numbers().missed.at(std::size_t(obstacle)));
+                 }});
+        }
+        numbers->addCallbackMetric({"quincefall_usage_clock_error_seconds", "gauge",
+                                    "Wall clock of the host less true time.", "", [this, &counter] {
+                                        return double(clock.wall() - counter.now()) / 1000;
+                                    }});
+    }
+
     void addFeedMetrics(const feed &reader)
     {
         const auto addQueries = [this](const std::string &end, std::function<double()> read) {
@@ -399,6 +492,7 @@
         if (auto added = addExchange(); !added)
             return added;
         addDuties(source);
+        addUsage();
         addFeed(std::move(source));
         return services->start();
     }
