Weigh what leaves the failure domain

Cause: each shared prompt prefix had its preferred upstreams anywhere in the fleet, and distance was two constants, so most prompts left their failure domain while it had room.

Change: where the settings have a section transfer, each request stays at home unless a queue there costs more than the transfer, and then only a share leaves; prefixes have preferred upstreams per domain, region or fleet by what costs least. Without the section nothing changes. Not measured yet.

--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -44,6 +44,11 @@
                 "Failed attempts that no further one followed because the budget was used up."},
     family_info{metric::crossRegionBytes, "quincefall_cross_region_bytes_total", "counter",
                 "Bytes of answers from engines of another region."},
+    family_info{metric::zoneRequests, "quincefall_zone_requests_total", "counter",
+                "Attempts at upstreams of this failure domain, another one of the region, or "
+                "another region, by the reason of the choice."},
+    family_info{metric::zoneBytes, "quincefall_zone_bytes_total", "counter",
+                "Bytes of requests and answers, by where their upstream is."},
     family_info{metric::queueWait, "quincefall_queue_wait_seconds", "histogram",
                 "Time from asking for a permit to its grant."},
     family_info{metric::firstToken, "quincefall_first_token_seconds", "histogram",
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -19,6 +19,8 @@
     sheds, ///< Label code.
     attemptsDenied, ///< Label service.
     crossRegionBytes,
+    zoneRequests, ///< Labels destination, reason.
+    zoneBytes, ///< Label destination.
     queueWait, ///< Histogram in seconds; label class.
     firstToken, ///< Histogram in seconds; label class.
     answerTime, ///< Histogram in seconds; label class.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -51,6 +51,7 @@
 constexpr double defaultPrefillTokensPerMs = 50; // Until a prefill has been timed.
 constexpr double fullLoadSlowdown = 0.25; // Share by which a full upstream prolongs a call.
 constexpr double defaultCallMs = 20; // Until a call has been answered.
+constexpr double meanLoadSmoothing = 0.02; // Weight of one upstream's load.
 // Usual time without a byte: between two events with a prefill in between, or during one call.
 constexpr double normalByteGapMs = 300;
 // High enough that prompts leave their preferred upstream after half a second of unexplained
@@ -113,6 +114,13 @@
     return upstream.listed.region == site.region ? site.crossDomainMs : site.crossRegionMs;
 }
 
+zone_distance zoneDistance(const routed_upstream &upstream, const placement_site &site)
+{
+    if (upstream.listed.failureDomain == site.failureDomain)
+        return zone_distance::home;
+    return upstream.listed.region == site.region ? zone_distance::region : zone_distance::far;
+}
+
 /// Estimated wait for a free slot.
 double slotWaitMs(const service_pool &pool, const routed_upstream &upstream, fleet_load &others,
                   instant now)
@@ -158,15 +166,33 @@
     return std::max(0.0, over) * std::max(pool.prefillMs, 1.0) / maxPrefillUtilisation;
 }
 
+/// Reorders the upstreams so that the first ones are evenly divided among the failure domains.
+void interleaveDomains(std::vector<routed_upstream *> &upstreams)
+{
+    std::map<std::string_view, unsigned> counts;
+    std::vector<std::pair<unsigned, routed_upstream *>> ranked;
+    ranked.reserve(upstreams.size());
+    for (routed_upstream *upstream : upstreams)
+        ranked.emplace_back(counts[upstream->listed.failureDomain]++, upstream);
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+    std::transform(ranked.begin(), ranked.end(), upstreams.begin(),
+                   [](const auto &row) { return row.second; });
+}
+
 /// The upstreams reserved for gap-sensitive requests: the first by a hash that is the same on all
 /// hosts.
-upstream_set reservedUpstreams(std::vector<routed_upstream *> usable, unsigned count)
+upstream_set reservedUpstreams(std::vector<routed_upstream *> usable, unsigned count,
+                               bool isByDomain)
 {
     const auto score = [](const routed_upstream *upstream) {
         return rendezvousScore(upstream->listed.id, reservationHashSeed);
     };
     std::sort(usable.begin(), usable.end(),
               [&score](const auto *left, const auto *right) { return score(left) > score(right); });
+    if (isByDomain)
+        interleaveDomains(usable);
     usable.resize(std::min<std::size_t>(count, usable.size()));
     return {usable.begin(), usable.end()};
 }
@@ -216,6 +242,57 @@
     return tokens;
 }
 
+/// Scope of the request's shared prefix; the same on all hosts unless two scopes cost about as much.
+prefix_scope scopeOf(const service_pool &pool, const placement_request &request,
+                     const placement_site &site, instant now)
+{
+    const zone_view &view = *request.zones;
+    const double tokens = sharedTokens(*request.prompt);
+    std::map<std::string_view, double> domains;
+    for (const auto &[domain, region] : site.regions)
+        domains[region] += 1;
+    scope_input input;
+    input.usesPerDomain = view.homeHosts
+        * expectedPrefixUses(pool.prefixUses, sharedPrefixKey(*request.prompt), tokens, now);
+    input.prefillMs = tokens / prefillRate(pool) * (1 + pool.meanLoad);
+    input.domainTransferMs = site.crossDomainMs
+        + transferCostMs(view.terms, zone_distance::region, view.bytes);
+    input.regionTransferMs = site.crossRegionMs
+        + transferCostMs(view.terms, zone_distance::far, view.bytes);
+    input.domains = std::max(1.0, domains[site.region]);
+    input.regions = double(std::max<std::size_t>(1, domains.size()));
+    return choosePrefixScope(input);
+}
+
+std::string_view placeIn(prefix_scope scope, const upstream_entry &upstream)
+{
+    switch (scope) {
+    case prefix_scope::domain:
+        return upstream.failureDomain;
+    case prefix_scope::region:
+        return upstream.region;
+    case prefix_scope::fleet:
+        break;
+    }
+    return {};
+}
+
+/// As preferredUpstreams(), with a part of @p count in each domain or region of the scope. Those
+/// abroad count too, since their own hosts prefer them.
+upstream_set preferredInScope(const std::vector<routed_upstream *> &usable,
+                              const upstream_set &reserved, const placement_request &request,
+                              prefix_scope scope, unsigned count)
+{
+    std::map<std::string_view, std::vector<routed_upstream *>> places;
+    for (routed_upstream *upstream : usable)
+        places[placeIn(scope, upstream->listed)].push_back(upstream);
+    const auto part = unsigned((count + places.size() - 1) / std::max<std::size_t>(1, places.size()));
+    upstream_set preferred;
+    for (const auto &[name, upstreams] : places)
+        preferred.merge(preferredUpstreams(upstreams, reserved, request, part));
+    return preferred;
+}
+
 double recentUses(const part_use &use, instant now)
 {
     if (use.at == instant::min())
@@ -253,6 +330,7 @@
     double uncachedTokens = 0;
     double firstByteMs = 0;
     double delayMs = 0;
+    double queueCost = 0; ///< Part of `cost` that ends when the upstream has no other work.
     double cost = 0;
 };
 
@@ -262,6 +340,7 @@
     candidate_estimate value;
     value.delayMs = slotWaitMs(pool, upstream, others, now);
     value.firstByteMs = value.delayMs + std::max(pool.callMs, 1.0);
+    value.queueCost = value.delayMs;
     value.cost = value.firstByteMs;
     return value;
 }
@@ -283,8 +362,9 @@
         value.delayMs += concurrencyDelayMs(pool, upstream, request.urgency, others);
     value.firstByteMs = value.delayMs + value.uncachedTokens / rate;
     const double weight = request.prefersLatency ? 1 : repeatedPrefillWeight;
-    value.cost = value.firstByteMs + (weight - 1) * repeatedTokens / rate
-        + slotWaitMs(pool, upstream, others, now);
+    const double slotWait = slotWaitMs(pool, upstream, others, now);
+    value.queueCost = value.delayMs + slotWait;
+    value.cost = value.firstByteMs + (weight - 1) * repeatedTokens / rate + slotWait;
     return value;
 }
 
@@ -299,13 +379,66 @@
     const double failureProbability
         = std::max(failureRateOf(upstream, now),
                    upstream.othersPausedUntil > now ? othersPauseFailureProbability : 0.0);
-    value.cost += distanceMs(upstream, site) + failureProbability * failureCostMs
+    // Otherwise the distance is a part of what the failure domain is chosen by.
+    const double transferMs = request.zones ? 0 : distanceMs(upstream, site);
+    value.cost += transferMs + failureProbability * failureCostMs
         + silencePenaltyMs(pool, upstream, others, now);
     if (hasPrompt && isReserved != request.isGapSensitive)
         value.cost += mixingPenaltyMs;
     return value;
 }
 
+/// The best candidate of one failure domain, or of all where none is chosen.
+struct domain_best
+{
+    routed_upstream *upstream = nullptr;
+    candidate_estimate value;
+    zone_offer offer;
+};
+
+domain_best &bestOf(std::vector<domain_best> &domains, const routed_upstream &upstream,
+                    const placement_request &request, const placement_site &site)
+{
+    const std::string_view name
+        = request.zones ? std::string_view(upstream.listed.failureDomain) : std::string_view();
+    const auto found = std::find_if(domains.begin(), domains.end(), [name](const auto &domain) {
+        return domain.offer.failureDomain == name;
+    });
+    if (found != domains.end())
+        return *found;
+    domain_best &added = domains.emplace_back();
+    added.value.cost = std::numeric_limits<double>::infinity();
+    added.offer.failureDomain = name;
+    if (request.zones) {
+        added.offer.distance = zoneDistance(upstream, site);
+        added.offer.transferMs = distanceMs(upstream, site)
+            + transferCostMs(request.zones->terms, added.offer.distance, request.zones->bytes);
+    }
+    return added;
+}
+
+zone_decision chooseDomain(std::vector<domain_best> &domains, const placement_request &request)
+{
+    if (!request.zones)
+        return {};
+    std::vector<zone_offer> offers;
+    for (domain_best &domain : domains) {
+        domain.offer.costMs = domain.value.cost;
+        domain.offer.delayMs = domain.value.queueCost;
+        offers.push_back(domain.offer);
+    }
+    return chooseZone(offers, *request.zones,
+                      request.prompt ? sharedPrefixKey(*request.prompt) : 0);
+}
+
+void sampleLoad(service_pool &pool, const std::vector<routed_upstream *> &candidates,
+                const placement_request &request, fleet_load &others, instant now)
+{
+    const std::size_t index = request.zones->request % candidates.size();
+    pool.meanLoad
+        += meanLoadSmoothing * (loadOf(*candidates[index], others, now) - pool.meanLoad);
+}
+
 /// Upstreams of other software versions than the request's still count for the reservation, which
 /// is the same for all requests.
 placement chooseAmong(service_pool &pool, const std::vector<routed_upstream *> &usable,
@@ -318,34 +451,52 @@
                      return hasWantedVersion(upstream, request);
                  });
     placement best;
+    best.reason = "least";
     best.candidates = double(candidates.size());
+    if (request.zones && !candidates.empty())
+        sampleLoad(pool, candidates, request, others, now);
     upstream_set reserved;
     upstream_set preferred;
     if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
         const routed_upstream &any = *usable.front();
         const double needed
             = reservedCountNeeded(fleetDemand(pool, any, others, now), any.listed.slots);
-        reserved = reservedUpstreams(usable, updateReservedCount(pool, usable.size(), needed, now));
+        reserved = reservedUpstreams(usable, updateReservedCount(pool, usable.size(), needed, now),
+                                     request.zones != nullptr);
         const unsigned hosts = unsigned(others.hosts.size()) + 1;
-        preferred = preferredUpstreams(candidates, reserved, request,
-                                       preferredUpstreamCount(pool, *request.prompt, hosts, now));
+        const unsigned count = preferredUpstreamCount(pool, *request.prompt, hosts, now);
+        preferred = request.zones
+            ? preferredInScope(candidates, reserved, request, scopeOf(pool, request, site, now),
+                               count)
+            : preferredUpstreams(candidates, reserved, request, count);
     }
-    double lowestCost = std::numeric_limits<double>::infinity();
+    if (candidates.empty())
+        return best;
+    std::vector<domain_best> domains;
     for (routed_upstream *upstream : candidates) {
         const bool isReserved
             = reserved.empty() ? request.isGapSensitive : reserved.contains(upstream);
         const candidate_estimate value = estimate(
             pool, *upstream, request, site, preferred.contains(upstream), isReserved, others, now);
-        best.idleCandidates += value.delayMs <= maxIdleDelayMs ? 1 : 0;
-        if (value.cost >= lowestCost)
+        const bool isIdle = value.delayMs <= maxIdleDelayMs;
+        best.idleCandidates += isIdle ? 1 : 0;
+        domain_best &domain = bestOf(domains, *upstream, request, site);
+        domain.offer.room += isIdle ? 1 : 0;
+        if (value.cost >= domain.value.cost)
             continue;
-        lowestCost = value.cost;
-        best.upstream = upstream;
-        best.estimatedFirstByteMs = value.firstByteMs;
-        best.delayMs = value.delayMs;
-        best.unreadTokens = value.uncachedTokens;
+        domain.upstream = upstream;
+        domain.value = value;
     }
-    best.reason = best.upstream && preferred.contains(best.upstream) ? "home" : "least";
+    const zone_decision zone = chooseDomain(domains, request);
+    const domain_best &chosen = domains[zone.offer];
+    best.upstream = chosen.upstream;
+    best.estimatedFirstByteMs = chosen.value.firstByteMs;
+    best.delayMs = chosen.value.delayMs;
+    best.unreadTokens = chosen.value.uncachedTokens;
+    best.distance = chosen.upstream ? zoneDistance(*chosen.upstream, site) : zone_distance::home;
+    best.zoneReason = zone.reason;
+    if (best.upstream && preferred.contains(best.upstream))
+        best.reason = "home";
     return best;
 }
 
@@ -392,6 +543,9 @@
     else
         pool.largestPromptTokens += largestPromptDecay * (tokens - pool.largestPromptTokens);
     recordPart(pool, *request.prompt, now);
+    if (request.zones && sharedPrefixKey(*request.prompt) != 0)
+        recordPrefixUse(pool.prefixUses, sharedPrefixKey(*request.prompt),
+                        sharedTokens(*request.prompt), now);
     if (!request.isGapSensitive)
         return;
     double rate = pool.sensitivePrefillMsPerSecond;
@@ -497,6 +651,7 @@
             continue;
         placement probe = chooseAmong(pool, {&upstream}, request, site, others, now);
         probe.reason = "probe";
+        probe.zoneReason = "probe";
         delayProbe(upstream.health, now);
         return probe;
     }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -4,6 +4,7 @@
 #include "policy/fleet_load.h"
 #include "policy/probation.h"
 #include "policy/routed_upstream.h"
+#include "policy/zone_choice.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,8 @@
     std::uint64_t turn = 0; ///< See rejectionTurn.
     bool prefersLatency = false; ///< Ignores that a repeated prefill delays others.
     probe_candidate probe; ///< Whether it may probe a failing upstream.
+    /// Null: upstreams of other failure domains only cost their distance.
+    const zone_view *zones = nullptr;
 };
 
 /// The chosen upstream and why.
@@ -52,6 +55,8 @@
     /// "home": preferred for the shared prefix; "least": lowest cost; "probe": a failing upstream
     /// is probed; "last": only failing or slow upstreams are left.
     std::string_view reason;
+    zone_distance distance = zone_distance::home;
+    std::string_view zoneReason; ///< See zone_decision; empty if no domain was chosen.
 };
 
 /// Whether prefills of long prompts on the same engine would stretch the gaps between the request's
--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -8,6 +8,7 @@
 #include "policy/software_versions.h"
 #include "policy/upstream_entry.h"
 #include "policy/upstream_health.h"
+#include "policy/zone_choice.h"
 
 #include <cstdint>
 #include <map>
@@ -80,6 +81,8 @@
     double sensitiveInFlight = 0; ///< This host's gap-sensitive requests that run or wait.
     double reservedLevel = 0; ///< Not rounded; see updateReservedCount().
     instant reservedLevelAt = instant::min();
+    prefix_uses prefixUses; ///< Empty where transfers between failure domains are not weighed.
+    double meanLoad = 0; ///< Smoothed load of its upstreams; as `prefixUses`.
 };
 
 /// The load that one attempt puts on an upstream.
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -72,7 +72,7 @@
     return headers;
 }
 
-asio::awaitable<result<std::string>> readWholeBody(upstream_call &call)
+asio::awaitable<result<std::string>> readWholeBody(upstream_call &call, double &bytesRead)
 {
     std::string body;
     while (true) {
@@ -81,6 +81,7 @@
             co_return tl::unexpected(piece.error());
         if (piece->empty())
             co_return body;
+        bytesRead += double(piece->size());
         body.append(*piece);
         if (body.size() > maxWholeAnswerBytes)
             co_return makeError(result_code::upstreamFailed, "the answer is too long");
@@ -90,7 +91,7 @@
 /// Passes on an answer that is not a stream, once it is complete.
 asio::awaitable<attempt_end> relayWholeAnswer(running_attempt &attempt, answer_head &head)
 {
-    auto body = co_await readWholeBody(*attempt.call);
+    auto body = co_await readWholeBody(*attempt.call, attempt.job.answerBytes);
     if (!body)
         co_return attempt.endWithFailure(body.error());
     attempt.noteOutcome(head.status < 500, false);
@@ -169,6 +170,7 @@
             co_return attempt.endWithFailure(piece.error());
         if (piece->empty())
             break;
+        job.answerBytes += double(piece->size());
         const std::string events = extractEvents(job.events, *piece);
         if (events.empty()) {
             if (const auto fault = faultOfPartialEvent(attempt, progressAt))
@@ -305,6 +307,9 @@
         log += ":gap=" + formatMilliseconds(attempt.longestGap);
     if (const auto &load = attempt.load)
         log += ":load=" + std::to_string(load->running) + "/" + std::to_string(load->waiting);
+    if (!attempt.chosen.zoneReason.empty())
+        log += ":zone=" + std::string(toString(attempt.chosen.distance)) + "/"
+            + std::string(attempt.chosen.zoneReason);
 }
 
 } // namespace
@@ -330,6 +335,7 @@
 {
     running_attempt attempt{context, job,     chosen.upstream->listed,
                             chosen,  nullptr, context.clock.now()};
+    job.answerBytes = 0;
     service_pool &pool = context.state.pools[attempt.entry.service];
     recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
     attempt.call = upstream_call::makeUpstreamCall(context.paths, attempt.entry);
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -43,6 +43,7 @@
     std::set<std::string, std::less<>> tried{}; ///< Ids of upstreams not to choose again.
     int runs = 0; ///< Attempts that an upstream may have run.
     int sends = 0; ///< Attempts that may have reached an upstream.
+    double answerBytes = 0; ///< Received in the current attempt.
     bool hasReservedAttempt = false; ///< A further attempt was taken from the budget.
     bool mayCrashUpstreams = false; ///< One crashed, and this request may be the cause.
     bool isHeldBack = false; ///< A trait of the request became held while an attempt ran.
@@ -54,7 +55,7 @@
     std::optional<error> lastFailure{};
     std::string_view noFurtherAttempt = "none"; ///< Why a failed attempt was the last one.
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
-    /// :first=, :gap= and :load=.
+    /// :first=, :gap=, :load= and, where transfers are weighed, :zone=.
     std::string attemptLog{};
 
     /// Also true on resumable routes.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -8,6 +8,7 @@
 #include "route/proxy_attempt.h"
 #include "route/proxy_job.h"
 #include "route/request_digest.h"
+#include "route/transfer_accounts.h"
 #include "serve/problem.h"
 
 #include <algorithm>
@@ -75,6 +76,7 @@
     options settings;
     instant started;
     attempt_context attempts;
+    transfer_accounts transfers;
     bool isRefusingNew = false;
 
     bool takeFurtherAttempt(proxy_job &job)
@@ -184,22 +186,53 @@
         placement_request wanted;
         wanted.prompt = &job.request.prompt;
         wanted.isGapSensitive = job.isGapSensitive;
+        const auto zones = zonesFor(job);
+        wanted.zones = zones ? &*zones : nullptr;
         recordDemand(pool, wanted, job.arrived);
     }
 
-    placement choose(proxy_job &job, bool prefersLatency = false)
+    /// Empty if transfers are not weighed.
+    std::optional<zone_view> zonesFor(const proxy_job &job)
+    {
+        if (!settings.transfer)
+            return std::nullopt;
+        return zoneViewOf(transfers, *settings.transfer, settings.site, routing, job, clock.now());
+    }
+
+    asio::awaitable<attempt_end> runAt(proxy_job &job, placement chosen)
+    {
+        const auto zones = zonesFor(job);
+        if (zones)
+            recordTransferStart(transfers, numbers, chosen, *zones);
+        const attempt_end end = co_await runAt(job, chosen);
+        if (zones)
+            recordTransferEnd(transfers, numbers, chosen, *zones, job);
+        co_return end;
+    }
+
+    struct choice_wish
+    {
+        bool prefersLatency = false; ///< See placement_request.
+        bool isRefusedAtHome = false; ///< See zone_view.
+    };
+
+    placement choose(proxy_job &job, choice_wish wish = {})
     {
         placement_request wanted;
         wanted.prompt = &job.request.prompt;
         wanted.urgency = job.urgency;
         wanted.isGapSensitive = job.isGapSensitive;
-        wanted.prefersLatency = prefersLatency;
+        wanted.prefersLatency = wish.prefersLatency;
         wanted.softwareVersion = job.streamVersion ? &*job.streamVersion : nullptr;
         wanted.tried = &job.tried;
         wanted.turn = std::uint64_t(clock.wall() / rejectionTurn.count());
         wanted.probe.isRetryable
             = job.isRepeatable() && job.runs + 1 < job.choice.route->maxAttempts;
         wanted.probe.targetMs = double(job.choice.route->targetLatency.count());
+        auto zones = zonesFor(job);
+        if (zones)
+            zones->isRefusedAtHome = wish.isRefusedAtHome;
+        wanted.zones = zones ? &*zones : nullptr;
         service_pool &pool = routing.pools[job.service()];
         for (const routed_upstream *upstream : takeDueReconnects(pool, clock.now()))
             startTask(context, "reconnect", paths->checkLink(upstream->listed));
@@ -248,8 +281,14 @@
         const overload_decision decision = decideOverload(view);
         if (decision.isAdmitted)
             return chosen;
+        const bool weighsZones = settings.transfer.has_value();
+        if (weighsZones && chosen.distance == zone_distance::home) {
+            const placement away = choose(job, {false, true});
+            if (decideOverload(overloadViewOf(job, away)).isAdmitted)
+                return away;
+        }
         if (allowsCacheMiss(chosen.idleCandidates, chosen.candidates)) {
-            const placement soonest = choose(job, true);
+            const placement soonest = choose(job, {true, weighsZones});
             if (decideOverload(overloadViewOf(job, soonest)).isAdmitted)
                 return soonest;
         }
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace quincefall {
 
@@ -24,6 +25,7 @@
     struct options
     {
         placement_site site;
+        std::optional<transfer_terms> transfer; ///< Empty: transfers are not weighed.
         attempt_budget_rule budget;
         /// A desired state that was not confirmed as the newest for longer than this may be
         /// outdated, so requests that it does not allow get notReady rather than 401 or 404.
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -51,6 +51,7 @@
     options.site.region = values.region;
     options.site.self = values.peerListen;
     options.site.regions = values.regions;
+    options.transfer = values.transfer;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -51,6 +51,18 @@
     bounds.rejectUnknown();
 }
 
+void readTransfer(section_reader &root, route_settings &values)
+{
+    section_reader transfer = root.section("transfer", false);
+    if (!transfer.isMap())
+        return;
+    transfer_terms &terms = values.transfer.emplace();
+    transfer.fraction("domain_ms_per_mb", terms.domainMsPerMb, 0, 1e6);
+    transfer.fraction("region_ms_per_mb", terms.regionMsPerMb, 0, 1e6);
+    transfer.fraction("region_link_mbps", terms.regionLinkMbps, 0, 1e7);
+    transfer.rejectUnknown();
+}
+
 } // namespace
 
 route_settings_reading readRouteSettings(std::string_view yaml)
@@ -62,6 +74,7 @@
         readFleet(root, reading.values);
         readLogSection(root, reading.values.logTarget, reading.values.logLevel);
         readBounds(root, reading.values);
+        readTransfer(root, reading.values);
     });
     return reading;
 }
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -3,6 +3,7 @@
 #include "kernel/address.h"
 #include "kernel/clock.h"
 #include "operate/section_reader.h"
+#include "policy/zone_choice.h"
 
 #include <cstdint>
 #include <map>
@@ -56,6 +57,9 @@
     double furtherAttemptSlack = 50; ///< Further attempts per window on top.
     double furtherAttemptWindowSeconds = 10;
 
+    /// Empty if the settings don't say what transfers between failure domains are worth.
+    std::optional<transfer_terms> transfer;
+
     std::optional<duty_settings> duties; ///< Empty if the settings name none.
 };
 
--- a/tests/route/route_settings_test.cpp
+++ b/tests/route/route_settings_test.cpp
@@ -54,7 +54,23 @@
     BOOST_TEST(mistakes.size() == 3U);
     BOOST_TEST(mistakes.at(0) == "f:4: listen.ready: expected an address of the form ip:port");
     BOOST_TEST(mistakes.at(1) == "f:13: bounds.stop_s: expected a number from 0.1 to 600");
-    BOOST_TEST(mistakes.at(2) == "f:14: colour: expected one of bounds fleet host listen log");
+    BOOST_TEST(mistakes.at(2) == "f:14: colour: expected one of bounds fleet host listen log transfer");
+}
+
+BOOST_AUTO_TEST_CASE(transfers_are_weighed_where_the_section_is_given)
+{
+    const std::string yaml(validYaml);
+    BOOST_TEST(!readRouteSettings(yaml).values.transfer.has_value());
+    const auto defaults = readRouteSettings(yaml + "transfer: {}\n").values.transfer;
+    BOOST_TEST_REQUIRE(defaults.has_value());
+    BOOST_TEST(defaults->domainMsPerMb == 3'000);
+    const auto given
+        = readRouteSettings(yaml + "transfer: {domain_ms_per_mb: 5, region_link_mbps: 60}\n")
+              .values.transfer;
+    BOOST_TEST_REQUIRE(given.has_value());
+    BOOST_TEST(given->domainMsPerMb == 5);
+    BOOST_TEST(given->regionLinkMbps == 60);
+    BOOST_TEST(mistakesOf(yaml + "transfer: {price: 5}\n").size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_missing_section_is_a_mistake)
