--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -174,9 +174,8 @@
     ranked.reserve(upstreams.size());
     for (routed_upstream *upstream : upstreams)
         ranked.emplace_back(counts[upstream->listed.failureDomain]++, upstream);
-    std::stable_sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
-        return left.first < right.first;
-    });
+    std::stable_sort(ranked.begin(), ranked.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
     std::transform(ranked.begin(), ranked.end(), upstreams.begin(),
                    [](const auto &row) { return row.second; });
 }
@@ -242,7 +241,8 @@
     return tokens;
 }
 
-/// Scope of the request's shared prefix; the same on all hosts unless two scopes cost about as much.
+/// Scope of the request's shared prefix; the same on all hosts unless two scopes cost about as
+/// much.
 prefix_scope scopeOf(const service_pool &pool, const placement_request &request,
                      const placement_site &site, instant now)
 {
@@ -255,10 +255,10 @@
     input.usesPerDomain = view.homeHosts
         * expectedPrefixUses(pool.prefixUses, sharedPrefixKey(*request.prompt), tokens, now);
     input.prefillMs = tokens / prefillRate(pool) * (1 + pool.meanLoad);
-    input.domainTransferMs = site.crossDomainMs
-        + transferCostMs(view.terms, zone_distance::region, view.bytes);
-    input.regionTransferMs = site.crossRegionMs
-        + transferCostMs(view.terms, zone_distance::far, view.bytes);
+    input.domainTransferMs
+        = site.crossDomainMs + transferCostMs(view.terms, zone_distance::region, view.bytes);
+    input.regionTransferMs
+        = site.crossRegionMs + transferCostMs(view.terms, zone_distance::far, view.bytes);
     input.domains = std::max(1.0, domains[site.region]);
     input.regions = double(std::max<std::size_t>(1, domains.size()));
     return choosePrefixScope(input);
@@ -286,7 +286,8 @@
     std::map<std::string_view, std::vector<routed_upstream *>> places;
     for (routed_upstream *upstream : usable)
         places[placeIn(scope, upstream->listed)].push_back(upstream);
-    const auto part = unsigned((count + places.size() - 1) / std::max<std::size_t>(1, places.size()));
+    const auto part
+        = unsigned((count + places.size() - 1) / std::max<std::size_t>(1, places.size()));
     upstream_set preferred;
     for (const auto &[name, upstreams] : places)
         preferred.merge(preferredUpstreams(upstreams, reserved, request, part));
@@ -435,8 +436,7 @@
                 const placement_request &request, fleet_load &others, instant now)
 {
     const std::size_t index = request.zones->request % candidates.size();
-    pool.meanLoad
-        += meanLoadSmoothing * (loadOf(*candidates[index], others, now) - pool.meanLoad);
+    pool.meanLoad += meanLoadSmoothing * (loadOf(*candidates[index], others, now) - pool.meanLoad);
 }
 
 /// Upstreams of other software versions than the request's still count for the reservation, which
@@ -465,10 +465,9 @@
                                      request.zones != nullptr);
         const unsigned hosts = unsigned(others.hosts.size()) + 1;
         const unsigned count = preferredUpstreamCount(pool, *request.prompt, hosts, now);
-        preferred = request.zones
-            ? preferredInScope(candidates, reserved, request, scopeOf(pool, request, site, now),
-                               count)
-            : preferredUpstreams(candidates, reserved, request, count);
+        preferred = request.zones ? preferredInScope(candidates, reserved, request,
+                                                     scopeOf(pool, request, site, now), count)
+                                  : preferredUpstreams(candidates, reserved, request, count);
     }
     if (candidates.empty())
         return best;
--- a/src/policy/zone_choice.cpp
+++ b/src/policy/zone_choice.cpp
@@ -110,10 +110,8 @@
         const double gain = limitMs - awayCost(offer);
         if (!isAway(offer) || !isOpen(offer, view) || gain <= 0)
             continue;
-        const std::uint64_t seed
-            = XXH64(offer.failureDomain.data(), offer.failureDomain.size(), 0);
-        const double score
-            = gain * std::max(minRoom, offer.room) / -std::log(drawOf({key, seed}));
+        const std::uint64_t seed = XXH64(offer.failureDomain.data(), offer.failureDomain.size(), 0);
+        const double score = gain * std::max(minRoom, offer.room) / -std::log(drawOf({key, seed}));
         if (score > bestScore) {
             bestScore = score;
             chosen = index;
@@ -169,8 +167,7 @@
     const double excessMs = home->costMs - awayCost(offers[*away]);
     if (excessMs >= home->delayMs)
         return {*away, 1, "cache"};
-    const double share
-        = view.isRefusedAtHome ? 1 : excessMs / (home->delayMs + dampingMs(view));
+    const double share = view.isRefusedAtHome ? 1 : excessMs / (home->delayMs + dampingMs(view));
     if (drawOf({view.request, 1}) >= share)
         return {stay.offer, share, "stays"};
     const double limitMs = std::min(home->costMs, spreadLimitMs(offers[*away]));
@@ -192,8 +189,7 @@
     use = {earlier + 1, now};
 }
 
-double expectedPrefixUses(const prefix_uses &uses, std::uint64_t prefix, double tokens,
-                          instant now)
+double expectedPrefixUses(const prefix_uses &uses, std::uint64_t prefix, double tokens, instant now)
 {
     const auto found = uses.recent.find(prefix);
     // The request itself has been recorded.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -32,6 +32,13 @@
 // Share of the time left; callers honour a Retry-After of up to a third of it.
 constexpr double maxRetryAfterShare = 0.3;
 
+/// How a choice of an upstream differs from a request's first one.
+struct choice_wish
+{
+    bool prefersLatency = false; ///< See placement_request.
+    bool isRefusedAtHome = false; ///< See zone_view.
+};
+
 /// Value of Retry-After in decimal seconds, since waits are often below one second.
 std::string formatRetryAfter(microseconds wait)
 {
@@ -210,12 +217,6 @@
         co_return end;
     }
 
-    struct choice_wish
-    {
-        bool prefersLatency = false; ///< See placement_request.
-        bool isRefusedAtHome = false; ///< See zone_view.
-    };
-
     placement choose(proxy_job &job, choice_wish wish = {})
     {
         placement_request wanted;
--- a/src/route/transfer_accounts.cpp
+++ b/src/route/transfer_accounts.cpp
@@ -37,8 +37,8 @@
 } // namespace
 
 zone_view zoneViewOf(transfer_accounts &accounts, const transfer_terms &terms,
-                     const placement_site &site, const routing_state &routing,
-                     const proxy_job &job, instant now)
+                     const placement_site &site, const routing_state &routing, const proxy_job &job,
+                     instant now)
 {
     zone_view view;
     view.terms = terms;
--- a/src/route/transfer_accounts.h
+++ b/src/route/transfer_accounts.h
@@ -25,8 +25,8 @@
 
 /// What the choice of a failure domain for @p job depends on.
 zone_view zoneViewOf(transfer_accounts &accounts, const transfer_terms &terms,
-                     const placement_site &site, const routing_state &routing,
-                     const proxy_job &job, instant now);
+                     const placement_site &site, const routing_state &routing, const proxy_job &job,
+                     instant now);
 
 /// Records the start of an attempt at the chosen upstream.
 void recordTransferStart(transfer_accounts &accounts, metrics &numbers, const placement &chosen,
