--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -51,7 +51,6 @@
 constexpr double defaultPrefillTokensPerMs = 50; // Until a prefill has been timed.
 constexpr double fullLoadSlowdown = 0.25; // Share by which a full upstream prolongs a call.
 constexpr double defaultCallMs = 20; // Until a call has been answered.
-constexpr double meanLoadSmoothing = 0.02; // Weight of one upstream's load.
 // Usual time without a byte: between two events with a prefill in between, or during one call.
 constexpr double normalByteGapMs = 300;
 // High enough that prompts leave their preferred upstream after half a second of unexplained
@@ -254,7 +253,7 @@
     scope_input input;
     input.usesPerDomain = view.homeHosts
         * expectedPrefixUses(pool.prefixUses, sharedPrefixKey(*request.prompt), tokens, now);
-    input.prefillMs = tokens / prefillRate(pool) * (1 + pool.meanLoad);
+    input.prefillMs = tokens / prefillRate(pool) * repeatedPrefillWeight;
     input.domainTransferMs
         = site.crossDomainMs + transferCostMs(view.terms, zone_distance::region, view.bytes);
     input.regionTransferMs
@@ -432,13 +431,6 @@
                       request.prompt ? sharedPrefixKey(*request.prompt) : 0);
 }
 
-void sampleLoad(service_pool &pool, const std::vector<routed_upstream *> &candidates,
-                const placement_request &request, fleet_load &others, instant now)
-{
-    const std::size_t index = request.zones->request % candidates.size();
-    pool.meanLoad += meanLoadSmoothing * (loadOf(*candidates[index], others, now) - pool.meanLoad);
-}
-
 /// Upstreams of other software versions than the request's still count for the reservation, which
 /// is the same for all requests.
 placement chooseAmong(service_pool &pool, const std::vector<routed_upstream *> &usable,
@@ -453,8 +445,6 @@
     placement best;
     best.reason = "least";
     best.candidates = double(candidates.size());
-    if (request.zones && !candidates.empty())
-        sampleLoad(pool, candidates, request, others, now);
     upstream_set reserved;
     upstream_set preferred;
     if (request.prompt && request.prompt->promptTokens > 0 && !usable.empty()) {
--- a/src/policy/zone_choice.cpp
+++ b/src/policy/zone_choice.cpp
@@ -15,6 +15,9 @@
 // Together with its half-life this makes a steady count the uses within 40 s, for which an unused
 // prefix counts as cached.
 constexpr double useHalfLifeMs = 40'000 * std::numbers::ln2;
+// Until prefixes of a size have been seen. With some ten hosts in a domain, narrow scopes cost most
+// at about this number.
+constexpr double unknownUses = 0.04;
 constexpr double typicalSmoothing = 0.02; // Weight of one prompt.
 constexpr std::size_t maxRecentPrefixes = 8'192; // About 300 kB.
 constexpr double minCountKept = 0.1;
@@ -185,7 +188,7 @@
     prefix_uses::use &use = uses.recent[prefix];
     const double earlier = decayedCount(use, now);
     double &typical = uses.typical[sizeClass(tokens)];
-    typical += typicalSmoothing * (earlier - typical);
+    typical = typical > 0 ? typical + typicalSmoothing * (earlier - typical) : unknownUses;
     use = {earlier + 1, now};
 }
 
@@ -195,7 +198,8 @@
     // The request itself has been recorded.
     const double own
         = found == uses.recent.end() ? 0 : std::max(0.0, decayedCount(found->second, now) - 1);
-    return std::max(own, uses.typical[sizeClass(tokens)]);
+    const double typical = uses.typical[sizeClass(tokens)];
+    return std::max(own, typical > 0 ? typical : unknownUses);
 }
 
 prefix_scope choosePrefixScope(const scope_input &input)
