--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -44,6 +44,7 @@
     int runs = 0; ///< Attempts that an upstream may have run.
     bool hasBegunToRun = false; ///< An upstream has begun to answer it, in any attempt.
     int sends = 0; ///< Attempts that may have reached an upstream.
+    double answerBytes = 0; ///< Received in the current attempt.
     bool hasReservedAttempt = false; ///< A further attempt was taken from the budget.
     bool mayCrashUpstreams = false; ///< One crashed, and this request may be the cause.
     bool isHeldBack = false; ///< A trait of the request became held while an attempt ran.
@@ -55,7 +56,7 @@
     std::optional<error> lastFailure{};
     std::string_view noFurtherAttempt = "none"; ///< Why a failed attempt was the last one.
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
-    /// :first=, :gap= and :load=.
+    /// :first=, :gap=, :load= and, where transfers are weighed, :zone=.
     std::string attemptLog{};
 
     /// Also true on resumable routes.
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -88,6 +88,18 @@
         values.duties = std::move(duties);
 }
 
+void readTransfer(section_reader &root, route_settings &values)
+{
+    section_reader transfer = root.section("transfer", false);
+    if (!transfer.isMap())
+        return;
+    transfer_terms &terms = values.transfer.emplace();
+    transfer.fraction("domain_ms_per_mb", terms.domainMsPerMb, 0, 1e6);
+    transfer.fraction("region_ms_per_mb", terms.regionMsPerMb, 0, 1e6);
+    transfer.fraction("region_link_mbps", terms.regionLinkMbps, 0, 1e7);
+    transfer.rejectUnknown();
+}
+
 } // namespace
 
 route_settings_reading readRouteSettings(std::string_view yaml)
@@ -100,6 +112,7 @@
         readLogSection(root, reading.values.logTarget, reading.values.logLevel);
         readBounds(root, reading.values);
         readDuties(root, reading.values);
+        readTransfer(root, reading.values);
     });
     return reading;
 }
