--- a/src/route/transfer_accounts.cpp
+++ b/src/route/transfer_accounts.cpp
@@ -1,5 +1,7 @@
 #include "route/transfer_accounts.h"
 
+#include <algorithm>
+
 namespace quincefall {
 namespace {
 
