--- a/src/cli/serve_verb.cpp
+++ b/src/cli/serve_verb.cpp
@@ -73,7 +73,7 @@
     return values ? serve(*values) : exit_code::settings;
 }
 
-exit_code runCheck(std::span<const std::string>)
+exit_code checkSettings()
 {
     if (!loadSettings())
         return exit_code::settings;
--- a/src/cli/verbs.cpp
+++ b/src/cli/verbs.cpp
@@ -15,7 +15,10 @@
     verb{"serve", "--config FILE", "Runs a host of the fleet until SIGTERM or SIGINT.", runServe},
     verb{"route", "[--config FILE] [--check]",
          "Runs an entry host on a prepared platform until SIGTERM or SIGINT.", runRoute},
-    verb{"check", "--config FILE", "Checks a settings file and reports every mistake.", runCheck},
+    verb{"check", "--config FILE | --desired FILE [--in_force FILE | --host IP:PORT] [--json]",
+         "Checks a settings file, or a desired state before it is sent and how it differs from the "
+         "one in force.",
+         runCheck},
     verb{"apply", "-f FILE --host IP:PORT[,...] [--dry-run] [--wait] [--operation ID]",
          "Declares the resources of a YAML file; prints what became of each.", runApply},
     verb{"get", "KIND/NAME --host IP:PORT[,...]", "Prints a resource as JSON.", runGet},
--- a/src/cli/verbs.h
+++ b/src/cli/verbs.h
@@ -31,6 +31,8 @@
 exit_code runServe(std::span<const std::string> arguments);
 exit_code runRoute(std::span<const std::string> arguments);
 exit_code runCheck(std::span<const std::string> arguments);
+/// The settings part of `check`.
+exit_code checkSettings();
 exit_code runApply(std::span<const std::string> arguments);
 exit_code runGet(std::span<const std::string> arguments);
 exit_code runList(std::span<const std::string> arguments);
--- a/src/policy/desired_state.h
+++ b/src/policy/desired_state.h
@@ -90,6 +90,9 @@
     std::vector<route_rule> routes;
     std::map<std::string, service_rule, std::less<>> services;
     std::map<std::string, organisation_rule, std::less<>> organisationsByKey;
+    std::vector<std::string> organisations; ///< All, also those without a key.
+    std::vector<std::string>
+        overriddenEntries; ///< Those that a later one of the same key replaces.
     bool checksKeys = false; ///< Organisations are declared, so requests need a key.
     caller_limits limits;
     /// Distinct ranks that requests may have, the most urgent first; see indexRanks().
