--- a/tests/policy/duty_tenure_test.cpp
+++ b/tests/policy/duty_tenure_test.cpp
@@ -44,8 +44,8 @@
     /// A write that is sent at @p now and not stored yet.
     tenure_record send(instant now)
     {
-        const tenure_record record
-            = makeRecord(tenure, tenure.self.ip.back() * 1'000 + nextNonce++, false);
+        const std::uint64_t nonce = std::uint64_t(tenure.self.ip.back()) * 1'000 + nextNonce++;
+        tenure_record record = makeRecord(tenure, nonce, false);
         beginWrite(tenure, record, now);
         return record;
     }
