--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -243,7 +243,7 @@
 /// Scope of the request's shared prefix; the same on all hosts unless two scopes cost about as
 /// much.
 prefix_scope scopeOf(const service_pool &pool, const placement_request &request,
-                     const placement_site &site, instant now)
+                     const placement_site &site, unsigned slots, instant now)
 {
     const zone_view &view = *request.zones;
     const double tokens = sharedTokens(*request.prompt);
@@ -253,7 +253,8 @@
     scope_input input;
     input.usesPerDomain = view.homeHosts
         * expectedPrefixUses(pool.prefixUses, sharedPrefixKey(*request.prompt), tokens, now);
-    input.prefillMs = tokens / prefillRate(pool) * repeatedPrefillWeight;
+    // It delays all requests of an engine that is in full use.
+    input.prefillMs = tokens / prefillRate(pool) * softConcurrencyLimit(pool, slots);
     input.domainTransferMs
         = site.crossDomainMs + transferCostMs(view.terms, zone_distance::region, view.bytes);
     input.regionTransferMs
@@ -455,9 +456,10 @@
                                      request.zones != nullptr);
         const unsigned hosts = unsigned(others.hosts.size()) + 1;
         const unsigned count = preferredUpstreamCount(pool, *request.prompt, hosts, now);
-        preferred = request.zones ? preferredInScope(candidates, reserved, request,
-                                                     scopeOf(pool, request, site, now), count)
-                                  : preferredUpstreams(candidates, reserved, request, count);
+        preferred = request.zones
+            ? preferredInScope(candidates, reserved, request,
+                               scopeOf(pool, request, site, any.listed.slots, now), count)
+            : preferredUpstreams(candidates, reserved, request, count);
     }
     if (candidates.empty())
         return best;
