--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -82,7 +82,6 @@
     double reservedLevel = 0; ///< Not rounded; see updateReservedCount().
     instant reservedLevelAt = instant::min();
     prefix_uses prefixUses; ///< Empty where transfers between failure domains are not weighed.
-    double meanLoad = 0; ///< Smoothed load of its upstreams; as `prefixUses`.
 };
 
 /// The load that one attempt puts on an upstream.
