--- a/src/route/duty_services.cpp
+++ b/src/route/duty_services.cpp
@@ -170,24 +170,23 @@
 void addEngineCounts(const duty_environment &host, const engine_orderer &orderer)
 {
     using domain_counts = engine_orderer::domain_counts;
-    const auto add
-        = [&](const std::string &name, const std::string &help, const std::string &domain,
-              bool isInterruptible, unsigned domain_counts::*count) {
-              const std::string kind = isInterruptible ? "interruptible" : "ordinary";
-              host.numbers.addCallbackMetric(
-                  {name, "gauge", help, "failure_domain=\"" + domain + "\",kind=\"" + kind + "\"",
-                   [&orderer, domain, isInterruptible, count] {
-                       return double(orderer.engines(domain, isInterruptible).*count);
-                   }});
-          };
-    for (const auto &[domain, region] : host.settings.regions) {
-        for (const bool isInterruptible : {false, true}) {
-            add("quincefall_engines_ordered", "Engines that are ordered.", domain, isInterruptible,
-                &domain_counts::ordered);
-            add("quincefall_engines_listed", "Engines that are listed and not leaving.", domain,
-                isInterruptible, &domain_counts::listed);
+    // All of one name follow one another, as addCallbackMetric() requires.
+    const auto add = [&](const std::string &name, const std::string &help,
+                         unsigned domain_counts::*count) {
+        for (const auto &[domain, region] : host.settings.regions) {
+            for (const bool isInterruptible : {false, true}) {
+                const std::string kind = isInterruptible ? "interruptible" : "ordinary";
+                host.numbers.addCallbackMetric(
+                    {name, "gauge", help, "failure_domain=\"" + domain + "\",kind=\"" + kind + "\"",
+                     [&orderer, domain = domain, isInterruptible, count] {
+                         return double(orderer.engines(domain, isInterruptible).*count);
+                     }});
+            }
         }
-    }
+    };
+    add("quincefall_engines_ordered", "Engines that are ordered.", &domain_counts::ordered);
+    add("quincefall_engines_listed", "Engines that are listed and not leaving.",
+        &domain_counts::listed);
 }
 
 void addEngineOrders(const duty_environment &host, duty_holder &holder, const duty_calls &calls)
--- a/src/route/engine_orderer.cpp
+++ b/src/route/engine_orderer.cpp
@@ -102,13 +102,15 @@
     counts numbers;
     bool isStopped = false;
     bool isActive = false; ///< This host holds the duties and has taken over the orders.
-    std::uint64_t tenure = 0; ///< Increases with each take-over.
+    std::uint64_t tenure = 0; ///< Increases with each begin and end.
+    std::uint64_t takeovers = 0; ///< Of the holder, at the begin of the tenure.
     std::map<std::string, service_orders> services;
 
     void beginTenure()
     {
         ++tenure;
         isActive = true;
+        takeovers = holder.numbers().takeovers;
         services.clear();
         const instant now = clock.now();
         for (const wire::EngineOrder &row : holder.record().orders())
@@ -261,7 +263,9 @@
         unsigned samples = 0;
         while (!shared->isStopped) {
             const bool isHolder = shared->holder.isHolder();
-            if (isHolder && !shared->isActive)
+            const bool isNewTenure
+                = !shared->isActive || shared->takeovers != shared->holder.numbers().takeovers;
+            if (isHolder && isNewTenure)
                 shared->beginTenure();
             else if (!isHolder && shared->isActive)
                 shared->endTenure();
