--- a/src/policy/engine_targets.cpp
+++ b/src/policy/engine_targets.cpp
@@ -14,7 +14,8 @@
 {
     if (!rule.interruptiblePrice || domains < minDomainsForReserve)
         return 0;
-    const auto sharing = double(std::max(available, minDomainsForReserve));
+    // Where most domains have ordinary engines instead, fewer can be lost, not more.
+    const auto sharing = double(std::max({available, (domains + 1) / 2, minDomainsForReserve}));
     const double factor = sharing / (sharing - 1);
     return *rule.interruptiblePrice * factor < 1 ? factor : 0;
 }
--- a/tests/policy/engine_orders_test.cpp
+++ b/tests/policy/engine_orders_test.cpp
@@ -247,6 +247,16 @@
     BOOST_TEST(replay.asked <= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(refusals_in_most_domains_do_not_swell_the_others)
+{
+    std::map<std::string, domain_need> needs;
+    for (int index = 0; index < 6; ++index)
+        needs["domain-" + std::to_string(index)] = {10, 0, {}, index >= 2};
+    const auto targets = targetEngines(makeRule(), needs);
+    BOOST_TEST(targets.at("domain-0").engines == 15U);
+    BOOST_TEST(targets.at("domain-5").engines == 10U);
+}
+
 BOOST_AUTO_TEST_CASE(orders_that_are_never_met_are_repeated_and_made_up_for)
 {
     engine_replay replay;
