Count requests whose answers were lost

From 25 to 29 s, 54 engines ran requests and reset their connections; those without a further attempt were never counted.

A lost answer now counts if the connection was lost after half of the time in which the first byte was expected.

--- a/src/policy/usage_ledger.cpp
+++ b/src/policy/usage_ledger.cpp
@@ -70,4 +70,11 @@
     ledger.windows.erase(ledger.windows.begin(), ledger.windows.lower_bound(window));
 }
 
+bool hasLikelyBegun(microseconds waited, double expectedFirstByteMs)
+{
+    // Work varies by about half around its mean.
+    constexpr double minShareOfEstimate = 0.5;
+    return toMilliseconds(waited) >= expectedFirstByteMs * minShareOfEstimate;
+}
+
 } // namespace quincefall
--- a/src/policy/usage_ledger.h
+++ b/src/policy/usage_ledger.h
@@ -66,4 +66,11 @@
 /// Drops the windows before @p window.
 void dropBefore(usage_ledger &ledger, std::int64_t window);
 
+/// Whether a request whose connection was lost without an answer @p waited after it was sent is
+/// taken to have begun to run, if its first byte was expected after @p expectedFirstByteMs.
+///
+/// Answers engines that run requests and lose their answers, many at a time: such requests count,
+/// while those that still wait at an engine as it crashes don't.
+bool hasLikelyBegun(microseconds waited, double expectedFirstByteMs);
+
 } // namespace quincefall
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -1,5 +1,6 @@
 #include "route/proxy_attempt.h"
 
+#include "policy/usage_ledger.h"
 #include "route/running_attempt.h"
 
 #include <algorithm>
@@ -242,6 +243,14 @@
         attempt.context.runListener(attempt.job.organisation());
 }
 
+/// Reports a request whose answer was lost as begun to run, if it has been there for long enough.
+void noteLostAnswer(running_attempt &attempt)
+{
+    const microseconds waited = attempt.context.clock.now() - attempt.started;
+    if (hasLikelyBegun(waited, attempt.chosen.estimatedFirstByteMs))
+        noteRun(attempt);
+}
+
 asio::awaitable<attempt_end> handleAnswer(running_attempt &attempt, answer_head &head)
 {
     proxy_job &job = attempt.job;
@@ -355,9 +364,11 @@
     job.exchange.setDisconnectListener(nullptr);
     attempt.call->finish();
     const bool isUnanswered = removeAttempt(context.guard, job);
-    if (end == attempt_end::failed && attempt.call->hasLostConnection())
+    if (end == attempt_end::failed && attempt.call->hasLostConnection()) {
+        noteLostAnswer(attempt);
         co_await noteLostConnection(context.guard, job, attempt.entry,
                                     {attempt.started, attempt.hasJustBegun(), !isUnanswered});
+    }
     routed_upstream *target = attempt.upstream();
     if (target && !attempt.hasFirstByte)
         recordFirstByte(pool, *target, attempt.work(), std::nullopt, context.clock.now());
--- a/tests/policy/usage_ledger_test.cpp
+++ b/tests/policy/usage_ledger_test.cpp
@@ -77,6 +77,14 @@
     BOOST_TEST((totalOf(ledger, 8) == usage_counts{{"a", 5}}));
 }
 
+BOOST_AUTO_TEST_CASE(a_lost_answer_counts_if_the_request_was_there_long_enough)
+{
+    BOOST_TEST(hasLikelyBegun(milliseconds(60), 60));
+    BOOST_TEST(hasLikelyBegun(milliseconds(30), 60));
+    BOOST_TEST(!hasLikelyBegun(milliseconds(29), 60));
+    BOOST_TEST(!hasLikelyBegun(milliseconds(400), 2'000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
