--- a/src/cli/check_verb.cpp
+++ b/src/cli/check_verb.cpp
@@ -51,7 +51,8 @@
 {
     constexpr int maxReferrals = 3;
     for (int referrals = 0; referrals < maxReferrals; ++referrals) {
-        auto known = co_await fetchDesired(client, host, 0, {});
+        const host_address notOfTheFleet;
+        auto known = co_await fetchDesired(client, host, 0, notOfTheFleet);
         if (!known)
             co_return tl::unexpected(known.error());
         if (known->text)
