--- a/src/policy/desired_check.cpp
+++ b/src/policy/desired_check.cpp
@@ -257,6 +257,14 @@
             {"idle timeout", toText(limits.idleTimeout)}};
 }
 
+std::string changeLine(const std::string &entry, const std::string &field,
+                       const std::string &oldText, const std::string &newText)
+{
+    std::string line = entry;
+    line.append(": ").append(field).append(" from ").append(oldText).append(" to ").append(newText);
+    return line;
+}
+
 void compareFields(const std::string &entry, const field_list &before, const field_list &after,
                    std::vector<std::string> &lines)
 {
@@ -268,7 +276,7 @@
         const std::string oldText = old == before.end() ? "none" : old->second;
         const std::string newText = now == after.end() ? "none" : now->second;
         if (oldText != newText)
-            lines.push_back(entry + ": " + name + " from " + oldText + " to " + newText);
+            lines.push_back(changeLine(entry, name, oldText, newText));
     }
 }
 
--- a/src/route/duty_services.cpp
+++ b/src/route/duty_services.cpp
@@ -167,23 +167,30 @@
     add("unanswered", &counts::unanswered);
 }
 
+std::string engineLabels(const std::string &domain, bool isInterruptible)
+{
+    std::string labels = "failure_domain=\"";
+    labels.append(domain).append("\",kind=\"");
+    labels.append(isInterruptible ? "interruptible" : "ordinary").append("\"");
+    return labels;
+}
+
 void addEngineCounts(const duty_environment &host, const engine_orderer &orderer)
 {
     using domain_counts = engine_orderer::domain_counts;
     // All of one name follow one another, as addCallbackMetric() requires.
-    const auto add = [&](const std::string &name, const std::string &help,
-                         unsigned domain_counts::*count) {
-        for (const auto &[domain, region] : host.settings.regions) {
-            for (const bool isInterruptible : {false, true}) {
-                const std::string kind = isInterruptible ? "interruptible" : "ordinary";
-                host.numbers.addCallbackMetric(
-                    {name, "gauge", help, "failure_domain=\"" + domain + "\",kind=\"" + kind + "\"",
-                     [&orderer, domain = domain, isInterruptible, count] {
-                         return double(orderer.engines(domain, isInterruptible).*count);
-                     }});
-            }
-        }
-    };
+    const auto add
+        = [&](const std::string &name, const std::string &help, unsigned domain_counts::*count) {
+              for (const auto &[domain, region] : host.settings.regions) {
+                  for (const bool isInterruptible : {false, true}) {
+                      host.numbers.addCallbackMetric(
+                          {name, "gauge", help, engineLabels(domain, isInterruptible),
+                           [&orderer, domain = domain, isInterruptible, count] {
+                               return double(orderer.engines(domain, isInterruptible).*count);
+                           }});
+                  }
+              }
+          };
     add("quincefall_engines_ordered", "Engines that are ordered.", &domain_counts::ordered);
     add("quincefall_engines_listed", "Engines that are listed and not leaving.",
         &domain_counts::listed);
