Review case 2: status codes that the parser's enumeration lacks reach callers as 000

A server's answer with status 425, 418, 520 or 560 comes to the caller as 'HTTP/1.1 000', with the server's stamp and body. respond() turns the number into an enumeration value and back.

--- a/review/support/standins.py
+++ b/review/support/standins.py
@@ -191,7 +191,8 @@
 class Engine:
     """A server of one service. Runs each request that names it and answers with its stamp.
 
-    `status` is the status of its answers to requests that it ran.
+    It answers requests that it ran with the statuses of `cycle` in turn; `given` has, by request id,
+    the statuses that it gave.
     """
 
     def __init__(self, identity, service, ip="127.0.0.1", zone="espoo"):
@@ -202,7 +203,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.work_s = 0.03
-        self.status = 200
+        self.cycle = (200,)
+        self.given = {}
         self.runs = {}  # By request id: (time, method, target, fields, body) of each run.
 
     def entry(self, state="ready"):
@@ -222,10 +224,12 @@
             writer.write(message_bytes(421, b"", echo + [("Quincefall-Not-Run", "1")]))
             await writer.drain()
             return True
+        status = self.cycle[sum(map(len, self.runs.values())) % len(self.cycle)]
         self.runs.setdefault(request, []).append((time.monotonic(), method, target, fields, body))
+        self.given.setdefault(request, []).append(status)
         await asyncio.sleep(self.work_s)
         stamp = ("Quincefall-Response-Stamp", f"{self.identity}.{request}")
-        writer.write(message_bytes(self.status, self.body_of(request), echo + [stamp]))
+        writer.write(message_bytes(status, self.body_of(request), echo + [stamp]))
         await writer.drain()
         return True
 
