--- a/tests/serve/http_server_test.cpp
+++ b/tests/serve/http_server_test.cpp
@@ -2,12 +2,11 @@
 
 #include "clients/http_client.h"
 #include "kernel/asio_headers.h"
+#include "support/served_bytes.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include <array>
 #include <stdexcept>
-#include <thread>
 
 namespace quincefall {
 namespace {
@@ -37,67 +36,6 @@
     }
 }
 
-/// A server in a thread of its own, and what a client receives from it byte for byte.
-class served_bytes
-{
-public:
-    explicit served_bytes(http_server::handler handler)
-    {
-        http_server::options options;
-        options.listen = {"127.0.0.1", 0};
-        options.headerTimeout = options.requestTimeout = milliseconds(300);
-        options.idleTimeout = milliseconds(300);
-        auto made = http_server::makeHttpServer(m_context, options,
-                                                [this, handler](http_exchange &exchange) {
-                                                    m_targets.emplace_back(exchange.target());
-                                                    return handler(exchange);
-                                                });
-        BOOST_REQUIRE(made.has_value());
-        m_server = std::move(*made);
-        m_thread = std::thread([this] { m_context.run(); });
-    }
-
-    ~served_bytes()
-    {
-        m_context.stop();
-        m_thread.join();
-    }
-
-    /// Sends @p bytes and returns all that comes until the server closes the connection, or ends
-    /// with @p last.
-    std::string receive(std::string_view bytes, std::string_view last = {})
-    {
-        using tcp = asio::ip::tcp;
-        asio::io_context context;
-        tcp::socket socket(context);
-        socket.connect({asio::ip::address_v4::loopback(), m_server->port()});
-        return receive(socket, bytes, last);
-    }
-
-    std::string receive(asio::ip::tcp::socket &socket, std::string_view bytes,
-                        std::string_view last)
-    {
-        boost::system::error_code code;
-        asio::write(socket, asio::buffer(bytes), code);
-        std::string received;
-        std::array<char, 1024> piece{};
-        while (!code && (last.empty() || !received.ends_with(last)))
-            received.append(piece.data(), socket.read_some(asio::buffer(piece), code));
-        return received;
-    }
-
-    std::uint16_t port() const { return m_server->port(); }
-
-    /// Of the requests whose handler ran. To be read after their answers.
-    const std::vector<std::string> &targets() const { return m_targets; }
-
-private:
-    asio::io_context m_context;
-    std::unique_ptr<http_server> m_server;
-    std::vector<std::string> m_targets;
-    std::thread m_thread;
-};
-
 BOOST_AUTO_TEST_SUITE(http_server_tests)
 
 BOOST_AUTO_TEST_CASE(a_status_without_a_name_reaches_the_caller)
