--- /dev/null
+++ b/tests/platform/caller_fields_test.cpp
@@ -0,0 +1,54 @@
+#include "platform/wire_codec.h"
+
+#include "support/served_bytes.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int statusOk = 200;
+constexpr int statusMalformed = 400;
+
+/// Answers with the head that an engine would get.
+asio::awaitable<void> answerEngineHead(http_exchange &exchange)
+{
+    const wire_format wire = makePlatformWireFormat();
+    const auto request = wire.readRequest(exchange);
+    std::string head = request ? wire.writeAttempt(*request, {}, 0) : request.error().detail;
+    co_await exchange.respond(request ? statusOk : statusMalformed, {}, std::move(head));
+}
+
+std::string send(served_bytes &server, const std::string &fields)
+{
+    return server.receive("GET /read/1 HTTP/1.1\r\nHost: a\r\nQuincefall-Request-Id: 9c41\r\n"
+                          "X-Hop: 1\r\nX-Own: 1\r\n"
+                          + fields + "Connection: close\r\n\r\n");
+}
+
+BOOST_AUTO_TEST_SUITE(caller_fields_tests)
+
+// Only the first Connection field was read, and blanks were cut at the front of
+// its options alone.
+BOOST_AUTO_TEST_CASE(a_field_that_connection_names_reaches_no_engine)
+{
+    served_bytes server(answerEngineHead);
+    for (const std::string fields : {
+             "Connection: X-Hop\r\n",
+             "Connection: keep-alive,\tX-Hop\r\n",
+             "Connection: X-Hop , keep-alive\r\n",
+             "Connection: X-Hop\t\r\n",
+             "Connection: ,, x-hop,\r\n",
+             "Connection: keep-alive\r\nConnection: X-Hop\r\n",
+         }) {
+        const std::string got = send(server, fields);
+        BOOST_TEST(got.starts_with("HTTP/1.1 200 "), fields << got);
+        BOOST_TEST(got.find("X-Hop") == std::string::npos, fields << got);
+        BOOST_TEST(got.find("X-Own: 1") != std::string::npos, fields << got);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
