--- a/tests/platform/caller_fields_test.cpp
+++ b/tests/platform/caller_fields_test.cpp
@@ -28,6 +28,23 @@
 
 BOOST_AUTO_TEST_SUITE(caller_fields_tests)
 
+// A caller could have its request run without an id, so that nobody could tell
+// a repetition.
+BOOST_AUTO_TEST_CASE(connection_may_not_name_a_field_that_the_engine_needs)
+{
+    served_bytes server(answerEngineHead);
+    for (const std::string name :
+         {"Quincefall-Request-Id", "quincefall-request-id", "Host", "Quincefall-Model",
+          "Quincefall-Token-Count", "Quincefall-Prompt-Prefix", "Quincefall-Length-Hint",
+          "Quincefall-Credential", "Quincefall-Deadline-Ms", "Last-Event-Id", "Resumes",
+          "Content-Type", "Content-Length", "Cache-Control", "Authorization"}) {
+        for (const std::string &option : {name, "X-Hop, " + name, name + "\t,x"}) {
+            const std::string got = send(server, "Connection: " + option + "\r\n");
+            BOOST_TEST(got.starts_with("HTTP/1.1 400 "), option << got);
+        }
+    }
+}
+
 // Only the first Connection field was read, and blanks were cut at the front of
 // its options alone.
 BOOST_AUTO_TEST_CASE(a_field_that_connection_names_reaches_no_engine)
