--- a/tests/platform/caller_fields_test.cpp
+++ b/tests/platform/caller_fields_test.cpp
@@ -65,6 +65,23 @@
     }
 }
 
+// Fields that an engine meant for its own connection reached callers.
+BOOST_AUTO_TEST_CASE(a_field_that_an_engines_connection_names_reaches_no_caller)
+{
+    const std::vector<http_header> fields{{"Quincefall-Request-Id", "9c41"},
+                                          {"Quincefall-Response-Stamp", "s"},
+                                          {"Connection", "keep-alive , X-Hop\t, Content-Type"},
+                                          {"Content-Type", "text/plain"},
+                                          {"X-Hop", "1"},
+                                          {"X-Other", "1"},
+                                          {"Connection", "x-other,Quincefall-Response-Stamp"}};
+    std::string names;
+    for (const auto &[name, value] :
+         makePlatformWireFormat().readAnswer(statusOk, fields).forwardedFields)
+        names += name + ",";
+    BOOST_TEST(names == "Quincefall-Request-Id,Quincefall-Response-Stamp,Content-Type,");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
