Refuse CONNECT, behind which tunnel data ran as requests

"CONNECT /confirm/x" was passed on to an engine like any method and answered 200. TRACE, which has no content, was passed on with one.

Cause: the server looked at the framing of a head only, not at methods that change what follows it.

The server answers 400 and closes the connection, at every port and in both roles (RFC 9110, 9.3.6 and 9.3.8). TRACE without content is passed on as before.

Evidence: what_follows_a_tunnel_request_is_no_request failed before for each of its five heads: 200, and a second answer for what followed. It passes now.

--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -56,6 +56,24 @@
     return size == 0 && code != asio::error::would_block;
 }
 
+using caller_parser = http::request_parser<http::string_body>;
+
+/// Why the host serves no request with this head, whose bytes were read in full; empty if it may.
+std::string_view faultOfHead(const caller_parser &parser)
+{
+    const auto &request = parser.get();
+    if (!hasPlainLength(request, request.version()))
+        return request.count(http::field::transfer_encoding) > 0
+            ? "the transfer coding is not just chunked"
+            : "the content length is not one number";
+    // What follows is data for the tunnel (RFC 9110, 9.3.6), and no request.
+    if (request.method() == http::verb::connect)
+        return "CONNECT is not supported";
+    if (request.method() == http::verb::trace && !parser.is_done())
+        return "TRACE has content";
+    return {};
+}
+
 bool waitsForContinue(const http::request<http::string_body> &request)
 {
     return request.version() >= 11 && beast::iequals(request[http::field::expect], "100-continue");
@@ -144,27 +162,25 @@
 {
     if (buffer.size() == 0 && !co_await readFirstBytes(core, stream, buffer))
         co_return false;
-    http::request_parser<http::string_body> parser;
+    caller_parser parser;
     parser.header_limit(core->settings.maxHeaderBytes);
     parser.body_limit(core->settings.maxBodyBytes);
     stream.expires_after(core->settings.headerTimeout);
     auto [code, size] = co_await http::async_read_header(stream, buffer, parser, asTuple);
-    if (!code && !hasPlainLength(parser.get(), parser.get().version()))
-        code = parser.get().count(http::field::transfer_encoding) > 0
-            ? http::error::bad_transfer_encoding
-            : http::error::bad_content_length;
-    if (!code) {
+    const std::string_view fault = code ? std::string_view() : faultOfHead(parser);
+    if (!code && fault.empty()) {
         stream.expires_after(core->settings.requestTimeout);
         if (!parser.is_done() && waitsForContinue(parser.get()))
             code = co_await writeContinue(stream);
     }
-    if (!code)
+    if (!code && fault.empty())
         std::tie(code, size) = co_await http::async_read(stream, buffer, parser, asTuple);
     if (code == http::error::end_of_stream || code == asio::error::connection_reset)
         co_return false;
-    if (code) {
-        const auto response
-            = problemResponse({parseFailureCode(code, core->settings), code.message(), {}, {}});
+    if (code || !fault.empty()) {
+        const auto response = problemResponse(
+            code ? problem{parseFailureCode(code, core->settings), code.message(), {}, {}}
+                 : problem{result_code::malformedRequest, std::string(fault), {}, {}});
         stream.expires_after(core->settings.requestTimeout);
         co_await http::async_write(stream, response, asTuple);
         co_return false;
--- /dev/null
+++ b/tests/serve/caller_head_test.cpp
@@ -0,0 +1,67 @@
+#include "serve/http_server.h"
+
+#include "support/served_bytes.h"
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+const std::string follower = "GET /follower HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+/// Answers with the names of the request's fields, as a stream below /stream, and cuts the stream
+/// /stream/cut.
+asio::awaitable<void> answerFieldNames(http_exchange &exchange)
+{
+    std::string names;
+    exchange.forEachHeader(
+        [&names](std::string_view name, std::string_view) { names.append(name).append(","); });
+    if (!exchange.path().starts_with("/stream")) {
+        co_await exchange.respond(exchange.path() == "/none" ? statusNotFound : statusOk, {},
+                                  names);
+        co_return;
+    }
+    co_await exchange.beginStream(statusOk, {});
+    co_await exchange.write(names);
+    if (exchange.path() == "/stream/cut")
+        exchange.abort();
+    else
+        co_await exchange.endStream();
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    const std::size_t end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? answer : answer.substr(end + 4);
+}
+
+BOOST_AUTO_TEST_SUITE(caller_head_tests)
+
+// Tunnel data behind CONNECT, and the content that TRACE must not have, ran as requests.
+BOOST_AUTO_TEST_CASE(what_follows_a_tunnel_request_is_no_request)
+{
+    served_bytes server(answerFieldNames);
+    for (const std::string &head : {
+             std::string("CONNECT /confirm/x HTTP/1.1\r\nHost: a\r\n\r\n"),
+             std::string("CONNECT a:443 HTTP/1.1\r\nHost: a\r\n\r\n"),
+             std::string("CONNECT /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"),
+             std::string("TRACE /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"),
+             std::string("TRACE /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "0\r\n\r\n"),
+         }) {
+        const std::string got = server.receive(head + follower);
+        BOOST_TEST(got.starts_with("HTTP/1.1 400 "), head << got);
+        BOOST_TEST(got.find("HTTP/1.1", 1) == std::string::npos, head << got);
+    }
+    BOOST_TEST(server.targets().empty());
+    const std::string traced
+        = server.receive("TRACE /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    BOOST_TEST(traced.starts_with("HTTP/1.1 200 "), traced);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
