Refuse folded fields

"Transfer-Encoding:" CRLF blank "chunked", and Content-Length alike, were accepted. Another recipient on the way may take such a line for a field, or for the end of one, and see another end of the request; RFC 9112, 5.2 lets a server refuse it.

Cause: the parser joins the lines of a folded field and keeps no trace of it.

The server hands the bytes of a head to the parser itself and answers 400 if a line goes on in the next one. The parser takes whole fields only, so a fold is never split between two reads.

Evidence: a_folded_field_is_refused failed before for five of its six heads, and a_fold_between_two_segments_is_refused for each cut; they pass now.

--- a/src/clients/message_framing.cpp
+++ b/src/clients/message_framing.cpp
@@ -36,4 +36,10 @@
         && hasKnownTransferCoding(fields, version);
 }
 
+bool hasFoldedField(std::string_view lines)
+{
+    return lines.find("\r\n ") != std::string_view::npos
+        || lines.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace quincefall
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -58,6 +58,13 @@
 
 using caller_parser = http::request_parser<http::string_body>;
 
+/// How reading a request, or its head, has ended.
+struct read_end
+{
+    boost::system::error_code code;
+    std::string_view fault; ///< Why the head is refused; empty if it is not.
+};
+
 /// Why the host serves no request with this head, whose bytes were read in full; empty if it may.
 std::string_view faultOfHead(const caller_parser &parser)
 {
@@ -86,6 +93,34 @@
     co_return code;
 }
 
+/// Reads the head of a request whose first bytes are in @p buffer. The bytes go to the parser here,
+/// since it joins the lines of a folded field without a trace.
+asio::awaitable<read_end> readHead(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                   caller_parser &parser)
+{
+    boost::system::error_code code = http::error::need_more;
+    while (true) {
+        if (buffer.size() > 0) {
+            const std::size_t parsed = parser.put(buffer.data(), code);
+            const std::string_view lines(static_cast<const char *>(buffer.data().data()), parsed);
+            if (hasFoldedField(lines))
+                co_return read_end{{}, "a field goes on in the next line"};
+            buffer.consume(parsed);
+        }
+        if (!code && parser.is_header_done())
+            co_return read_end{{}, faultOfHead(parser)};
+        if (code && code != http::error::need_more)
+            co_return read_end{code, {}};
+        const auto space = buffer.prepare(initialReadBytes);
+        const auto [failure, size] = co_await stream.async_read_some(space, asTuple);
+        buffer.commit(size);
+        if (failure == asio::error::eof)
+            co_return read_end{http::error::partial_message, {}};
+        if (failure)
+            co_return read_end{failure, {}};
+    }
+}
+
 /// Ends an exchange whose handler threw, without an answer: whether the request ran is unknown.
 void endFailedExchange(http_exchange &exchange, const std::exception_ptr &failure)
 {
@@ -124,6 +159,8 @@
     static asio::awaitable<void> serve(core_ptr core, tcp::socket socket);
     static asio::awaitable<bool> serveOne(core_ptr core, beast::tcp_stream &stream,
                                           beast::flat_buffer &buffer);
+    static asio::awaitable<read_end> readRequest(core_ptr core, beast::tcp_stream &stream,
+                                                 beast::flat_buffer &buffer, caller_parser &parser);
     static asio::awaitable<bool> readFirstBytes(core_ptr core, beast::tcp_stream &stream,
                                                 beast::flat_buffer &buffer);
     static asio::awaitable<void> refuse(tcp::socket socket);
@@ -156,6 +193,26 @@
     co_return !code && !core->isStopped;
 }
 
+/// Reads a request whose first bytes are in @p buffer.
+asio::awaitable<read_end> http_server::state::readRequest(core_ptr core, beast::tcp_stream &stream,
+                                                          beast::flat_buffer &buffer,
+                                                          caller_parser &parser)
+{
+    parser.header_limit(core->settings.maxHeaderBytes);
+    parser.body_limit(core->settings.maxBodyBytes);
+    stream.expires_after(core->settings.headerTimeout);
+    read_end head = co_await readHead(stream, buffer, parser);
+    if (head.code || !head.fault.empty())
+        co_return head;
+    stream.expires_after(core->settings.requestTimeout);
+    if (!parser.is_done() && waitsForContinue(parser.get())) {
+        if (const auto code = co_await writeContinue(stream))
+            co_return read_end{code, {}};
+    }
+    const auto [code, size] = co_await http::async_read(stream, buffer, parser, asTuple);
+    co_return read_end{code, {}};
+}
+
 /// Reads one request and runs its handler; false when the connection must be closed.
 asio::awaitable<bool> http_server::state::serveOne(core_ptr core, beast::tcp_stream &stream,
                                                    beast::flat_buffer &buffer)
@@ -163,18 +220,7 @@
     if (buffer.size() == 0 && !co_await readFirstBytes(core, stream, buffer))
         co_return false;
     caller_parser parser;
-    parser.header_limit(core->settings.maxHeaderBytes);
-    parser.body_limit(core->settings.maxBodyBytes);
-    stream.expires_after(core->settings.headerTimeout);
-    auto [code, size] = co_await http::async_read_header(stream, buffer, parser, asTuple);
-    const std::string_view fault = code ? std::string_view() : faultOfHead(parser);
-    if (!code && fault.empty()) {
-        stream.expires_after(core->settings.requestTimeout);
-        if (!parser.is_done() && waitsForContinue(parser.get()))
-            code = co_await writeContinue(stream);
-    }
-    if (!code && fault.empty())
-        std::tie(code, size) = co_await http::async_read(stream, buffer, parser, asTuple);
+    const auto [code, fault] = co_await readRequest(core, stream, buffer, parser);
     if (code == http::error::end_of_stream || code == asio::error::connection_reset)
         co_return false;
     if (code || !fault.empty()) {
--- a/tests/serve/caller_head_test.cpp
+++ b/tests/serve/caller_head_test.cpp
@@ -61,6 +61,44 @@
     BOOST_TEST(traced.starts_with("HTTP/1.1 200 "), traced);
 }
 
+// The parser joins folded lines, and another recipient may read a field in place of the fold.
+BOOST_AUTO_TEST_CASE(a_folded_field_is_refused)
+{
+    served_bytes server(answerFieldNames);
+    for (const std::string &field : {
+             std::string("Transfer-Encoding:\r\n chunked"),
+             std::string("Content-Length:\r\n\t4"),
+             std::string("X-A: b\r\n Content-Length: 4"),
+             std::string("X-A: b\r\n\tc"),
+             std::string("X-A:\r\n \r\n c"),
+             std::string("Host: b\r\n c"),
+         }) {
+        const std::string got
+            = server.receive("POST /x HTTP/1.1\r\n" + field + "\r\nHost: a\r\n\r\n" + follower);
+        BOOST_TEST(got.starts_with("HTTP/1.1 400 "), field << got);
+        BOOST_TEST(got.find("HTTP/1.1", 1) == std::string::npos, field << got);
+    }
+    BOOST_TEST(server.targets().empty());
+}
+
+// The second line of the head came in a segment of its own and was not seen to be a fold.
+BOOST_AUTO_TEST_CASE(a_fold_between_two_segments_is_refused)
+{
+    served_bytes server(answerFieldNames);
+    const std::string head = "GET /x HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n";
+    for (std::size_t cut = 1; cut < head.size(); ++cut) {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::address_v4::loopback(), server.port()});
+        socket.set_option(asio::ip::tcp::no_delay(true));
+        asio::write(socket, asio::buffer(head.substr(0, cut)));
+        std::this_thread::sleep_for(milliseconds(2));
+        const std::string got = server.receive(socket, head.substr(cut), {});
+        BOOST_TEST(got.starts_with("HTTP/1.1 400 "), cut << got);
+    }
+    BOOST_TEST(server.targets().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
