Answer HEAD without a body

A caller that sent HEAD and kept its connection got the body of the host's own answers, such as a 404 or 503, and the last chunk of a stream's.

Cause: http_exchange wrote answers without a look at the request's method.

Answers to HEAD are the head alone now, in both roles and at every port. Their length is that of the body left out; it is not stated where the host has no body, since an upstream's answer to HEAD has none to count.

Evidence: an_answer_to_head_has_no_body failed before for each of its paths; it passes now.

--- a/src/serve/http_exchange.cpp
+++ b/src/serve/http_exchange.cpp
@@ -66,6 +66,8 @@
 asio::awaitable<bool> http_exchange::respond(int status, std::span<const response_header> headers,
                                              std::string body)
 {
+    if (m_state->isHead())
+        co_return co_await respondToHead(status, headers, body.size());
     http::response<http::string_body> response;
     m_state->prepareResponse(response, status, headers);
     response.body() = std::move(body);
@@ -74,9 +76,26 @@
     co_return m_state->handleWriteResult(code);
 }
 
+/// The length is left out where it is 0, since an upstream's answer to HEAD has no body either.
+asio::awaitable<bool> http_exchange::respondToHead(int status,
+                                                   std::span<const response_header> headers,
+                                                   std::size_t bodySize)
+{
+    http::response<http::empty_body> response;
+    m_state->prepareResponse(response, status, headers);
+    if (bodySize > 0)
+        response.content_length(bodySize);
+    http::response_serializer<http::empty_body> serializer(response);
+    const auto [code, size]
+        = co_await http::async_write_header(m_state->stream, serializer, asTuple);
+    co_return m_state->handleWriteResult(code);
+}
+
 asio::awaitable<bool> http_exchange::beginStream(int status,
                                                  std::span<const response_header> headers)
 {
+    if (m_state->isHead())
+        co_return co_await respondToHead(status, headers, 0);
     http::response<http::empty_body> response;
     m_state->prepareResponse(response, status, headers);
     response.chunked(true);
@@ -90,6 +109,8 @@
 {
     if (m_state->isCallerDisconnected)
         co_return false;
+    if (m_state->isHead())
+        co_return true;
     m_state->stream.expires_after(m_state->core->settings.requestTimeout);
     const auto chunk = http::make_chunk(asio::buffer(piece));
     const auto [code, size] = co_await asio::async_write(m_state->stream, chunk, asTuple);
@@ -100,6 +121,8 @@
 {
     if (m_state->isCallerDisconnected)
         co_return false;
+    if (m_state->isHead())
+        co_return true;
     m_state->stream.expires_after(m_state->core->settings.requestTimeout);
     const auto last = http::make_chunk_last();
     const auto [code, size] = co_await asio::async_write(m_state->stream, last, asTuple);
--- a/src/serve/http_exchange_state.h
+++ b/src/serve/http_exchange_state.h
@@ -30,6 +30,8 @@
     bool hasStartedResponse = false;
     bool isCallerDisconnected = false;
 
+    bool isHead() const { return request.method() == boost::beast::http::verb::head; }
+
     void markDisconnected()
     {
         if (isCallerDisconnected)
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -93,6 +93,13 @@
     co_return code;
 }
 
+asio::awaitable<void> writeHead(beast::tcp_stream &stream,
+                                const http::response<http::string_body> &response)
+{
+    http::response_serializer<http::string_body> serializer(response);
+    co_await http::async_write_header(stream, serializer, asTuple);
+}
+
 /// Reads the head of a request whose first bytes are in @p buffer. The bytes go to the parser here,
 /// since it joins the lines of a folded field without a trace.
 asio::awaitable<read_end> readHead(beast::tcp_stream &stream, beast::flat_buffer &buffer,
@@ -228,7 +235,10 @@
             code ? problem{parseFailureCode(code, core->settings), code.message(), {}, {}}
                  : problem{result_code::malformedRequest, std::string(fault), {}, {}});
         stream.expires_after(core->settings.requestTimeout);
-        co_await http::async_write(stream, response, asTuple);
+        if (parser.get().method() == http::verb::head)
+            co_await writeHead(stream, response);
+        else
+            co_await http::async_write(stream, response, asTuple);
         co_return false;
     }
     stream.expires_never();
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -42,7 +42,7 @@
     void forEachHeader(
         const std::function<void(std::string_view name, std::string_view value)> &visitor) const;
 
-    /// Sends a complete response.
+    /// Sends a complete response; of one to HEAD, the head alone.
     boost::asio::awaitable<bool> respond(int status, std::span<const response_header> headers,
                                          std::string body);
 
@@ -69,6 +69,8 @@
 private:
     friend class http_server;
     struct state;
+    boost::asio::awaitable<bool> respondToHead(int status, std::span<const response_header> headers,
+                                               std::size_t bodySize);
     explicit http_exchange(std::unique_ptr<state> owned);
     std::unique_ptr<state> m_state;
 };
--- a/tests/serve/caller_head_test.cpp
+++ b/tests/serve/caller_head_test.cpp
@@ -99,6 +99,21 @@
     BOOST_TEST(server.targets().empty());
 }
 
+// The body of an error in reply to HEAD was read as the next answer on the connection.
+BOOST_AUTO_TEST_CASE(an_answer_to_head_has_no_body)
+{
+    served_bytes server(answerFieldNames);
+    for (const std::string path : {"/x", "/none", "/stream"}) {
+        const std::string got
+            = server.receive("HEAD " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" + follower);
+        BOOST_TEST(bodyOf(got).starts_with("HTTP/1.1 200 "), path << got);
+    }
+    const std::string refused
+        = server.receive("HEAD /x HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n");
+    BOOST_TEST(refused.starts_with("HTTP/1.1 400 "), refused);
+    BOOST_TEST(bodyOf(refused).empty(), refused);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
