Send callers of HTTP/1.0 no chunks

A caller of HTTP/1.0 on a streaming route got 200 with the sizes of the chunks as part of the body (MIXED).

Cause: beginStream always chose chunks; RFC 9112, 6.1 forbids them where the request isn't HTTP/1.1.

Such a stream ends with its connection now. If it breaks off, the connection is reset, also when the process is killed, so that it does not look whole.

Evidence: a_stream_to_a_caller_of_http_1_0_ends_with_its_connection and a_cut_stream_to_a_caller_of_http_1_0_does_not_look_complete failed before; they pass now.

--- a/src/serve/http_exchange.cpp
+++ b/src/serve/http_exchange.cpp
@@ -3,6 +3,8 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <tuple>
+
 namespace quincefall {
 namespace {
 
@@ -11,6 +13,13 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+/// Sets whether closing the connection resets it, also if the process is killed.
+void setResetOnClose(boost::beast::tcp_stream &stream, bool isReset)
+{
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 } // namespace
 
 http_exchange::http_exchange(std::unique_ptr<state> owned)
@@ -98,7 +107,12 @@
         co_return co_await respondToHead(status, headers, 0);
     http::response<http::empty_body> response;
     m_state->prepareResponse(response, status, headers);
-    response.chunked(true);
+    response.chunked(m_state->hasChunks());
+    if (!m_state->hasChunks()) {
+        m_state->keepAlive = false;
+        response.keep_alive(false);
+        setResetOnClose(m_state->stream, true);
+    }
     http::response_serializer<http::empty_body> serializer(response);
     const auto [code, size]
         = co_await http::async_write_header(m_state->stream, serializer, asTuple);
@@ -112,8 +126,13 @@
     if (m_state->isHead())
         co_return true;
     m_state->stream.expires_after(m_state->core->settings.requestTimeout);
-    const auto chunk = http::make_chunk(asio::buffer(piece));
-    const auto [code, size] = co_await asio::async_write(m_state->stream, chunk, asTuple);
+    boost::system::error_code code;
+    if (m_state->hasChunks())
+        std::tie(code, std::ignore) = co_await asio::async_write(
+            m_state->stream, http::make_chunk(asio::buffer(piece)), asTuple);
+    else
+        std::tie(code, std::ignore)
+            = co_await asio::async_write(m_state->stream, asio::buffer(piece), asTuple);
     co_return m_state->handleWriteResult(code);
 }
 
@@ -123,6 +142,10 @@
         co_return false;
     if (m_state->isHead())
         co_return true;
+    if (!m_state->hasChunks()) {
+        setResetOnClose(m_state->stream, false);
+        co_return true;
+    }
     m_state->stream.expires_after(m_state->core->settings.requestTimeout);
     const auto last = http::make_chunk_last();
     const auto [code, size] = co_await asio::async_write(m_state->stream, last, asTuple);
@@ -146,7 +169,8 @@
 {
     m_state->keepAlive = false;
     // Without the last chunk the caller detects a truncated response. The connection is closed and
-    // not reset, since a reset would discard data that a slow caller has not read yet.
+    // not reset, since a reset would discard data that a slow caller has not read yet; but where
+    // the response ends with the connection, only a reset shows that it is truncated.
     m_state->stream.close();
     m_state->markDisconnected();
 }
--- a/src/serve/http_exchange_state.h
+++ b/src/serve/http_exchange_state.h
@@ -30,6 +30,8 @@
     bool hasStartedResponse = false;
     bool isCallerDisconnected = false;
 
+    /// Whether a stream is sent in chunks, which callers of HTTP/1.0 don't know (RFC 9112, 6.1).
+    bool hasChunks() const { return request.version() >= 11; }
     bool isHead() const { return request.method() == boost::beast::http::verb::head; }
 
     void markDisconnected()
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -260,6 +260,9 @@
         endFailedExchange(exchange, failure);
     boost::system::error_code ignored;
     stream.socket().cancel(ignored);
+    // Closed without the shutdown that a whole response ends with, which would prevent a reset.
+    if (exchange.isCallerDisconnected())
+        stream.close();
     co_return exchange.m_state->keepAlive && !exchange.isCallerDisconnected();
 }
 
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -46,7 +46,8 @@
     boost::asio::awaitable<bool> respond(int status, std::span<const response_header> headers,
                                          std::string body);
 
-    /// Starts a response with chunked transfer encoding; write and endStream follow.
+    /// Starts a response with chunked transfer encoding, or for HTTP/1.0 one that ends with the
+    /// connection; write and endStream follow.
     boost::asio::awaitable<bool> beginStream(int status, std::span<const response_header> headers);
     boost::asio::awaitable<bool> write(std::string_view piece);
     boost::asio::awaitable<bool> endStream();
--- a/tests/serve/caller_head_test.cpp
+++ b/tests/serve/caller_head_test.cpp
@@ -114,6 +114,35 @@
     BOOST_TEST(bodyOf(refused).empty(), refused);
 }
 
+// Callers of HTTP/1.0 got the sizes of chunks as part of the body.
+BOOST_AUTO_TEST_CASE(a_stream_to_a_caller_of_http_1_0_ends_with_its_connection)
+{
+    served_bytes server(answerFieldNames);
+    for (const std::string fields : {"", "Connection: keep-alive\r\n"}) {
+        const std::string got
+            = server.receive("GET /stream HTTP/1.0\r\nHost: a\r\n" + fields + "\r\n" + follower);
+        BOOST_TEST(got.find("Transfer-Encoding") == std::string::npos, got);
+        BOOST_TEST(got.find("Connection: close") != std::string::npos, got);
+        BOOST_TEST(bodyOf(got) == (fields.empty() ? "Host," : "Host,Connection,"), got);
+    }
+    BOOST_TEST(server.targets().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_stream_to_a_caller_of_http_1_0_does_not_look_complete)
+{
+    served_bytes server(answerFieldNames);
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), server.port()});
+    const std::string request = "GET /stream/cut HTTP/1.0\r\nHost: a\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    boost::system::error_code code;
+    std::array<char, 1024> piece{};
+    while (!code)
+        socket.read_some(asio::buffer(piece), code);
+    BOOST_TEST(code == asio::error::connection_reset, code.message());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
