Keep the trailer of a body out of the request's head

Cause: the parser adds the fields of the trailer to those of the head, and the exchange hands all of them out. RFC 9110, 6.5.1 forbids to merge them where the field doesn't allow it.

The fields of the head are kept while a chunked body is read, and put back. The trailer is dropped, as RFC 9112, 7.1.2 allows.

Evidence: a_trailer_is_no_field_of_the_head failed before for each of its four trailers; it passes now.

--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -216,7 +216,12 @@
         if (const auto code = co_await writeContinue(stream))
             co_return read_end{code, {}};
     }
+    http::fields &fields = parser.get();
+    const http::fields fieldsOfHead = parser.chunked() ? fields : http::fields();
     const auto [code, size] = co_await http::async_read(stream, buffer, parser, asTuple);
+    // The parser adds the trailer to the fields of the head (RFC 9110, 6.5.1).
+    if (parser.chunked())
+        fields = fieldsOfHead;
     co_return read_end{code, {}};
 }
 
--- a/tests/serve/caller_head_test.cpp
+++ b/tests/serve/caller_head_test.cpp
@@ -143,6 +143,21 @@
     BOOST_TEST(code == asio::error::connection_reset, code.message());
 }
 
+// A field behind the body's last chunk reached the engine as one of the head.
+BOOST_AUTO_TEST_CASE(a_trailer_is_no_field_of_the_head)
+{
+    served_bytes server(answerFieldNames);
+    for (const std::string trailer :
+         {"X-Trailer: 1", "Host: b", "Quincefall-Request-Id: other", "Connection: X-Own"}) {
+        const std::string got = server.receive(
+            "POST /x HTTP/1.1\r\nHost: a\r\nX-Own: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nbody\r\n0\r\n"
+            + trailer + "\r\n\r\n" + follower);
+        BOOST_TEST(bodyOf(got).starts_with("Host,X-Own,Transfer-Encoding,HTTP/1.1 200"),
+                   trailer << got);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
