Fail a call whose upstream switches protocols unasked

An upstream that answers 101 speaks another protocol from then on.

Cause: 101 was dropped like the other interim answers, though no request of the host names a protocol to switch to (RFC 9110, 15.2.2).

The call fails now and its connection is closed.

Evidence: an_upstream_that_switches_protocols_fails_the_call failed before; it passes now.

--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -243,6 +243,8 @@
         const int status = int(read.result_int());
         if (!isStatus(status))
             co_return wrongAnswer("answered with the invalid status " + std::to_string(status));
+        if (status == int(http::status::switching_protocols))
+            co_return wrongAnswer("switched to a protocol that the request did not name");
         if (!isInterim(status) && !hasKnownTransferCoding(read, read.version()))
             co_return wrongAnswer("answered with the unknown transfer coding \""
                                   + std::string(read[http::field::transfer_encoding]) + "\"");
--- a/tests/route/upstream_call_test.cpp
+++ b/tests/route/upstream_call_test.cpp
@@ -92,13 +92,15 @@
         std::string failure;
     };
 
-    outcome ask(const std::string &request, const std::string &method = "GET")
+    outcome ask(const std::string &request, const std::string &method = "GET",
+                milliseconds timeout = requestTimeout)
     {
         outcome got;
-        asio::co_spawn(m_context, askOnce(request, method, got), [this](std::exception_ptr failed) {
-            BOOST_TEST(!failed);
-            m_context.stop();
-        });
+        asio::co_spawn(m_context, askOnce(request, method, timeout, got),
+                       [this](std::exception_ptr failed) {
+                           BOOST_TEST(!failed);
+                           m_context.stop();
+                       });
         m_context.restart();
         m_context.run();
         return got;
@@ -108,14 +110,15 @@
     int requestsAfterLateAnswers() const { return m_requestsAfterLateAnswers; }
 
 private:
-    asio::awaitable<void> askOnce(std::string request, std::string method, outcome &got)
+    asio::awaitable<void> askOnce(std::string request, std::string method, milliseconds timeout,
+                                  outcome &got)
     {
         const auto call = upstream_call::makeUpstreamCall(m_paths, m_entry);
         upstream_call::message message;
         message.head = method + " / HTTP/1.1\r\nId: " + request + "\r\n\r\n";
         message.requestId = request;
         message.hasNoAnswerBody = method == "HEAD";
-        auto head = co_await call->begin(std::move(message), m_wire, steadyNow() + requestTimeout);
+        auto head = co_await call->begin(std::move(message), m_wire, steadyNow() + timeout);
         if (head) {
             got.head = std::move(*head);
             while (true) {
@@ -310,6 +313,43 @@
     }
 }
 
+// The bytes of another protocol, which nobody had asked for, were read as the answer.
+BOOST_AUTO_TEST_CASE(an_upstream_that_switches_protocols_fails_the_call)
+{
+    scripted_upstream upstream([](const std::string &request, bool) {
+        const std::string bytes = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"
+            + makeAnswer(request, true, false);
+        return reply{{bytes}, false, false};
+    });
+    BOOST_TEST(!upstream.ask("r").head.has_value());
+}
+
+// Guards against an answer that stops in its head and passes for a whole one.
+BOOST_AUTO_TEST_CASE(a_second_answer_on_a_connection_that_is_cut_at_any_byte_is_no_whole_one)
+{
+    constexpr milliseconds shortTime{60};
+    for (const framing framed : {framing::length, framing::chunks, framing::connectionEnd}) {
+        const std::string whole = makeAnswer("second", true, false, framed);
+        const bool showsEnd = framed != framing::connectionEnd;
+        const std::size_t end = showsEnd ? whole.size() : whole.find("\r\n\r\n") + 4;
+        for (std::size_t size = 1; size < end; ++size) {
+            for (const bool isClosed : {true, false}) {
+                if (!isClosed && size % 8 != 1)
+                    continue;
+                scripted_upstream upstream([&](const std::string &request, bool isUsed) {
+                    return isUsed ? reply{{whole.substr(0, size)}, isClosed, false}
+                                  : reply{{makeAnswer(request, true, false)}, false, false};
+                });
+                BOOST_TEST(upstream.ask("first").isWhole);
+                const auto got
+                    = upstream.ask("second", "GET", isClosed ? requestTimeout : shortTime);
+                BOOST_TEST(!got.isWhole, size);
+                BOOST_TEST((!got.head || size >= whole.find("\r\n\r\n") + 4), size);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_head_request_fails_if_another_answer_comes_first)
 {
     scripted_upstream upstream([](const std::string &request, bool isUsed) {
