Send a method that the library does not name

In the serve role a call with a method outside the library's list, such as BREW, reached the service without a method, as " /x HTTP/1.1", which is no request.

Cause: http_client looked the method up in Beast's enumeration, whose entry for unknown methods has no text.

The method is sent as its text. Evidence: a_method_without_a_name_is_sent_as_it_is failed before with " /x HTTP/1.1" in place of "BREW /x HTTP/1.1"; it passes now.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -43,8 +43,10 @@
 
 http::request<http::string_body> toBeast(const http_request &request, const host_address &address)
 {
-    http::request<http::string_body> message(http::string_to_verb(request.method), request.target,
-                                             11);
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
     message.set(http::field::host, toString(address));
     for (const auto &[name, value] : request.headers)
         message.set(name, value);
--- /dev/null
+++ b/tests/clients/http_client_test.cpp
@@ -0,0 +1,137 @@
+#include "clients/http_client.h"
+
+#include "kernel/asio_headers.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds timeout{400};
+const std::string answerB = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nB";
+
+/// A server that answers the first request with given bytes and all later ones with answerB.
+class answering_server
+{
+public:
+    answering_server(std::string first, bool staysOpen)
+        : m_first(std::move(first))
+        , m_staysOpen(staysOpen)
+        , m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0})
+        , m_client(http_client::makeHttpClient(m_context))
+    {
+        asio::co_spawn(m_context, accept(), asio::detached);
+    }
+
+    /// Sends GET, or @p method, and returns the body; the reason in brackets if there is none.
+    std::string send(const std::string &method = "GET")
+    {
+        return run([this, method]() -> asio::awaitable<std::string> {
+            const auto reply = co_await m_client->send(address(), makeRequest(method), timeout);
+            co_return reply ? reply->body : "[" + reply.error().detail + "]";
+        });
+    }
+
+    /// Like send(), with the body read as a stream.
+    std::string stream(const std::string &method = "GET")
+    {
+        return run([this, method]() -> asio::awaitable<std::string> {
+            auto opened = co_await m_client->open(address(), makeRequest(method), timeout);
+            if (!opened)
+                co_return "[" + opened.error().detail + "]";
+            std::string body;
+            while (true) {
+                const auto piece = co_await (*opened)->read(timeout);
+                if (!piece)
+                    co_return "[" + piece.error().detail + "]";
+                if (piece->empty())
+                    co_return body;
+                body += *piece;
+            }
+        });
+    }
+
+    const std::string &firstRequestLine() const { return m_firstRequestLine; }
+
+private:
+    host_address address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+    static http_request makeRequest(const std::string &method)
+    {
+        http_request request;
+        request.method = method;
+        request.target = "/x";
+        return request;
+    }
+
+    std::string run(const std::function<asio::awaitable<std::string>()> &action)
+    {
+        std::string got = "[no answer]";
+        asio::co_spawn(m_context, action(), [&](std::exception_ptr failure, std::string body) {
+            got = failure ? "[exception]" : std::move(body);
+            m_context.stop();
+        });
+        m_context.restart();
+        m_context.run();
+        return got;
+    }
+
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto [code, socket] = co_await m_acceptor.async_accept(asTuple);
+            if (code)
+                co_return;
+            asio::co_spawn(m_context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string received;
+        while (true) {
+            const auto [code, size] = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(received), "\r\n\r\n", asTuple);
+            if (code)
+                co_return;
+            const bool isFirst = m_firstRequestLine.empty();
+            if (isFirst)
+                m_firstRequestLine = received.substr(0, received.find('\r'));
+            received.erase(0, size);
+            co_await asio::async_write(socket, asio::buffer(isFirst ? m_first : answerB), asTuple);
+            if (isFirst && !m_staysOpen)
+                co_return;
+        }
+    }
+
+    asio::io_context m_context;
+    std::string m_first;
+    bool m_staysOpen;
+    tcp::acceptor m_acceptor;
+    std::unique_ptr<http_client> m_client;
+    std::string m_firstRequestLine;
+};
+
+bool isFailure(const std::string &got)
+{
+    return got.starts_with('[');
+}
+
+BOOST_AUTO_TEST_SUITE(http_client_tests)
+
+// A method that the library doesn't name ended the call with an exception.
+BOOST_AUTO_TEST_CASE(a_method_without_a_name_is_sent_as_it_is)
+{
+    answering_server server("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nA", true);
+    BOOST_TEST(server.send("BREW") == "A");
+    BOOST_TEST(server.firstRequestLine() == "BREW /x HTTP/1.1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
