Pass over interim answers in the serve role

A service or engine of the serve role that sent an interim answer first, such as 103 Early Hints, had it passed on as the answer to the call. Its real answer was lost or, if it came once the connection was in use again, could be read as the answer to the next call (read in the code).

Cause: http_client took the first head for the final one and put the connection back.

It reads on until a final status, past 16 interim answers at most. The case with an answer that is cut at any byte, with a close or in silence, passed before as well; it guards against the report of an engine that stopped in the head of its answer.

Evidence: an_interim_answer_is_not_the_answer failed before in three checks: the first body was empty. It passes now.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -5,6 +5,7 @@
 #include "kernel/asio_headers.h"
 
 #include <array>
+#include <optional>
 
 namespace quincefall {
 namespace {
@@ -18,6 +19,8 @@
 constexpr std::size_t readBufferBytes = 16384;
 constexpr std::uint64_t maxResponseBytes = 256ULL * 1024 * 1024;
 constexpr milliseconds connectTimeout{1000};
+constexpr int maxInterimAnswers = 16;
+constexpr unsigned firstFinalStatus = 200;
 // External services may close idle connections earlier; takeIdle() discards those.
 constexpr milliseconds maxIdleTime = std::chrono::hours(24);
 
@@ -55,6 +58,23 @@
     return message;
 }
 
+/// Reads the head of the final answer, whose body follows. Drops interim answers.
+template <typename body_type>
+asio::awaitable<boost::system::error_code>
+readFinalHead(connection &stream, beast::flat_buffer &buffer,
+              std::optional<http::response_parser<body_type>> &parser)
+{
+    for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+        parser.emplace();
+        parser->body_limit(maxResponseBytes);
+        const auto [code, size]
+            = co_await http::async_read_header(stream, buffer, *parser, asTuple);
+        if (code || parser->get().result_int() >= firstFinalStatus)
+            co_return code;
+    }
+    co_return http::error::bad_status;
+}
+
 /// Wraps a pooled connection for use by a request; null stays null.
 std::unique_ptr<connection> toTcpStream(connection_ptr taken)
 {
@@ -90,13 +110,13 @@
     host_address address;
     std::unique_ptr<connection> stream;
     beast::flat_buffer buffer;
-    http::response_parser<http::buffer_body> parser;
+    std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, readBufferBytes> chunk{};
 
     ~state()
     {
         const auto connections = owner.lock();
-        if (connections && stream && parser.is_done() && parser.keep_alive())
+        if (connections && stream && parser && parser->is_done() && parser->keep_alive())
             returnToPool(*connections, address, *stream);
     }
 };
@@ -119,29 +139,29 @@
 
 int http_stream::status() const
 {
-    return int(m_state->parser.get().result_int());
+    return int(m_state->parser->get().result_int());
 }
 
 std::string_view http_stream::header(std::string_view name) const
 {
-    return m_state->parser.get()[name];
+    return m_state->parser->get()[name];
 }
 
 asio::awaitable<result<std::string_view>> http_stream::read(milliseconds timeout)
 {
     auto &self = *m_state;
-    while (!self.parser.is_done()) {
-        auto &body = self.parser.get().body();
+    while (!self.parser->is_done()) {
+        auto &body = self.parser->get().body();
         body.data = self.chunk.data();
         body.size = self.chunk.size();
         body.more = true;
         self.stream->expires_after(timeout);
         const auto [code, size]
-            = co_await http::async_read_some(*self.stream, self.buffer, self.parser, asTuple);
+            = co_await http::async_read_some(*self.stream, self.buffer, *self.parser, asTuple);
         (void)size;
         if (code && code != http::error::need_buffer)
             co_return tl::unexpected(toError(code, self.address));
-        parseBuffered(self.parser, self.buffer);
+        parseBuffered(*self.parser, self.buffer);
         const std::size_t filled = self.chunk.size() - body.size;
         if (filled > 0)
             co_return std::string_view(self.chunk.data(), filled);
@@ -177,7 +197,6 @@
         auto opened = std::make_unique<http_stream::state>();
         opened->owner = shared->pool;
         opened->address = address;
-        opened->parser.body_limit(maxResponseBytes);
         opened->stream = toTcpStream(shared->pool->takeIdle(address));
         const bool isReused = opened->stream != nullptr;
         if (!isReused) {
@@ -190,11 +209,8 @@
         const auto [writeCode, written]
             = co_await http::async_write(*opened->stream, message, asTuple);
         boost::system::error_code code = writeCode;
-        if (!code) {
-            const auto [readCode, size] = co_await http::async_read_header(
-                *opened->stream, opened->buffer, opened->parser, asTuple);
-            code = readCode;
-        }
+        if (!code)
+            code = co_await readFinalHead(*opened->stream, opened->buffer, opened->parser);
         if (!code)
             co_return std::unique_ptr<http_stream>(new http_stream(std::move(opened)));
         if (!isReused || code == beast::error::timeout)
@@ -227,32 +243,35 @@
             stream = std::move(*fresh);
         }
         beast::flat_buffer buffer;
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(maxResponseBytes);
+        std::optional<http::response_parser<http::string_body>> parser;
         const auto setExpiry = [&stream, deadline](milliseconds time) {
             stream->expires_at(std::min(deadline, std::chrono::steady_clock::now() + time));
         };
         setExpiry(timeouts.response);
         const auto [writeCode, written] = co_await http::async_write(*stream, message, asTuple);
         boost::system::error_code code = writeCode;
-        while (!code && !parser.is_done()) {
+        if (!code)
+            code = co_await readFinalHead(*stream, buffer, parser);
+        setExpiry(timeouts.silence);
+        while (!code && !parser->is_done()) {
             const auto [readCode, size]
-                = co_await http::async_read_some(*stream, buffer, parser, asTuple);
+                = co_await http::async_read_some(*stream, buffer, *parser, asTuple);
             code = readCode;
             setExpiry(timeouts.silence);
         }
         if (code) {
             if (isReused && code != beast::error::timeout)
                 continue;
-            co_return tl::unexpected(toError(code, address, parser.get().body().size()));
+            co_return tl::unexpected(
+                toError(code, address, parser ? parser->get().body().size() : 0));
         }
-        auto &received = parser.get();
+        auto &received = parser->get();
         http_response response;
         response.status = int(received.result_int());
         for (const auto &field : received)
             response.headers.emplace_back(field.name_string(), field.value());
         response.body = std::move(received.body());
-        if (parser.keep_alive())
+        if (parser->keep_alive())
             returnToPool(*shared->pool, address, *stream);
         co_return response;
     }
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -123,6 +123,27 @@
 
 BOOST_AUTO_TEST_SUITE(http_client_tests)
 
+// An interim answer was taken for the final one, which then answered the next request.
+BOOST_AUTO_TEST_CASE(an_interim_answer_is_not_the_answer)
+{
+    const std::string first = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+                              "HTTP/1.1 102 Processing\r\n\r\n"
+                              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nA";
+    answering_server sent(first, true);
+    BOOST_TEST(sent.send() == "A");
+    BOOST_TEST(sent.send() == "B");
+    answering_server streamed(first, true);
+    BOOST_TEST(streamed.stream() == "A");
+    BOOST_TEST(streamed.stream() == "B");
+    std::string endless;
+    for (int count = 0; count < 100; ++count)
+        endless += "HTTP/1.1 102 Processing\r\n\r\n";
+    answering_server talking(endless + first, true);
+    BOOST_TEST(isFailure(talking.send()));
+}
+
+// A body whose end could not be told passed for a whole one, and what followed it for the next
+
 // A method that the library doesn't name ended the call with an exception.
 BOOST_AUTO_TEST_CASE(a_method_without_a_name_is_sent_as_it_is)
 {
@@ -131,6 +152,27 @@
     BOOST_TEST(server.firstRequestLine() == "BREW /x HTTP/1.1");
 }
 
+// Guards against an answer that stops in its head and passes for a whole one.
+BOOST_AUTO_TEST_CASE(an_answer_cut_at_any_byte_is_a_failure)
+{
+    for (const std::string whole : {
+             "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\nbody",
+             "HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+         }) {
+        for (std::size_t size = 1; size < whole.size(); ++size) {
+            answering_server sent(whole.substr(0, size), false);
+            BOOST_TEST(isFailure(sent.send()), size);
+            answering_server streamed(whole.substr(0, size), false);
+            BOOST_TEST(isFailure(streamed.stream()), size);
+        }
+        for (std::size_t size = 1; size < whole.size(); size += 9) {
+            answering_server silent(whole.substr(0, size), true);
+            BOOST_TEST(isFailure(silent.send()), size);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
