Hold answers in the serve role to the framing rules of requests

An answer with a transfer coding other than chunked passed for a whole one with a body of a length that nobody knows.

Cause: only the calls of the route role looked at the coding of an answer, at 101, and at bytes behind its end.

http_client applies the same rules now: such an answer is a failure, and a connection with bytes behind the answer isn't used again.

Evidence: an_answer_whose_length_is_ambiguous_is_a_failure failed before for each of its three answers, read whole and as a stream; it passes now. bytes_behind_an_answer_are_not_the_next_one passed before: the bytes stayed in a buffer of the call.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "clients/buffered_body.h"
 #include "clients/connection_pool.h"
+#include "clients/message_framing.h"
 #include "kernel/asio_headers.h"
 
 #include <array>
@@ -69,8 +70,16 @@
         parser->body_limit(maxResponseBytes);
         const auto [code, size]
             = co_await http::async_read_header(stream, buffer, *parser, asTuple);
-        if (code || parser->get().result_int() >= firstFinalStatus)
+        if (code)
             co_return code;
+        const auto &head = parser->get();
+        if (head.result() == http::status::switching_protocols)
+            co_return http::error::bad_status;
+        if (head.result_int() < firstFinalStatus)
+            continue;
+        if (!hasKnownTransferCoding(head, head.version()))
+            co_return http::error::bad_transfer_encoding;
+        co_return code;
     }
     co_return http::error::bad_status;
 }
@@ -81,6 +90,13 @@
     return taken ? std::make_unique<connection>(std::move(taken->socket)) : nullptr;
 }
 
+/// Bytes behind the answer belong to no request, and the next one must not read them.
+template <typename body_type>
+bool isReusable(const http::response_parser<body_type> &parser, const beast::flat_buffer &buffer)
+{
+    return parser.is_done() && parser.keep_alive() && buffer.size() == 0;
+}
+
 void returnToPool(connection_pool &pool, const host_address &address, connection &used)
 {
     auto idle = std::make_unique<pooled_connection>(
@@ -116,7 +132,7 @@
     ~state()
     {
         const auto connections = owner.lock();
-        if (connections && stream && parser && parser->is_done() && parser->keep_alive())
+        if (connections && stream && parser && isReusable(*parser, buffer))
             returnToPool(*connections, address, *stream);
     }
 };
@@ -271,7 +287,7 @@
         for (const auto &field : received)
             response.headers.emplace_back(field.name_string(), field.value());
         response.body = std::move(received.body());
-        if (parser->keep_alive())
+        if (isReusable(*parser, buffer))
             returnToPool(*shared->pool, address, *stream);
         co_return response;
     }
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -144,6 +144,35 @@
 
 // A body whose end could not be told passed for a whole one, and what followed it for the next
 
+// answer.
+BOOST_AUTO_TEST_CASE(an_answer_whose_length_is_ambiguous_is_a_failure)
+{
+    for (const std::string fields : {
+             "Transfer-Encoding: gzip\r\n\r\nA",
+             "Transfer-Encoding: gzip, chunked\r\n\r\n1\r\nA\r\n0\r\n\r\n",
+             "Transfer-Encoding: gzip\r\nContent-Length: 1\r\n\r\nA",
+         }) {
+        answering_server sent("HTTP/1.1 200 OK\r\n" + fields, false);
+        BOOST_TEST(isFailure(sent.send()), fields);
+        answering_server streamed("HTTP/1.1 200 OK\r\n" + fields, false);
+        BOOST_TEST(isFailure(streamed.stream()), fields);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_are_not_the_next_one)
+{
+    const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX";
+    for (const std::string fields :
+         {"Content-Length: 1\r\n\r\nA", "Transfer-Encoding: chunked\r\n\r\n1\r\nA\r\n0\r\n\r\n"}) {
+        answering_server sent("HTTP/1.1 200 OK\r\n" + fields + extra, true);
+        BOOST_TEST(sent.send() == "A");
+        BOOST_TEST(sent.send() == "B");
+        answering_server streamed("HTTP/1.1 200 OK\r\n" + fields + extra, true);
+        BOOST_TEST(streamed.stream() == "A");
+        BOOST_TEST(streamed.stream() == "B");
+    }
+}
+
 // A method that the library doesn't name ended the call with an exception.
 BOOST_AUTO_TEST_CASE(a_method_without_a_name_is_sent_as_it_is)
 {
