End answers to HEAD with their head in the serve role

A HEAD call to a service waited for the body that Content-Length speaks of, timed out, and was answered with an error.

Cause: http_client did not tell the parser that the answer has no body.

Evidence: an_answer_to_head_ends_with_its_head failed before, read whole and as a stream; it passes now.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -63,11 +63,12 @@
 template <typename body_type>
 asio::awaitable<boost::system::error_code>
 readFinalHead(connection &stream, beast::flat_buffer &buffer,
-              std::optional<http::response_parser<body_type>> &parser)
+              std::optional<http::response_parser<body_type>> &parser, http::verb method)
 {
     for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
         parser.emplace();
         parser->body_limit(maxResponseBytes);
+        parser->skip(method == http::verb::head);
         const auto [code, size]
             = co_await http::async_read_header(stream, buffer, *parser, asTuple);
         if (code)
@@ -226,7 +227,8 @@
             = co_await http::async_write(*opened->stream, message, asTuple);
         boost::system::error_code code = writeCode;
         if (!code)
-            code = co_await readFinalHead(*opened->stream, opened->buffer, opened->parser);
+            code = co_await readFinalHead(*opened->stream, opened->buffer, opened->parser,
+                                          message.method());
         if (!code)
             co_return std::unique_ptr<http_stream>(new http_stream(std::move(opened)));
         if (!isReused || code == beast::error::timeout)
@@ -267,7 +269,7 @@
         const auto [writeCode, written] = co_await http::async_write(*stream, message, asTuple);
         boost::system::error_code code = writeCode;
         if (!code)
-            code = co_await readFinalHead(*stream, buffer, parser);
+            code = co_await readFinalHead(*stream, buffer, parser, message.method());
         setExpiry(timeouts.silence);
         while (!code && !parser->is_done()) {
             const auto [readCode, size]
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -173,6 +173,16 @@
     }
 }
 
+// The body that the length of an answer to HEAD speaks of never comes.
+BOOST_AUTO_TEST_CASE(an_answer_to_head_ends_with_its_head)
+{
+    answering_server sent("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true);
+    BOOST_TEST(sent.send("HEAD").empty());
+    BOOST_TEST(sent.send() == "B");
+    answering_server streamed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true);
+    BOOST_TEST(streamed.stream("HEAD").empty());
+}
+
 // A method that the library doesn't name ended the call with an exception.
 BOOST_AUTO_TEST_CASE(a_method_without_a_name_is_sent_as_it_is)
 {
