Leave no request of a planned stop without an answer

Late in the grace of a planned stop, requests were taken and passed on and then cut without an answer at its end, among them calls that may run at most once: their callers can't tell whether they ran (LOST).

Cause: until the load balancer has noticed, a stopping host took all requests, however long they may last, and at the end it closed the connections.

A stopping host now answers 503, not run, to a request that may run at most once and may last longer than the host, and to one that may be repeated and can't be answered within its target any more. The others are told of the time that is left. 0.1 s before the end the requests that still run are broken off and answered 504; answers that have begun are cut as before. An upstream isn't blamed for it.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -74,7 +74,7 @@
     head.upstreamId = attempt.entry.id;
     head.organisation = job.organisation();
     head.urgency = job.urgency;
-    head.timeLeft = std::chrono::floor<milliseconds>(job.deadline - attempt.started);
+    head.timeLeft = std::chrono::floor<milliseconds>(job.end() - attempt.started);
     head.resumeAfter = resumePosition(job);
     upstream_call::message message;
     message.head = attempt.context.wire.writeAttempt(job.request, head, job.exchange.body().size());
@@ -438,6 +438,7 @@
     recordStart(pool, *chosen.upstream, job.request.prompt, attempt.work(), attempt.started);
     attempt.call = upstream_call::makeUpstreamCall(context.paths, attempt.entry);
     job.exchange.setDisconnectListener([call = attempt.call] { call->cancel(); });
+    job.call = attempt.call;
     addAttempt(context.guard, job, attempt.call);
     attempt_end end = co_await sendAndRelay(attempt);
     job.exchange.setDisconnectListener(nullptr);
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -12,6 +12,7 @@
 #include "route/wire_format.h"
 #include "serve/http_server.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -20,6 +21,8 @@
 
 namespace quincefall {
 
+class upstream_call;
+
 /// How one attempt at an upstream ended.
 enum class attempt_end {
     answered, ///< The caller has its final answer.
@@ -38,6 +41,9 @@
     route_choice choice; ///< Points into `desired`.
     instant arrived;
     instant deadline;
+    instant cutAt = instant::max(); ///< When the host, which is stopping, breaks it off.
+    bool isCut = false; ///< The host broke it off.
+    std::weak_ptr<upstream_call> call{}; ///< Of the attempt that runs.
     std::vector<request_trait> traits{}; ///< That may crash upstreams.
     int urgency = 0;
     bool isGapSensitive = false;
@@ -64,6 +70,8 @@
     /// transfers are weighed, :zone=. docs/OPERATIONS.md explains them.
     std::string attemptLog{};
 
+    /// The end of the time in which an attempt can bring an answer.
+    instant end() const { return std::min(deadline, cutAt); }
     /// Also true on resumable routes.
     bool isRepeatable() const { return choice.route->isRepeatable || choice.route->isResumable; }
     /// Time within which a stream that its caller takes up has begun.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -5,6 +5,7 @@
 #include "observe/background_task.h"
 #include "observe/log_setup.h"
 #include "policy/route_choice.h"
+#include "policy/stop_rule.h"
 #include "route/proxy_attempt.h"
 #include "route/proxy_job.h"
 #include "route/request_digest.h"
@@ -15,6 +16,7 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <set>
 
 namespace quincefall {
 namespace {
@@ -37,6 +39,25 @@
     bool isRefusedAtHome = false; ///< See zone_view.
 };
 
+/// Keeps a job in the set of those that run.
+class running_job
+{
+public:
+    running_job(std::set<proxy_job *> &jobs, proxy_job &job)
+        : m_jobs(jobs)
+        , m_job(&job)
+    {
+        m_jobs.insert(m_job);
+    }
+    ~running_job() { m_jobs.erase(m_job); }
+    running_job(const running_job &) = delete;
+    running_job &operator=(const running_job &) = delete;
+
+private:
+    std::set<proxy_job *> &m_jobs;
+    proxy_job *m_job;
+};
+
 /// Value of Retry-After in decimal seconds, since waits are often below one second.
 std::string formatRetryAfter(microseconds wait)
 {
@@ -87,6 +108,8 @@
     attempt_context attempts;
     transfer_accounts transfers;
     bool isRefusingNew = false;
+    instant stopsAt = instant::max(); ///< When all requests are broken off.
+    std::set<proxy_job *> running;
 
     /// Reserves a further attempt for the job unless one is reserved, or notes why none may follow.
     attempt_refusal reserveFurtherAttempt(proxy_job &job, further_attempt_request request,
@@ -99,7 +122,7 @@
         request.isContinuable = !job.hasStartedResponse || !job.events.hasUnplacedEvent;
         request.maxRuns = job.choice.route->maxAttempts;
         request.upstreamsTried = job.tried.size();
-        request.timeLeft = job.deadline - clock.now();
+        request.timeLeft = job.end() - clock.now();
         const auto upstreams
             = countFurtherUpstreams(routing.pools[job.service()], wantedBy(job), settings.site,
                                     routing.otherHostsLoad, silence, clock.now());
@@ -368,6 +391,8 @@
     {
         attempt_end end = attempt_end::notRun;
         while (true) {
+            if (job.isCut)
+                co_return job.runs > 0 ? attempt_end::failed : attempt_end::notRun;
             if (const auto held = findHeldTrait(attempts.guard, job)) {
                 job.lastFailure = heldBackError(*held);
                 job.retryAfter = std::chrono::ceil<milliseconds>(held->retryAfter);
@@ -470,6 +495,45 @@
                                                                : job.lastFailure->detail}});
     }
 
+    /// The error for a request that the host, which is stopping, can't see to its end.
+    std::optional<problem> refusalByStop(const proxy_job &job) const
+    {
+        if (stopsAt == instant::max())
+            return std::nullopt;
+        const instant now = clock.now();
+        const late_request request{job.isRepeatable(), job.deadline - now,
+                                   job.choice.route->targetLatency};
+        if (takesLateRequest(request, stopsAt - now))
+            return std::nullopt;
+        return problem{result_code::hostStopping, "the host stops before the request may end",
+                       run_state::notRun, minRetryAfter};
+    }
+
+    /// Breaks off all requests at stopsAt, so that their callers still get an answer.
+    static asio::awaitable<void> cutAtStop(std::shared_ptr<state> self)
+    {
+        asio::steady_timer timer(self->context, self->stopsAt);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        std::vector<std::shared_ptr<upstream_call>> calls;
+        for (proxy_job *job : self->running) {
+            job->isCut = true;
+            job->deadline = std::min(job->deadline, self->clock.now());
+            calls.push_back(job->call.lock());
+        }
+        for (const auto &call : calls) {
+            if (call)
+                call->cancel();
+        }
+    }
+
+    void stopBy(const std::shared_ptr<state> &self, instant end)
+    {
+        stopsAt = end;
+        for (proxy_job *job : running)
+            job->cutAt = end;
+        startTask(context, "cut at stop", cutAtStop(self));
+    }
+
     asio::awaitable<void> handle(http_exchange &exchange)
     {
         const instant arrived = clock.now();
@@ -507,6 +571,12 @@
         if (job.isTakenUp() && attempts.streams)
             origin = co_await chooseOrigin(job);
         prepare(job);
+        if (const auto refusal = refusalByStop(job)) {
+            co_await refuse(exchange, id, *refusal);
+            co_return;
+        }
+        job.cutAt = stopsAt;
+        const running_job entry(running, job);
         attempt_end end = attempt_end::notRun;
         if (origin)
             end = co_await run(job);
@@ -567,6 +637,11 @@
     m_state->attempts.streams = &directory;
 }
 
+void proxy_service::stopBy(instant end)
+{
+    m_state->stopBy(m_state, end);
+}
+
 void proxy_service::refuseNewRequests()
 {
     m_state->isRefusingNew = true;
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -58,6 +58,10 @@
     /// Sets where the service finds the origin of streams that callers take up.
     void useStreamDirectory(stream_directory &directory);
 
+    /// Ends the running requests by @p end: those without an answer get an error then. From now on
+    /// refuses requests that may not be repeated and may last longer.
+    void stopBy(instant end);
+
     /// Refuses all requests that arrive from now on without running them.
     void refuseNewRequests();
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds balancerRemovalTime{2'600};
 // Time left for the process to exit before it is killed.
 constexpr milliseconds exitReserve{400};
+// Time for the errors to requests that are broken off at the end to reach their callers.
+constexpr milliseconds lastAnswerTime{100};
 constexpr milliseconds drainPollInterval{50};
 constexpr double bytesPerMegabit = 1e6 / 8;
 constexpr int statusReady = 200;
@@ -369,6 +371,7 @@
             = started + roundToMilliseconds(self->values.stopSeconds * 1000) - exitReserve;
         // New connections arrive until the load balancer has noticed that this host is not ready.
         server.announceClose();
+        self->services->find<proxy_service>("route.proxy").stopBy(end - lastAnswerTime);
         self->routing.isStopping = true;
         if (self->values.duties)
             startTask(self->context, "duty release",
--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -125,6 +125,11 @@
                                 "the request became held back while it was at " + entry.id};
         return attempt_end::failed;
     }
+    if (job.isCut && failure.code == result_code::cancelled) {
+        job.lastFailure = error{result_code::upstreamTimeout,
+                                "the host stopped while the request was at " + entry.id};
+        return attempt_end::failed;
+    }
     if (job.exchange.isCallerDisconnected() || failure.code == result_code::cancelled)
         return attempt_end::callerGone;
     const bool isDeadline = context.clock.now() >= job.deadline;
