Answer requests that a closing host has read behind the last one

Cause: the answer announces the close whatever else was read on the connection.

The close goes with the answer to the last request that has come by then. What crosses the close is not read and not run, as before.

Evidence: a_request_that_was_read_before_the_close_is_answered failed before: one of three requests ran. It passes now.

--- a/src/serve/http_exchange_state.h
+++ b/src/serve/http_exchange_state.h
@@ -24,6 +24,7 @@
 {
     boost::beast::tcp_stream &stream;
     std::shared_ptr<http_server_core> core;
+    const boost::beast::flat_buffer &unread; ///< Bytes that came behind the request.
     boost::beast::http::request<boost::beast::http::string_body> request;
     std::function<void()> disconnectListener;
     bool keepAlive = false;
@@ -32,6 +33,12 @@
 
     /// Whether a stream is sent in chunks, which callers of HTTP/1.0 don't know (RFC 9112, 6.1).
     bool hasChunks() const { return request.version() >= 11; }
+    /// Whether the caller has sent the next request, or a part of it.
+    bool hasNextRequest() const
+    {
+        boost::system::error_code ignored;
+        return unread.size() > 0 || stream.socket().available(ignored) > 0;
+    }
     bool isHead() const { return request.method() == boost::beast::http::verb::head; }
 
     void markDisconnected()
@@ -58,7 +65,8 @@
         response.result(unsigned(status));
         for (const response_header &header : headers)
             response.insert(header.name, header.value);
-        keepAlive = request.keep_alive() && !core->isClosing;
+        // A request that was read must not be dropped: the close goes with the answer to it.
+        keepAlive = request.keep_alive() && (!core->isClosing || hasNextRequest());
         response.keep_alive(keepAlive);
         hasStartedResponse = true;
         stream.expires_after(core->settings.requestTimeout);
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -248,7 +248,7 @@
     }
     stream.expires_never();
     http_exchange exchange(std::unique_ptr<http_exchange::state>(
-        new http_exchange::state{stream, core, parser.release(), {}}));
+        new http_exchange::state{stream, core, buffer, parser.release(), {}}));
     const auto isOver = std::make_shared<bool>(false);
     asio::co_spawn(stream.get_executor(), watchDisconnect(*exchange.m_state, isOver),
                    asio::detached);
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -109,7 +109,8 @@
     /// Number of requests whose handler is running.
     std::size_t activeExchanges() const;
 
-    /// Sends "Connection: close" with each response from now on and closes the connection after it.
+    /// Sends "Connection: close" with each response from now on and closes the connection after it,
+    /// unless the caller has sent a further request by then.
     void announceClose();
 
     /// Stops accepting connections. Running requests continue; connections that are idle once
--- a/tests/serve/http_server_test.cpp
+++ b/tests/serve/http_server_test.cpp
@@ -136,6 +136,25 @@
     BOOST_TEST(got.ends_with("\r\n\r\nbody"), got);
 }
 
+// The request behind the last one was dropped when the answer to that announced the close.
+BOOST_AUTO_TEST_CASE(a_request_that_was_read_before_the_close_is_answered)
+{
+    http_server *closing = nullptr;
+    served_bytes server([&closing](http_exchange &exchange) -> asio::awaitable<void> {
+        if (exchange.path() == "/1")
+            closing->announceClose();
+        co_await exchange.respond(200, {}, std::string(exchange.path()));
+    });
+    closing = &server.server();
+    std::string requests;
+    for (const std::string path : {"/1", "/2", "/3"})
+        requests += "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    const std::string got = server.receive(requests);
+    BOOST_TEST(server.targets().size() == 3U);
+    BOOST_TEST(got.find("Connection: close") > got.find("/2"), got);
+    BOOST_TEST(got.ends_with("\r\n\r\n/3"), got);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_handler_throws_ends_alone)
 {
     asio::io_context context;
