Switch to a relay only for hosts that ask for one

A GET of the relay's path at the port between hosts was answered 101 whether or not it named the protocol, and what came behind it in the same segment was lost: the sender reads the engine's bytes as answers to requests of its own.

Cause: http_exchange::upgrade did not look at the request. RFC 9110, 7.8 forbids to switch to a protocol that the client doesn't name, and in HTTP/1.0 at all.

Such requests are answered 426 and closed.

Evidence: a_protocol_that_the_caller_does_not_name_is_not_switched_to failed before for each of its four requests; it passes now.

--- a/src/serve/http_exchange.cpp
+++ b/src/serve/http_exchange.cpp
@@ -3,6 +3,7 @@
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
 
+#include <array>
 #include <tuple>
 
 namespace quincefall {
@@ -107,8 +108,8 @@
         co_return co_await respondToHead(status, headers, 0);
     http::response<http::empty_body> response;
     m_state->prepareResponse(response, status, headers);
-    response.chunked(m_state->hasChunks());
-    if (!m_state->hasChunks()) {
+    response.chunked(m_state->isHttp11());
+    if (!m_state->isHttp11()) {
         m_state->keepAlive = false;
         response.keep_alive(false);
         setResetOnClose(m_state->stream, true);
@@ -127,7 +128,7 @@
         co_return true;
     m_state->stream.expires_after(m_state->core->settings.requestTimeout);
     boost::system::error_code code;
-    if (m_state->hasChunks())
+    if (m_state->isHttp11())
         std::tie(code, std::ignore) = co_await asio::async_write(
             m_state->stream, http::make_chunk(asio::buffer(piece)), asTuple);
     else
@@ -142,7 +143,7 @@
         co_return false;
     if (m_state->isHead())
         co_return true;
-    if (!m_state->hasChunks()) {
+    if (!m_state->isHttp11()) {
         setResetOnClose(m_state->stream, false);
         co_return true;
     }
@@ -154,6 +155,13 @@
 
 asio::awaitable<asio::ip::tcp::socket *> http_exchange::upgrade(std::string_view protocol)
 {
+    const bool isNamed = boost::beast::iequals(m_state->request[http::field::upgrade], protocol);
+    if (!isNamed || !m_state->isHttp11() || m_state->unread.size() > 0) {
+        const std::array<response_header, 1> fields{{{"Upgrade", std::string(protocol)}}};
+        m_state->request.keep_alive(false);
+        co_await respond(int(http::status::upgrade_required), fields, {});
+        co_return nullptr;
+    }
     http::response<http::empty_body> response(http::status::switching_protocols, 11);
     response.set(http::field::connection, "Upgrade");
     response.set(http::field::upgrade, protocol);
--- a/src/serve/http_exchange_state.h
+++ b/src/serve/http_exchange_state.h
@@ -31,8 +31,8 @@
     bool hasStartedResponse = false;
     bool isCallerDisconnected = false;
 
-    /// Whether a stream is sent in chunks, which callers of HTTP/1.0 don't know (RFC 9112, 6.1).
-    bool hasChunks() const { return request.version() >= 11; }
+    /// Callers of HTTP/1.0 know neither chunks (RFC 9112, 6.1) nor upgrades.
+    bool isHttp11() const { return request.version() >= 11; }
     /// Whether the caller has sent the next request, or a part of it.
     bool hasNextRequest() const
     {
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -54,7 +54,8 @@
 
     /// Answers 101 and switches the connection to @p protocol. From then on the handler reads and
     /// writes the socket itself; the connection is closed when it returns. Null if the answer could
-    /// not be sent.
+    /// not be sent, or if the caller did not ask for the protocol or sent more before it was
+    /// switched to: that is answered 426 and closed.
     boost::asio::awaitable<boost::asio::ip::tcp::socket *> upgrade(std::string_view protocol);
 
     /// Closes the connection before the response is complete, so that the caller detects the
--- a/tests/serve/caller_head_test.cpp
+++ b/tests/serve/caller_head_test.cpp
@@ -31,6 +31,13 @@
         co_await exchange.endStream();
 }
 
+asio::awaitable<void> switchProtocol(http_exchange &exchange)
+{
+    if (asio::ip::tcp::socket *socket = co_await exchange.upgrade("own"))
+        co_await asio::async_write(*socket, asio::buffer("switched", 8),
+                                   asio::as_tuple(asio::use_awaitable));
+}
+
 std::string bodyOf(const std::string &answer)
 {
     const std::size_t end = answer.find("\r\n\r\n");
@@ -158,6 +165,27 @@
     }
 }
 
+// A relay passed on what came behind a request that had not asked for one, as another protocol.
+BOOST_AUTO_TEST_CASE(a_protocol_that_the_caller_does_not_name_is_not_switched_to)
+{
+    served_bytes server(switchProtocol);
+    const std::string host = "Host: a\r\n";
+    const std::string named = "Connection: Upgrade\r\nUpgrade: Own\r\n";
+    const std::string switched = server.receive("GET /x HTTP/1.1\r\n" + host + named + "\r\n");
+    BOOST_TEST(switched.starts_with("HTTP/1.1 101 "), switched);
+    BOOST_TEST(bodyOf(switched) == "switched", switched);
+    for (const std::string &request : {
+             "GET /x HTTP/1.1\r\n" + host + "\r\n",
+             "GET /x HTTP/1.1\r\n" + host + "Upgrade: other\r\n\r\n",
+             "GET /x HTTP/1.0\r\n" + host + named + "\r\n",
+             "GET /x HTTP/1.1\r\n" + host + named + "\r\n" + follower,
+         }) {
+        const std::string got = server.receive(request);
+        BOOST_TEST(got.starts_with("HTTP/1.1 426 "), request << got);
+        BOOST_TEST(got.find("HTTP/1.1", 1) == std::string::npos, request << got);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
