Close refused connections in two steps

A 413 or 431, and the 503 of a full host, could be lost: the host closed the connection with the caller's bytes unread, so that the caller's next write failed with a reset, before it had read the answer.

Cause: closing a socket with unread bytes resets it.

The host shuts down its sending side and drops what still comes, for 2 s and 8 MiB a connection and on 64 connections at most; others are closed as before. They don't hold up a planned stop.

Evidence: a_caller_that_sends_on_gets_its_early_refusal failed before, when the caller's write met the reset; it passes now.

--- a/src/serve/http_exchange_state.h
+++ b/src/serve/http_exchange_state.h
@@ -15,6 +15,7 @@
     std::set<boost::beast::tcp_stream *> idle; ///< Connections waiting for their next request.
     std::set<boost::beast::tcp_stream *> open; ///< All connections whose coroutine has started.
     std::size_t starting = 0; ///< Accepted connections whose coroutine has not started.
+    std::set<boost::beast::tcp_stream *> lingering; ///< Closed, but still read from.
     std::size_t active = 0; ///< Requests whose handler is running.
     bool isClosing = false; ///< Responses carry "Connection: close".
     bool isStopped = false;
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -19,6 +19,10 @@
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 constexpr milliseconds acceptRetryDelay{20};
 constexpr std::size_t initialReadBytes = 4096;
+// Bounds for a connection that is closed while its caller still sends, and for all of them.
+constexpr milliseconds maxLingerTime{2'000};
+constexpr std::size_t maxLingerBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxLingering = 64;
 
 using core_ptr = std::shared_ptr<http_server_core>;
 
@@ -170,7 +174,8 @@
                                                  beast::flat_buffer &buffer, caller_parser &parser);
     static asio::awaitable<bool> readFirstBytes(core_ptr core, beast::tcp_stream &stream,
                                                 beast::flat_buffer &buffer);
-    static asio::awaitable<void> refuse(tcp::socket socket);
+    static asio::awaitable<void> refuse(core_ptr core, tcp::socket socket);
+    static asio::awaitable<void> linger(core_ptr core, beast::tcp_stream &stream);
     static asio::awaitable<void> watchDisconnect(http_exchange::state &exchange,
                                                  std::shared_ptr<bool> isOver);
 };
@@ -283,16 +288,36 @@
     while (isOpen && !core->isStopped)
         isOpen = co_await serveOne(core, stream, buffer);
     core->open.erase(&stream);
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    co_await linger(core, stream);
 }
 
-asio::awaitable<void> http_server::state::refuse(tcp::socket socket)
+/// Closes the sending side and drops what the caller still sends. To close at once with bytes
+/// unread would reset the connection, and the caller could lose the answer.
+asio::awaitable<void> http_server::state::linger(core_ptr core, beast::tcp_stream &stream)
+{
+    boost::system::error_code code;
+    stream.socket().shutdown(tcp::socket::shutdown_send, code);
+    if (code || core->isStopped || core->lingering.size() >= maxLingering)
+        co_return;
+    core->lingering.insert(&stream);
+    stream.expires_after(maxLingerTime);
+    std::array<char, initialReadBytes> dropped{};
+    for (std::size_t total = 0; !code && total < maxLingerBytes;) {
+        std::size_t size = 0;
+        std::tie(code, size) = co_await stream.async_read_some(asio::buffer(dropped), asTuple);
+        total += size;
+    }
+    core->lingering.erase(&stream);
+}
+
+asio::awaitable<void> http_server::state::refuse(core_ptr core, tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
     stream.expires_after(seconds(1));
     const auto response = problemResponse(
         {result_code::connectionLimit, "too many open connections", run_state::notRun, seconds(1)});
     co_await http::async_write(stream, response, asTuple);
+    co_await linger(core, stream);
 }
 
 asio::awaitable<void> http_server::state::accept(std::shared_ptr<state> self)
@@ -310,7 +335,7 @@
             continue;
         }
         if (self->core->open.size() >= self->core->settings.maxConnections)
-            asio::co_spawn(self->context, refuse(std::move(socket)), asio::detached);
+            asio::co_spawn(self->context, refuse(self->core, std::move(socket)), asio::detached);
         else
             self->startServing(std::move(socket));
     }
@@ -439,7 +464,8 @@
     announceClose();
     boost::system::error_code ignored;
     m_state->acceptor.close(ignored);
-    const auto open = m_state->core->open;
+    auto open = m_state->core->open;
+    open.merge(std::set(m_state->core->lingering));
     for (beast::tcp_stream *stream : open)
         stream->cancel();
 }
--- a/tests/serve/http_server_test.cpp
+++ b/tests/serve/http_server_test.cpp
@@ -136,6 +136,30 @@
     BOOST_TEST(got.ends_with("\r\n\r\nbody"), got);
 }
 
+// The connection was reset with bytes unread, which the caller met before it could read the answer.
+BOOST_AUTO_TEST_CASE(a_caller_that_sends_on_gets_its_early_refusal)
+{
+    served_bytes server(answerStatus);
+    const std::string body(1'000'000, 'x');
+    const std::string tooLong = "Content-Length: 99999999\r\n\r\n";
+    const std::string unframed = "Transfer-Encoding: gzip\r\n\r\n";
+    for (const std::string &rest : {tooLong, unframed, "X-A: " + body}) {
+        const bool isHead = rest.size() > body.size();
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::address_v4::loopback(), server.port()});
+        boost::system::error_code failure;
+        asio::write(socket, asio::buffer("POST /a/200 HTTP/1.1\r\nHost: a\r\n" + rest), failure);
+        for (std::size_t at = 0; !isHead && !failure && at < body.size(); at += 50'000) {
+            asio::write(socket, asio::buffer(body.data() + at, 50'000), failure);
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        BOOST_TEST(!failure, failure.message());
+        const std::string got = server.receive(socket, "", {});
+        BOOST_TEST(got.starts_with("HTTP/1.1 4"), got);
+    }
+}
+
 // The request behind the last one was dropped when the answer to that announced the close.
 BOOST_AUTO_TEST_CASE(a_request_that_was_read_before_the_close_is_answered)
 {
