Let the holder of the duties renew before it is replaced after an outage

process_route_duty_holder_test failed once: another host held the duties when a silent store answered again. A read that the store had taken before it fell silent was answered a lease later without a record, so a host's claim was due, failed for want of an answer, and was repeated as soon as the store was back, before the holder could renew.

Cause: the time of silence that a host counts against the holder was kept over the outage, in which the holder can't renew either.

After a call to the store that failed, a host waits for the time between two renewals in which the store answers. Evidence: after_an_outage_of_the_store_the_holder_has_time_to_renew, whose function is new; without the cut of the silence a claim is due at once, as its first check shows.

--- a/src/policy/duty_tenure.cpp
+++ b/src/policy/duty_tenure.cpp
@@ -90,6 +90,12 @@
     tenure.silence += waited;
 }
 
+void applyOutage(duty_tenure &tenure)
+{
+    const microseconds lease = tenure.settings.lease;
+    tenure.silence = std::min(tenure.silence, lease - renewalInterval(tenure.settings));
+}
+
 microseconds timeUntilClaim(const duty_tenure &tenure, instant now)
 {
     if (!tenure.hasRead || tenure.isHolder)
--- a/src/policy/duty_tenure.h
+++ b/src/policy/duty_tenure.h
@@ -65,6 +65,9 @@
 /// Applies a read that was answered after @p waited without a newer record.
 void applySilence(duty_tenure &tenure, microseconds waited);
 
+/// Applies a call to the store that failed, after which the holder, too, may have to renew late.
+void applyOutage(duty_tenure &tenure);
+
 /// Time without a newer record after which this host may claim the duties; 0 if it may now. A host
 /// that held them before the current holder waits for a lease in any case, so that holders don't
 /// act in the order A, B, A within it.
--- a/src/route/duty_holder.cpp
+++ b/src/route/duty_holder.cpp
@@ -109,6 +109,8 @@
 
     void noteStoreAnswer(const error *failure)
     {
+        if (failure)
+            applyOutage(tenure);
         const bool isAnswering = failure == nullptr;
         if (isAnswering == isStoreAnswering)
             return;
@@ -273,6 +275,8 @@
         const auto written = co_await write(makeRecord(tenure, nonces(), false));
         // Another host was faster, or the answer was lost.
         mustReadNewest = !written;
+        if (!written)
+            applyOutage(tenure);
     }
 
     asio::awaitable<void> awaitNext(microseconds untilClaim)
--- a/tests/policy/duty_tenure_test.cpp
+++ b/tests/policy/duty_tenure_test.cpp
@@ -121,6 +121,20 @@
     BOOST_TEST((timeUntilClaim(held.b.tenure, at(6'000)) == microseconds(0)));
 }
 
+// A host that had waited for a lease claimed the duties as soon as the store answered again, before
+// the holder could renew.
+BOOST_AUTO_TEST_CASE(after_an_outage_of_the_store_the_holder_has_time_to_renew)
+{
+    held_by_a held;
+    applySilence(held.b.tenure, lease);
+    BOOST_TEST((timeUntilClaim(held.b.tenure, at(6'000)) == microseconds(0)));
+    applyOutage(held.b.tenure);
+    const microseconds renewal = renewalInterval(held.b.tenure.settings);
+    BOOST_TEST((timeUntilClaim(held.b.tenure, at(9'000)) == renewal));
+    applySilence(held.b.tenure, renewal);
+    BOOST_TEST((timeUntilClaim(held.b.tenure, at(12'000)) == microseconds(0)));
+}
+
 BOOST_AUTO_TEST_CASE(each_record_raises_the_fencing_token)
 {
     held_by_a held;
