Say in the process tests why a host gave no answer

process_orders_test failed once with "Expecting value", since a connection that failed reads as an answer with an empty body; which error it was is not known.

--- a/tests/process/support/client.py
+++ b/tests/process/support/client.py
@@ -19,6 +19,7 @@
     error: str = ""
 
     def json(self):
+        assert not self.error, f"no answer: {self.error}"
         return json.loads(self.body)
 
 
