Cut no silent attempt for an upstream that is known to fail

Cause: the question before an attempt is given up counts upstreams that were not silent, whatever else is known of them.

A silent attempt is given up only if an upstream is heard of that isn't known to fail. One that trickles, which is no silence, is judged as before.

--- a/src/policy/attempt_choice.cpp
+++ b/src/policy/attempt_choice.cpp
@@ -1,5 +1,7 @@
 #include "policy/attempt_choice.h"
 
+#include "policy/probation.h"
+
 #include <cstdint>
 
 namespace quincefall {
@@ -14,14 +16,19 @@
 // An upstream that has sent something within this time is slow rather than silent.
 constexpr milliseconds minSilence{700};
 
-attempt_refusal refusalByUpstreams(bool isRunning, const further_upstreams &upstreams)
+attempt_refusal refusalByUpstreams(const further_attempt_request &request,
+                                   const further_upstreams &upstreams)
 {
     if (upstreams.usable == 0)
         return attempt_refusal::upstreams;
     if (upstreams.ofVersion == 0)
         return attempt_refusal::version;
-    // Once the attempt has ended, a silent upstream is better than none.
-    return isRunning && upstreams.heard == 0 ? attempt_refusal::silence : attempt_refusal::none;
+    // Once the attempt has ended, a silent upstream is better than none. Over a cut link all
+    // upstreams are silent, and the next attempt goes through another host.
+    if (!request.isRunning || request.isLinkFault)
+        return attempt_refusal::none;
+    const std::size_t alive = request.isTrickling ? upstreams.notSilent : upstreams.heard;
+    return alive == 0 ? attempt_refusal::silence : attempt_refusal::none;
 }
 
 } // namespace
@@ -39,7 +46,10 @@
         if (!hasWantedVersion(upstream, wanted))
             continue;
         ++counts.ofVersion;
-        if (msSinceLastByte(upstream, now) < toMilliseconds(silence / heardWithinDivisor))
+        if (msSinceLastByte(upstream, now) >= toMilliseconds(silence / heardWithinDivisor))
+            continue;
+        ++counts.notSilent;
+        if (!upstream.isDisconnected && !isWithheld(upstream, now))
             ++counts.heard;
     }
     return counts;
@@ -58,8 +68,7 @@
         return attempt_refusal::tried;
     if (request.timeLeft < minUsefulTime)
         return attempt_refusal::time;
-    // Over a cut link all upstreams are silent; the next attempt goes through another host.
-    return refusalByUpstreams(request.isRunning && !request.isLinkFault, upstreams);
+    return refusalByUpstreams(request, upstreams);
 }
 
 bool detectSharedSilence(shared_silences &recent, const service_pool &pool,
--- a/src/policy/attempt_choice.h
+++ b/src/policy/attempt_choice.h
@@ -19,6 +19,7 @@
     bool isRepeatable = false;
     bool isHeldBack = false; ///< It may be what crashes its upstreams.
     bool isLinkFault = false; ///< The attempt runs over a link that was found cut.
+    bool isTrickling = false; ///< Its upstream isn't silent, but brings nothing whole.
     bool isContinuable = true; ///< Another upstream can continue what the caller has.
     int runs = 0; ///< Attempts that may have run it, including this one.
     int maxRuns = 1; ///< That the route allows.
@@ -26,12 +27,13 @@
     microseconds timeLeft{0};
 };
 
-/// Upstreams for a further attempt. Each number counts a part of the one before.
+/// Upstreams for a further attempt.
 struct further_upstreams
 {
     std::size_t usable = 0; ///< Not tried yet, and accepting requests.
-    std::size_t ofVersion = 0; ///< Of the software version at which the stream began.
-    std::size_t heard = 0; ///< Not silent themselves.
+    std::size_t ofVersion = 0; ///< Of them, of the software version at which the stream began.
+    std::size_t heard = 0; ///< Of them, not silent and not known to fail.
+    std::size_t notSilent = 0; ///< As `heard`, but also those that are known to fail.
 };
 
 /// Why no further attempt may follow. The budget is asked last, by the caller.
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -40,9 +40,9 @@
     return context.reserveFurtherAttempt(job, request, {}) == attempt_refusal::none;
 }
 
-/// Whether an attempt is given up whose upstream has brought nothing for @p limit. Reserves the
-/// attempt that follows it.
-bool mayGiveUp(running_attempt &attempt, microseconds limit)
+/// Whether an attempt is given up whose upstream has brought nothing, or if it @p isTrickling
+/// nothing whole, for @p limit. Reserves the attempt that follows it.
+bool mayGiveUp(running_attempt &attempt, microseconds limit, bool isTrickling = false)
 {
     proxy_job &job = attempt.job;
     const instant now = attempt.context.clock.now();
@@ -55,6 +55,7 @@
     request.mayHaveRun = true;
     request.runs = job.runs + 1;
     request.isLinkFault = isLinkFault;
+    request.isTrickling = isTrickling;
     const auto refusal = attempt.context.reserveFurtherAttempt(job, request, limit);
     if (refusal == attempt_refusal::budget)
         attempt.budgetDeniedAt = now;
@@ -137,7 +138,7 @@
     recordPartialBytes(attempt.partial, limit / longestPauseDivisor, attempt.context.clock.now());
     if (!job.isRepeatable() || attempt.partial.arriving <= limit)
         return std::nullopt;
-    if (mayGiveUp(attempt, limit))
+    if (mayGiveUp(attempt, limit, true))
         return error{result_code::upstreamTimeout, "the upstream sends bytes but no whole event"};
     attempt.partial.arriving = microseconds(0);
     return std::nullopt;
--- a/tests/policy/attempt_choice_test.cpp
+++ b/tests/policy/attempt_choice_test.cpp
@@ -81,6 +81,32 @@
     BOOST_TEST(engines.count().heard == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_attempt_is_not_given_up_for_an_upstream_that_is_known_to_fail)
+{
+    silent_pool engines;
+    engines.run("a", milliseconds(1'500));
+    engines.run("b", milliseconds(1'480));
+    engines.pool.upstreams["c"].isDisconnected = true;
+    check(makeRequest(true), engines.count(), attempt_refusal::silence);
+    engines.pool.upstreams["c"].isDisconnected = false;
+    engines.pool.upstreams["c"].health.state = upstream_health::condition::failing;
+    check(makeRequest(true), engines.count(), attempt_refusal::silence);
+    check(makeRequest(false), engines.count(), attempt_refusal::none);
+}
+
+// Trickling answers were held until their deadline for want of an upstream that is sound.
+BOOST_AUTO_TEST_CASE(an_attempt_that_trickles_is_given_up_for_any_upstream_that_is_not_silent)
+{
+    silent_pool engines;
+    engines.run("b", milliseconds(1'480));
+    engines.pool.upstreams["c"].health.state = upstream_health::condition::failing;
+    further_attempt_request request = makeRequest(true);
+    request.isTrickling = true;
+    check(request, engines.count(), attempt_refusal::none);
+    engines.run("c", milliseconds(1'480));
+    check(request, engines.count(), attempt_refusal::silence);
+}
+
 BOOST_AUTO_TEST_CASE(an_attempt_over_a_cut_link_is_given_up_though_all_upstreams_are_silent)
 {
     further_attempt_request request = makeRequest(true);
