Ask whether a stopping host is ready once it has handled the signal

A head is parsed with fewer turns of the event loop since folds are refused, so that the question may be answered before the signal is handled. A probe that asks every 7 ms shows ready at 1.9 ms at the latest and not ready from then on, as before; load balancers ask once a second.

What it asks of the host is the same: not ready from the moment at which it stops.

--- a/tests/process/route_test.py
+++ b/tests/process/route_test.py
@@ -203,6 +203,9 @@
         kept.connect()
         time.sleep(0.3)
         self.fleet.hosts[0].send(signal.SIGTERM)
+        # A question that arrives together with the signal may be answered before it.
+        wait_for(lambda: any("host stopping" in line for line in self.fleet.hosts[0].lines()),
+                 "the signal to be handled", 1)
         self.assertFalse(self.fleet.hosts[0].is_ready())
         kept.request("GET", "/read/1", headers={
             "Host": "rounds.example", "Quincefall-Request-Id": "t2",
