Test answers that stop in their head, with real processes

Other operators reported an engine that stopped in the middle of its answer's head and closed; their clients got a 200 that looked whole.

--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -272,7 +272,8 @@
     answer), "unframed-cut" (the same, ending inside the third event) and "unframed-reset"; or one of
     ENDLESS, which sends bytes until the caller closes: in the head, in the body, in chunks, as
     interim answers, in an answer to another request, or in the body of a rejection; or one of
-    LATE_REFUSALS or RUN_AND_REFUSED. `faults_left` is the number of requests that the fault still applies
+    LATE_REFUSALS or RUN_AND_REFUSED; or "head-cut" and "head-silent": the answer stops after
+    `head_bytes` of its head, with a close or in silence. `faults_left` is the number of requests that the fault still applies
     to. `pause` is the value of Retry-After with "full"; None leaves it out. With `is_leaving`, all
     answers say so. `limit` is the value of Server-Limit in all answers unless None. `arrivals` counts all requests, also those that are turned away.
 
@@ -294,6 +295,7 @@
         self.fault = None
         self.faults_left = 10 ** 9
         self.continuation = None  # Answers requests with Last-Event-Id; see send_continuation().
+        self.head_bytes = 0  # Sent with "head-cut" and "head-silent".
         self.pause = None
         self.is_leaving = False
         self.limit = None
@@ -424,6 +426,12 @@
             ("Quincefall-Response-Stamp", f"{self.identity}.{request}")]
         if fault in ENDLESS:
             return await self.send_without_end(writer, fault, echo + stamp)
+        if fault in ("head-cut", "head-silent"):
+            head = answer_bytes(200, b"", echo + stamp)
+            writer.write(head[:self.head_bytes])
+            await writer.drain()
+            await asyncio.sleep(3600 if fault == "head-silent" else 0)
+            return False
         if fault == "hang":
             await asyncio.sleep(3600)
         if fault == "reset":
