--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t initialReadBytes = 4096;
 // Bounds for a connection that is closed while its caller still sends, and for all of them.
 constexpr milliseconds maxLingerTime{2'000};
-constexpr std::size_t maxLingerBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxLingerBytes = 8UL * 1024 * 1024;
 constexpr std::size_t maxLingering = 64;
 
 using core_ptr = std::shared_ptr<http_server_core>;
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -2,6 +2,8 @@
 
 #include "kernel/asio_headers.h"
 
+#include "support/join.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace quincefall {
@@ -164,10 +166,10 @@
     const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX";
     for (const std::string fields :
          {"Content-Length: 1\r\n\r\nA", "Transfer-Encoding: chunked\r\n\r\n1\r\nA\r\n0\r\n\r\n"}) {
-        answering_server sent("HTTP/1.1 200 OK\r\n" + fields + extra, true);
+        answering_server sent(join({"HTTP/1.1 200 OK\r\n", fields, extra}), true);
         BOOST_TEST(sent.send() == "A");
         BOOST_TEST(sent.send() == "B");
-        answering_server streamed("HTTP/1.1 200 OK\r\n" + fields + extra, true);
+        answering_server streamed(join({"HTTP/1.1 200 OK\r\n", fields, extra}), true);
         BOOST_TEST(streamed.stream() == "A");
         BOOST_TEST(streamed.stream() == "B");
     }
--- a/tests/platform/caller_fields_test.cpp
+++ b/tests/platform/caller_fields_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/wire_codec.h"
 
+#include "support/join.h"
 #include "support/served_bytes.h"
 
 namespace quincefall {
@@ -70,8 +71,8 @@
     served_bytes server(answerEngineHead);
     const std::string host = "Host: a\r\n";
     const std::string id = "Quincefall-Request-Id: 9c41\r\n";
-    for (const std::string &fields :
-         {host, id, host + host + id, host + id + id, host + "Quincefall-Request-Id:\r\n"}) {
+    for (const std::string &fields : {host, id, join({host, host, id}), join({host, id, id}),
+                                      join({host, "Quincefall-Request-Id:\r\n"})}) {
         const std::string got
             = server.receive("GET /x HTTP/1.1\r\nConnection: close\r\n" + fields + "\r\n");
         BOOST_TEST(got.starts_with("HTTP/1.1 400 "), fields << got);
--- a/tests/serve/caller_head_test.cpp
+++ b/tests/serve/caller_head_test.cpp
@@ -1,5 +1,6 @@
 #include "serve/http_server.h"
 
+#include "support/join.h"
 #include "support/served_bytes.h"
 
 namespace quincefall {
@@ -94,8 +95,8 @@
              std::string("X-A:\r\n \r\n c"),
              std::string("Host: b\r\n c"),
          }) {
-        const std::string got
-            = server.receive("POST /x HTTP/1.1\r\n" + field + "\r\nHost: a\r\n\r\n" + follower);
+        const std::string got = server.receive(
+            join({"POST /x HTTP/1.1\r\n", field, "\r\nHost: a\r\n\r\n", follower}));
         BOOST_TEST(got.starts_with("HTTP/1.1 400 "), field << got);
         BOOST_TEST(got.find("HTTP/1.1", 1) == std::string::npos, field << got);
     }
@@ -126,7 +127,7 @@
     served_bytes server(answerFieldNames);
     for (const std::string path : {"/x", "/none", "/stream"}) {
         const std::string got
-            = server.receive("HEAD " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" + follower);
+            = server.receive(join({"HEAD ", path, " HTTP/1.1\r\nHost: a\r\n\r\n", follower}));
         BOOST_TEST(bodyOf(got).starts_with("HTTP/1.1 200 "), path << got);
     }
     const std::string refused
@@ -153,8 +154,8 @@
 {
     served_bytes server(answerFieldNames);
     for (const std::string fields : {"", "Connection: keep-alive\r\n"}) {
-        const std::string got
-            = server.receive("GET /stream HTTP/1.0\r\nHost: a\r\n" + fields + "\r\n" + follower);
+        const std::string got = server.receive(
+            join({"GET /stream HTTP/1.0\r\nHost: a\r\n", fields, "\r\n", follower}));
         BOOST_TEST(got.find("Transfer-Encoding") == std::string::npos, got);
         BOOST_TEST(got.find("Connection: close") != std::string::npos, got);
         BOOST_TEST(bodyOf(got) == (fields.empty() ? "Host," : "Host,Connection,"), got);
@@ -184,9 +185,9 @@
     for (const std::string trailer :
          {"X-Trailer: 1", "Host: b", "Quincefall-Request-Id: other", "Connection: X-Own"}) {
         const std::string got = server.receive(
-            "POST /x HTTP/1.1\r\nHost: a\r\nX-Own: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-            "4\r\nbody\r\n0\r\n"
-            + trailer + "\r\n\r\n" + follower);
+            join({"POST /x HTTP/1.1\r\nHost: a\r\nX-Own: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "4\r\nbody\r\n0\r\n",
+                  trailer, "\r\n\r\n", follower}));
         BOOST_TEST(bodyOf(got).starts_with("Host,X-Own,Transfer-Encoding,HTTP/1.1 200"),
                    trailer << got);
     }
@@ -198,14 +199,14 @@
     served_bytes server(switchProtocol);
     const std::string host = "Host: a\r\n";
     const std::string named = "Connection: Upgrade\r\nUpgrade: Own\r\n";
-    const std::string switched = server.receive("GET /x HTTP/1.1\r\n" + host + named + "\r\n");
+    const std::string switched = server.receive(join({"GET /x HTTP/1.1\r\n", host, named, "\r\n"}));
     BOOST_TEST(switched.starts_with("HTTP/1.1 101 "), switched);
     BOOST_TEST(bodyOf(switched) == "switched", switched);
     for (const std::string &request : {
              "GET /x HTTP/1.1\r\n" + host + "\r\n",
              "GET /x HTTP/1.1\r\n" + host + "Upgrade: other\r\n\r\n",
-             "GET /x HTTP/1.0\r\n" + host + named + "\r\n",
-             "GET /x HTTP/1.1\r\n" + host + named + "\r\n" + follower,
+             join({"GET /x HTTP/1.0\r\n", host, named, "\r\n"}),
+             join({"GET /x HTTP/1.1\r\n", host, named, "\r\n", follower}),
          }) {
         const std::string got = server.receive(request);
         BOOST_TEST(got.starts_with("HTTP/1.1 426 "), request << got);
