Log how a service ends its other streams beside an unframed end

An early end at a live engine of a service that sends last chunks otherwise, and one of a killed engine of a service that sends none, read alike in the log: end=answered, unframed. The history of a service's framing moves from event_split to a file pair of its own; no decision changes.

--- a/src/policy/event_split.cpp
+++ b/src/policy/event_split.cpp
@@ -9,8 +9,6 @@
 constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
 constexpr std::string_view lineEnds = "\r\n";
 constexpr unsigned streamsPerGeneration = 256;
-constexpr unsigned leastUnframed = 4; // Streams that show that a service frames none.
-constexpr seconds framedMemory{60}; // Engines of another build may send no framing.
 
 /// End of the line end at @p at. A CR at the end of @p text counts by itself.
 std::size_t afterLineEnd(std::string_view text, std::size_t at)
@@ -36,11 +34,6 @@
     return 0;
 }
 
-bool hasFramedLately(const stream_framing_history &history, instant now)
-{
-    return history.framedAt && now - *history.framedAt < framedMemory;
-}
-
 /// What the lines of an event say.
 struct event_lines
 {
@@ -208,25 +201,12 @@
     return {};
 }
 
-void recordFraming(stream_framing_history &history, bool isFramed, instant now)
-{
-    if (isFramed)
-        history = {now, 0};
-    else
-        ++history.unframed;
-}
-
-bool mayFrameStreams(const stream_framing_history &history, instant now)
-{
-    return hasFramedLately(history, now) || history.unframed < leastUnframed;
-}
-
 bool isEndProven(const event_splitter &splitter, const stream_framing_history &history,
                  bool endsWithConnection, instant now)
 {
     if (!endsWithConnection)
         return true;
-    return splitter.hasEndedHere && !hasFramedLately(history, now);
+    return splitter.hasEndedHere && framingKind(history, now) != stream_framing_kind::framed;
 }
 
 void noteUnprovenEnd(event_splitter &splitter)
--- a/src/policy/event_split.h
+++ b/src/policy/event_split.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "kernel/clock.h"
+#include "policy/stream_framing.h"
 
 #include <cstdint>
 #include <optional>
@@ -59,19 +59,6 @@
 /// answer of one upstream.
 std::string_view faultOfEnd(const event_splitter &splitter, bool mayContinue);
 
-/// When upstreams of a service last sent a stream with an end of its own, by a length or chunks.
-struct stream_framing_history
-{
-    std::optional<instant> framedAt;
-    unsigned unframed = 0; ///< Streams without one since.
-};
-
-/// Records that a stream has begun whose end @p isFramed.
-void recordFraming(stream_framing_history &history, bool isFramed, instant now);
-
-/// Whether upstreams of the service send streams with an end of their own, or may.
-bool mayFrameStreams(const stream_framing_history &history, instant now);
-
 /// Whether the end of an answer that faultOfEnd() takes is that of the stream. If only the end of
 /// the connection told it, which an upstream that is killed sends as well, it needs an answer with
 /// an end of its own. Of services that send none, a second run must have ended at the same place.
--- /dev/null
+++ b/src/policy/stream_framing.cpp
@@ -0,0 +1,45 @@
+#include "policy/stream_framing.h"
+
+namespace quincefall {
+namespace {
+
+constexpr unsigned leastUnframed = 4; // Streams that show that a service frames none.
+constexpr seconds framedMemory{60}; // Engines of another build may send no framing.
+
+} // namespace
+
+std::string_view toString(stream_framing_kind kind)
+{
+    switch (kind) {
+    case stream_framing_kind::framed:
+        return "framed";
+    case stream_framing_kind::unframed:
+        return "unframed";
+    case stream_framing_kind::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+void recordFraming(stream_framing_history &history, bool isFramed, instant now)
+{
+    if (isFramed)
+        history = {now, 0};
+    else
+        ++history.unframed;
+}
+
+stream_framing_kind framingKind(const stream_framing_history &history, instant now)
+{
+    if (history.framedAt && now - *history.framedAt < framedMemory)
+        return stream_framing_kind::framed;
+    return history.unframed < leastUnframed ? stream_framing_kind::unknown
+                                            : stream_framing_kind::unframed;
+}
+
+bool mayFrameStreams(const stream_framing_history &history, instant now)
+{
+    return framingKind(history, now) != stream_framing_kind::unframed;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/stream_framing.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <optional>
+#include <string_view>
+
+namespace quincefall {
+
+/// How the upstreams of a service end their streams, as far as is known.
+enum class stream_framing_kind {
+    unknown,
+    framed, ///< With an end of their own: a length or a last chunk.
+    unframed ///< With their connection alone.
+};
+
+/// For logs.
+std::string_view toString(stream_framing_kind kind);
+
+/// When upstreams of a service last sent a stream with an end of its own.
+struct stream_framing_history
+{
+    std::optional<instant> framedAt;
+    unsigned unframed = 0; ///< Streams without one since.
+};
+
+/// Records that a stream has begun whose end @p isFramed.
+void recordFraming(stream_framing_history &history, bool isFramed, instant now);
+
+stream_framing_kind framingKind(const stream_framing_history &history, instant now);
+
+/// Whether upstreams of the service send streams with an end of their own, or may.
+bool mayFrameStreams(const stream_framing_history &history, instant now);
+
+} // namespace quincefall
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -444,8 +444,11 @@
         log += ":repeated=" + std::to_string(events.repeated);
     if (!events.pending.empty())
         log += ":partial=" + std::to_string(events.pending.size());
-    if (attempt.hasFirstByte && attempt.call->endsWithConnection())
-        log += ":unframed";
+    if (attempt.hasFirstByte && attempt.call->endsWithConnection()) {
+        const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
+        const auto others = framingKind(framing, attempt.context.clock.now());
+        log += ":unframed:others=" + std::string(toString(others));
+    }
     if (attempt.hasUnprovenEnd)
         log += ":unproven";
 }
