Tell other hosts how a service ends its streams

A host that has seen four streams without an end of their own and no other takes the service for one that frames none, and believes their ends. Where some streams are framed and some are not, a host that has just started can draw four of the second kind first; in a large fleet whose hosts restart often, some will. Hosts now tell each other, with their hints, when a service last framed a stream and how many were unframed since. A host that has just started also learns sooner of a service that frames nothing, whose first streams it would cut off.

--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -4,6 +4,7 @@
 #include "kernel/clock.h"
 #include "policy/crash_quarantine.h"
 #include "policy/store_position.h"
+#include "policy/stream_framing.h"
 #include "policy/upstream_notice.h"
 
 #include <array>
@@ -55,6 +56,7 @@
     milliseconds upstreamsAge{0}; ///< Since that list was last confirmed as complete.
     std::vector<told_suspect> suspects; ///< Traits of requests under which upstreams crashed.
     std::vector<told_notice> notices; ///< What upstreams recently told the host.
+    std::vector<told_framing> framings; ///< How services end their streams.
     bool cannotRelay = false; ///< The host is stopping or reaches no upstream itself.
     std::uint64_t dutyFence = 0; ///< Newest fencing token of the holder of the duties; else 0.
     wall_milliseconds wall = 0; ///< The host's wall clock; 0 if no duty is declared.
--- a/src/policy/stream_framing.cpp
+++ b/src/policy/stream_framing.cpp
@@ -1,5 +1,7 @@
 #include "policy/stream_framing.h"
 
+#include <algorithm>
+
 namespace quincefall {
 namespace {
 
@@ -37,6 +39,29 @@
                                             : stream_framing_kind::unframed;
 }
 
+std::optional<told_framing> framingToTell(const stream_framing_history &history, instant now)
+{
+    if (framingKind(history, now) == stream_framing_kind::unknown)
+        return std::nullopt;
+    told_framing told;
+    if (history.framedAt)
+        told.framedAge = std::chrono::ceil<milliseconds>(now - *history.framedAt);
+    told.unframed = history.unframed;
+    return told;
+}
+
+void applyFraming(stream_framing_history &history, const told_framing &told, instant now)
+{
+    if (!told.framedAge) {
+        if (!history.framedAt)
+            history.unframed = std::max(history.unframed, told.unframed);
+        return;
+    }
+    const instant framedAt = now - *told.framedAge;
+    if (!history.framedAt || *history.framedAt < framedAt)
+        history = {framedAt, told.unframed};
+}
+
 bool mayFrameStreams(const stream_framing_history &history, instant now)
 {
     return framingKind(history, now) != stream_framing_kind::unframed;
--- a/src/policy/stream_framing.h
+++ b/src/policy/stream_framing.h
@@ -2,6 +2,7 @@
 
 #include "kernel/clock.h"
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
@@ -29,6 +30,21 @@
 
 stream_framing_kind framingKind(const stream_framing_history &history, instant now);
 
+/// A history as one host tells it to another.
+struct told_framing
+{
+    std::uint64_t service = 0; ///< nameHash() of its name.
+    std::optional<milliseconds> framedAge; ///< Since the last stream with an end of its own.
+    unsigned unframed = 0; ///< Streams without one since.
+};
+
+/// Empty if there is nothing to tell.
+std::optional<told_framing> framingToTell(const stream_framing_history &history, instant now);
+
+/// Adds what another host knows. Streams without an end of their own count only for a host that has
+/// never heard of one with an end.
+void applyFraming(stream_framing_history &history, const told_framing &told, instant now);
+
 /// Whether upstreams of the service send streams with an end of their own, or may.
 bool mayFrameStreams(const stream_framing_history &history, instant now);
 
--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -67,10 +67,27 @@
         demand.service = nameHash(service);
         if (demand.prefillMsPerSecond > 0 || demand.inFlight > 0)
             hint.demands.push_back(demand);
+        if (auto framing = framingToTell(pool.framing, now)) {
+            framing->service = demand.service;
+            hint.framings.push_back(*framing);
+        }
     }
     return hint;
 }
 
+void applyFramings(routing_state &routing, std::span<const told_framing> framings, instant now)
+{
+    if (framings.empty())
+        return;
+    for (auto &[service, pool] : routing.pools) {
+        const std::uint64_t hash = nameHash(service);
+        for (const told_framing &framing : framings) {
+            if (framing.service == hash)
+                applyFraming(pool.framing, framing, now);
+        }
+    }
+}
+
 } // namespace
 
 struct load_exchange::state : std::enable_shared_from_this<load_exchange::state>
@@ -233,6 +250,7 @@
         }
         routing.storeEpoch = std::max(routing.storeEpoch, hint.upstreamsNext.epoch);
         const std::vector<told_notice> notices = hint.notices;
+        applyFramings(routing, hint.framings, clock.now());
         applySuspects(std::exchange(hint.suspects, {}));
         if (wallClockListener && hint.wall > 0)
             wallClockListener(hint.host, hint.wall);
--- a/tests/policy/event_split_test.cpp
+++ b/tests/policy/event_split_test.cpp
@@ -249,19 +249,6 @@
     BOOST_TEST(faultOfEnd(splitter, true) == "it ended without an event");
 }
 
-BOOST_AUTO_TEST_CASE(a_service_frames_no_streams_once_a_few_had_no_end_of_their_own)
-{
-    const instant now = instant{} + seconds(100);
-    stream_framing_history history;
-    BOOST_TEST(mayFrameStreams(history, now));
-    for (int stream = 0; stream < 4; ++stream)
-        recordFraming(history, false, now);
-    BOOST_TEST(!mayFrameStreams(history, now));
-    recordFraming(history, true, now);
-    recordFraming(history, false, now);
-    BOOST_TEST(mayFrameStreams(history, now + seconds(59)));
-}
-
 BOOST_AUTO_TEST_CASE(only_an_event_stream_continues_a_stream)
 {
     event_splitter splitter = continueAfter(makeEvents(1, 3));
--- /dev/null
+++ b/tests/policy/stream_framing_test.cpp
@@ -0,0 +1,68 @@
+#include "policy/stream_framing.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+constexpr instant now = instant{} + seconds(100);
+
+stream_framing_history unframedHistory(int streams)
+{
+    stream_framing_history history;
+    for (int stream = 0; stream < streams; ++stream)
+        recordFraming(history, false, now);
+    return history;
+}
+
+BOOST_AUTO_TEST_SUITE(stream_framing_tests)
+
+BOOST_AUTO_TEST_CASE(a_service_frames_no_streams_once_a_few_had_no_end_of_their_own)
+{
+    stream_framing_history history;
+    BOOST_TEST(mayFrameStreams(history, now));
+    for (int stream = 0; stream < 4; ++stream)
+        recordFraming(history, false, now);
+    BOOST_TEST(!mayFrameStreams(history, now));
+    recordFraming(history, true, now);
+    recordFraming(history, false, now);
+    BOOST_TEST(mayFrameStreams(history, now + seconds(59)));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_saw_only_unframed_streams_hears_of_framed_ones)
+{
+    stream_framing_history seen;
+    recordFraming(seen, true, now - seconds(9));
+    stream_framing_history started = unframedHistory(9);
+    BOOST_TEST(!mayFrameStreams(started, now));
+    applyFraming(started, *framingToTell(seen, now), now);
+    BOOST_TEST((framingKind(started, now) == stream_framing_kind::framed));
+    // What is told of one stream again and again does not make it newer.
+    for (int second = 0; second < 51; ++second)
+        applyFraming(started, *framingToTell(started, now + seconds(second)),
+                     now + seconds(second));
+    BOOST_TEST((framingKind(started, now + seconds(51)) != stream_framing_kind::framed));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_has_just_started_hears_that_a_service_frames_nothing)
+{
+    stream_framing_history started;
+    applyFraming(started, *framingToTell(unframedHistory(4), now), now);
+    BOOST_TEST(!mayFrameStreams(started, now));
+    // A host that has heard of a framed stream goes by that.
+    stream_framing_history seen;
+    recordFraming(seen, true, now);
+    applyFraming(seen, *framingToTell(unframedHistory(9), now), now);
+    BOOST_TEST((framingKind(seen, now) == stream_framing_kind::framed));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_knows_too_little_tells_nothing)
+{
+    BOOST_TEST(!framingToTell(stream_framing_history{}, now).has_value());
+    BOOST_TEST(!framingToTell(unframedHistory(3), now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- a/tests/process/route_live_engine_end_test.py
+++ b/tests/process/route_live_engine_end_test.py
@@ -1,10 +1,11 @@
 """A stream that may run once and ends early at an engine that lives is not taken for whole."""
 
+import itertools
 import re
 import unittest
 
 from support.platform_standin import complete_stream
-from support.route_fleet import RouteFleet, ask
+from support.route_fleet import RouteFleet, ask, wait_for
 
 # Streams without an end of their own that show that a service sends none.
 SHOWS_NO_FRAMING = 4
@@ -16,8 +17,8 @@
 
 
 class LiveEngineEndTest(unittest.TestCase):
-    def ask_once(self, fleet, request):
-        return ask(fleet.hosts[0].caller, request, f"/once/{request}")
+    def ask_once(self, fleet, request, host=0):
+        return ask(fleet.hosts[host].caller, request, f"/once/{request}")
 
     def check_not_whole(self, answer, body):
         self.assertFalse(answer.status == 200 and answer.is_whole, answer.body)
@@ -64,6 +65,23 @@
                 self.assertEqual((answer.status, answer.is_whole, answer.body),
                                  (200, True, complete_stream()))
 
+    def test_a_host_hears_of_other_hosts_that_engines_send_chunks(self):
+        with RouteFleet(hosts=2) as fleet:
+            sound = self.ask_once(fleet, "sound")
+            self.assertEqual((sound.is_whole, sound.body), (True, complete_stream()))
+            set_fault(fleet, "unframed")
+            requests = (f"u{number}" for number in itertools.count())
+
+            def has_heard():
+                self.ask_once(fleet, next(requests), host=1)
+                return any("others=framed" in line for line in fleet.hosts[1].lines())
+
+            wait_for(has_heard, "the second host to hear of the first one's stream")
+            set_fault(fleet, "unframed-early")
+            for number in range(2 * SHOWS_NO_FRAMING):
+                self.check_not_whole(self.ask_once(fleet, f"e{number}", host=1),
+                                     complete_stream())
+
 
 if __name__ == "__main__":
     unittest.main()
