Tell a killed engine from one that listens at its address

An answer that only its connection ends counts as broken off if the engine's address refuses connections just after.

While such an answer runs, the host holds a second connection to the engine. The kernel closes it with the process, whoever listens afterwards. Engines close idle connections, so it is renewed each second; a test has an engine with an idle limit of 1.5 s send a stream of 3.5 s. Where no second connection opens, the old check decides. It takes as many new connections as before for answers of up to a second.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -100,8 +100,7 @@
 stream_framing framingFor(const running_attempt &attempt)
 {
     const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
-    const bool isOpen = attempt.call->endsWithConnection()
-        && !attempt.job.choice.route->isResumable
+    const bool isOpen = attempt.call->endsWithConnection() && !attempt.job.choice.route->isResumable
         && !mayFrameStreams(framing, attempt.context.clock.now());
     return isOpen ? stream_framing::connection : stream_framing::chunks;
 }
@@ -144,11 +143,11 @@
 {
     const routed_upstream *target = attempt.upstream();
     const bool isLeaving = target && target->listed.isLeaving;
-    // One that leaves may stop listening before its last answers end.
-    if (!attempt.call->endsWithConnection() || isLeaving)
+    // One that leaves may close idle connections before its last answers end.
+    if (!attempt.witness || isLeaving)
         co_return false;
-    const bool isRefused = co_await attempt.context.paths->isRefused(attempt.entry);
-    co_return isRefused;
+    const bool hasEnded = co_await attempt.witness->hasUpstreamEnded();
+    co_return hasEnded;
 }
 
 microseconds gapTimeout(const proxy_job &job)
@@ -406,6 +405,9 @@
         if (const auto fault = faultOfContinuation(job.events, said); !fault.empty())
             co_return refuseSeam(attempt, fault);
     }
+    if (attempt.call->endsWithConnection())
+        attempt.witness
+            = upstream_witness::makeUpstreamWitness(attempt.context.paths, attempt.entry);
     if (isSuccess && job.choice.route->isStream && head.isEventStream)
         co_return co_await relayStream(attempt, head);
     co_return co_await relayWholeAnswer(attempt, head);
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -2,6 +2,7 @@
 
 #include "policy/partial_event.h"
 #include "route/proxy_attempt.h"
+#include "route/upstream_witness.h"
 
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
     microseconds longestGap{0}; ///< Longest pause between events.
     std::optional<upstream_load> load{}; ///< As reported with the answer.
     std::optional<std::uint64_t> resumedAfter{}; ///< Last event of the attempts before.
+    std::shared_ptr<upstream_witness> witness{}; ///< Null if the answer has an end of its own.
     bool hasUnprovenEnd = false; ///< Only the connection's end ended the answer, perhaps too early.
 
     routed_upstream *upstream() const { return findUpstream(context.state, entry); }
--- /dev/null
+++ b/src/route/upstream_witness.cpp
@@ -0,0 +1,112 @@
+#include "route/upstream_witness.h"
+
+#include "kernel/asio_headers.h"
+#include "observe/background_task.h"
+
+#include <utility>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds connectTimeout{400}; // As in upstream_call.
+// Upstreams close idle connections, so each one is replaced before that.
+constexpr milliseconds renewalInterval{1'000};
+constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
+// A process that is killed closes its connections one after the other.
+constexpr milliseconds closingTime{20};
+
+} // namespace
+
+struct upstream_witness::state
+{
+    state(std::shared_ptr<upstream_paths> connections, upstream_entry target)
+        : paths(std::move(connections))
+        , entry(std::move(target))
+        , renewal(paths->context())
+        , closing(paths->context())
+    {
+    }
+
+    std::shared_ptr<upstream_paths> paths;
+    upstream_entry entry;
+    std::shared_ptr<pooled_connection> connection; ///< Null until the first one is open.
+    asio::steady_timer renewal;
+    asio::steady_timer closing;
+    bool hasClosed = false; ///< The upstream closed a connection before its time.
+    bool isOver = false;
+
+    /// Notes when the upstream closes @p watched while it is the current one.
+    static asio::awaitable<void> watch(std::shared_ptr<state> self,
+                                       std::shared_ptr<pooled_connection> watched)
+    {
+        const auto [code]
+            = co_await watched->socket.async_wait(asio::ip::tcp::socket::wait_read, asTuple);
+        if (code != asio::error::operation_aborted && self->connection == watched)
+            self->hasClosed = true;
+    }
+
+    static asio::awaitable<void> keepOpen(std::shared_ptr<state> self)
+    {
+        while (!self->isOver && !self->hasClosed) {
+            auto opened = co_await self->paths->open(self->entry, connectTimeout);
+            if (!opened || self->isOver || self->hasClosed)
+                co_return;
+            self->release();
+            self->connection = std::move(*opened);
+            startTask(self->paths->context(), "upstream witness", watch(self, self->connection));
+            self->renewal.expires_after(renewalInterval);
+            co_await self->renewal.async_wait(asTuple);
+        }
+    }
+
+    void release()
+    {
+        boost::system::error_code ignored;
+        if (const auto released = std::exchange(connection, nullptr))
+            released->socket.close(ignored);
+    }
+
+    void end()
+    {
+        isOver = true;
+        renewal.cancel();
+        release();
+    }
+};
+
+std::shared_ptr<upstream_witness>
+upstream_witness::makeUpstreamWitness(std::shared_ptr<upstream_paths> paths, upstream_entry entry)
+{
+    auto shared = std::make_shared<state>(std::move(paths), std::move(entry));
+    startTask(shared->paths->context(), "upstream witness", state::keepOpen(shared));
+    return std::shared_ptr<upstream_witness>(new upstream_witness(std::move(shared)));
+}
+
+upstream_witness::upstream_witness(std::shared_ptr<state> shared)
+    : m_state(std::move(shared))
+{
+}
+
+upstream_witness::~upstream_witness()
+{
+    m_state->end();
+}
+
+asio::awaitable<bool> upstream_witness::hasUpstreamEnded()
+{
+    const auto self = m_state;
+    // One that opens from now on may lead to a process that has just started.
+    self->isOver = true;
+    if (self->connection && !self->hasClosed) {
+        self->closing.expires_after(closingTime);
+        co_await self->closing.async_wait(asTuple);
+    }
+    if (self->connection || self->hasClosed)
+        co_return self->hasClosed;
+    co_return co_await self->paths->isRefused(self->entry);
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/route/upstream_witness.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "route/upstream_paths.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+
+namespace quincefall {
+
+/// A second connection to an upstream while it sends an answer that only the end of its connection
+/// will end. An upstream that is killed closes both, even if another process listens at its address
+/// at once.
+class upstream_witness
+{
+public:
+    static std::shared_ptr<upstream_witness>
+    makeUpstreamWitness(std::shared_ptr<upstream_paths> paths, upstream_entry entry);
+    ~upstream_witness();
+
+    /// Whether the upstream's process has ended since the witness was made. To be called once the
+    /// answer has ended. Where no second connection could be opened, this is whether the upstream
+    /// refuses connections now.
+    boost::asio::awaitable<bool> hasUpstreamEnded();
+
+private:
+    struct state;
+    explicit upstream_witness(std::shared_ptr<state> shared);
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace quincefall
--- a/tests/process/route_unframed_end_test.py
+++ b/tests/process/route_unframed_end_test.py
@@ -66,19 +66,22 @@
                     self.assertFalse(answer.is_whole and answer.status == 200, body)
             self.assertEqual(body, complete_stream())
 
-    def play_once(self, act, unframed_before=0):
+    def play_once(self, act, unframed_before=0, event_seconds=0.1, idle_seconds=None):
         """A stream that may not be resumed, without a length, during which `act` acts on e1, after
-        `unframed_before` others."""
+        `unframed_before` others. The engine closes connections that were idle for `idle_seconds`.
+        """
         with RouteFleet(more_bounds=BUDGET) as fleet:
             fleet.thread.call(fleet.engines["e2"].server.close())
             fleet.store.put("keyed.servers", "e2", None)
             engine = fleet.engines["e1"]
-            engine.events, engine.event_seconds = 10, 0.1
+            engine.events, engine.event_seconds = 10, event_seconds / 10
             engine.fault = "unframed"
+            engine.server.idle_seconds = idle_seconds
             wait_for(lambda: any("upstream gone" in line for line in fleet.hosts[0].lines()),
                      "the host to hear that e2 is gone")
             for number in range(unframed_before):
                 ask(fleet.hosts[0].caller, f"b{number}", f"/once/b{number}")
+            engine.event_seconds = event_seconds
             answers = []
             thread = threading.Thread(target=lambda: answers.append(
                 ask(fleet.hosts[0].caller, "o", "/once/o")))
@@ -95,6 +98,22 @@
         answer = self.play_once(lambda fleet, engine: fleet.thread.call(engine.server.close()))
         self.assertEqual((answer.status, answer.is_whole), (200, False), answer.body)
 
+    def test_a_stream_is_cut_off_with_its_killed_engine_that_listens_again_at_once(self):
+        def restart(fleet, engine):
+            engine.down_seconds = 0
+            fleet.thread.call(engine.crash())
+
+        for number in range(4):
+            with self.subTest(number=number):
+                answer = self.play_once(restart, unframed_before=4)
+                self.assertEqual((answer.status, answer.is_whole), (200, False), answer.body)
+
+    def test_a_long_stream_without_framing_outlives_the_idle_limit_of_its_engine(self):
+        answer = self.play_once(lambda fleet, engine: None, unframed_before=4,
+                                event_seconds=0.35, idle_seconds=1.5)
+        self.assertEqual((answer.status, answer.is_whole, answer.body),
+                         (200, True, events(1, 10)))
+
     def test_a_sound_stream_without_framing_is_whole_where_nobody_can_prove_it(self):
         with RouteFleet() as fleet:
             fleet.thread.call(fleet.engines["e2"].server.close())
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -62,28 +62,33 @@
         self.port = 0
         self.server = None
         self.connections = set()
+        self.idle_seconds = None  # After which a connection without a request is closed.
 
     async def listen(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
                                                  port or free_ports(1)[0])
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def close(self):
-        self.server.close()
+    def close_connections(self):
         for writer in list(self.connections):
             writer.transport.abort()
 
+    async def close(self):
+        self.server.close()
+        self.close_connections()
+
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.idle_seconds)
                 method, target, fields = parse_head(head[:-4])
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 if not await self.answer(writer, method, target, fields, body):
                     break
-        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, OSError):
-            pass  # The connection was closed or the test ended.
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, asyncio.TimeoutError,
+                ConnectionError, OSError):
+            pass  # The connection was closed or idle for too long, or the test ended.
         finally:
             self.connections.discard(writer)
             writer.close()
@@ -333,7 +338,10 @@
         return (target, fields.get("quincefall-tenant"), body) in self.deadly_requests
 
     async def crash(self):
+        """Ends as a killed process does. Without `down_seconds` another one listens at once."""
         self.crashes.append(time.monotonic())
+        if self.down_seconds == 0:
+            return self.server.close_connections()
         await self.server.close()
         await asyncio.sleep(self.down_seconds)
         await self.server.listen(self.server.port)
