Bound what an engine's answers hold in memory, each and all together

A report of other operators: a faulty engine sends bytes without end, and the host that called it runs out of memory. The parser keeps a chunk's extension, or a trailer, until it has seen the end, and the buffer had no limit; answers that are passed on when whole had a limit each (4 MiB) and none together.

Each buffer of unparsed bytes now has a limit (upstreams, relays, the store, other hosts, engines of the serve role, and requests of callers, which are refused as too large a head). What answers and events hold that are not passed on yet is counted for the host: a quarter of the new setting bounds.memory_mb. Beyond that the largest is dropped until the others fit, since a sound answer is small; that does not count against its engine. One that a slow caller is being sent is cut off. Metrics: quincefall_answer_bytes_held, quincefall_answers_dropped_total. In the serve role an event and an answer of an engine have limits, and plain calls share a budget. A response of the store or another host may have 32 MiB, in place of 256.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -18,7 +18,9 @@
 
 constexpr std::size_t maxIdleConnectionsPerAddress = 64;
 constexpr std::size_t readBufferBytes = 16384;
-constexpr std::uint64_t maxResponseBytes = 256ULL * 1024 * 1024;
+constexpr std::uint64_t maxResponseBytes = 32ULL * 1024 * 1024;
+// Of a head, a chunk's extension or a trailer, none of which the parser reads in parts.
+constexpr std::size_t maxUnparsedBytes = 65'536;
 constexpr milliseconds connectTimeout{1000};
 constexpr int maxInterimAnswers = 16;
 constexpr unsigned firstFinalStatus = 200;
@@ -110,6 +112,12 @@
 struct http_client::state
 {
     std::shared_ptr<connection_pool> pool;
+    std::shared_ptr<byte_budget> answers;
+
+    std::unique_ptr<byte_share> addShare(connection &stream) const
+    {
+        return answers ? byte_budget::addShare(answers, [&stream] { stream.close(); }) : nullptr;
+    }
 
     asio::awaitable<result<std::unique_ptr<connection>>> connect(host_address address,
                                                                  milliseconds timeout) const
@@ -126,7 +134,7 @@
     std::weak_ptr<connection_pool> owner;
     host_address address;
     std::unique_ptr<connection> stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxUnparsedBytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, readBufferBytes> chunk{};
 
@@ -192,10 +200,12 @@
         m_state->stream->close();
 }
 
-std::unique_ptr<http_client> http_client::makeHttpClient(asio::io_context &context)
+std::unique_ptr<http_client> http_client::makeHttpClient(asio::io_context &context,
+                                                         std::shared_ptr<byte_budget> answers)
 {
-    return std::unique_ptr<http_client>(new http_client(std::make_shared<state>(state{
-        connection_pool::makeConnectionPool(context, {maxIdleConnectionsPerAddress, false})})));
+    return std::unique_ptr<http_client>(new http_client(std::make_shared<state>(
+        state{connection_pool::makeConnectionPool(context, {maxIdleConnectionsPerAddress, false}),
+              std::move(answers)})));
 }
 
 http_client::http_client(std::shared_ptr<state> shared)
@@ -260,7 +270,7 @@
                 co_return tl::unexpected(fresh.error());
             stream = std::move(*fresh);
         }
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxUnparsedBytes);
         std::optional<http::response_parser<http::string_body>> parser;
         const auto setExpiry = [&stream, deadline](milliseconds time) {
             stream->expires_at(std::min(deadline, std::chrono::steady_clock::now() + time));
@@ -270,11 +280,17 @@
         boost::system::error_code code = writeCode;
         if (!code)
             code = co_await readFinalHead(*stream, buffer, parser, message.method());
+        const auto held = shared->addShare(*stream);
         setExpiry(timeouts.silence);
         while (!code && !parser->is_done()) {
             const auto [readCode, size]
                 = co_await http::async_read_some(*stream, buffer, *parser, asTuple);
             code = readCode;
+            if (held && !held->resize(parser->get().body().capacity()))
+                co_return makeError(result_code::upstreamFailed,
+                                    toString(address)
+                                        + ": the answer was dropped, since the host holds too "
+                                          "many bytes of answers");
             setExpiry(timeouts.silence);
         }
         if (code) {
--- a/src/clients/http_client.h
+++ b/src/clients/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/address.h"
+#include "kernel/byte_budget.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
 
@@ -80,11 +81,15 @@
         fresh, ///< Sent once, on a new connection; for requests that must not be repeated.
     };
 
-    static std::unique_ptr<http_client> makeHttpClient(boost::asio::io_context &context);
+    /// @p answers bounds the responses of all calls that are read completely; null for no bound.
+    static std::unique_ptr<http_client> makeHttpClient(boost::asio::io_context &context,
+                                                       std::shared_ptr<byte_budget> answers
+                                                       = nullptr);
     ~http_client();
 
     /// Sends @p request and reads the whole response. Fails with upstreamUnreachable when nothing
-    /// was sent, and with upstreamFailed or upstreamTimeout when the request may have arrived.
+    /// was sent, and with upstreamFailed or upstreamTimeout when the request may have arrived. A
+    /// response of more than 32 MiB is a failure.
     boost::asio::awaitable<result<http_response>> send(host_address address, http_request request,
                                                        call_timeouts timeouts,
                                                        connection_use use = connection_use::reuse);
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -42,6 +42,7 @@
 constexpr milliseconds lastAnswersTime{100};
 constexpr milliseconds drainPollInterval{10};
 constexpr int permitNumberBits = 40;
+constexpr std::size_t maxAnswerBytes = 128UL * 1024 * 1024; // Of all calls together.
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 /// A number that differs between the successive processes of a host: the start time in ms.
@@ -158,7 +159,9 @@
         auto &events = add("observe.timeline",
                            timeline::makeTimeline(values.hostName, clock, timelineCapacity));
         add("observe.metrics", metrics::makeMetrics());
-        auto &client = add("platform.http", http_client::makeHttpClient(context));
+        auto &client = add(
+            "platform.http",
+            http_client::makeHttpClient(context, byte_budget::makeByteBudget(maxAnswerBytes)));
         auto &log = add("platform.log", std::make_unique<log_client>(client, values.logAddress));
         addRunning("platform.hosts",
                    host_list_service::makeHostListService(
--- a/src/policy/answer_assembly.h
+++ b/src/policy/answer_assembly.h
@@ -25,6 +25,9 @@
     /// valid until the next call of feed() or next().
     bool next(sse_event &event);
 
+    /// Bytes that were received and belong to no event that next() returned.
+    std::size_t pendingBytes() const { return m_buffer.size() - m_position; }
+
 private:
     std::string m_buffer;
     std::size_t m_position = 0;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -200,6 +200,8 @@
         body.append(*piece);
         if (body.size() > maxWholeAnswerBytes)
             co_return makeError(result_code::upstreamFailed, "the answer is too long");
+        if (!attempt.held->resize(body.capacity()))
+            co_return makeError(result_code::upstreamFailed, "the answer was dropped");
         if (replacesStream) {
             if (auto fault = faultOfPartialEvent(attempt))
                 co_return tl::unexpected(std::move(*fault));
@@ -219,6 +221,7 @@
     if (head.status < 500)
         noteAnswered(attempt.context.guard, attempt.job);
     const auto headers = toAnswerHeaders(head.forwardedFields);
+    attempt.isPassingOn = true;
     co_await attempt.job.exchange.respond(head.status, headers, std::move(*body));
     co_return attempt_end::answered;
 }
@@ -278,6 +281,9 @@
             break;
         job.answerBytes += double(piece->size());
         const std::string events = extractEvents(job.events, *piece);
+        if (!attempt.held->resize(job.events.pending.size()))
+            co_return attempt.endWithFailure(
+                {result_code::upstreamFailed, "the event was dropped"});
         if (events.empty() && !job.events.fault.empty())
             co_return refuseSeam(attempt, job.events.fault);
         if (events.empty()) {
@@ -477,6 +483,28 @@
             + std::string(attempt.chosen.zoneReason);
 }
 
+/// Not a local of the coroutine, whose frame g++ 12 fills with a bytewise copy of it.
+std::unique_ptr<running_attempt> makeAttempt(attempt_context &context, proxy_job &job,
+                                             const placement &chosen)
+{
+    return std::unique_ptr<running_attempt>(new running_attempt{
+        context, job, chosen.upstream->listed, chosen, nullptr, context.clock.now()});
+}
+
+/// Releases the memory of an answer that another one has displaced.
+void evict(running_attempt &attempt)
+{
+    logWarning("answer dropped for its size",
+               {{"request", attempt.job.request.id},
+                {"upstream", attempt.entry.id},
+                {"bytes", std::to_string(std::lround(attempt.job.answerBytes))},
+                {"passing_on", attempt.isPassingOn ? "yes" : "no"}});
+    if (attempt.isPassingOn)
+        attempt.job.exchange.abort(); // Its caller reads too slowly.
+    else
+        attempt.call->cancel();
+}
+
 } // namespace
 
 std::string_view toString(attempt_end end)
@@ -498,8 +526,8 @@
 
 asio::awaitable<attempt_end> runAttempt(attempt_context &context, proxy_job &job, placement chosen)
 {
-    running_attempt attempt{context, job,     chosen.upstream->listed,
-                            chosen,  nullptr, context.clock.now()};
+    const auto made = makeAttempt(context, job, chosen);
+    running_attempt &attempt = *made;
     job.answerBytes = 0;
     job.reservedAttempt.reset();
     attempt.resumedAfter = resumePosition(job);
@@ -511,6 +539,7 @@
     attempt.call = upstream_call::makeUpstreamCall(context.paths, attempt.entry);
     job.exchange.setDisconnectListener([call = attempt.call] { call->cancel(); });
     job.call = attempt.call;
+    attempt.held = byte_budget::addShare(context.answerBytes, [&attempt] { evict(attempt); });
     addAttempt(context.guard, job, attempt.call);
     attempt_end end = co_await sendAndRelay(attempt);
     job.exchange.setDisconnectListener(nullptr);
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/byte_budget.h"
 #include "observe/metrics.h"
 #include "policy/placement.h"
 #include "route/crash_guard.h"
@@ -34,6 +35,7 @@
     /// Called with the organisation of each request that begins to run.
     std::function<void(const std::string &organisation)> runListener;
     shared_silences silences{};
+    std::shared_ptr<byte_budget> answerBytes{}; ///< Of answers that are not passed on yet.
 };
 
 /// Sends the request to the chosen upstream and relays what it answers.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -93,7 +93,9 @@
                    {routing, paths, clock, settings.site.self, nullptr},
                    nullptr,
                    nullptr,
-                   nullptr}
+                   nullptr,
+                   {},
+                   byte_budget::makeByteBudget(settings.maxAnswerBytes)}
     {
     }
 
@@ -655,4 +657,9 @@
     m_state->isRefusingNew = true;
 }
 
+const byte_budget &proxy_service::answerBytes() const
+{
+    return *m_state->attempts.answerBytes;
+}
+
 } // namespace quincefall
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/byte_budget.h"
 #include "kernel/clock.h"
 #include "observe/metrics.h"
 #include "policy/placement.h"
@@ -30,6 +31,8 @@
         /// A desired state that was not confirmed as the newest for longer than this may be
         /// outdated, so requests that it does not allow get notReady rather than 401 or 404.
         milliseconds staleAfter{4'000};
+        /// Of answers and events that are not passed on yet, of all requests together.
+        std::size_t maxAnswerBytes = 64UL * 1024 * 1024;
     };
 
     static std::unique_ptr<proxy_service> makeProxyService(boost::asio::io_context &context,
@@ -65,6 +68,9 @@
     /// Refuses all requests that arrive from now on without running them.
     void refuseNewRequests();
 
+    /// Of answers that are not passed on yet.
+    const byte_budget &answerBytes() const;
+
 private:
     struct state;
     explicit proxy_service(std::shared_ptr<state> shared);
--- a/src/route/relay_client.cpp
+++ b/src/route/relay_client.cpp
@@ -62,7 +62,7 @@
     const auto [written, size] = co_await http::async_write(connection.socket, request, asTuple);
     if (written)
         co_return 0;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(2 * maxHeadBytes);
     http::response_parser<http::empty_body> parser;
     parser.header_limit(maxHeadBytes);
     const auto [read, count]
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -40,6 +40,9 @@
 constexpr milliseconds lastAnswerTime{100};
 constexpr milliseconds drainPollInterval{50};
 constexpr double bytesPerMegabit = 1e6 / 8;
+constexpr std::size_t bytesPerMb = 1'000'000;
+// The part of the memory for answers that are not passed on yet.
+constexpr std::size_t answerMemoryDivisor = 4;
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
@@ -56,6 +59,7 @@
     options.site.self = values.peerListen;
     options.site.regions = values.regions;
     options.transfer = values.transfer;
+    options.maxAnswerBytes = values.memoryMb * bytesPerMb / answerMemoryDivisor;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
@@ -306,6 +310,19 @@
         addRelays("unavailable", [this] { return double(relays->numbers().unavailable); });
     }
 
+    void addAnswerMetrics()
+    {
+        const auto budget = [this]() -> const byte_budget & {
+            return services->find<proxy_service>("route.proxy").answerBytes();
+        };
+        numbers->addCallbackMetric({"quincefall_answer_bytes_held", "gauge",
+                                    "Bytes of answers that are not passed on yet.", "",
+                                    [budget] { return double(budget().heldBytes()); }});
+        numbers->addCallbackMetric({"quincefall_answers_dropped_total", "counter",
+                                    "Answers dropped since all together were too large.", "",
+                                    [budget] { return double(budget().evictions()); }});
+    }
+
     void addMetrics()
     {
         numbers->addCallbackMetric({"quincefall_upstream_connections_opened_total", "counter",
@@ -317,6 +334,7 @@
                                         return double(connections->connectionCounts().reused);
                                     }});
         addRelayMetrics();
+        addAnswerMetrics();
         numbers->addCallbackMetric({"quincefall_upstreams_disconnected", "gauge",
                                     "Upstreams to which connections from this host fail.", "",
                                     [this] { return double(countDisconnected(routing.pools)); }});
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -49,6 +49,7 @@
 {
     section_reader bounds = root.section("bounds", false);
     bounds.number("max_connections", values.maxConnections, 1, 1'000'000);
+    bounds.number("memory_mb", values.memoryMb, 16, 1'000'000);
     bounds.fraction("link_mbps", values.linkMbps, 0.1, 1e6);
     bounds.fraction("leave_ms", values.leaveMs, 100, 600'000);
     bounds.fraction("apply_ms", values.applyMs, 100, 600'000);
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -48,6 +48,7 @@
 
     std::uint32_t maxConnections = 3'000;
     double linkMbps = 10; ///< Of the host's network link.
+    std::uint32_t memoryMb = 256; ///< That the process may use.
     /// Time from an upstream's listing as leaving to the last new request that it gets.
     double leaveMs = 2'500;
     /// Time from the acceptance of a desired state to its effect.
--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -120,6 +120,13 @@
 attempt_end running_attempt::endWithFailure(const error &failure)
 {
     job.lastFailure = failure;
+    if (held->isEvicted()) {
+        job.lastFailure = error{result_code::upstreamFailed,
+                                "the host holds too many bytes of answers, most of them of "
+                                "upstream "
+                                    + entry.id};
+        return attempt_end::failed;
+    }
     if (job.isHeldBack && failure.code == result_code::cancelled) {
         job.lastFailure = error{result_code::requestHeldBack,
                                 "the request became held back while it was at " + entry.id};
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/byte_budget.h"
 #include "policy/partial_event.h"
 #include "route/proxy_attempt.h"
 #include "route/upstream_witness.h"
@@ -28,6 +29,8 @@
     std::optional<upstream_load> load{}; ///< As reported with the answer.
     std::optional<std::uint64_t> resumedAfter{}; ///< Last event of the attempts before.
     std::shared_ptr<upstream_witness> witness{}; ///< Null if the answer has an end of its own.
+    std::unique_ptr<byte_share> held{}; ///< What of the answer is not passed on yet.
+    bool isPassingOn = false; ///< The whole answer is being sent to the caller.
     bool hasUnprovenEnd = false; ///< Only the connection's end ended the answer, perhaps too early.
 
     routed_upstream *upstream() const { return findUpstream(context.state, entry); }
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -26,6 +26,8 @@
 // the upstream closes the connection, they can't be sent again.
 constexpr double nonRepeatableKeepAliveShare = 0.35;
 constexpr std::size_t readBufferBytes = 16'384;
+// Of a head, a chunk's extension or a trailer, none of which the parser reads in parts.
+constexpr std::size_t maxUnparsedBytes = 32'768;
 constexpr std::uint64_t maxAnswerBytes = 64ULL * 1024 * 1024;
 // The timer fires this often within an inactivity timeout. What it is late by is time in which the
 // host did not run, and so did not see bytes that arrived.
@@ -81,7 +83,7 @@
     connection_ptr connection;
     asio::steady_timer timer;
     std::optional<answer_parser> parser;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxUnparsedBytes};
     std::array<char, readBufferBytes> piece{};
     message request;
     milliseconds keepAlive = defaultKeepAlive;
--- a/src/serve/engine_attempt.cpp
+++ b/src/serve/engine_attempt.cpp
@@ -14,6 +14,8 @@
 constexpr int statusTooMany = 429;
 constexpr int statusUnavailable = 503;
 constexpr std::uint32_t noTokens = 0;
+constexpr std::size_t maxEventBytes = 256UL * 1024;
+constexpr std::size_t maxAnswerBytes = 32UL * 1024 * 1024;
 
 http_request toRequest(const engine_call &call, std::uint32_t delivered)
 {
@@ -43,6 +45,10 @@
         if (verdict == event_outcome::malformed)
             return makeError(result_code::streamMismatch, "the stream has a malformed event");
     }
+    if (reader.pendingBytes() > maxEventBytes)
+        return makeError(result_code::streamMismatch, "an event of the stream has no end");
+    if (assembly.text.size() > maxAnswerBytes)
+        return makeError(result_code::upstreamFailed, "the answer is too long");
     return {};
 }
 
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -24,6 +24,7 @@
 // For handshakes that have begun when the server stops accepting.
 constexpr milliseconds handshakeTime{20};
 constexpr std::size_t initialReadBytes = 4096;
+constexpr std::size_t bodyReadBytes = 65'536;
 // Bounds for a connection that is closed while its caller still sends, and for all of them.
 constexpr milliseconds maxLingerTime{2'000};
 constexpr std::size_t maxLingerBytes = 8UL * 1024 * 1024;
@@ -34,7 +35,8 @@
 result_code parseFailureCode(const boost::system::error_code &code,
                              const http_server::options &settings)
 {
-    if (code == http::error::header_limit)
+    // Also a chunk's extension or a trailer that is too long.
+    if (code == http::error::header_limit || code == http::error::buffer_overflow)
         return settings.headerLimitCode;
     if (code == http::error::body_limit)
         return result_code::requestTooLarge;
@@ -217,6 +219,8 @@
                                                           caller_parser &parser)
 {
     parser.header_limit(core->settings.maxHeaderBytes);
+    buffer.max_size(
+        std::max(core->settings.maxHeaderBytes + bodyReadBytes, buffer.size() + initialReadBytes));
     parser.body_limit(core->settings.maxBodyBytes);
     stream.expires_after(core->settings.headerTimeout);
     read_end head = co_await readHead(stream, buffer, parser);
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -220,6 +220,22 @@
     }
 }
 
+// The parser keeps these until it has seen their end.
+BOOST_AUTO_TEST_CASE(an_extension_or_trailer_of_many_bytes_is_not_kept)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(300'000, 'x');
+    for (const std::string &answer : {join({head, "1;a=", filler, "\r\nA\r\n0\r\n\r\n"}),
+                                      join({head, "1\r\nA\r\n0\r\nX: ", filler, "\r\n\r\n"})}) {
+        answering_server sent(answer, true);
+        BOOST_TEST(isFailure(sent.send()));
+        answering_server streamed(answer, true);
+        BOOST_TEST(isFailure(streamed.stream()));
+    }
+    answering_server small(join({head, "1;a=b\r\nA\r\n0\r\nX: y\r\n\r\n"}), true);
+    BOOST_TEST(small.send() == "A");
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_ends_with_its_killed_server_is_not_whole)
 {
     const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nbody";
--- a/tests/process/route_endless_test.py
+++ b/tests/process/route_endless_test.py
@@ -1,5 +1,6 @@
 """Answers without length and chunks, and bytes that are no answer and do not end."""
 
+import os
 import signal
 import threading
 import time
@@ -10,6 +11,7 @@
 
 MAX_SECONDS = 2.5  # Of 4 s that the caller waits; a second engine needs about 0.2 s.
 MAX_GROWTH_KB = 60_000
+HOST_MB = 160
 
 
 def resident_kb(host):
@@ -93,6 +95,33 @@
     def test_bytes_without_end_do_not_hold_a_call_up(self):
         self.check_all(("d1", "d2"), "/read/1", (0,))
 
+    def test_many_answers_without_end_stay_within_the_memory_of_the_host(self):
+        # Freed memory is to be given back at once, as without the sanitizer.
+        os.environ["ASAN_OPTIONS"] = "quarantine_size_mb=1"
+        self.addCleanup(os.environ.pop, "ASAN_OPTIONS")
+        for fault in ("endless-body", "endless-chunk", "endless-extension", "endless-trailer"):
+            with self.subTest(fault), RouteFleet(more_bounds=f", memory_mb: {HOST_MB}") as fleet:
+                host = fleet.hosts[0]
+                before = resident_kb(host)
+                for name in ("d1", "d2"):
+                    fleet.engines[name].fault = fault
+                answers = []
+                threads = [threading.Thread(target=lambda number=number: answers.append(
+                    ask(host.caller, f"m{number}", "/book/x", "POST", body=b"x")))
+                    for number in range(40)]
+                for thread in threads:
+                    thread.start()
+                # Meanwhile, others are served.
+                for number in range(20):
+                    stream = ask(host.caller, f"s{number}", "/stream/1")
+                    self.assertEqual((stream.status, stream.is_whole, stream.body),
+                                     (200, True, complete_stream()))
+                for thread in threads:
+                    thread.join()
+                self.assertEqual([answer.status for answer in answers], [502] * 40)
+                self.assertLess(resident_kb(host) - before, HOST_MB * 1000 / 2)
+                host.send(signal.SIGKILL)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -264,7 +264,7 @@
 # with the id of another request, or without one.
 LATE_REFUSALS = {"late-refusal": [("Quincefall-Request-Id", "other")], "late-refusal-unnamed": []}
 ENDLESS = ("endless-head", "endless-body", "endless-chunk", "endless-interim", "endless-other",
-           "endless-rejection")
+           "endless-rejection", "endless-extension", "endless-trailer")
 
 
 class Engine:
@@ -278,7 +278,8 @@
     "unframed-early" (ending after the third event), "unframed-empty" (before the first one) and
     "unframed-killed" (a plain answer of which the engine is killed, as seen from outside); or one of
     ENDLESS, which sends bytes until the caller closes: in the head, in the body, in chunks, as
-    interim answers, in an answer to another request, or in the body of a rejection; or one of
+    interim answers, in an answer to another request, in the body of a rejection, in the extension
+    of a chunk or in the trailer; or one of
     LATE_REFUSALS or RUN_AND_REFUSED; or "head-cut" and "head-silent": the answer stops after
     `head_bytes` of its head, with a close or in silence. `faults_left` is the number of requests that the fault still applies
     to. `pause` is the value of Retry-After with "full"; None leaves it out. With `is_leaving`, all
@@ -504,6 +505,9 @@
             "endless-other": (other, "x" * 1024),
             "endless-rejection": (f"HTTP/1.1 503 X\r\n{fields}Quincefall-Not-Run: 1\r\n\r\n",
                                   "x" * 1024),
+            "endless-extension": (ok + "Transfer-Encoding: chunked\r\n\r\n5;a=", "x" * 1024),
+            "endless-trailer": (ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                                "X-Filler: " + "x" * 1012 + "\r\n"),
         }[fault]
         writer.write(start.encode())
         try:
--- a/tests/serve/http_server_test.cpp
+++ b/tests/serve/http_server_test.cpp
@@ -102,6 +102,19 @@
     BOOST_TEST(server.targets().empty());
 }
 
+// The parser keeps these until it has seen their end, whatever the limit for bodies.
+BOOST_AUTO_TEST_CASE(a_request_with_an_extension_or_trailer_of_many_bytes_is_refused)
+{
+    served_bytes server(answerStatus);
+    const std::string head = "POST /200 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(300'000, 'x');
+    for (const std::string &body :
+         {"1;a=" + filler + "\r\nA\r\n0\r\n\r\n", "1\r\nA\r\n0\r\nX: " + filler + "\r\n\r\n"}) {
+        const std::string got = server.receive(head + body);
+        BOOST_TEST(got.starts_with("HTTP/1.1 4"), got.substr(0, 200));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_length_is_plain_is_served)
 {
     served_bytes server(answerStatus);
