Count the memory of an event until it is freed

The buffer now goes with the attempt, and the capacity counts. A whole answer that was displaced while its end was checked is no longer passed on uncounted. No test in the tree has the first case; the second was read.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -217,6 +217,8 @@
         co_return attempt.endWithFailure(body.error());
     if (co_await hasEndedWithUpstream(attempt))
         co_return endUnproven(attempt);
+    if (attempt.held->isEvicted())
+        co_return attempt.endWithFailure({result_code::upstreamFailed, "the answer was dropped"});
     attempt.noteOutcome(head.status < 500, false);
     if (head.status < 500)
         noteAnswered(attempt.context.guard, attempt.job);
@@ -281,7 +283,7 @@
             break;
         job.answerBytes += double(piece->size());
         const std::string events = extractEvents(job.events, *piece);
-        if (!attempt.held->resize(job.events.pending.size()))
+        if (!attempt.held->resize(job.events.pending.capacity()))
             co_return attempt.endWithFailure(
                 {result_code::upstreamFailed, "the event was dropped"});
         if (events.empty() && !job.events.fault.empty())
@@ -562,6 +564,7 @@
     if (attempt.hasFirstByte && attempt.call->endsWithConnection())
         context.numbers.add(metric::unframedAnswers, {{"service", attempt.entry.service}});
     logAttempt(attempt, end);
+    job.events.pending = std::string(); // Its memory is counted for the attempt only.
     co_return end;
 }
 
