Count an unframed stream once it has ended, and at one host alone

Found by the review: streams counted when they began, so of eight that began together at a fresh host and ended early, all eight counted as whole; and hosts told each other that a service frames nothing, so that a second host, which had seen nothing, believed its first three early ends.

Streams without an end of their own now count at their end, and hosts tell each other only of framed ones.

--- a/src/policy/stream_framing.cpp
+++ b/src/policy/stream_framing.cpp
@@ -1,7 +1,5 @@
 #include "policy/stream_framing.h"
 
-#include <algorithm>
-
 namespace quincefall {
 namespace {
 
@@ -41,25 +39,16 @@
 
 std::optional<told_framing> framingToTell(const stream_framing_history &history, instant now)
 {
-    if (framingKind(history, now) == stream_framing_kind::unknown)
+    if (framingKind(history, now) != stream_framing_kind::framed)
         return std::nullopt;
-    told_framing told;
-    if (history.framedAt)
-        told.framedAge = std::chrono::ceil<milliseconds>(now - *history.framedAt);
-    told.unframed = history.unframed;
-    return told;
+    return told_framing{0, std::chrono::ceil<milliseconds>(now - *history.framedAt)};
 }
 
 void applyFraming(stream_framing_history &history, const told_framing &told, instant now)
 {
-    if (!told.framedAge) {
-        if (!history.framedAt)
-            history.unframed = std::max(history.unframed, told.unframed);
-        return;
-    }
-    const instant framedAt = now - *told.framedAge;
+    const instant framedAt = now - told.framedAge;
     if (!history.framedAt || *history.framedAt < framedAt)
-        history = {framedAt, told.unframed};
+        history = {framedAt, 0};
 }
 
 bool mayFrameStreams(const stream_framing_history &history, instant now)
--- a/src/policy/stream_framing.h
+++ b/src/policy/stream_framing.h
@@ -25,24 +25,23 @@
     unsigned unframed = 0; ///< Streams without one since.
 };
 
-/// Records that a stream has begun whose end @p isFramed.
+/// Records that a stream whose end @p isFramed has begun, or that one whose end is not has ended.
 void recordFraming(stream_framing_history &history, bool isFramed, instant now);
 
 stream_framing_kind framingKind(const stream_framing_history &history, instant now);
 
-/// A history as one host tells it to another.
+/// A service whose upstreams frame their streams, as one host tells it to another. That a service
+/// frames none is not told: each host has to see that itself.
 struct told_framing
 {
     std::uint64_t service = 0; ///< nameHash() of its name.
-    std::optional<milliseconds> framedAge; ///< Since the last stream with an end of its own.
-    unsigned unframed = 0; ///< Streams without one since.
+    milliseconds framedAge{0}; ///< Since the last stream with an end of its own.
 };
 
 /// Empty if there is nothing to tell.
 std::optional<told_framing> framingToTell(const stream_framing_history &history, instant now);
 
-/// Adds what another host knows. Streams without an end of their own count only for a host that has
-/// never heard of one with an end.
+/// Adds what another host knows.
 void applyFraming(stream_framing_history &history, const told_framing &told, instant now);
 
 /// Whether upstreams of the service send streams with an end of their own, or may.
--- a/src/route/hint_codec.cpp
+++ b/src/route/hint_codec.cpp
@@ -117,13 +117,8 @@
         hint.demands.push_back(
             {row.service(), row.sensitive_us_per_s() / 1000.0, double(row.sensitive_in_flight())});
     hint.suspects = readSuspects(message);
-    for (const wire::StreamFraming &row : message.stream_framings()) {
-        told_framing &framing = hint.framings.emplace_back();
-        framing.service = row.service();
-        framing.unframed = row.unframed();
-        if (row.has_framed_age_ms())
-            framing.framedAge = milliseconds(row.framed_age_ms());
-    }
+    for (const wire::StreamFraming &row : message.stream_framings())
+        hint.framings.push_back({row.service(), milliseconds(row.framed_age_ms())});
     for (const wire::UpstreamNotice &row : message.notices()) {
         told_notice &notice = hint.notices.emplace_back();
         notice.upstream = row.upstream();
@@ -207,9 +202,7 @@
     for (const told_framing &framing : hint.framings) {
         wire::StreamFraming *row = message.add_stream_framings();
         row->set_service(framing.service);
-        row->set_unframed(framing.unframed);
-        if (framing.framedAge)
-            row->set_framed_age_ms(std::uint32_t(framing.framedAge->count()));
+        row->set_framed_age_ms(std::uint32_t(framing.framedAge.count()));
     }
     for (const told_notice &notice : hint.notices) {
         wire::UpstreamNotice *row = message.add_notices();
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -269,12 +269,24 @@
         || (job.choice.route->isResumable && reserveFurtherAttempt(attempt.context, job));
 }
 
+/// Records a stream with an end of its own. Of one without, prepares the check of its end where the
+/// service sends none.
+void noteStreamBegin(running_attempt &attempt)
+{
+    auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
+    const instant now = attempt.context.clock.now();
+    if (!attempt.call->endsWithConnection())
+        recordFraming(framing, true, now);
+    else if (!mayFrameStreams(framing, now))
+        attempt.witness
+            = upstream_witness::makeUpstreamWitness(attempt.context.paths, attempt.entry);
+}
+
 /// Passes on each event once it is complete.
 asio::awaitable<attempt_end> relayStream(running_attempt &attempt, answer_head &head)
 {
     proxy_job &job = attempt.job;
-    recordFraming(attempt.context.state.pools[attempt.entry.service].framing,
-                  !attempt.call->endsWithConnection(), attempt.context.clock.now());
+    noteStreamBegin(attempt);
     while (true) {
         const auto piece = co_await attempt.call->read();
         if (!piece)
@@ -310,7 +322,11 @@
     const bool isResumable = job.choice.route->isResumable;
     if (const auto fault = faultOfEnd(job.events, isUnframed || isResumable); !fault.empty())
         co_return refuseSeam(attempt, fault);
-    if (needsProof(attempt) || co_await hasEndedWithUpstream(attempt)) {
+    const bool isUnproven = needsProof(attempt);
+    if (isUnframed)
+        recordFraming(attempt.context.state.pools[attempt.entry.service].framing, false,
+                      attempt.context.clock.now());
+    if (isUnproven || co_await hasEndedWithUpstream(attempt)) {
         noteUnprovenEnd(job.events);
         co_return endUnproven(attempt);
     }
