Take no closed idle connection for the end of an engine

A close counts only if it is in good order, as that of a killed process, and comes with the end of the stream; otherwise the old check decides. The connection is opened only for streams of services that frame nothing, where nothing else can tell. route_unframed_end_test has both cases: both failed before and pass now.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -144,10 +144,14 @@
     const routed_upstream *target = attempt.upstream();
     const bool isLeaving = target && target->listed.isLeaving;
     // One that leaves may close idle connections before its last answers end.
-    if (!attempt.witness || isLeaving)
+    if (!attempt.call->endsWithConnection() || isLeaving)
         co_return false;
-    const bool hasEnded = co_await attempt.witness->hasUpstreamEnded();
-    co_return hasEnded;
+    if (attempt.witness) {
+        const bool hasEnded = co_await attempt.witness->hasUpstreamEnded();
+        co_return hasEnded;
+    }
+    const bool isRefused = co_await attempt.context.paths->isRefused(attempt.entry);
+    co_return isRefused;
 }
 
 microseconds gapTimeout(const proxy_job &job)
@@ -429,9 +433,6 @@
         if (const auto fault = faultOfContinuation(job.events, said); !fault.empty())
             co_return refuseSeam(attempt, fault);
     }
-    if (attempt.call->endsWithConnection())
-        attempt.witness
-            = upstream_witness::makeUpstreamWitness(attempt.context.paths, attempt.entry);
     if (isSuccess && job.choice.route->isStream && head.isEventStream)
         co_return co_await relayStream(attempt, head);
     co_return co_await relayWholeAnswer(attempt, head);
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -28,7 +28,7 @@
     microseconds longestGap{0}; ///< Longest pause between events.
     std::optional<upstream_load> load{}; ///< As reported with the answer.
     std::optional<std::uint64_t> resumedAfter{}; ///< Last event of the attempts before.
-    std::shared_ptr<upstream_witness> witness{}; ///< Null if the answer has an end of its own.
+    std::shared_ptr<upstream_witness> witness{}; ///< Of a stream that its connection may end.
     std::unique_ptr<byte_share> held{}; ///< What of the answer is not passed on yet.
     bool isPassingOn = false; ///< The whole answer is being sent to the caller.
     bool hasUnprovenEnd = false; ///< Only the connection's end ended the answer, perhaps too early.
--- a/src/route/upstream_witness.cpp
+++ b/src/route/upstream_witness.cpp
@@ -3,6 +3,7 @@
 #include "kernel/asio_headers.h"
 #include "observe/background_task.h"
 
+#include <array>
 #include <utility>
 
 namespace quincefall {
@@ -14,9 +15,21 @@
 constexpr milliseconds connectTimeout{400}; // As in upstream_call.
 // Upstreams close idle connections, so each one is replaced before that.
 constexpr milliseconds renewalInterval{1'000};
-constexpr milliseconds initialKeepAlive{2'000}; // Until an answer gives the upstream's limit.
 // A process that is killed closes its connections one after the other.
 constexpr milliseconds closingTime{20};
+// Before the host has read the answer's end. A connection that closed earlier was idle for too
+// long.
+constexpr milliseconds readingTime{50};
+
+/// Whether the other end closed the connection in good order, as the kernel does for a process that
+/// is killed. Upstreams reset connections that they have no room for.
+bool isClosedInOrder(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code code;
+    std::array<char, 1> byte{};
+    socket.receive(asio::buffer(byte), asio::socket_base::message_peek, code);
+    return code == asio::error::eof;
+}
 
 } // namespace
 
@@ -35,7 +48,7 @@
     std::shared_ptr<pooled_connection> connection; ///< Null until the first one is open.
     asio::steady_timer renewal;
     asio::steady_timer closing;
-    bool hasClosed = false; ///< The upstream closed a connection before its time.
+    instant closedAt = instant::min(); ///< When the upstream closed the last one in good order.
     bool isOver = false;
 
     /// Notes when the upstream closes @p watched while it is the current one.
@@ -44,15 +57,18 @@
     {
         const auto [code]
             = co_await watched->socket.async_wait(asio::ip::tcp::socket::wait_read, asTuple);
-        if (code != asio::error::operation_aborted && self->connection == watched)
-            self->hasClosed = true;
+        if (code == asio::error::operation_aborted || self->connection != watched)
+            co_return;
+        if (isClosedInOrder(watched->socket))
+            self->closedAt = steadyNow();
+        self->release();
     }
 
     static asio::awaitable<void> keepOpen(std::shared_ptr<state> self)
     {
-        while (!self->isOver && !self->hasClosed) {
+        while (!self->isOver) {
             auto opened = co_await self->paths->open(self->entry, connectTimeout);
-            if (!opened || self->isOver || self->hasClosed)
+            if (!opened || self->isOver)
                 co_return;
             self->release();
             self->connection = std::move(*opened);
@@ -100,13 +116,17 @@
     const auto self = m_state;
     // One that opens from now on may lead to a process that has just started.
     self->isOver = true;
-    if (self->connection && !self->hasClosed) {
+    const instant readAt = steadyNow();
+    if (self->connection) {
         self->closing.expires_after(closingTime);
         co_await self->closing.async_wait(asTuple);
     }
-    if (self->connection || self->hasClosed)
-        co_return self->hasClosed;
-    co_return co_await self->paths->isRefused(self->entry);
+    if (self->connection)
+        co_return false;
+    if (self->closedAt != instant::min() && self->closedAt > readAt - readingTime)
+        co_return true;
+    const bool isRefused = co_await self->paths->isRefused(self->entry);
+    co_return isRefused;
 }
 
 } // namespace quincefall
--- a/src/route/upstream_witness.h
+++ b/src/route/upstream_witness.h
@@ -8,7 +8,7 @@
 
 namespace quincefall {
 
-/// A second connection to an upstream while it sends an answer that only the end of its connection
+/// A second connection to an upstream while it sends a stream that only the end of its connection
 /// will end. An upstream that is killed closes both, even if another process listens at its address
 /// at once.
 class upstream_witness
@@ -19,7 +19,7 @@
     ~upstream_witness();
 
     /// Whether the upstream's process has ended since the witness was made. To be called once the
-    /// answer has ended. Where no second connection could be opened, this is whether the upstream
+    /// stream has ended. Where no second connection was open then, this is whether the upstream
     /// refuses connections now.
     boost::asio::awaitable<bool> hasUpstreamEnded();
 
--- a/tests/process/route_unframed_end_test.py
+++ b/tests/process/route_unframed_end_test.py
@@ -67,9 +67,11 @@
                     self.assertFalse(answer.is_whole and answer.status == 200, body)
             self.assertEqual(body, complete_stream())
 
-    def play_once(self, act, unframed_before=0, event_seconds=0.1, idle_seconds=None):
+    def play_once(self, act, unframed_before=0, event_seconds=0.1, idle_seconds=None,
+                  most_connections=None):
         """A stream that may not be resumed, without a length, during which `act` acts on e1, after
-        `unframed_before` others. The engine closes connections that were idle for `idle_seconds`.
+        `unframed_before` others. The engine closes connections that were idle for `idle_seconds`,
+        and resets those beyond `most_connections`.
         """
         with RouteFleet(more_bounds=BUDGET) as fleet:
             fleet.thread.call(fleet.engines["e2"].server.close())
@@ -78,6 +80,7 @@
             engine.events, engine.event_seconds = 10, event_seconds / 10
             engine.fault = "unframed"
             engine.server.idle_seconds = idle_seconds
+            engine.server.most_connections = most_connections
             wait_for(lambda: any("upstream gone" in line for line in fleet.hosts[0].lines()),
                      "the host to hear that e2 is gone")
             for number in range(unframed_before):
@@ -110,8 +113,15 @@
                 self.assertEqual((answer.status, answer.is_whole), (200, False), answer.body)
 
     def test_a_long_stream_without_framing_outlives_the_idle_limit_of_its_engine(self):
-        answer = self.play_once(lambda fleet, engine: None, unframed_before=4,
-                                event_seconds=0.35, idle_seconds=1.5)
+        for idle_seconds in (1.5, 0.6):
+            with self.subTest(idle_seconds=idle_seconds):
+                answer = self.play_once(lambda fleet, engine: None, unframed_before=4,
+                                        event_seconds=0.35, idle_seconds=idle_seconds)
+                self.assertEqual((answer.status, answer.is_whole, answer.body),
+                                 (200, True, events(1, 10)))
+
+    def test_a_stream_without_framing_is_whole_at_an_engine_without_room_for_connections(self):
+        answer = self.play_once(lambda fleet, engine: None, unframed_before=4, most_connections=1)
         self.assertEqual((answer.status, answer.is_whole, answer.body),
                          (200, True, events(1, 10)))
 
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -9,6 +9,7 @@
 import base64
 import collections
 import json
+import socket
 import struct
 import threading
 import time
@@ -63,6 +64,7 @@
         self.server = None
         self.connections = set()
         self.idle_seconds = None  # After which a connection without a request is closed.
+        self.most_connections = None  # Those beyond it are reset.
 
     async def listen(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1",
@@ -78,6 +80,10 @@
         self.close_connections()
 
     async def serve(self, reader, writer):
+        if self.most_connections is not None and len(self.connections) >= self.most_connections:
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                                       struct.pack("ii", 1, 0))
+            return writer.transport.abort()
         self.connections.add(writer)
         try:
             while True:
