Give types that share a name names of their own

Two types were called quincefall::running_attempt, one in policy/pool_types.h and one in route/running_attempt.h. Their destructors are one symbol, of which the linker keeps one, so an attempt of the route role could be destroyed as one of the serve role. It held as long as the compiler put the destructor inline. quincefall::engine_order stood twice as well, in route/duty_calls.h and ledger/order_plan.h.

They are now adopted_attempt (of a queue, from an earlier owner) and scaling_order (of engines, at the platform). The attempt of the route role is a local again: moved it to the heap and named the compiler as the cause of the crash, which was wrong. A search of the headers finds no other type twice.

--- a/bench/policy_members.cpp
+++ b/bench/policy_members.cpp
@@ -36,7 +36,7 @@
         if (request.state == simulated_request_state::waiting) {
             submitRequest(simulation, number);
         } else if (request.state == simulated_request_state::running) {
-            const running_attempt attempt{request.item.id,
+            const adopted_attempt attempt{request.item.id,
                                           host.name,
                                           request.permit.permit,
                                           request.permit.upstream,
--- a/src/policy/pool_scheduler.cpp
+++ b/src/policy/pool_scheduler.cpp
@@ -378,7 +378,7 @@
     return {};
 }
 
-decisions adoptRunning(pool_state &state, const running_attempt &attempt, instant now)
+decisions adoptRunning(pool_state &state, const adopted_attempt &attempt, instant now)
 {
     const auto found = state.upstreams.records.find(attempt.upstream);
     if (found == state.upstreams.records.end())
--- a/src/policy/pool_scheduler.h
+++ b/src/policy/pool_scheduler.h
@@ -53,7 +53,7 @@
 decisions reportSlow(pool_state &state, const slow_progress &progress, instant now);
 
 /// Counts a running attempt whose permit an earlier owner of the queue granted.
-decisions adoptRunning(pool_state &state, const running_attempt &attempt, instant now);
+decisions adoptRunning(pool_state &state, const adopted_attempt &attempt, instant now);
 
 /// Applies an upstream's load report.
 decisions applyLoadReport(pool_state &state, const load_report &report, instant now);
--- a/src/policy/pool_types.h
+++ b/src/policy/pool_types.h
@@ -113,7 +113,7 @@
 };
 
 /// A running attempt whose permit was granted by an earlier owner of the queue.
-struct running_attempt
+struct adopted_attempt
 {
     std::string id;
     std::string entryHost;
--- a/src/route/duty_calls.h
+++ b/src/route/duty_calls.h
@@ -19,14 +19,14 @@
 };
 
 /// Number of engines of one kind that a service is to have in one failure domain.
-struct engine_order
+struct scaling_order
 {
     std::string service;
     std::string failureDomain;
     unsigned count = 0;
     bool isInterruptible = false; ///< Cheaper engines that may be taken away at short notice.
 
-    bool operator==(const engine_order &) const = default;
+    bool operator==(const scaling_order &) const = default;
 };
 
 /// Calls of duties, which one host of the fleet performs at a time. @p fence is the number from
@@ -40,7 +40,7 @@
 {
     std::function<boost::asio::awaitable<result<void>>(usage_report report, std::uint64_t fence)>
         reportUsage;
-    std::function<boost::asio::awaitable<result<void>>(engine_order order, std::uint64_t fence)>
+    std::function<boost::asio::awaitable<result<void>>(scaling_order order, std::uint64_t fence)>
         orderEngines;
 };
 
--- a/src/route/duty_refusals.cpp
+++ b/src/route/duty_refusals.cpp
@@ -16,7 +16,7 @@
 
 using checked_ptr = std::shared_ptr<checked_calls>;
 
-asio::awaitable<result<void>> orderEngines(checked_ptr checked, engine_order order,
+asio::awaitable<result<void>> orderEngines(checked_ptr checked, scaling_order order,
                                            std::uint64_t fence)
 {
     auto ordered = co_await checked->calls.orderEngines(std::move(order), fence);
@@ -36,7 +36,7 @@
 {
     auto checked = std::make_shared<checked_calls>(checked_calls{std::move(calls), holder});
     duty_calls result = checked->calls;
-    result.orderEngines = [checked](engine_order order, std::uint64_t fence) {
+    result.orderEngines = [checked](scaling_order order, std::uint64_t fence) {
         return orderEngines(checked, std::move(order), fence);
     };
     return result;
--- a/src/route/engine_orderer.cpp
+++ b/src/route/engine_orderer.cpp
@@ -202,8 +202,8 @@
     static asio::awaitable<void> sendOne(std::shared_ptr<state> shared, addressed_order order,
                                          std::uint64_t fence, std::uint64_t tenure)
     {
-        engine_order call{order.service, order.order.domain, order.order.count,
-                          order.order.isInterruptible};
+        scaling_order call{order.service, order.order.domain, order.order.count,
+                           order.order.isInterruptible};
         const result<void> answer = co_await shared->calls.orderEngines(std::move(call), fence);
         if (shared->tenure == tenure && !shared->isStopped)
             shared->recordAnswer(order, answer);
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -502,15 +502,7 @@
             + std::string(attempt.chosen.zoneReason);
 }
 
-/// Not a local of the coroutine, whose frame g++ 12 fills with a bytewise copy of it.
-std::unique_ptr<running_attempt> makeAttempt(attempt_context &context, proxy_job &job,
-                                             const placement &chosen)
-{
-    return std::unique_ptr<running_attempt>(new running_attempt{
-        context, job, chosen.upstream->listed, chosen, nullptr, context.clock.now()});
-}
-
-/// Releases the memory of an answer that another one has displaced.
+/// Makes an answer that another one has displaced end soon, which releases its memory.
 void evict(running_attempt &attempt)
 {
     logWarning("answer dropped for its size",
@@ -545,8 +537,8 @@
 
 asio::awaitable<attempt_end> runAttempt(attempt_context &context, proxy_job &job, placement chosen)
 {
-    const auto made = makeAttempt(context, job, chosen);
-    running_attempt &attempt = *made;
+    running_attempt attempt{context, job,     chosen.upstream->listed,
+                            chosen,  nullptr, context.clock.now()};
     job.answerBytes = 0;
     job.reservedAttempt.reset();
     attempt.resumedAfter = resumePosition(job);
--- a/src/serve/permit_messages.cpp
+++ b/src/serve/permit_messages.cpp
@@ -32,9 +32,9 @@
     return done;
 }
 
-running_attempt toRunningAttempt(const wire::RunningPermit &running, const std::string &entryHost)
+adopted_attempt toAdoptedAttempt(const wire::RunningPermit &running, const std::string &entryHost)
 {
-    running_attempt attempt;
+    adopted_attempt attempt;
     attempt.id = running.request_id();
     attempt.entryHost = entryHost;
     attempt.permit = running.number();
--- a/src/serve/permit_messages.h
+++ b/src/serve/permit_messages.h
@@ -14,6 +14,6 @@
 completion toCompletion(const wire::ReleaseRequest &message);
 
 /// Converts a running attempt that @p entryHost announces; an earlier owner may have granted it.
-running_attempt toRunningAttempt(const wire::RunningPermit &running, const std::string &entryHost);
+adopted_attempt toAdoptedAttempt(const wire::RunningPermit &running, const std::string &entryHost);
 
 } // namespace quincefall
--- a/src/serve/queue_service.cpp
+++ b/src/serve/queue_service.cpp
@@ -284,7 +284,7 @@
     void adoptPermit(const std::string &pool, pool_queue &queue, const std::string &entryHost,
                      const wire::RunningPermit &running)
     {
-        const running_attempt attempt = toRunningAttempt(running, entryHost);
+        const adopted_attempt attempt = toAdoptedAttempt(running, entryHost);
         queue.granted[attempt.permit] = {attempt.id, entryHost, attempt.upstream, now()};
         applyDecisions(pool, queue, adoptRunning(queue.scheduler, attempt, now()));
     }
--- a/tests/route/engine_orderer_test.cpp
+++ b/tests/route/engine_orderer_test.cpp
@@ -55,7 +55,7 @@
         return made;
     }
 
-    bool hasOrder(const engine_order &order) const
+    bool hasOrder(const scaling_order &order) const
     {
         wire::DutyRecord record;
         if (!record.ParseFromString(newest))
@@ -108,7 +108,7 @@
     bool wasStored = true;
     duty_calls calls;
     calls.orderEngines
-        = [&](engine_order order, std::uint64_t fence) -> asio::awaitable<result<void>> {
+        = [&](scaling_order order, std::uint64_t fence) -> asio::awaitable<result<void>> {
         BOOST_TEST(order.isInterruptible);
         BOOST_TEST(order.count == 3U);
         wasStored = wasStored && store.hasOrder(order);
