Play streams that may not be resumed, and engines that flap, in route_hushed

The users saw early ends in streams that may not be resumed, and at engines whose address listens again within moments of a crash. Callers of route_hushed.py sent only streams that may be resumed, and killed engines came back elsewhere.

A run counts once-streams, complete ones and early ends.

--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -2,8 +2,9 @@
 
     QUINCEFALL_BIN=... route_hushed.py --seeds 1-20 --hosts 20 --engines 24 --streams 120
 
-Callers take broken streams up at other hosts and check each event over all of their attempts. Cuts
-of streams whose engine had only paused are counted, and are no violation.
+Callers take broken streams up at other hosts and check each event over all of their attempts; with
+--once, some of the streams may not be resumed and have one attempt. Cuts of streams whose engine
+had only paused are counted, and are no violation.
 """
 
 import argparse
@@ -194,6 +195,11 @@
             process = self.random.choice(self.fleet.processes)
             if process.is_stopped:
                 continue
+            if self.options.flap_engines \
+                    and (not self.options.kill_engines or self.random.random() < 0.5):
+                self.note(f"engines {sorted(process.entries)} flap")
+                await asyncio.to_thread(process.flap)
+                continue
             self.note(f"engines {sorted(process.entries)} are killed")
             await asyncio.to_thread(self.fleet.restart_engines, process)
 
@@ -203,7 +209,7 @@
         callers = [Caller(f"s{self.seed}c{number}", self.fleet.hosts, self.report, self.seed,
                           max(4 * options.target_ms, 8 * options.gap_ms) / 1000,
                           events=options.events, idle_seconds=min(options.idle_ms) / 1000,
-                          names_begun=options.names_begun)
+                          names_begun=options.names_begun, once_share=options.once)
                    for number in range(options.streams)]
         tasks = [caller.run(end) for caller in callers]
         tasks.append(self.pause_engines(end))
@@ -213,7 +219,7 @@
             tasks.append(self.kill_hosts(end))
         if options.restart_all_hosts:
             tasks.append(self.restart_all_hosts(end))
-        if options.kill_engines:
+        if options.kill_engines or options.flap_engines:
             tasks.append(self.kill_engines(end))
         await asyncio.gather(*tasks)
 
@@ -351,6 +357,10 @@
     parser.add_argument("--framed-for", type=float, default=0.0,
                         help="seconds at the begin in which all streams have chunks")
     parser.add_argument("--kill-engines", action="store_true")
+    parser.add_argument("--flap-engines", action="store_true",
+                        help="engines close all connections and listen on")
+    parser.add_argument("--once", type=float, default=0.0,
+                        help="share of the streams that may not be resumed")
     parser.add_argument("--restart-all-hosts", action="store_true")
     parser.add_argument("--refuse", type=float, default=0.0, help="share of the requests")
     parser.add_argument("--copies", type=float, default=0.0, help="share of the answers")
--- a/tests/process/support/engine_process.py
+++ b/tests/process/support/engine_process.py
@@ -54,6 +54,10 @@
         """What each engine did; see state_of()."""
         return self.ask({"state": True})
 
+    def flap(self):
+        """Closes all connections as a crash does; the engines go on to listen at their ports."""
+        self.ask({"flap": True})
+
     def stop(self):
         self.child.send_signal(signal.SIGSTOP)
         self.is_stopped = True
@@ -106,6 +110,10 @@
             for plan in command["start"]:
                 engines[plan["identity"]] = start_engine(thread, plan, command["seed"])
             reply = {name: engine.entry() for name, engine in engines.items()}
+        elif "flap" in command:
+            for engine in engines.values():
+                engine.down_seconds = 0
+                thread.call(engine.crash())
         elif "state" in command:
             reply = {name: state_of(engine) for name, engine in engines.items()}
         print(json.dumps(reply), flush=True)
--- a/tests/process/support/stream_callers.py
+++ b/tests/process/support/stream_callers.py
@@ -169,6 +169,7 @@
     def end_complete(self, attempt):
         if self.pending:
             self.report.add("NO-EVENT", self.origin, f"{attempt}: ends with {self.pending[:200]!r}")
+        self.report.counts["early ends"] += self.last < self.events
         if self.last < self.events:
             self.report.add("EARLY-END", self.origin,
                             f"{attempt}: complete after event {self.last} of {self.events}")
@@ -179,7 +180,7 @@
 
     def __init__(self, name, hosts, report, seed, gap_seconds=LEAST_GAP_SECONDS, events=40,
                  stream_seconds=9.0, call_seconds=3.0, idle_seconds=1.0, kept_share=0.6,
-                 names_begun=False):
+                 names_begun=False, once_share=0):
         self.name = name
         self.hosts = hosts
         self.report = report
@@ -192,6 +193,7 @@
         self.kept_share = kept_share
         # Resumes names the attempt that brought the first event instead of the first attempt.
         self.names_begun = names_begun
+        self.once_share = once_share  # Of the streams, on the route that has no stream_resume.
         self.idle = []
         self.number = 0
 
@@ -263,12 +265,16 @@
         wait = min(float(head.get("retry-after", 0) or 0), left / 3)
         await asyncio.sleep(max(0.05, wait))
 
-    async def stream(self, request):
-        """A stream, taken up at other hosts until it is complete or its deadline has passed."""
+    async def stream(self, request, is_once=False):
+        """A stream, taken up at other hosts until it is complete or its deadline has passed.
+
+        One that `is_once` has a single attempt.
+        """
+        path, most = ("/once/", 1) if is_once else ("/stream/", MOST_ATTEMPTS)
         check = StreamCheck(self.report, request, self.events)
         deadline = time.monotonic() + self.stream_seconds
         attempts = self.report.streams[request] = []
-        while len(attempts) < MOST_ATTEMPTS and deadline - time.monotonic() > 0.3:
+        while len(attempts) < most and deadline - time.monotonic() > 0.3:
             name = request if not attempts else f"{request}.{len(attempts)}"
             attempt = Attempt(name, self.random.choice(self.hosts))
             attempts.append(attempt)
@@ -293,12 +299,13 @@
             fields = {"Resumes": origin} if origin and len(attempts) > 1 else {}
             if check.last:
                 fields["Last-Event-Id"] = str(check.last)
-            head = await self.attempt(attempt, len(attempts) == 1, "GET", f"/stream/{request}",
+            head = await self.attempt(attempt, len(attempts) == 1, "GET", path + request,
                                       fields, deadline, read, head_seconds=self.gap_seconds)
-            if attempt.end == "complete" or attempt.status in (400, 401, 404, 413, 431):
+            if is_once or attempt.end == "complete" \
+                    or attempt.status in (400, 401, 404, 413, 431):
                 break
             await self.pause_before_retry(head, deadline)
-        self.count("stream", attempts)
+        self.count("once-stream" if is_once else "stream", attempts)
 
     async def call(self, request, kind):
         """A plain call; one that must not be repeated is sent again only if it was not run."""
@@ -343,7 +350,8 @@
             request = f"{self.name}x{self.number}"
             kind = self.random.choice(("stream", "stream", "stream", "read", "book"))
             if kind == "stream":
-                await self.stream(request)
+                is_once = self.once_share > 0 and self.random.random() < self.once_share
+                await self.stream(request, is_once)
             else:
                 await self.call(request, kind)
             await asyncio.sleep(self.random.uniform(0, 0.1))
