Let what hosts tell each other of framed streams grow old

Read while reviewing the change: a host told others what it had heard, with an age that left out the message's way. Between hosts that tell each other in turn the last framed stream grew younger with each message, so a service whose engines have stopped to frame could count as framed for good, and its streams that may run once would never be whole. What is heard now counts as a second older than it was told.

what_hosts_tell_each_other_in_turn_grows_old has two hosts talk for 60 s.

--- a/src/policy/stream_framing.cpp
+++ b/src/policy/stream_framing.cpp
@@ -5,6 +5,8 @@
 
 constexpr unsigned leastUnframed = 4; // Streams that show that a service frames none.
 constexpr seconds framedMemory{60}; // Engines of another build may send no framing.
+// More than a message between hosts takes, so that what they tell each other in turn grows older.
+constexpr seconds tellingTime{1};
 
 } // namespace
 
@@ -46,7 +48,7 @@
 
 void applyFraming(stream_framing_history &history, const told_framing &told, instant now)
 {
-    const instant framedAt = now - told.framedAge;
+    const instant framedAt = now - told.framedAge - tellingTime;
     if (!history.framedAt || *history.framedAt < framedAt)
         history = {framedAt, 0};
 }
--- a/tests/policy/stream_framing_test.cpp
+++ b/tests/policy/stream_framing_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <utility>
+
 namespace quincefall {
 namespace {
 
@@ -44,6 +46,23 @@
     BOOST_TEST((framingKind(started, now + seconds(51)) != stream_framing_kind::framed));
 }
 
+// Hosts would take a service for framed forever, each from what the others heard.
+BOOST_AUTO_TEST_CASE(what_hosts_tell_each_other_in_turn_grows_old)
+{
+    stream_framing_history first;
+    stream_framing_history second;
+    recordFraming(first, true, now);
+    instant time = now;
+    for (; time < now + seconds(60); time += milliseconds(100)) {
+        for (auto [from, to] : {std::pair(&first, &second), std::pair(&second, &first)}) {
+            if (const auto told = framingToTell(*from, time))
+                applyFraming(*to, *told, time + milliseconds(80));
+        }
+    }
+    BOOST_TEST((framingKind(first, time) != stream_framing_kind::framed));
+    BOOST_TEST((framingKind(second, time) != stream_framing_kind::framed));
+}
+
 // A host that has seen four early ends would make others believe the next ones.
 BOOST_AUTO_TEST_CASE(no_host_takes_another_ones_word_that_a_service_frames_nothing)
 {
