--- a/tests/process/route_hushed_test.py
+++ b/tests/process/route_hushed_test.py
@@ -11,6 +11,8 @@
         " --names-begun"),
     (1, "--seconds 8 --framed-for 4 --unframed 0.4 --breaks 0.5 --close-unframed --kill-engines --hosts 4"
         " --pauses 0.1-0.3 --names-begun"),
+    (1, "--seconds 5 --unframed 0.4 --breaks 0.4 --close-unframed --once 0.5 --flap-engines --hosts 4"
+        " --pauses 0.1-0.3"),
 )
 
 if __name__ == "__main__":
