Log by what an engine was taken for alive after an unframed end

Observability for early ends at killed engines. That a host took an answer for whole, and the sign by which it did, could not be told apart in a log: a second connection that was open, something that listens at the engine's address, or another host that reached it. The attempt now says `life=open`, `closed`, `listening`, `relayed`, `refused` or `none`. No decision changes: isRefused() became checkListening(), which returns what it found, and its callers act on `refused` as before.

--- a/src/route/crash_guard.cpp
+++ b/src/route/crash_guard.cpp
@@ -76,7 +76,8 @@
                                          const upstream_entry &entry, lost_attempt lost)
 {
     const instant lostAt = guard.clock.now();
-    if (!co_await guard.paths->isRefused(entry))
+    const life_sign sign = co_await guard.paths->checkListening(entry);
+    if (sign != life_sign::refused)
         co_return;
     crash_quarantine &quarantine = guard.state.quarantine;
     const auto traits = lost.hasGoneOn ? traitsOf(job, true) : job.traits;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -146,12 +146,11 @@
     // One that leaves may close idle connections before its last answers end.
     if (!attempt.call->endsWithConnection() || isLeaving)
         co_return false;
-    if (attempt.witness) {
-        const bool hasEnded = co_await attempt.witness->hasUpstreamEnded();
-        co_return hasEnded;
-    }
-    const bool isRefused = co_await attempt.context.paths->isRefused(attempt.entry);
-    co_return isRefused;
+    if (attempt.witness)
+        attempt.sign = co_await attempt.witness->lookForLife();
+    else
+        attempt.sign = co_await attempt.context.paths->checkListening(attempt.entry);
+    co_return attempt.sign == life_sign::closed || attempt.sign == life_sign::refused;
 }
 
 microseconds gapTimeout(const proxy_job &job)
@@ -477,6 +476,7 @@
         const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
         const auto others = framingKind(framing, attempt.context.clock.now());
         log += ":unframed:others=" + std::string(toString(others));
+        log += ":life=" + std::string(toString(attempt.sign));
     }
     if (attempt.hasUnprovenEnd)
         log += ":unproven";
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -31,6 +31,7 @@
     std::shared_ptr<upstream_witness> witness{}; ///< Of a stream that its connection may end.
     std::unique_ptr<byte_share> held{}; ///< What of the answer is not passed on yet.
     bool isPassingOn = false; ///< The whole answer is being sent to the caller.
+    life_sign sign = life_sign::none; ///< Of the upstream, after such an end.
     bool hasUnprovenEnd = false; ///< Only the connection's end ended the answer, perhaps too early.
 
     routed_upstream *upstream() const { return findUpstream(context.state, entry); }
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -35,6 +35,25 @@
 
 } // namespace
 
+std::string_view toString(life_sign sign)
+{
+    switch (sign) {
+    case life_sign::open:
+        return "open";
+    case life_sign::closed:
+        return "closed";
+    case life_sign::listening:
+        return "listening";
+    case life_sign::relayed:
+        return "relayed";
+    case life_sign::refused:
+        return "refused";
+    case life_sign::none:
+        break;
+    }
+    return "none";
+}
+
 struct upstream_paths::state : std::enable_shared_from_this<upstream_paths::state>
 {
     state(asio::io_context &io, routing_state &target, std::shared_ptr<connection_pool> pool,
@@ -371,7 +390,7 @@
     return state::checkOne(m_state, std::move(entry));
 }
 
-asio::awaitable<bool> upstream_paths::isRefused(upstream_entry entry)
+asio::awaitable<life_sign> upstream_paths::checkListening(upstream_entry entry)
 {
     const auto self = m_state;
     const instant triedAt = self->clock.now();
@@ -380,17 +399,17 @@
         const bool isDirectRefused
             = co_await self->direct->isRefused(entry.address, connectTimeout, initialKeepAlive);
         if (!isDirectRefused)
-            co_return false;
+            co_return life_sign::listening;
     }
     relay_outcome outcome = co_await self->askRelays(entry, relayTimeout);
     if (!outcome.connection)
-        co_return !isRelayed || outcome.refusals > 0;
+        co_return !isRelayed || outcome.refusals > 0 ? life_sign::refused : life_sign::listening;
     self->relayed->putIdle(entry.address, std::move(outcome.connection));
     if (isRelayed)
         self->noteRelay(entry, outcome.relay);
     else
         self->noteCutLink(entry, outcome.relay, {triedAt, false});
-    co_return false;
+    co_return life_sign::relayed;
 }
 
 void upstream_paths::noteContact(const upstream_entry &entry, bool isRelayed)
--- a/src/route/upstream_paths.h
+++ b/src/route/upstream_paths.h
@@ -12,9 +12,23 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace quincefall {
 
+/// What a host has seen of an upstream whose connection ended.
+enum class life_sign {
+    none, ///< Not looked for.
+    open, ///< A second connection stayed open.
+    closed, ///< A second connection was closed.
+    listening, ///< Something accepts connections at its address, or nothing answers there.
+    relayed, ///< The same, but only through another host.
+    refused, ///< Its machine refuses connections.
+};
+
+/// For logs.
+std::string_view toString(life_sign sign);
+
 /// Connections to upstreams, directly or, where only this host's link to an upstream is cut,
 /// through another host that reaches it. A relayed connection passes exactly one other host.
 class upstream_paths
@@ -53,8 +67,8 @@
     /// Tries to reach a disconnected or silent upstream, and records on which path it is reached.
     boost::asio::awaitable<void> checkLink(upstream_entry entry);
 
-    /// Whether the upstream's machine refuses connections, also those through another host.
-    boost::asio::awaitable<bool> isRefused(upstream_entry entry);
+    /// Tries to connect to the upstream, also through another host: listening, relayed or refused.
+    boost::asio::awaitable<life_sign> checkListening(upstream_entry entry);
 
     /// Records that the upstream sent something over @p connection's path.
     void noteContact(const upstream_entry &entry, bool isRelayed);
--- a/src/route/upstream_witness.cpp
+++ b/src/route/upstream_witness.cpp
@@ -111,7 +111,7 @@
     m_state->end();
 }
 
-asio::awaitable<bool> upstream_witness::hasUpstreamEnded()
+asio::awaitable<life_sign> upstream_witness::lookForLife()
 {
     const auto self = m_state;
     // One that opens from now on may lead to a process that has just started.
@@ -122,11 +122,11 @@
         co_await self->closing.async_wait(asTuple);
     }
     if (self->connection)
-        co_return false;
+        co_return life_sign::open;
     if (self->closedAt != instant::min() && self->closedAt > readAt - readingTime)
-        co_return true;
-    const bool isRefused = co_await self->paths->isRefused(self->entry);
-    co_return isRefused;
+        co_return life_sign::closed;
+    const life_sign sign = co_await self->paths->checkListening(self->entry);
+    co_return sign;
 }
 
 } // namespace quincefall
--- a/src/route/upstream_witness.h
+++ b/src/route/upstream_witness.h
@@ -18,10 +18,10 @@
     makeUpstreamWitness(std::shared_ptr<upstream_paths> paths, upstream_entry entry);
     ~upstream_witness();
 
-    /// Whether the upstream's process has ended since the witness was made. To be called once the
-    /// stream has ended. Where no second connection was open then, this is whether the upstream
-    /// refuses connections now.
-    boost::asio::awaitable<bool> hasUpstreamEnded();
+    /// What shows whether the upstream's process has ended since the witness was made. To be called
+    /// once the stream has ended. Where no second connection was open then, this is what
+    /// checkListening() finds now.
+    boost::asio::awaitable<life_sign> lookForLife();
 
 private:
     struct state;
