Reproduce answers of killed engines that look whole

An engine is killed while it sends answers without framing, and another process listens at its address at once. The stand-in's die() ends the connections that are in use in good order and the others late or never; on those nobody answers. The stand-in answers GET /-/report now, as PROTOCOL.md's engines do.

--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -63,6 +63,8 @@
         self.port = 0
         self.server = None
         self.connections = set()
+        self.busy = set()  # Connections with a request that is being answered.
+        self.process = 0  # Number of the process that accepts connections; see die().
         self.idle_seconds = None  # After which a connection without a request is closed.
         self.most_connections = None  # Those beyond it are reset.
 
@@ -79,24 +81,43 @@
         self.server.close()
         self.close_connections()
 
+    async def die(self, late_seconds=0):
+        """Ends as a killed process does whose address another one takes at once. Connections that
+        are in use end in good order, the others only after `late_seconds`; on those nobody answers.
+        """
+        self.process += 1
+        idle = self.connections - self.busy
+        for writer in list(self.busy):
+            writer.transport.abort()
+        await asyncio.sleep(late_seconds)
+        for writer in idle:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
         if self.most_connections is not None and len(self.connections) >= self.most_connections:
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                                        struct.pack("ii", 1, 0))
             return writer.transport.abort()
         self.connections.add(writer)
+        process = self.process
         try:
             while True:
                 head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.idle_seconds)
                 method, target, fields = parse_head(head[:-4])
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
-                if not await self.answer(writer, method, target, fields, body):
+                if process != self.process:
+                    await asyncio.sleep(3600)
+                self.busy.add(writer)
+                is_kept = await self.answer(writer, method, target, fields, body)
+                self.busy.discard(writer)
+                if not is_kept:
                     break
         except (asyncio.IncompleteReadError, asyncio.CancelledError, asyncio.TimeoutError,
                 ConnectionError, OSError):
             pass  # The connection was closed or idle for too long, or the test ended.
         finally:
             self.connections.discard(writer)
+            self.busy.discard(writer)
             writer.close()
 
 
@@ -282,7 +303,8 @@
     Quincefall-Response-Stamp), "unframed" (neither length nor chunks; the connection ends the
     answer), "unframed-cut" (the same, ending inside the third event), "unframed-reset",
     "unframed-early" (ending after the third event), "unframed-empty" (before the first one) and
-    "unframed-killed" (a plain answer of which the engine is killed, as seen from outside); or one of
+    "unframed-killed" (a plain answer of which the engine is killed, as seen from outside) and
+    "unframed-replaced" (the same, and another process listens at once); or one of
     ENDLESS, which sends bytes until the caller closes: in the head, in the body, in chunks, as
     interim answers, in an answer to another request, in the body of a rejection, in the extension
     of a chunk or in the trailer; or one of
@@ -323,6 +345,7 @@
         self.runs = collections.Counter()
         self.request_heads = {}
         self.aborted_streams = collections.Counter()
+        self.reports = 0  # Calls that ask the engine for its state.
         self.answered_connections = set()
         self.endless_bytes = 0
         self.endless_gap_seconds = 0
@@ -384,6 +407,8 @@
         return self.fault
 
     async def answer(self, writer, method, target, fields, body):
+        if target == "/-/report":
+            return await self.report(writer)
         request = fields.get("quincefall-request-id", "")
         self.arrivals += 1
         self.arrival_times.append(time.monotonic())
@@ -414,6 +439,15 @@
         finally:
             self.running -= 1
 
+    async def report(self, writer):
+        self.reports += 1
+        await self.keep_silent()
+        state = {"stage": "unified", "models": [], "busy": False, "sequence": 0, "waiting": 0,
+                 "running": self.running, "kv_used": 0, "kv_total": 0, "handles": 0}
+        writer.write(answer_bytes(200, json.dumps(state).encode()))
+        await writer.drain()
+        return True
+
     async def reject(self, writer, fields):
         """Turns a request away. A brittle engine crashes when it has to do so too often."""
         now = time.monotonic()
@@ -478,6 +512,12 @@
             await writer.drain()
             await self.server.close()
             return False
+        elif fault == "unframed-replaced":
+            writer.write(answer_bytes(200, b"", echo + stamp).replace(b"Content-Length: 0\r\n", b"")
+                         + b"done:")
+            await writer.drain()
+            await self.server.die()
+            return False
         else:
             await asyncio.sleep(self.call_seconds)
             writer.write(answer_bytes(200, b"done:" + request.encode() + body, echo + stamp))
