Hold what callers send in one account with answers

Cause: a body counted nowhere. It was read whole into a string whose capacity doubles, for as many connections as the server takes, also where the head is enough to refuse the request.

Change: byte_budget is the account of all that a host holds of callers' requests and engines' answers, in `route` and in `serve` (`limits.memory_mb`, new, 512). Over its limit a message of the kind that holds more is dropped, one that has stopped arriving first. A request that is dropped has not run: 503 `memory-limit`. One that runs is kept until its answer is known; large ones take half of the account at most, and small messages have its last quarter. A body is read in pieces of 16 KiB; at 64 KiB a request with an unknown key or path is refused by its head, and before 100 Continue. The sizes of callers' socket buffers follow the number of connections. Freed buffers of 128 KiB or more go back to the system at once.

The two metrics of held answers count all messages now and are called quincefall_held_bytes and quincefall_messages_dropped_total.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,8 @@
 #include <gflags/gflags.h>
 #include <google/protobuf/stubs/logging.h>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <iostream>
 #include <vector>
@@ -65,6 +67,8 @@
 
 int main(int argc, char **argv)
 {
+    // Large buffers go back to the system as soon as they are freed, whatever was freed before.
+    mallopt(M_MMAP_THRESHOLD, 128 * 1024);
     // Keeps protobuf from printing to stderr: a message that cannot be decoded is reported as an
     // error of the call.
     google::protobuf::SetLogHandler(nullptr);
--- a/src/kernel/result.cpp
+++ b/src/kernel/result.cpp
@@ -45,6 +45,8 @@
                 "No configuration is in force on this host yet."},
     result_info{result_code::connectionLimit, "connection-limit", 503,
                 "The host has reached its limit of open connections."},
+    result_info{result_code::memoryLimit, "memory-limit", 503,
+                "The host holds as many bytes as it may; come back after Retry-After."},
     result_info{result_code::noUpstream, "no-upstream", 503,
                 "No live upstream can serve the request."},
     result_info{result_code::upstreamFailed, "upstream-failed", 502,
--- a/src/kernel/result.h
+++ b/src/kernel/result.h
@@ -33,6 +33,7 @@
     hostStopping = 304,
     notReady = 305,
     connectionLimit = 306,
+    memoryLimit = 307,
 
     noUpstream = 401,
     upstreamFailed = 402,
--- a/src/operate/host_metrics.cpp
+++ b/src/operate/host_metrics.cpp
@@ -1,5 +1,6 @@
 #include "operate/host_metrics.h"
 
+#include "observe/held_metrics.h"
 #include "observe/metrics.h"
 #include "operate/config_service.h"
 #include "peer/peer_mesh.h"
@@ -25,8 +26,10 @@
 
 } // namespace
 
-void addHostMetrics(metrics &meters, const config_service &config, const peer_mesh &mesh)
+void addHostMetrics(metrics &meters, const config_service &config, const peer_mesh &mesh,
+                    const std::shared_ptr<byte_budget> &held)
 {
+    addHeldMetrics(meters, held);
     addControlBytes(meters, mesh);
     meters.addCallbackMetric({"quincefall_log_reachable", "gauge",
                               "1 while the last read of the platform's log succeeded.", "",
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -42,9 +42,22 @@
 constexpr milliseconds lastAnswersTime{100};
 constexpr milliseconds drainPollInterval{10};
 constexpr int permitNumberBits = 40;
-constexpr std::size_t maxAnswerBytes = 128UL * 1024 * 1024; // Of all calls together.
+constexpr std::size_t bytesPerMb = 1'000'000;
+// The parts of the memory for what peers have sent and for the sockets of callers.
+constexpr std::size_t heldMemoryDivisor = 4;
+constexpr std::size_t socketMemoryDivisor = 4;
+// The part of what is held that is left to small messages.
+constexpr std::size_t smallShareDivisor = 4;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+std::shared_ptr<byte_budget> makeHeldBytes(const settings &values)
+{
+    // One request fits also where its body may be larger than the memory suggests.
+    const std::size_t limit
+        = std::max(values.memoryMb * bytesPerMb / heldMemoryDivisor, 4UL * values.maxBodyBytes);
+    return byte_budget::makeByteBudget(limit, limit / smallShareDivisor);
+}
+
 /// A number that differs between the successive processes of a host: the start time in ms.
 std::uint64_t makeIncarnation(const clock_source &clock)
 {
@@ -66,6 +79,7 @@
 
     asio::io_context &context;
     settings values;
+    std::shared_ptr<byte_budget> held = makeHeldBytes(values); ///< Of all peers.
     clock_source clock;
     std::uint64_t incarnation;
     bool isStopping = false;
@@ -159,9 +173,7 @@
         auto &events = add("observe.timeline",
                            timeline::makeTimeline(values.hostName, clock, timelineCapacity));
         add("observe.metrics", metrics::makeMetrics());
-        auto &client = add(
-            "platform.http",
-            http_client::makeHttpClient(context, byte_budget::makeByteBudget(maxAnswerBytes)));
+        auto &client = add("platform.http", http_client::makeHttpClient(context, held));
         auto &log = add("platform.log", std::make_unique<log_client>(client, values.logAddress));
         addRunning("platform.hosts",
                    host_list_service::makeHostListService(
@@ -280,7 +292,7 @@
             changes.record(config.state(), effect);
         });
         auto &meters = services->find<metrics>("observe.metrics");
-        addHostMetrics(meters, config, mesh);
+        addHostMetrics(meters, config, mesh, held);
         operator_context needs{context,
                                config,
                                services->find<timeline>("observe.timeline"),
@@ -330,8 +342,7 @@
                                                                       }});
     }
 
-    result<void> addServer(const char *name, const host_address &address,
-                           http_server::handler function)
+    http_server::options serverOptions(const host_address &address) const
     {
         http_server::options options;
         options.listen = address;
@@ -339,7 +350,14 @@
         options.maxBodyBytes = values.maxBodyBytes;
         options.maxConnections = values.maxConnections;
         options.requestTimeout = values.callerTimeout;
-        auto server = http_server::makeHttpServer(context, options, std::move(function));
+        options.held = held;
+        return options;
+    }
+
+    result<void> addServer(const char *name, http_server::options options,
+                           http_server::handler function)
+    {
+        auto server = http_server::makeHttpServer(context, std::move(options), std::move(function));
         if (!server)
             return tl::unexpected(server.error());
         auto &added = **server;
@@ -351,13 +369,17 @@
     {
         auto &api = services->find<caller_api>("serve.api");
         auto &operators = services->find<operator_api>("operate.api");
+        http_server::options callers = serverOptions(values.callerListen);
+        callers.socketBytes = values.memoryMb * bytesPerMb / socketMemoryDivisor;
+        callers.refusalOfHead
+            = [&api](const http_exchange &exchange) { return api.refusalOfHead(exchange); };
         if (auto added
-            = addServer("serve.server", values.callerListen,
+            = addServer("serve.server", std::move(callers),
                         [&api](http_exchange &exchange) { return api.handle(exchange); });
             !added)
             return added;
         return addServer(
-            "operate.server", values.operatorListen,
+            "operate.server", serverOptions(values.operatorListen),
             [&operators](http_exchange &exchange) { return operators.handle(exchange); });
     }
 
--- a/src/operate/settings.cpp
+++ b/src/operate/settings.cpp
@@ -52,6 +52,7 @@
     limits.number("max_header_bytes", values.maxHeaderBytes, 1024, 1 << 20);
     limits.number("max_body_bytes", values.maxBodyBytes, 1024, 1 << 30);
     limits.number("max_connections", values.maxConnections, 1, 1'000'000);
+    limits.number("memory_mb", values.memoryMb, 16, 1'000'000);
     limits.number("caller_timeout_ms", values.callerTimeout, 100, 600'000);
     limits.number("drain_timeout_ms", values.drainTimeout, 100, 3'600'000);
     limits.rejectUnknown();
--- a/src/operate/settings.h
+++ b/src/operate/settings.h
@@ -43,6 +43,7 @@
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint32_t maxBodyBytes = 4 * 1024 * 1024;
     std::uint32_t maxConnections = 4096;
+    std::uint32_t memoryMb = 512; ///< That the process may use.
     milliseconds callerTimeout{10'000}; ///< For a request to arrive and for a write to progress.
     milliseconds drainTimeout{60'000}; ///< Limit of the wait for running requests at a stop.
 };
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -257,6 +257,8 @@
         noteAnswered(attempt.context.guard, attempt.job);
     const auto headers = toAnswerHeaders(head.forwardedFields);
     attempt.isPassingOn = true;
+    attempt.call->finish();
+    attempt.job.exchange.releaseBody();
     co_await attempt.job.exchange.respond(head.status, headers, std::move(*body));
     co_return attempt_end::answered;
 }
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -53,6 +53,7 @@
     int runs = 0; ///< Attempts that an upstream may have run.
     bool hasBegunToRun = false; ///< An upstream has begun to answer it, in any attempt.
     int sends = 0; ///< Attempts that may have reached an upstream.
+    double bodyBytes = 0; ///< Of the request.
     double answerBytes = 0; ///< Received in the current attempt.
     std::optional<attempt_withdrawal> reservedAttempt{}; ///< Taken from the budget, not begun.
     bool mayCrashUpstreams = false; ///< One crashed, and this request may be the cause.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -95,7 +95,7 @@
                    nullptr,
                    nullptr,
                    {},
-                   byte_budget::makeByteBudget(settings.maxAnswerBytes),
+                   settings.held,
                    liveness_probes::makeLivenessProbes(paths, wire)}
     {
     }
@@ -170,10 +170,15 @@
         const int status = resultInfo(failure.code).httpStatus;
         std::string body = encodeProblem(failure, requestId);
         co_await exchange.respond(status, headers, std::move(body));
+        noteRefusal(requestId, failure);
+    }
+
+    void noteRefusal(const std::string &requestId, const problem &failure)
+    {
         numbers.add(metric::sheds, {{"code", resultInfo(failure.code).name}});
         logInfo("request refused",
-                {{"request", std::move(requestId)},
-                 {"status", std::to_string(status)},
+                {{"request", requestId},
+                 {"status", std::to_string(resultInfo(failure.code).httpStatus)},
                  {"cause", failure.detail},
                  {"run", std::string(toString(failure.run))},
                  {"version", std::to_string(routing.desired ? routing.desired->version : 0)},
@@ -199,6 +204,18 @@
                        run_state::notRun, std::nullopt};
     }
 
+    std::optional<problem> refusalOfHead(const http_exchange &exchange)
+    {
+        const auto request = wire.readRequest(exchange);
+        if (!request || !routing.isReady())
+            return std::nullopt; // Answered once it has arrived.
+        auto refusal = refusalOf(chooseRoute(*routing.desired, request->authority, request->path,
+                                             request->key, request->id));
+        if (refusal)
+            noteRefusal(request->id, *refusal);
+        return refusal;
+    }
+
     /// What an upstream gets of the request and a caller sends again unchanged.
     static std::uint64_t digestOfRequest(const proxy_job &job)
     {
@@ -226,6 +243,7 @@
         if (job.request.deadline)
             limit = std::min(limit, *job.request.deadline);
         job.deadline = job.arrived + limit;
+        job.bodyBytes = double(job.exchange.body().size());
         job.urgency = urgencyOf(*job.desired, job.choice, wire.lowestUrgency);
         if (job.request.deadline)
             job.isCallerRetry
@@ -658,9 +676,9 @@
     m_state->isRefusingNew = true;
 }
 
-const byte_budget &proxy_service::answerBytes() const
+std::optional<problem> proxy_service::refusalOfHead(const http_exchange &exchange) const
 {
-    return *m_state->attempts.answerBytes;
+    return m_state->refusalOfHead(exchange);
 }
 
 } // namespace quincefall
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -31,8 +31,8 @@
         /// A desired state that was not confirmed as the newest for longer than this may be
         /// outdated, so requests that it does not allow get notReady rather than 401 or 404.
         milliseconds staleAfter{4'000};
-        /// Of answers and events that are not passed on yet, of all requests together.
-        std::size_t maxAnswerBytes = 64UL * 1024 * 1024;
+        /// Holds the answers and events that are not passed on yet; null for no bound.
+        std::shared_ptr<byte_budget> held{};
     };
 
     static std::unique_ptr<proxy_service> makeProxyService(boost::asio::io_context &context,
@@ -68,8 +68,8 @@
     /// Refuses all requests that arrive from now on without running them.
     void refuseNewRequests();
 
-    /// Of answers that are not passed on yet.
-    const byte_budget &answerBytes() const;
+    /// Why a request with this head is refused, whatever its body is; empty if it may be served.
+    std::optional<problem> refusalOfHead(const http_exchange &exchange) const;
 
 private:
     struct state;
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -4,6 +4,7 @@
 #include "kernel/asio_headers.h"
 #include "kernel/kernel.h"
 #include "observe/background_task.h"
+#include "observe/held_metrics.h"
 #include "observe/log_setup.h"
 #include "observe/metrics.h"
 #include "route/duty_holder.h"
@@ -41,8 +42,11 @@
 constexpr milliseconds drainPollInterval{50};
 constexpr double bytesPerMegabit = 1e6 / 8;
 constexpr std::size_t bytesPerMb = 1'000'000;
-// The part of the memory for answers that are not passed on yet.
-constexpr std::size_t answerMemoryDivisor = 4;
+// The parts of the memory for what peers have sent and for the sockets of callers.
+constexpr std::size_t heldMemoryDivisor = 4;
+constexpr std::size_t socketMemoryDivisor = 4;
+// The part of what is held that is left to small messages.
+constexpr std::size_t smallShareDivisor = 4;
 constexpr int statusReady = 200;
 constexpr int statusNotReady = 503;
 
@@ -51,15 +55,22 @@
     return milliseconds(std::llround(ms));
 }
 
-proxy_service::options proxyOptions(const route_settings &values)
+placement_site siteOf(const route_settings &values)
+{
+    placement_site site;
+    site.failureDomain = values.failureDomain;
+    site.region = values.region;
+    site.self = values.peerListen;
+    site.regions = values.regions;
+    return site;
+}
+
+proxy_service::options proxyOptions(const route_settings &values, std::shared_ptr<byte_budget> held)
 {
     proxy_service::options options;
-    options.site.failureDomain = values.failureDomain;
-    options.site.region = values.region;
-    options.site.self = values.peerListen;
-    options.site.regions = values.regions;
+    options.site = siteOf(values);
+    options.held = std::move(held);
     options.transfer = values.transfer;
-    options.maxAnswerBytes = values.memoryMb * bytesPerMb / answerMemoryDivisor;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
@@ -72,6 +83,12 @@
     return values.maxConnections / 4;
 }
 
+std::shared_ptr<byte_budget> makeHeldBytes(const route_settings &values)
+{
+    const std::size_t limit = values.memoryMb * bytesPerMb / heldMemoryDivisor;
+    return byte_budget::makeByteBudget(limit, limit / smallShareDivisor);
+}
+
 http_server::options serverOptions(const host_address &listen, const caller_limits &limits,
                                    const route_settings &values)
 {
@@ -105,6 +122,7 @@
     clock_source clock;
     routing_state routing;
     std::unique_ptr<metrics> numbers = metrics::makeMetrics();
+    std::shared_ptr<byte_budget> held = makeHeldBytes(values); ///< Of all peers.
     std::shared_ptr<connection_pool> connections;
     std::shared_ptr<upstream_paths> paths;
     std::unique_ptr<relay_server> relays;
@@ -114,11 +132,11 @@
     state_answers answers; ///< To other hosts.
     bool isStopping = false;
 
-    result<void> addServer(const char *name, const host_address &listen,
+    result<void> addServer(const char *name, http_server::options options,
                            http_server::handler function)
     {
-        auto made = http_server::makeHttpServer(context, serverOptions(listen, {}, values),
-                                                std::move(function));
+        options.held = held;
+        auto made = http_server::makeHttpServer(context, std::move(options), std::move(function));
         if (!made)
             return tl::unexpected(made.error());
         http_server &server = **made;
@@ -156,14 +174,18 @@
     result<void> addServers()
     {
         auto &proxy = services->find<proxy_service>("route.proxy");
+        http_server::options callers = serverOptions(values.callerListen, {}, values);
+        callers.socketBytes = values.memoryMb * bytesPerMb / socketMemoryDivisor;
+        callers.refusalOfHead
+            = [&proxy](const http_exchange &exchange) { return proxy.refusalOfHead(exchange); };
         auto added
-            = addServer("route.callers", values.callerListen,
+            = addServer("route.callers", std::move(callers),
                         [&proxy](http_exchange &exchange) { return proxy.handle(exchange); });
         if (added)
-            added = addServer("route.ready", values.readyListen,
+            added = addServer("route.ready", serverOptions(values.readyListen, {}, values),
                               [this](http_exchange &exchange) { return answerReady(exchange); });
         if (added)
-            added = addServer("route.peers", values.peerListen,
+            added = addServer("route.peers", serverOptions(values.peerListen, {}, values),
                               [this](http_exchange &exchange) { return answerPeer(exchange); });
         return added;
     }
@@ -310,19 +332,6 @@
         addRelays("unavailable", [this] { return double(relays->numbers().unavailable); });
     }
 
-    void addAnswerMetrics()
-    {
-        const auto budget = [this]() -> const byte_budget & {
-            return services->find<proxy_service>("route.proxy").answerBytes();
-        };
-        numbers->addCallbackMetric({"quincefall_answer_bytes_held", "gauge",
-                                    "Bytes of answers that are not passed on yet.", "",
-                                    [budget] { return double(budget().heldBytes()); }});
-        numbers->addCallbackMetric({"quincefall_answers_dropped_total", "counter",
-                                    "Answers dropped since all together were too large.", "",
-                                    [budget] { return double(budget().evictions()); }});
-    }
-
     void addMetrics()
     {
         numbers->addCallbackMetric({"quincefall_upstream_connections_opened_total", "counter",
@@ -334,7 +343,7 @@
                                         return double(connections->connectionCounts().reused);
                                     }});
         addRelayMetrics();
-        addAnswerMetrics();
+        addHeldMetrics(*numbers, held);
         numbers->addCallbackMetric({"quincefall_upstreams_disconnected", "gauge",
                                     "Upstreams to which connections from this host fail.", "",
                                     [this] { return double(countDisconnected(routing.pools)); }});
@@ -358,14 +367,14 @@
     result<void> start(state_source source, wire_format wire)
     {
         connections = connection_pool::makeConnectionPool(context, {maxIdlePerUpstream, true});
-        paths = upstream_paths::makeUpstreamPaths(context, routing, connections,
-                                                  proxyOptions(values).site, clock);
+        paths = upstream_paths::makeUpstreamPaths(context, routing, connections, siteOf(values),
+                                                  clock);
         relays = relay_server::makeRelayServer(routing, connections, maxRelayed(values), clock);
         addMetrics();
         services->add<proxy_service>(
             "route.proxy",
             proxy_service::makeProxyService(context, routing, std::move(wire), paths, *numbers,
-                                            clock, proxyOptions(values)));
+                                            clock, proxyOptions(values, held)));
         services->add("route.paths", paths,
                       {[this]() -> result<void> {
                            paths->start();
--- a/src/route/transfer_accounts.cpp
+++ b/src/route/transfer_accounts.cpp
@@ -31,11 +31,6 @@
         accounts.hintAgeMs += toMilliseconds(now - entry.received) / double(hints.size());
 }
 
-double bodyBytes(const proxy_job &job)
-{
-    return double(job.exchange.body().size());
-}
-
 } // namespace
 
 bool differsByDomain(const service_rule &service, const routing_state &routing)
@@ -55,7 +50,7 @@
     zone_view view;
     view.terms = terms;
     const auto answer = accounts.answerBytes.find(job.choice.route->name);
-    view.bytes = bodyBytes(job) + (answer == accounts.answerBytes.end() ? 0 : answer->second);
+    view.bytes = job.bodyBytes + (answer == accounts.answerBytes.end() ? 0 : answer->second);
     countHosts(accounts, site, routing, now);
     view.homeHosts = accounts.hostsOfDomain;
     view.hintAgeMs = accounts.hintAgeMs;
@@ -80,7 +75,7 @@
 void recordTransferEnd(transfer_accounts &accounts, metrics &numbers, const placement &chosen,
                        const zone_view &view, const proxy_job &job)
 {
-    const double bytes = bodyBytes(job) + job.answerBytes;
+    const double bytes = job.bodyBytes + job.answerBytes;
     numbers.add(metric::zoneBytes, {{"destination", toString(chosen.distance)}}, bytes);
     if (chosen.distance == zone_distance::far)
         chargeLink(accounts.regionLink, bytes - view.bytes);
--- a/src/serve/caller_api.cpp
+++ b/src/serve/caller_api.cpp
@@ -93,6 +93,18 @@
 
 caller_api::~caller_api() = default;
 
+std::optional<problem> caller_api::refusalOfHead(const http_exchange &exchange) const
+{
+    const config_service &config = m_state->needs.config;
+    if (!config.isReady() || config.state().resources.empty())
+        return std::nullopt; // Answered once the request has arrived.
+    const auto caller = m_state->directory.identify(
+        config.state(), exchange.header("Authorization"), exchange.header("X-Service-Class"));
+    if (caller)
+        return std::nullopt;
+    return problem{caller.error().code, caller.error().detail, run_state::notRun, std::nullopt};
+}
+
 asio::awaitable<void> caller_api::handle(http_exchange &exchange)
 {
     const auto self = m_state;
--- a/src/serve/caller_api.h
+++ b/src/serve/caller_api.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "serve/caller_directory.h"
+#include "serve/problem.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace quincefall {
 
@@ -32,6 +34,9 @@
     /// Handles one request.
     boost::asio::awaitable<void> handle(http_exchange &exchange);
 
+    /// Why a request with this head is refused, whatever its body is; empty if it may be served.
+    std::optional<problem> refusalOfHead(const http_exchange &exchange) const;
+
 private:
     struct state;
     explicit caller_api(std::shared_ptr<state> shared);
--- a/src/serve/http_exchange.cpp
+++ b/src/serve/http_exchange.cpp
@@ -82,6 +82,12 @@
     return m_state->request.body();
 }
 
+void http_exchange::releaseBody()
+{
+    std::string().swap(m_state->request.body());
+    m_state->held.reset();
+}
+
 asio::awaitable<bool> http_exchange::respond(int status, std::span<const response_header> headers,
                                              std::string body)
 {
--- a/src/serve/http_exchange_state.h
+++ b/src/serve/http_exchange_state.h
@@ -32,6 +32,7 @@
     std::shared_ptr<http_server_core> core;
     const boost::beast::flat_buffer &unread; ///< Bytes that came behind the request.
     boost::beast::http::request<boost::beast::http::string_body> request;
+    std::unique_ptr<byte_share> held; ///< The request's.
     std::function<void()> disconnectListener;
     stream_end streamEnd = stream_end::lastChunk;
     bool keepAlive = false;
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -6,7 +6,9 @@
 #include "serve/http_exchange_state.h"
 #include "serve/problem.h"
 
+#include <algorithm>
 #include <array>
+#include <bit>
 #include <cerrno>
 #include <exception>
 #include <system_error>
@@ -24,7 +26,16 @@
 // For handshakes that have begun when the server stops accepting.
 constexpr milliseconds handshakeTime{20};
 constexpr std::size_t initialReadBytes = 4096;
-constexpr std::size_t bodyReadBytes = 65'536;
+constexpr std::size_t bodyReadBytes = 16'384;
+// Of a chunk's extension or a trailer, none of which the parser reads in parts.
+constexpr std::size_t maxUnparsedBytes = 65'536;
+// A body from which on a request is refused by its head where that is enough.
+constexpr std::size_t checkedBodyBytes = 65'536;
+// A caller can't know when other requests have ended.
+constexpr milliseconds memoryRetryAfter{1'000};
+// Sizes of a socket's buffer in one direction. The kernel doubles them.
+constexpr std::size_t minSocketBytes = 4'096;
+constexpr std::size_t maxSocketBytes = 131'072;
 // Bounds for a connection that is closed while its caller still sends, and for all of them.
 constexpr milliseconds maxLingerTime{2'000};
 constexpr std::size_t maxLingerBytes = 8UL * 1024 * 1024;
@@ -74,8 +85,51 @@
 {
     boost::system::error_code code;
     std::string_view fault; ///< Why the head is refused; empty if it is not.
+    std::optional<problem> refusal; ///< Why the request is; empty if it is not.
 };
 
+problem problemOf(const read_end &end, const http_server::options &settings)
+{
+    if (end.refusal)
+        return *end.refusal;
+    if (end.code)
+        return {parseFailureCode(end.code, settings), end.code.message(), {}, {}};
+    return {result_code::malformedRequest, std::string(end.fault), {}, {}};
+}
+
+problem memoryProblem()
+{
+    return {result_code::memoryLimit, "other requests take the memory of this host",
+            run_state::notRun, memoryRetryAfter};
+}
+
+/// Bytes of memory that the body takes. Of one with a length, what has not arrived takes none yet.
+std::size_t heldBytes(caller_parser &parser)
+{
+    const std::string &body = parser.get().body();
+    return parser.chunked() ? body.capacity() : body.size();
+}
+
+void freeBody(caller_parser &parser)
+{
+    std::string().swap(parser.get().body());
+}
+
+/// Parses what is in @p buffer; need_more if that is not the whole body.
+boost::system::error_code parseBody(caller_parser &parser, beast::flat_buffer &buffer)
+{
+    boost::system::error_code code;
+    while (!code && !parser.is_done()) {
+        if (buffer.size() == 0)
+            return http::error::need_more;
+        const std::size_t used = parser.put(buffer.data(), code);
+        buffer.consume(used);
+        if (!code && used == 0)
+            return http::error::need_more;
+    }
+    return code;
+}
+
 /// Why the host serves no request with this head, whose bytes were read in full; empty if it may.
 std::string_view faultOfHead(const caller_parser &parser)
 {
@@ -122,20 +176,20 @@
             const std::size_t parsed = parser.put(buffer.data(), code);
             const std::string_view lines(static_cast<const char *>(buffer.data().data()), parsed);
             if (hasFoldedField(lines))
-                co_return read_end{{}, "a field goes on in the next line"};
+                co_return read_end{{}, "a field goes on in the next line", {}};
             buffer.consume(parsed);
         }
         if (!code && parser.is_header_done())
-            co_return read_end{{}, faultOfHead(parser)};
+            co_return read_end{{}, faultOfHead(parser), {}};
         if (code && code != http::error::need_more)
-            co_return read_end{code, {}};
+            co_return read_end{code, {}, {}};
         const auto space = buffer.prepare(initialReadBytes);
         const auto [failure, size] = co_await stream.async_read_some(space, asTuple);
         buffer.commit(size);
         if (failure == asio::error::eof)
-            co_return read_end{http::error::partial_message, {}};
+            co_return read_end{http::error::partial_message, {}, {}};
         if (failure)
-            co_return read_end{failure, {}};
+            co_return read_end{failure, {}, {}};
     }
 }
 
@@ -168,6 +222,7 @@
     asio::io_context &context;
     tcp::acceptor acceptor;
     core_ptr core;
+    int socketSize = 0; ///< Of the buffers of sockets that are accepted; 0 until set.
 
     static asio::awaitable<void> accept(std::shared_ptr<state> self);
     static asio::awaitable<void> stopAccepting(std::shared_ptr<state> self);
@@ -179,7 +234,15 @@
     static asio::awaitable<bool> serveOne(core_ptr core, beast::tcp_stream &stream,
                                           beast::flat_buffer &buffer);
     static asio::awaitable<read_end> readRequest(core_ptr core, beast::tcp_stream &stream,
-                                                 beast::flat_buffer &buffer, caller_parser &parser);
+                                                 beast::flat_buffer &buffer, caller_parser &parser,
+                                                 byte_share &held);
+    static asio::awaitable<read_end> readBody(core_ptr core, beast::tcp_stream &stream,
+                                              beast::flat_buffer &buffer, caller_parser &parser,
+                                              byte_share &held);
+    static std::optional<problem> refusalOfHead(const core_ptr &core, beast::tcp_stream &stream,
+                                                const beast::flat_buffer &buffer,
+                                                caller_parser &parser);
+    void limitSocketBytes();
     static asio::awaitable<bool> readFirstBytes(core_ptr core, beast::tcp_stream &stream,
                                                 beast::flat_buffer &buffer);
     static asio::awaitable<void> refuse(core_ptr core, tcp::socket socket);
@@ -216,11 +279,11 @@
 /// Reads a request whose first bytes are in @p buffer.
 asio::awaitable<read_end> http_server::state::readRequest(core_ptr core, beast::tcp_stream &stream,
                                                           beast::flat_buffer &buffer,
-                                                          caller_parser &parser)
+                                                          caller_parser &parser, byte_share &held)
 {
     parser.header_limit(core->settings.maxHeaderBytes);
-    buffer.max_size(
-        std::max(core->settings.maxHeaderBytes + bodyReadBytes, buffer.size() + initialReadBytes));
+    buffer.max_size(std::max(core->settings.maxHeaderBytes + maxUnparsedBytes,
+                             buffer.size() + initialReadBytes));
     parser.body_limit(core->settings.maxBodyBytes);
     stream.expires_after(core->settings.headerTimeout);
     read_end head = co_await readHead(stream, buffer, parser);
@@ -228,16 +291,65 @@
         co_return head;
     stream.expires_after(core->settings.requestTimeout);
     if (!parser.is_done() && waitsForContinue(parser.get())) {
+        if (auto refusal = refusalOfHead(core, stream, buffer, parser))
+            co_return read_end{{}, {}, std::move(refusal)};
         if (const auto code = co_await writeContinue(stream))
-            co_return read_end{code, {}};
+            co_return read_end{code, {}, {}};
     }
     http::fields &fields = parser.get();
     const http::fields fieldsOfHead = parser.chunked() ? fields : http::fields();
-    const auto [code, size] = co_await http::async_read(stream, buffer, parser, asTuple);
+    read_end body = co_await readBody(core, stream, buffer, parser, held);
     // The parser adds the trailer to the fields of the head (RFC 9110, 6.5.1).
     if (parser.chunked())
         fields = fieldsOfHead;
-    co_return read_end{code, {}};
+    co_return body;
+}
+
+asio::awaitable<read_end> http_server::state::readBody(core_ptr core, beast::tcp_stream &stream,
+                                                       beast::flat_buffer &buffer,
+                                                       caller_parser &parser, byte_share &held)
+{
+    bool isChecked = false;
+    parser.eager(true);
+    while (true) {
+        const auto parsed = parseBody(parser, buffer);
+        if (parsed && parsed != http::error::need_more)
+            co_return read_end{parsed, {}, {}};
+        if (!held.resize(heldBytes(parser)))
+            co_return read_end{{}, {}, memoryProblem()};
+        if (!parsed)
+            co_return read_end{};
+        if (!isChecked && parser.get().body().size() >= checkedBodyBytes) {
+            isChecked = true;
+            if (auto refusal = refusalOfHead(core, stream, buffer, parser))
+                co_return read_end{{}, {}, std::move(refusal)};
+        }
+        if (buffer.size() >= buffer.max_size())
+            co_return read_end{http::error::buffer_overflow, {}, {}};
+        const auto space
+            = buffer.prepare(std::min(bodyReadBytes, buffer.max_size() - buffer.size()));
+        const auto [code, size] = co_await stream.async_read_some(space, asTuple);
+        buffer.commit(size);
+        if (held.isEvicted())
+            co_return read_end{{}, {}, memoryProblem()};
+        if (code)
+            co_return read_end{
+                code == asio::error::eof ? http::error::partial_message : code, {}, {}};
+    }
+}
+
+/// Asks the owner of the server whether it would refuse the request, whatever its body is.
+std::optional<problem> http_server::state::refusalOfHead(const core_ptr &core,
+                                                         beast::tcp_stream &stream,
+                                                         const beast::flat_buffer &buffer,
+                                                         caller_parser &parser)
+{
+    if (!core->settings.refusalOfHead)
+        return std::nullopt;
+    http::request<http::string_body> head(parser.get().base());
+    const http_exchange exchange(std::unique_ptr<http_exchange::state>(
+        new http_exchange::state{stream, core, buffer, std::move(head), {}, {}}));
+    return core->settings.refusalOfHead(exchange);
 }
 
 /// Reads one request and runs its handler; false when the connection must be closed.
@@ -247,13 +359,15 @@
     if (buffer.size() == 0 && !co_await readFirstBytes(core, stream, buffer))
         co_return false;
     caller_parser parser;
-    const auto [code, fault] = co_await readRequest(core, stream, buffer, parser);
-    if (code == http::error::end_of_stream || code == asio::error::connection_reset)
+    auto held = byte_budget::addShare(
+        core->settings.held, [&stream] { stream.cancel(); }, share_kind::request);
+    const read_end end = co_await readRequest(core, stream, buffer, parser, *held);
+    if (end.code == http::error::end_of_stream || end.code == asio::error::connection_reset)
         co_return false;
-    if (code || !fault.empty()) {
-        const auto response = problemResponse(
-            code ? problem{parseFailureCode(code, core->settings), code.message(), {}, {}}
-                 : problem{result_code::malformedRequest, std::string(fault), {}, {}});
+    if (end.code || !end.fault.empty() || end.refusal) {
+        freeBody(parser);
+        held.reset();
+        const auto response = problemResponse(problemOf(end, core->settings));
         stream.expires_after(core->settings.requestTimeout);
         if (parser.get().method() == http::verb::head)
             co_await writeHead(stream, response);
@@ -262,8 +376,11 @@
         co_return false;
     }
     stream.expires_never();
+    held->pin();
+    if (buffer.size() == 0)
+        buffer.shrink_to_fit();
     http_exchange exchange(std::unique_ptr<http_exchange::state>(
-        new http_exchange::state{stream, core, buffer, parser.release(), {}}));
+        new http_exchange::state{stream, core, buffer, parser.release(), std::move(held), {}}));
     const auto isOver = std::make_shared<bool>(false);
     asio::co_spawn(stream.get_executor(), watchDisconnect(*exchange.m_state, isOver),
                    asio::detached);
@@ -330,9 +447,25 @@
     co_await linger(core, stream);
 }
 
+/// Sets the sizes of the buffers that sockets which are accepted from now on have. The more
+/// connections are open, the smaller they are.
+void http_server::state::limitSocketBytes()
+{
+    if (core->settings.socketBytes == 0)
+        return;
+    const std::size_t each = core->settings.socketBytes / (core->open.size() + 1);
+    const int size = int(std::bit_floor(std::clamp(each, minSocketBytes, maxSocketBytes)));
+    if (size == std::exchange(socketSize, size))
+        return;
+    boost::system::error_code ignored; // Sockets then keep the sizes of the operating system.
+    acceptor.set_option(asio::socket_base::receive_buffer_size(size), ignored);
+    acceptor.set_option(asio::socket_base::send_buffer_size(size), ignored);
+}
+
 asio::awaitable<void> http_server::state::accept(std::shared_ptr<state> self)
 {
     while (self->acceptor.is_open()) {
+        self->limitSocketBytes();
         auto [code, socket] = co_await self->acceptor.async_accept(asTuple);
         // A connection that was accepted just before the acceptor was closed is still served.
         if (code && !self->acceptor.is_open())
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "kernel/address.h"
+#include "kernel/byte_budget.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
+#include "serve/problem.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -11,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,8 +21,6 @@
 
 namespace quincefall {
 
-struct problem;
-
 /// A header field that a handler adds to its response.
 struct response_header
 {
@@ -48,6 +49,8 @@
     /// The first of @p names that the request has more than once; empty if there is none.
     std::string_view repeatedHeader(std::span<const std::string_view> names) const;
     const std::string &body() const;
+    /// Frees the body, which nothing may refer to any more.
+    void releaseBody();
     /// Calls @p visitor for each header field, in the order and spelling of the request.
     void forEachHeader(
         const std::function<void(std::string_view name, std::string_view value)> &visitor) const;
@@ -93,6 +96,8 @@
 {
 public:
     using handler = std::function<boost::asio::awaitable<void>(http_exchange &)>;
+    /// Why a request is refused by its head alone; empty if it is not.
+    using head_check = std::function<std::optional<problem>(const http_exchange &)>;
 
     struct options
     {
@@ -106,6 +111,13 @@
         milliseconds requestTimeout{10'000}; ///< To receive the body; also limits each write.
         milliseconds idleTimeout{60'000}; ///< Until the next request on an open connection.
         milliseconds closeGrace{1000}; ///< From stopAccepting until idle connections are closed.
+        /// Holds the requests until they are answered, beside what else the host holds; null for no
+        /// bound.
+        std::shared_ptr<byte_budget> held{};
+        head_check refusalOfHead{}; ///< Asked before much of a body is read; may be empty.
+        /// Of the sockets of all connections together, received and not read, or sent and not
+        /// taken; 0 leaves the sizes to the operating system.
+        std::size_t socketBytes = 0;
     };
 
     static result<std::unique_ptr<http_server>>
--- a/tests/kernel/byte_budget_test.cpp
+++ b/tests/kernel/byte_budget_test.cpp
@@ -1,7 +1,12 @@
 #include "kernel/byte_budget.h"
 
+#include "kernel/clock.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <string>
+#include <thread>
+
 namespace quincefall {
 namespace {
 
@@ -49,6 +54,70 @@
     BOOST_TEST(budget->evictions() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_has_stopped_arriving_is_evicted_before_larger_ones)
+{
+    const auto budget = byte_budget::makeByteBudget(400'000);
+    std::string evicted;
+    const auto add = [&](const char *name) {
+        return byte_budget::addShare(
+            budget, [&evicted, name] { evicted += name; }, share_kind::request);
+    };
+    const auto stalled = add("stalled ");
+    BOOST_TEST(stalled->resize(50'000));
+    std::this_thread::sleep_for(milliseconds(1'100));
+    const auto larger = add("larger ");
+    const auto growing = add("growing ");
+    BOOST_TEST(larger->resize(120'000));
+    BOOST_TEST(growing->resize(60'000));
+    BOOST_TEST(evicted == "stalled ");
+    BOOST_TEST(growing->resize(90'000));
+    BOOST_TEST(evicted == "stalled larger ");
+}
+
+BOOST_AUTO_TEST_CASE(of_equal_requests_the_one_that_moved_last_stays)
+{
+    const auto budget = byte_budget::makeByteBudget(400'000);
+    const auto add
+        = [&budget] { return byte_budget::addShare(budget, nullptr, share_kind::request); };
+    const auto moving = add();
+    const auto waiting = add();
+    BOOST_TEST(moving->resize(50'000));
+    BOOST_TEST(waiting->resize(100'000));
+    BOOST_TEST(moving->resize(100'000));
+    const auto another = add();
+    BOOST_TEST(another->resize(20'000));
+    BOOST_TEST(waiting->isEvicted());
+    BOOST_TEST(!moving->isEvicted());
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_run_are_kept_and_leave_room_for_answers)
+{
+    const auto budget = byte_budget::makeByteBudget(400'000, 100'000);
+    const auto running = byte_budget::addShare(budget, nullptr, share_kind::request);
+    BOOST_TEST(running->resize(200'000));
+    running->pin();
+    const auto refused = byte_budget::addShare(budget, nullptr, share_kind::request);
+    BOOST_TEST(!refused->resize(20'000));
+    const auto small = byte_budget::addShare(budget, nullptr, share_kind::request);
+    BOOST_TEST(small->resize(10'000));
+    const auto answer = byte_budget::addShare(budget, nullptr);
+    BOOST_TEST(answer->resize(90'000));
+    BOOST_TEST(!answer->resize(90'001));
+    BOOST_TEST(!running->isEvicted());
+    BOOST_TEST(budget->heldBytes() == 210'000U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_end_does_not_evict_requests)
+{
+    const auto budget = byte_budget::makeByteBudget(400'000);
+    const auto request = byte_budget::addShare(budget, nullptr, share_kind::request);
+    BOOST_TEST(request->resize(150'000));
+    const auto endless = byte_budget::addShare(budget, nullptr);
+    BOOST_TEST(endless->resize(250'000));
+    BOOST_TEST(!endless->resize(250'001));
+    BOOST_TEST(!request->isEvicted());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
