Prove the life of engines that close connections or were not known

Change: a probe has two connections, of which a call on one proves that the other leads to the same process, so one that closes is no loss. It counts once the upstream has answered on it; a proof prefers a connection that was answered before. Calls have a limit. Plain routes have a probe unless the service has framed an answer within a minute; without one, an unframed answer is left to a further attempt, and a timeout is no longer taken for life. Stream routes take no plain answer for whole without a proof. The head of the request is written after the probe is open.

--- a/src/policy/routed_upstream.h
+++ b/src/policy/routed_upstream.h
@@ -75,7 +75,7 @@
     version_history versions;
     step_history eventSteps;
     stream_framing_history framing;
-    std::optional<instant> unframedAnswerAt; ///< Of the last whole answer without a length.
+    answer_framing_history answerFraming;
     double prefillTokensPerMs = 0; ///< Smoothed prefill rate of an engine; 0 until known.
     std::unordered_map<std::uint64_t, part_use> partUses; ///< By id of the last shared part.
     double callMs = 0; ///< Smoothed latency of requests with nothing to prefill.
--- a/src/policy/stream_framing.cpp
+++ b/src/policy/stream_framing.cpp
@@ -5,7 +5,7 @@
 
 constexpr unsigned leastUnframed = 4; // Streams that show that a service frames none.
 constexpr seconds framedMemory{60}; // Engines of another build may send no framing.
-constexpr seconds unframedMemory{60};
+constexpr seconds answerMemory{60};
 // More than a message between hosts takes, so that what they tell each other in turn grows older.
 constexpr seconds tellingTime{1};
 
@@ -54,9 +54,20 @@
         history = {framedAt, 0};
 }
 
-bool mayLackFraming(std::optional<instant> unframedAt, instant now)
+void recordAnswer(answer_framing_history &history, bool isFramed, instant now)
 {
-    return unframedAt && now - *unframedAt < unframedMemory;
+    (isFramed ? history.framedAt : history.unframedAt) = now;
+}
+
+bool hasLackedFraming(const answer_framing_history &history, instant now)
+{
+    return history.unframedAt && now - *history.unframedAt < answerMemory;
+}
+
+bool mayLackFraming(const answer_framing_history &history, instant now)
+{
+    const bool isKnown = history.framedAt && now - *history.framedAt < answerMemory;
+    return !isKnown || hasLackedFraming(history, now);
 }
 
 bool mayFrameStreams(const stream_framing_history &history, instant now)
--- a/src/policy/stream_framing.h
+++ b/src/policy/stream_framing.h
@@ -44,9 +44,20 @@
 /// Adds what another host knows.
 void applyFraming(stream_framing_history &history, const told_framing &told, instant now);
 
-/// Whether whole answers of a service may end with their connection alone, as one that came at
-/// @p unframedAt did.
-bool mayLackFraming(std::optional<instant> unframedAt, instant now);
+/// When upstreams of a service last sent a whole answer with and without an end of its own.
+struct answer_framing_history
+{
+    std::optional<instant> framedAt;
+    std::optional<instant> unframedAt;
+};
+
+void recordAnswer(answer_framing_history &history, bool isFramed, instant now);
+
+/// Whether a whole answer of the service lately ended with its connection alone.
+bool hasLackedFraming(const answer_framing_history &history, instant now);
+
+/// The same, or it is not known that they have ends of their own.
+bool mayLackFraming(const answer_framing_history &history, instant now);
 
 /// Whether upstreams of the service send streams with an end of their own, or may.
 bool mayFrameStreams(const stream_framing_history &history, instant now);
--- a/src/route/liveness_probe.cpp
+++ b/src/route/liveness_probe.cpp
@@ -4,8 +4,11 @@
 #include "kernel/async_signal.h"
 #include "observe/background_task.h"
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace quincefall {
 namespace {
@@ -13,13 +16,23 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
+using namespace asio::experimental::awaitable_operators;
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr milliseconds connectTimeout{400}; // As in upstream_call.
+// A request waits for the first connection, and for the answer to the first call.
+constexpr milliseconds connectTimeout{400};
+// Longer than the silences of sound upstreams.
+constexpr milliseconds callTimeout{4'000};
+constexpr milliseconds defaultKeepAlive{2'000}; // When an upstream gives no limit.
 // Upstreams close idle connections. One that names no limit in whole seconds may do so sooner.
 constexpr milliseconds defaultCallInterval{200};
-constexpr double callIntervalShare = 0.35; // Of the idle limit that the upstream names.
+// Of the idle limit that the upstream names. The connections are used in turn.
+constexpr double callIntervalShare = 0.35;
+// Upstreams close connections after some answers. A second one, which is open by then, goes on.
+constexpr std::size_t wantedConnections = 2;
+// After one that an upstream had no room for.
+constexpr milliseconds openRetryDelay{1'000};
 // Of an answer. It is kept only until it has ended.
 constexpr std::size_t maxAnswerBytes = 65'536;
 constexpr std::size_t maxHeadBytes = 16'384;
@@ -27,6 +40,13 @@
 
 enum class probe_phase { opening, open, lost };
 
+/// How a call on one connection ended.
+struct call_end
+{
+    bool isAnswered = false;
+    bool isReusable = false;
+};
+
 std::vector<http_header> fieldsOf(const http::response<http::string_body> &answer)
 {
     std::vector<http_header> fields;
@@ -35,13 +55,24 @@
     return fields;
 }
 
+/// Whether a connection on which nothing is expected was closed or has received something.
+bool hasInput(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code code;
+    std::array<char, 1> byte{};
+    socket.non_blocking(true, code);
+    const std::size_t size
+        = socket.receive(asio::buffer(byte), asio::socket_base::message_peek, code);
+    return size > 0 || code != asio::error::would_block;
+}
+
 } // namespace
 
 struct liveness_probe::state
 {
-    state(std::shared_ptr<upstream_paths> connections, const wire_format &format,
+    state(std::shared_ptr<upstream_paths> upstreamPaths, const wire_format &format,
           upstream_entry target)
-        : paths(std::move(connections))
+        : paths(std::move(upstreamPaths))
         , wire(format)
         , entry(std::move(target))
         , changed(paths->context().get_executor())
@@ -52,16 +83,18 @@
     const wire_format &wire;
     upstream_entry entry;
     async_signal changed;
-    connection_ptr connection;
+    /// All to the same process. The one that was called longest ago is the first.
+    std::vector<connection_ptr> connections;
+    connection_ptr opened; ///< Not known yet to lead to the same process.
     probe_phase phase = probe_phase::opening;
     milliseconds callInterval = defaultCallInterval;
     std::uint64_t asked = 0; ///< Calls of isAlive().
     std::uint64_t answered = 0; ///< Those of them that an answer has followed.
-    bool isCalling = false;
+    instant nextOpenAt{};
     bool isOver = false;
 
     /// Reads the answer to a call. Its head is the proof; the rest only frees the connection.
-    asio::awaitable<bool> readAnswer()
+    asio::awaitable<call_end> readAnswer(pooled_connection &connection)
     {
         beast::flat_buffer buffer(maxHeadBytes + maxAnswerBytes);
         for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
@@ -69,7 +102,7 @@
             parser.header_limit(maxHeadBytes);
             parser.body_limit(maxAnswerBytes);
             auto [code, size]
-                = co_await http::async_read_header(connection->socket, buffer, parser, asTuple);
+                = co_await http::async_read_header(connection.socket, buffer, parser, asTuple);
             if (code)
                 break;
             const int status = int(parser.get().result_int());
@@ -77,77 +110,149 @@
                 continue;
             const auto keepAlive = wire.readAnswer(status, fieldsOf(parser.get())).keepAlive;
             if (keepAlive) {
-                connection->keepAlive = *keepAlive;
-                callInterval = std::chrono::ceil<milliseconds>(*keepAlive * callIntervalShare);
+                connection.keepAlive = *keepAlive;
+                callInterval
+                    = std::max(defaultCallInterval,
+                               std::chrono::ceil<milliseconds>(*keepAlive * callIntervalShare));
             }
             if (!parser.need_eof())
                 std::tie(code, size)
-                    = co_await http::async_read(connection->socket, buffer, parser, asTuple);
-            if (code || !parser.is_done() || !parser.keep_alive() || buffer.size() > 0)
-                phase = probe_phase::lost;
-            co_return true;
+                    = co_await http::async_read(connection.socket, buffer, parser, asTuple);
+            const bool isReusable
+                = !code && parser.is_done() && parser.keep_alive() && buffer.size() == 0;
+            co_return call_end{true, isReusable};
         }
-        co_return false;
+        co_return call_end{};
     }
 
-    asio::awaitable<bool> call()
+    asio::awaitable<call_end> sendCall(pooled_connection &connection)
     {
-        boost::system::error_code code;
         // An answer that came before the call would prove nothing.
-        if (connection->socket.available(code) > 0 || code)
-            co_return false;
-        connection->hasCarriedRequest = true;
+        if (hasInput(connection.socket))
+            co_return call_end{};
+        connection.hasCarriedRequest = true;
         const std::string request = wire.writeLivenessCall(entry);
-        std::size_t size = 0;
-        std::tie(code, size)
-            = co_await asio::async_write(connection->socket, asio::buffer(request), asTuple);
+        const auto [code, size]
+            = co_await asio::async_write(connection.socket, asio::buffer(request), asTuple);
         if (code)
-            co_return false;
-        const bool isAnswered = co_await readAnswer();
-        co_return isAnswered;
+            co_return call_end{};
+        const call_end end = co_await readAnswer(connection);
+        co_return end;
+    }
+
+    /// Takes the connection for the next call; null if there is none. One that has been answered
+    /// before is known to be accepted by the process; another may still wait for a listener that
+    /// outlives it. @p isProof calls use the latter only where there are no others.
+    connection_ptr takeConnection(bool isProof, bool hasFailed)
+    {
+        auto next = connections.begin();
+        if (isProof)
+            next = std::find_if(connections.begin(), connections.end(),
+                                [](const connection_ptr &one) { return one->hasCarriedRequest; });
+        if (next == connections.end() && !hasFailed)
+            next = connections.begin();
+        if (next == connections.end())
+            return nullptr;
+        connection_ptr taken = std::move(*next);
+        connections.erase(next);
+        return taken;
+    }
+
+    /// Calls on one connection after the other until there is an answer.
+    asio::awaitable<bool> call(bool isProof, milliseconds limit)
+    {
+        bool hasFailed = false;
+        while (connection_ptr used = takeConnection(isProof, hasFailed)) {
+            asio::steady_timer timer(paths->context(), limit);
+            const auto outcome = co_await (sendCall(*used) || timer.async_wait(asTuple));
+            const call_end end = outcome.index() == 0 ? std::get<0>(outcome) : call_end{};
+            if (!end.isAnswered) {
+                nextOpenAt = steadyNow() + openRetryDelay;
+                hasFailed = true;
+                continue;
+            }
+            // This process still ran when the other connection was open already.
+            if (opened)
+                connections.push_back(std::move(opened));
+            if (end.isReusable)
+                connections.push_back(std::move(used));
+            co_return true;
+        }
+        connections.clear();
+        co_return false;
+    }
+
+    /// Opens a second connection if there is none.
+    asio::awaitable<void> openSecond()
+    {
+        if (connections.size() >= wantedConnections || steadyNow() < nextOpenAt)
+            co_return;
+        opened = co_await open();
+        if (!opened)
+            nextOpenAt = steadyNow() + openRetryDelay;
+    }
+
+    asio::awaitable<connection_ptr> open()
+    {
+        auto made = co_await paths->open(entry, connectTimeout);
+        if (!made)
+            co_return nullptr;
+        (*made)->keepAlive = defaultKeepAlive;
+        co_return std::move(*made);
     }
 
     static asio::awaitable<void> run(std::shared_ptr<state> self)
     {
-        auto opened = co_await self->paths->open(self->entry, connectTimeout);
-        self->phase = opened && !self->isOver ? probe_phase::open : probe_phase::lost;
-        if (opened)
-            self->connection = std::move(*opened);
-        self->changed.notifyAll();
+        if (auto first = co_await self->open()) {
+            self->connections.push_back(std::move(first));
+            co_await self->openSecond();
+            co_await self->call(true, connectTimeout);
+        }
+        self->setPhase();
         while (self->phase == probe_phase::open && !self->isOver) {
             if (self->asked == self->answered)
                 co_await self->changed.wait(self->callInterval);
             if (self->isOver)
                 break;
             const std::uint64_t round = self->asked;
-            self->isCalling = true;
-            const bool isAnswered = co_await self->call();
-            self->isCalling = false;
-            if (isAnswered)
+            co_await self->openSecond();
+            if (co_await self->call(round != self->answered, callTimeout))
                 self->answered = round;
-            else
-                self->phase = probe_phase::lost;
-            self->changed.notifyAll();
+            self->setPhase();
         }
         self->release();
     }
 
-    /// Lets requests use the connection if it is free.
+    void setPhase()
+    {
+        opened.reset();
+        phase = connections.empty() ? probe_phase::lost : probe_phase::open;
+        changed.notifyAll();
+    }
+
+    /// Whether requests that are sent from now on can share the probe.
+    bool isUsable(const upstream_entry &wanted)
+    {
+        const bool isSame = entry.address == wanted.address && entry.started == wanted.started;
+        return isSame && phase != probe_phase::lost
+            && std::none_of(connections.begin(), connections.end(),
+                            [](const connection_ptr &one) { return hasInput(one->socket); });
+    }
+
+    /// Lets requests use the connections.
     void release()
     {
-        if (!connection)
-            return;
-        if (phase == probe_phase::open && !isCalling)
+        for (connection_ptr &connection : connections) {
+            // It was idle for a part of that time already.
+            connection->keepAlive -= 2 * callInterval;
             paths->putIdle(entry, std::move(connection));
-        connection.reset();
+        }
+        connections.clear();
     }
 
     void end()
     {
         isOver = true;
-        boost::system::error_code ignored;
-        if (isCalling)
-            connection->socket.close(ignored);
         changed.notifyAll();
     }
 };
@@ -190,9 +295,7 @@
         std::erase_if(probes, [](const auto &row) { return row.second.expired(); });
         const auto row = probes.find(entry.id);
         auto probe = row == probes.end() ? nullptr : row->second.lock();
-        const bool isUsable = probe && probe->m_state->phase != probe_phase::lost
-            && probe->m_state->entry.address == entry.address;
-        return isUsable ? probe : nullptr;
+        return probe && probe->m_state->isUsable(entry) ? probe : nullptr;
     }
 
     std::shared_ptr<liveness_probe> start(const upstream_entry &entry)
--- a/src/route/liveness_probe.h
+++ b/src/route/liveness_probe.h
@@ -9,8 +9,8 @@
 
 namespace quincefall {
 
-/// A connection to an upstream that is open before a request is sent to it. An answer on it proves
-/// that the process which accepted it still runs.
+/// Connections to an upstream that are open before a request is sent to it. An answer on one of
+/// them proves that the process which accepted it still runs.
 class liveness_probe
 {
 public:
@@ -35,7 +35,7 @@
     makeLivenessProbes(std::shared_ptr<upstream_paths> paths, const wire_format &format);
     ~liveness_probes();
 
-    /// A probe whose connection is open; null if none could be opened.
+    /// A probe with an open connection on which the upstream has answered; null if there is none.
     boost::asio::awaitable<std::shared_ptr<liveness_probe>> open(upstream_entry entry);
 
 private:
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -138,18 +138,21 @@
     return attempt_end::failed;
 }
 
-/// Whether the answer is likely to end with its connection alone, which a killed process ends too.
+/// Whether the answer may end with its connection alone, which a killed process ends as well.
 bool mayNeedProbe(const running_attempt &attempt)
 {
     const service_pool &pool = attempt.context.state.pools[attempt.entry.service];
     const instant now = attempt.context.clock.now();
-    return attempt.job.choice.route->isStream ? !mayFrameStreams(pool.framing, now)
-                                              : mayLackFraming(pool.unframedAnswerAt, now);
+    if (!attempt.job.choice.route->isStream)
+        return mayLackFraming(pool.answerFraming, now);
+    return !mayFrameStreams(pool.framing, now) || hasLackedFraming(pool.answerFraming, now);
 }
 
-asio::awaitable<void> openProbe(running_attempt &attempt)
+/// Opens the probe and returns the head of the request, which names the time that is left then.
+asio::awaitable<std::string> openProbe(running_attempt &attempt)
 {
     attempt.probe = co_await attempt.context.probes->open(attempt.entry);
+    co_return makeMessage(attempt).head;
 }
 
 /// Whether the process that sent an answer is known to have outlived it, where only the end of the
@@ -168,18 +171,22 @@
     co_return false;
 }
 
-/// The same for a whole answer. The first ones of a service show that others need a probe.
+/// The same for a whole answer. Where none of the service has lately lacked an end of its own,
+/// there was no probe: the answer is left to a further attempt or, if none may follow, taken for
+/// whole where the upstream's address accepts connections.
 asio::awaitable<bool> hasOutlivedWholeAnswer(running_attempt &attempt)
 {
-    if (attempt.call->endsWithConnection())
-        attempt.context.state.pools[attempt.entry.service].unframedAnswerAt
-            = attempt.context.clock.now();
-    if (attempt.needsProbe || !attempt.call->endsWithConnection()) {
+    const bool isUnframed = attempt.call->endsWithConnection();
+    recordAnswer(attempt.context.state.pools[attempt.entry.service].answerFraming, !isUnframed,
+                 attempt.context.clock.now());
+    const bool isStream = attempt.job.choice.route->isStream;
+    if (attempt.needsProbe || isStream || !isUnframed) {
         const bool hasOutlived = co_await hasOutlivedAnswer(attempt);
         co_return hasOutlived;
     }
+    if (reserveFurtherAttempt(attempt.context, attempt.job))
+        co_return false;
     attempt.sign = co_await attempt.context.paths->checkListening(attempt.entry);
-    // What another host reaches may be another process.
     co_return attempt.sign == life_sign::listening;
 }
 
@@ -474,7 +481,7 @@
     auto message = makeMessage(attempt);
     attempt.needsProbe = mayNeedProbe(attempt);
     if (attempt.needsProbe)
-        message.beforeSending = [&attempt] { return openProbe(attempt); };
+        message.makeHead = [&attempt] { return openProbe(attempt); };
     auto head
         = co_await attempt.call->begin(std::move(message), attempt.context.wire, job.deadline);
     if (!head)
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -371,8 +371,8 @@
         if (!opened && !self.isCancelled)
             co_return tl::unexpected(opened.error());
     }
-    if (!self.isCancelled && self.request.beforeSending)
-        co_await self.request.beforeSending();
+    if (!self.isCancelled && self.request.makeHead)
+        self.request.head = co_await self.request.makeHead();
     if (self.isCancelled)
         co_return self.failure({}, result_code::upstreamUnreachable);
     self.isRelayed = self.connection->isRelayed;
@@ -423,6 +423,11 @@
     return m_state->connection != nullptr;
 }
 
+bool upstream_call::hasSentRequest() const
+{
+    return isConnected() && !m_state->isWriting;
+}
+
 bool upstream_call::isRelayed() const
 {
     return m_state->isRelayed;
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -33,8 +33,9 @@
         std::string_view requestId;
         bool isNonRepeatable = false; ///< Avoids connections that may be closing.
         bool hasNoAnswerBody = false; ///< The method is HEAD.
-        /// Awaited once the connection is open, before anything is sent; may be empty.
-        std::function<boost::asio::awaitable<void>()> beforeSending;
+        /// Awaited once the connection is open; returns the head to send. If it is empty, `head`
+        /// is sent.
+        std::function<boost::asio::awaitable<std::string>()> makeHead;
     };
 
     /// Connects, sends and reads the head of the answer. The call times out at @p deadline. Fails
@@ -61,6 +62,9 @@
     /// Whether the request had a connection, of which some bytes may have arrived.
     bool isConnected() const;
 
+    /// Whether the whole request has been sent.
+    bool hasSentRequest() const;
+
     /// Whether the connection passes another host.
     bool isRelayed() const;
 
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -46,6 +46,8 @@
         return "unconnected";
     case life_sign::listening:
         return "listening";
+    case life_sign::silent:
+        return "silent";
     case life_sign::relayed:
         return "relayed";
     case life_sign::refused:
@@ -398,14 +400,18 @@
     const instant triedAt = self->clock.now();
     const bool isRelayed = self->usesRelay(entry);
     if (!isRelayed) {
-        const bool isDirectRefused
-            = co_await self->direct->isRefused(entry.address, connectTimeout, initialKeepAlive);
-        if (!isDirectRefused)
+        auto opened = co_await self->direct->connect(entry.address, connectTimeout);
+        if (opened) {
+            (*opened)->keepAlive = initialKeepAlive;
+            self->direct->putIdle(entry.address, std::move(*opened));
             co_return life_sign::listening;
+        }
+        if (opened.error() != asio::error::connection_refused)
+            co_return life_sign::silent;
     }
     relay_outcome outcome = co_await self->askRelays(entry, relayTimeout);
     if (!outcome.connection)
-        co_return !isRelayed || outcome.refusals > 0 ? life_sign::refused : life_sign::listening;
+        co_return !isRelayed || outcome.refusals > 0 ? life_sign::refused : life_sign::silent;
     self->relayed->putIdle(entry.address, std::move(outcome.connection));
     if (isRelayed)
         self->noteRelay(entry, outcome.relay);
--- a/src/route/upstream_paths.h
+++ b/src/route/upstream_paths.h
@@ -22,8 +22,9 @@
     answered, ///< Its process answered on a connection that was open before the request.
     unanswered, ///< It did not.
     unconnected, ///< There was no such connection.
-    listening, ///< Something accepts connections at its address, or nothing answers there.
-    relayed, ///< The same, but only through another host.
+    listening, ///< Something accepts connections at its address.
+    silent, ///< Nothing answers there.
+    relayed, ///< Another host reaches something there, this one does not.
     refused, ///< Its machine refuses connections.
 };
 
@@ -68,7 +69,7 @@
     /// Tries to reach a disconnected or silent upstream, and records on which path it is reached.
     boost::asio::awaitable<void> checkLink(upstream_entry entry);
 
-    /// Tries to connect to the upstream, also through another host: listening, relayed or refused.
+    /// Tries to connect to the upstream, also through another host where this one is refused.
     boost::asio::awaitable<life_sign> checkListening(upstream_entry entry);
 
     /// Records that the upstream sent something over @p connection's path.
--- a/tests/process/route_killed_engine_life_test.py
+++ b/tests/process/route_killed_engine_life_test.py
@@ -121,11 +121,33 @@
                         answer = ask(fleet.hosts[0].caller, f"b{path}{number}", path, method)
                         self.assertEqual((answer.status, answer.is_whole), (200, True))
                     for name in ("d1", "d2"):
-                        fleet.engines[name].fault = "unframed-replaced"
+                        fleet.engines[name].fault = "plain-replaced"
                     answer = ask(fleet.hosts[0].caller, f"k{path}", path, method)
                     self.assertGreater(fleet.runs(f"k{path}"), 0)
                     self.assertEqual(answer.status, 502, answer.body)
 
+    def test_the_first_plain_answer_is_not_whole_whose_killed_engine_listens_again(self):
+        for path, method in (("/read/", "GET"), ("/book/", "POST"), ("/stream/", "GET"),
+                             ("/once/", "GET")):
+            with self.subTest(path), RouteFleet(more_bounds=BUDGET) as fleet:
+                for engine in fleet.engines.values():
+                    engine.fault = "plain-replaced"
+                answer = ask(fleet.hosts[0].caller, "k", path, method)
+                self.assertGreater(fleet.runs("k"), 0)
+                self.assertEqual(answer.status, 502, answer.body)
+
+    def test_streams_are_whole_where_their_engine_closes_after_some_calls_or_all(self):
+        for closes in (lambda number: number == 1, lambda number: number % 3 == 0,
+                       lambda number: True):
+            with RouteFleet(more_bounds=BUDGET) as fleet:
+                engine = self.prepare(fleet)
+                engine.closes_after_report = closes
+                answers = self.ask_meanwhile(fleet, engine, lambda: None, count=6,
+                                             event_seconds=0.25)
+                self.assertGreater(engine.reports, 1)
+                self.assertEqual([(answer.is_whole, answer.body) for answer in answers],
+                                 [(True, events())] * 6)
+
     def test_streams_are_whole_where_their_engine_answers(self):
         with RouteFleet(more_bounds=BUDGET) as fleet:
             engine = self.prepare(fleet)
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -304,7 +304,7 @@
     answer), "unframed-cut" (the same, ending inside the third event), "unframed-reset",
     "unframed-early" (ending after the third event), "unframed-empty" (before the first one) and
     "unframed-killed" (a plain answer of which the engine is killed, as seen from outside) and
-    "unframed-replaced" (the same, and another process listens at once); or one of
+    "plain-replaced" (the same, and another process listens at once); or one of
     ENDLESS, which sends bytes until the caller closes: in the head, in the body, in chunks, as
     interim answers, in an answer to another request, in the body of a rejection, in the extension
     of a chunk or in the trailer; or one of
@@ -346,6 +346,7 @@
         self.request_heads = {}
         self.aborted_streams = collections.Counter()
         self.reports = 0  # Calls that ask the engine for its state.
+        self.closes_after_report = lambda number: False
         self.answered_connections = set()
         self.endless_bytes = 0
         self.endless_gap_seconds = 0
@@ -444,9 +445,11 @@
         await self.keep_silent()
         state = {"stage": "unified", "models": [], "busy": False, "sequence": 0, "waiting": 0,
                  "running": self.running, "kv_used": 0, "kv_total": 0, "handles": 0}
-        writer.write(answer_bytes(200, json.dumps(state).encode()))
+        closes = self.closes_after_report(self.reports)
+        fields = [("Connection", "close")] if closes else []
+        writer.write(answer_bytes(200, json.dumps(state).encode(), fields))
         await writer.drain()
-        return True
+        return not closes
 
     async def reject(self, writer, fields):
         """Turns a request away. A brittle engine crashes when it has to do so too often."""
@@ -499,6 +502,12 @@
             writer.write(answer_bytes(int(fault[4:]), b"", echo + stamp))
         elif fault == "error":
             writer.write(answer_bytes(500, b"failed", echo + stamp))
+        elif fault == "plain-replaced":
+            writer.write(answer_bytes(200, b"", echo + stamp).replace(b"Content-Length: 0\r\n", b"")
+                         + b"done:")
+            await writer.drain()
+            await self.server.die()
+            return False
         elif is_stream:
             return await self.stream(writer, fields, request, echo + stamp, fault, crashes_stream)
         elif fault == "unframed":
@@ -512,12 +521,6 @@
             await writer.drain()
             await self.server.close()
             return False
-        elif fault == "unframed-replaced":
-            writer.write(answer_bytes(200, b"", echo + stamp).replace(b"Content-Length: 0\r\n", b"")
-                         + b"done:")
-            await writer.drain()
-            await self.server.die()
-            return False
         else:
             await asyncio.sleep(self.call_seconds)
             writer.write(answer_bytes(200, b"done:" + request.encode() + body, echo + stamp))
