Count heads with what callers send and let bodies move answers no more

Change: fields count in the share of the request, with the copy that a trailer needs, and so do unparsed bytes. Progress is what has arrived, not by how much memory grew. Requests displace only requests. One that is alone may take all that small messages leave. A stream that may run once frees its request once that is sent. Buffers of sockets fall with the square of the number of connections, and also for those that waited to be accepted.

--- a/src/kernel/byte_budget.cpp
+++ b/src/kernel/byte_budget.cpp
@@ -24,18 +24,10 @@
     share_kind kind = share_kind::answer;
     std::uint64_t number = 0;
     std::size_t bytes = 0;
-    std::size_t bytesAtProgress = 0;
+    std::size_t arrived = 0; ///< Since progressAt.
     instant progressAt = steadyNow();
     bool isEvicted = false;
 
-    void noteProgress()
-    {
-        if (bytes < bytesAtProgress + progressBytes)
-            return;
-        bytesAtProgress = bytes;
-        progressAt = steadyNow();
-    }
-
     bool isStalled(instant now) const { return now - progressAt >= progressTime; }
 };
 
@@ -86,17 +78,22 @@
     {
         if (growing.bytes <= byte_budget::smallShareBytes)
             return held() > limit;
-        const bool isRequest = growing.kind == share_kind::request;
-        return held() > limit - reserve
-            || (isRequest && groupOf(growing.kind).held > limit / requestDivisor);
+        if (held() > limit - reserve)
+            return true;
+        // One that is alone may be larger, as long as it fits.
+        const std::size_t requests = groupOf(share_kind::request).held;
+        return growing.kind == share_kind::request && requests > limit / requestDivisor
+            && requests > growing.bytes;
     }
 
-    /// The group from which a share is evicted for @p growing.
+    /// The group from which a share is evicted for @p growing. Requests displace no answers, which
+    /// upstreams have worked for.
     const share_group &groupToEvict(const byte_share::state &growing)
     {
-        const share_group &own = groupOf(growing.kind);
-        const share_group &other = groups.at(growing.kind == share_kind::request ? 1 : 0);
-        return held() > limit - reserve && other.evictable > own.evictable ? other : own;
+        const share_group &requests = groupOf(share_kind::request);
+        const share_group &answers = groupOf(share_kind::answer);
+        const bool isRequest = growing.kind == share_kind::request;
+        return isRequest || requests.evictable > answers.evictable ? requests : answers;
     }
 
     /// Null if no share of @p group may be evicted.
@@ -186,7 +183,6 @@
     if (self.bytes > 0)
         budget.remove(self);
     self.bytes = bytes;
-    self.noteProgress();
     if (bytes > 0)
         budget.add(self);
     while (!self.isEvicted && budget.isOver(self)) {
@@ -198,6 +194,15 @@
     return !self.isEvicted;
 }
 
+void byte_share::noteArrival(std::size_t bytes)
+{
+    m_state->arrived += bytes;
+    if (m_state->arrived < progressBytes)
+        return;
+    m_state->arrived = 0;
+    m_state->progressAt = steadyNow();
+}
+
 void byte_share::pin()
 {
     if (m_state->budget && !m_state->isEvicted)
--- a/src/kernel/byte_budget.h
+++ b/src/kernel/byte_budget.h
@@ -15,9 +15,9 @@
 /// Bounds the memory that a host spends on what its peers send, over all connections.
 ///
 /// Each message that is collected has a share. When the shares hold more than the limit, some are
-/// evicted until the others fit, each time one of the kind that holds most: large ones before small
-/// ones, among the large ones those that have stopped arriving before the others, and then the
-/// largest.
+/// evicted until the others fit: for a request other requests, for an answer one of the kind that
+/// holds more. Large ones go before small ones, among the large ones those that have stopped
+/// arriving before the others, and then the largest.
 class byte_budget
 {
 public:
@@ -25,7 +25,7 @@
     static constexpr std::size_t smallShareBytes = 16UL * 1024;
 
     /// @p limit in bytes, of which only small shares may use the last @p reserve. Requests that are
-    /// not small may take half of it.
+    /// not small may take half of it, or one alone all that small shares leave.
     static std::shared_ptr<byte_budget> makeByteBudget(std::size_t limit, std::size_t reserve = 0);
     ~byte_budget();
 
@@ -56,6 +56,9 @@
     bool resize(std::size_t bytes);
     bool isEvicted() const;
 
+    /// Records that @p bytes of the message have arrived.
+    void noteArrival(std::size_t bytes);
+
     /// Keeps a complete message until its work has ended: it is no longer evicted.
     void pin();
 
--- a/src/operate/host_process.cpp
+++ b/src/operate/host_process.cpp
@@ -45,7 +45,7 @@
 constexpr std::size_t bytesPerMb = 1'000'000;
 // The parts of the memory for what peers have sent and for the sockets of callers.
 constexpr std::size_t heldMemoryDivisor = 4;
-constexpr std::size_t socketMemoryDivisor = 4;
+constexpr std::size_t socketMemoryDivisor = 8;
 // The part of what is held that is left to small messages.
 constexpr std::size_t smallShareDivisor = 4;
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -237,6 +237,7 @@
         if (piece->empty())
             co_return body;
         attempt.job.answerBytes += double(piece->size());
+        attempt.held->noteArrival(piece->size());
         body.append(*piece);
         if (body.size() > maxWholeAnswerBytes)
             co_return makeError(result_code::upstreamFailed, "the answer is too long");
@@ -323,6 +324,8 @@
 {
     proxy_job &job = attempt.job;
     noteStreamBegin(attempt);
+    if (!job.isRepeatable() && attempt.call->hasSentRequest())
+        job.exchange.releaseBody();
     while (true) {
         const auto piece = co_await attempt.call->read();
         if (!piece)
@@ -330,6 +333,7 @@
         if (piece->empty())
             break;
         job.answerBytes += double(piece->size());
+        attempt.held->noteArrival(piece->size());
         const std::string events = extractEvents(job.events, *piece);
         if (!attempt.held->resize(job.events.pending.capacity()))
             co_return attempt.endWithFailure(
--- a/src/serve/http_server.cpp
+++ b/src/serve/http_server.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <array>
-#include <bit>
 #include <cerrno>
 #include <exception>
 #include <system_error>
@@ -31,11 +30,13 @@
 constexpr std::size_t maxUnparsedBytes = 65'536;
 // A body from which on a request is refused by its head where that is enough.
 constexpr std::size_t checkedBodyBytes = 65'536;
+constexpr std::size_t bytesPerField = 96; // Beside its text.
 // A caller can't know when other requests have ended.
 constexpr milliseconds memoryRetryAfter{1'000};
 // Sizes of a socket's buffer in one direction. The kernel doubles them.
 constexpr std::size_t minSocketBytes = 4'096;
 constexpr std::size_t maxSocketBytes = 131'072;
+constexpr double socketFactor = 4; // Two directions, each doubled.
 // Bounds for a connection that is closed while its caller still sends, and for all of them.
 constexpr milliseconds maxLingerTime{2'000};
 constexpr std::size_t maxLingerBytes = 8UL * 1024 * 1024;
@@ -103,8 +104,17 @@
             run_state::notRun, memoryRetryAfter};
 }
 
+/// Bytes of memory that the fields of the head take, and their copy where a trailer may follow.
+std::size_t headBytes(caller_parser &parser)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : parser.get())
+        bytes += bytesPerField + field.name_string().size() + field.value().size();
+    return parser.chunked() ? 2 * bytes : bytes;
+}
+
 /// Bytes of memory that the body takes. Of one with a length, what has not arrived takes none yet.
-std::size_t heldBytes(caller_parser &parser)
+std::size_t bodyBytes(caller_parser &parser)
 {
     const std::string &body = parser.get().body();
     return parser.chunked() ? body.capacity() : body.size();
@@ -242,7 +252,8 @@
     static std::optional<problem> refusalOfHead(const core_ptr &core, beast::tcp_stream &stream,
                                                 const beast::flat_buffer &buffer,
                                                 caller_parser &parser);
-    void limitSocketBytes();
+    void limitSocketBytes(tcp::socket *accepted);
+    std::size_t openConnections() const { return core->open.size() + core->starting; }
     static asio::awaitable<bool> readFirstBytes(core_ptr core, beast::tcp_stream &stream,
                                                 beast::flat_buffer &buffer);
     static asio::awaitable<void> refuse(core_ptr core, tcp::socket socket);
@@ -289,6 +300,8 @@
     read_end head = co_await readHead(stream, buffer, parser);
     if (head.code || !head.fault.empty())
         co_return head;
+    if (!held.resize(headBytes(parser)))
+        co_return read_end{{}, {}, memoryProblem()};
     stream.expires_after(core->settings.requestTimeout);
     if (!parser.is_done() && waitsForContinue(parser.get())) {
         if (auto refusal = refusalOfHead(core, stream, buffer, parser))
@@ -309,13 +322,14 @@
                                                        beast::flat_buffer &buffer,
                                                        caller_parser &parser, byte_share &held)
 {
+    const std::size_t head = headBytes(parser);
     bool isChecked = false;
     parser.eager(true);
     while (true) {
         const auto parsed = parseBody(parser, buffer);
         if (parsed && parsed != http::error::need_more)
             co_return read_end{parsed, {}, {}};
-        if (!held.resize(heldBytes(parser)))
+        if (!held.resize(head + bodyBytes(parser) + buffer.size()))
             co_return read_end{{}, {}, memoryProblem()};
         if (!parsed)
             co_return read_end{};
@@ -330,6 +344,7 @@
             = buffer.prepare(std::min(bodyReadBytes, buffer.max_size() - buffer.size()));
         const auto [code, size] = co_await stream.async_read_some(space, asTuple);
         buffer.commit(size);
+        held.noteArrival(size);
         if (held.isEvicted())
             co_return read_end{{}, {}, memoryProblem()};
         if (code)
@@ -447,17 +462,25 @@
     co_await linger(core, stream);
 }
 
-/// Sets the sizes of the buffers that sockets which are accepted from now on have. The more
-/// connections are open, the smaller they are.
-void http_server::state::limitSocketBytes()
+/// Sets the sizes of the buffers of @p accepted, and of sockets that wait to be accepted. They fall
+/// with the square of the number of connections, so that all together stay within twice the bound,
+/// or the smallest sizes.
+void http_server::state::limitSocketBytes(tcp::socket *accepted)
 {
     if (core->settings.socketBytes == 0)
         return;
-    const std::size_t each = core->settings.socketBytes / (core->open.size() + 1);
-    const int size = int(std::bit_floor(std::clamp(each, minSocketBytes, maxSocketBytes)));
+    const double full = double(core->settings.socketBytes) / socketFactor;
+    const double open = double(openConnections());
+    const double each = std::min(double(maxSocketBytes),
+                                 full * full / maxSocketBytes / std::max(1.0, open * open));
+    const int size = int(std::max(double(minSocketBytes), each));
+    boost::system::error_code ignored; // Sockets then keep the sizes of the operating system.
+    if (accepted) {
+        accepted->set_option(asio::socket_base::receive_buffer_size(size), ignored);
+        accepted->set_option(asio::socket_base::send_buffer_size(size), ignored);
+    }
     if (size == std::exchange(socketSize, size))
         return;
-    boost::system::error_code ignored; // Sockets then keep the sizes of the operating system.
     acceptor.set_option(asio::socket_base::receive_buffer_size(size), ignored);
     acceptor.set_option(asio::socket_base::send_buffer_size(size), ignored);
 }
@@ -465,7 +488,7 @@
 asio::awaitable<void> http_server::state::accept(std::shared_ptr<state> self)
 {
     while (self->acceptor.is_open()) {
-        self->limitSocketBytes();
+        self->limitSocketBytes(nullptr);
         auto [code, socket] = co_await self->acceptor.async_accept(asTuple);
         // A connection that was accepted just before the acceptor was closed is still served.
         if (code && !self->acceptor.is_open())
@@ -486,6 +509,7 @@
 
 void http_server::state::startServing(tcp::socket socket)
 {
+    limitSocketBytes(&socket);
     ++core->starting;
     asio::co_spawn(context, serve(core, std::move(socket)), asio::detached);
 }
@@ -618,7 +642,7 @@
 
 std::size_t http_server::openConnections() const
 {
-    return m_state->core->open.size() + m_state->core->starting;
+    return m_state->openConnections();
 }
 
 void http_server::stop()
--- a/tests/kernel/byte_budget_test.cpp
+++ b/tests/kernel/byte_budget_test.cpp
@@ -84,6 +84,7 @@
     BOOST_TEST(moving->resize(50'000));
     BOOST_TEST(waiting->resize(100'000));
     BOOST_TEST(moving->resize(100'000));
+    moving->noteArrival(50'000);
     const auto another = add();
     BOOST_TEST(another->resize(20'000));
     BOOST_TEST(waiting->isEvicted());
@@ -107,6 +108,24 @@
     BOOST_TEST(budget->heldBytes() == 210'000U);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_displaces_no_answer)
+{
+    const auto budget = byte_budget::makeByteBudget(400'000);
+    const auto answer = byte_budget::addShare(budget, nullptr);
+    BOOST_TEST(answer->resize(350'000));
+    const auto request = byte_budget::addShare(budget, nullptr, share_kind::request);
+    BOOST_TEST(!request->resize(60'000));
+    BOOST_TEST(!answer->isEvicted());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_alone_may_take_more_than_half)
+{
+    const auto budget = byte_budget::makeByteBudget(400'000, 100'000);
+    const auto request = byte_budget::addShare(budget, nullptr, share_kind::request);
+    BOOST_TEST(request->resize(300'000));
+    BOOST_TEST(!request->resize(300'001));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_without_end_does_not_evict_requests)
 {
     const auto budget = byte_budget::makeByteBudget(400'000);
