Play engines that are killed and listen again in a soak

What callers saw: status 200, a proper end and fewer events than the stream has, where an engine that frames nothing was killed in the middle of streams and listened again at its port a moment later. The soak had kills with new ports, and engines that close connections and live on.

Streams that ran then count as broken off, not as sound.

--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -24,6 +24,7 @@
 SERVICES = (("engines", "spare"), ("desk", "counter"))  # Each with the one that routes move to.
 TIMEOUT_MS = (9000, 8000)
 DEADLINE_SLACK = 0.4
+DOWN_SECONDS = (0, 0.002, 0.02, 0.1, 0.5)  # Of crashed engines.
 
 
 def parse_range(text):
@@ -68,6 +69,9 @@
 
     def register(self, process):
         process.wait_until_ready()
+        self.put_entries(process)
+
+    def put_entries(self, process):
         for name, entry in process.entries.items():
             entry["born"] = int(1000 * time.time())
             self.store.put("keyed.servers", name, entry)
@@ -79,6 +83,11 @@
         process.start()
         self.register(process)
 
+    def crash_engines(self, process, down_seconds):
+        """Crashes a process with engines, which come back at the same ports."""
+        process.crash(down_seconds)
+        self.put_entries(process)
+
     def put_state(self, version, idle, timeout, moved):
         """Writes a desired state; the last arguments choose among the variants."""
         state = desired_state(version)
@@ -195,6 +204,12 @@
             process = self.random.choice(self.fleet.processes)
             if process.is_stopped:
                 continue
+            if self.options.crash_engines:
+                down_seconds = self.random.choice(DOWN_SECONDS)
+                self.note(f"engines {sorted(process.entries)} crash, down {down_seconds} s")
+                self.report.counts["crashes of engine processes"] += 1
+                await asyncio.to_thread(self.fleet.crash_engines, process, down_seconds)
+                continue
             if self.options.flap_engines \
                     and (not self.options.kill_engines or self.random.random() < 0.5):
                 self.note(f"engines {sorted(process.entries)} flap")
@@ -219,7 +234,7 @@
             tasks.append(self.kill_hosts(end))
         if options.restart_all_hosts:
             tasks.append(self.restart_all_hosts(end))
-        if options.kill_engines or options.flap_engines:
+        if options.kill_engines or options.flap_engines or options.crash_engines:
             tasks.append(self.kill_engines(end))
         await asyncio.gather(*tasks)
 
@@ -359,6 +374,9 @@
     parser.add_argument("--kill-engines", action="store_true")
     parser.add_argument("--flap-engines", action="store_true",
                         help="engines close all connections and listen on")
+    parser.add_argument("--crash-engines", action="store_true",
+                        help="instead of the two above: engines end as killed processes do, and"
+                             " listen again at the same ports a moment later")
     parser.add_argument("--once", type=float, default=0.0,
                         help="share of the streams that may not be resumed")
     parser.add_argument("--restart-all-hosts", action="store_true")
--- a/tests/process/route_hushed_test.py
+++ b/tests/process/route_hushed_test.py
@@ -13,6 +13,8 @@
         " --pauses 0.1-0.3 --names-begun"),
     (1, "--seconds 5 --unframed 0.4 --breaks 0.4 --close-unframed --once 0.5 --flap-engines --hosts 4"
         " --pauses 0.1-0.3"),
+    (1, "--seconds 7 --hosts 4 --crash-engines --unframed 1 --once 0.5 --event-seconds 0.08 --streams 60"
+        " --engines 9 --processes 3 --pauses 0.1-0.3"),
 )
 
 if __name__ == "__main__":
--- a/tests/process/support/engine_process.py
+++ b/tests/process/support/engine_process.py
@@ -3,8 +3,10 @@
 The parent and a child exchange one line of JSON for each command and reply.
 """
 
+import asyncio
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -58,6 +60,13 @@
         """Closes all connections as a crash does; the engines go on to listen at their ports."""
         self.ask({"flap": True})
 
+    def crash(self, down_seconds):
+        """Ends the engines as a crash does; new ones listen at their ports after `down_seconds`.
+
+        In contrast to kill(), what the engines did before is still part of the state.
+        """
+        self.ask({"crash": down_seconds})
+
     def stop(self):
         self.child.send_signal(signal.SIGSTOP)
         self.is_stopped = True
@@ -94,6 +103,19 @@
     return engine
 
 
+async def crash(engines, source, down_seconds):
+    """Closes the connections of all engines in random sequence, as the kernel does after a kill."""
+    connections = [writer for engine in engines for writer in engine.server.stop_answering()]
+    for engine in engines:
+        engine.broken.extend(engine.streaming)
+    source.shuffle(connections)
+    for writer in connections:
+        writer.transport.abort()
+    await asyncio.sleep(down_seconds)
+    for engine in engines:
+        await engine.server.listen(engine.server.port)
+
+
 def state_of(engine):
     """The `runs` and `targets` by request, the streams `broken` off, and the `copies` sent."""
     return {"runs": dict(engine.runs), "broken": engine.broken, "copies": engine.copies_sent,
@@ -103,10 +125,12 @@
 def main():
     thread = LoopThread()
     engines = {}
+    source = None
     for line in sys.stdin:
         command = json.loads(line)
         reply = {}
         if "start" in command:
+            source = random.Random(command["seed"])
             for plan in command["start"]:
                 engines[plan["identity"]] = start_engine(thread, plan, command["seed"])
             reply = {name: engine.entry() for name, engine in engines.items()}
@@ -114,6 +138,8 @@
             for engine in engines.values():
                 engine.down_seconds = 0
                 thread.call(engine.crash())
+        elif "crash" in command:
+            thread.call(crash(list(engines.values()), source, command["crash"]))
         elif "state" in command:
             reply = {name: state_of(engine) for name, engine in engines.items()}
         print(json.dumps(reply), flush=True)
--- a/tests/process/support/paced_engine.py
+++ b/tests/process/support/paced_engine.py
@@ -53,6 +53,7 @@
         self.framed_until = 0  # Until then all streams have chunks.
         self.copies_sent = 0
         self.broken = []  # Requests of which the engine broke the stream off.
+        self.streaming = set()  # Requests of which the stream has not ended.
         self.refusals = weakref.WeakKeyDictionary()  # The last one of each connection.
 
     def is_hit(self, share):
@@ -102,6 +103,7 @@
         is_split = self.is_hit(self.split_share)
         breaks_at = self.random.randint(first, self.events) \
             if first <= self.events and self.is_hit(self.break_share) else None
+        self.streaming.add(request)
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         head += "Transfer-Encoding: chunked\r\n" if is_chunked else ""
         head += "".join(f"{name}: {value}\r\n" for name, value in headers)
@@ -127,6 +129,8 @@
         except (ConnectionError, OSError):
             self.aborted_streams[request] += 1
             return False
+        finally:
+            self.streaming.discard(request)
         return is_chunked
 
     async def break_off(self, writer, request, origin, number, is_chunked):
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -93,6 +93,12 @@
         for writer in idle:
             writer.transport.abort()
 
+    def stop_answering(self):
+        """Stops to listen and to answer; returns the open connections, which are still to be closed."""
+        self.process += 1
+        self.server.close()
+        return list(self.connections)
+
     async def serve(self, reader, writer):
         if self.most_connections is not None and len(self.connections) >= self.most_connections:
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
