Open probes while a host does not know how streams end

Cause: a stream had a probe only where the service was known to frame nothing when it began; at its end that had become known.

Change: it has one unless the service frames its streams, and gives it back as soon as its own head shows an end.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -145,7 +145,9 @@
     const instant now = attempt.context.clock.now();
     if (!attempt.job.choice.route->isStream)
         return mayLackFraming(pool.answerFraming, now);
-    return !mayFrameStreams(pool.framing, now) || hasLackedFraming(pool.answerFraming, now);
+    // A stream may outlast the ones that show how the service's streams end.
+    return framingKind(pool.framing, now) != stream_framing_kind::framed
+        || hasLackedFraming(pool.answerFraming, now);
 }
 
 /// Opens the probe and returns the head of the request, which names the time that is left then.
@@ -314,9 +316,11 @@
 
 void noteStreamBegin(running_attempt &attempt)
 {
-    if (!attempt.call->endsWithConnection())
-        recordFraming(attempt.context.state.pools[attempt.entry.service].framing, true,
-                      attempt.context.clock.now());
+    if (attempt.call->endsWithConnection())
+        return;
+    attempt.probe.reset();
+    recordFraming(attempt.context.state.pools[attempt.entry.service].framing, true,
+                  attempt.context.clock.now());
 }
 
 /// Passes on each event once it is complete.
