Test when plain answers of a service count as framed

The policy that decides whether a plain request opens a probe had no test of its own: unknown services may lack framing, an answer with an end of its own counts for a minute, one without outweighs it.

--- a/tests/policy/stream_framing_test.cpp
+++ b/tests/policy/stream_framing_test.cpp
@@ -73,6 +73,22 @@
     BOOST_TEST(!framingToTell(seen, now).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(plain_answers_may_lack_framing_until_one_of_the_last_minute_has_it)
+{
+    const instant start{};
+    answer_framing_history history;
+    BOOST_TEST(mayLackFraming(history, start));
+    BOOST_TEST(!hasLackedFraming(history, start));
+    recordAnswer(history, true, start);
+    BOOST_TEST(!mayLackFraming(history, start + seconds(59)));
+    BOOST_TEST(mayLackFraming(history, start + seconds(60)));
+    recordAnswer(history, false, start + seconds(10));
+    recordAnswer(history, true, start + seconds(20));
+    BOOST_TEST(mayLackFraming(history, start + seconds(21)));
+    BOOST_TEST(hasLackedFraming(history, start + seconds(69)));
+    BOOST_TEST(!mayLackFraming(history, start + seconds(71)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
