Close a probe's connections in place of keeping them idle

Cause: connections of an earlier probe stayed in the pool of idle ones and kept the engine's places, so the next probe got none. It shows since probes are open for unknown services too.

Change: they are closed with the probe.

--- a/src/route/liveness_probe.cpp
+++ b/src/route/liveness_probe.cpp
@@ -24,7 +24,6 @@
 constexpr milliseconds connectTimeout{400};
 // Longer than the silences of sound upstreams.
 constexpr milliseconds callTimeout{4'000};
-constexpr milliseconds defaultKeepAlive{2'000}; // When an upstream gives no limit.
 // Upstreams close idle connections. One that names no limit in whole seconds may do so sooner.
 constexpr milliseconds defaultCallInterval{200};
 // Of the idle limit that the upstream names. The connections are used in turn.
@@ -110,7 +109,6 @@
                 continue;
             const auto keepAlive = wire.readAnswer(status, fieldsOf(parser.get())).keepAlive;
             if (keepAlive) {
-                connection.keepAlive = *keepAlive;
                 callInterval
                     = std::max(defaultCallInterval,
                                std::chrono::ceil<milliseconds>(*keepAlive * callIntervalShare));
@@ -197,7 +195,6 @@
         auto made = co_await paths->open(entry, connectTimeout);
         if (!made)
             co_return nullptr;
-        (*made)->keepAlive = defaultKeepAlive;
         co_return std::move(*made);
     }
 
@@ -220,7 +217,8 @@
                 self->answered = round;
             self->setPhase();
         }
-        self->release();
+        // Idle ones would keep places at upstreams that have few.
+        self->connections.clear();
     }
 
     void setPhase()
@@ -239,17 +237,6 @@
                             [](const connection_ptr &one) { return hasInput(one->socket); });
     }
 
-    /// Lets requests use the connections.
-    void release()
-    {
-        for (connection_ptr &connection : connections) {
-            // It was idle for a part of that time already.
-            connection->keepAlive -= 2 * callInterval;
-            paths->putIdle(entry, std::move(connection));
-        }
-        connections.clear();
-    }
-
     void end()
     {
         isOver = true;
