Log the deadline, back-pressure and leaving at ends without framing

Callers saw streams of live engines end early and look whole. A log could not tell an engine that shut down from one whose deadline came or whose answer was left unread: all read end=answered, unframed, life=answered.

The attempt now also says how much was left of the deadline that the engine was handed (left=), for how long the caller kept the host from reading (unread=), and whether the engine was leaving. No decision changes.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -349,6 +349,7 @@
                 co_return attempt.endWithFailure(*fault);
             continue;
         }
+        const instant readAt = attempt.context.clock.now();
         attempt.noteActivity();
         attempt.noteEvents();
         if (!job.hasStartedResponse && job.isRepeatable())
@@ -359,6 +360,8 @@
         bindStream(attempt);
         if (!co_await writeEvents(attempt, head, events))
             co_return attempt_end::callerGone;
+        attempt.longestUnread
+            = std::max(attempt.longestUnread, attempt.context.clock.now() - readAt);
         if (!job.events.fault.empty())
             co_return refuseSeam(attempt, job.events.fault);
     }
@@ -521,6 +524,10 @@
         const auto others = framingKind(framing, attempt.context.clock.now());
         log += ":unframed:others=" + std::string(toString(others));
         log += ":life=" + std::string(toString(attempt.sign));
+        log += ":left=" + formatMilliseconds(attempt.job.end() - attempt.context.clock.now());
+        log += ":unread=" + formatMilliseconds(attempt.longestUnread);
+        if (const routed_upstream *target = attempt.upstream(); !target || target->listed.isLeaving)
+            log += ":leaving";
     }
     if (attempt.hasUnprovenEnd)
         log += ":unproven";
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -67,8 +67,8 @@
     /// Why no attempt followed when one could be used.
     attempt_refusal noFurtherAttempt = attempt_refusal::none;
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
-    /// :first=, :gap=, :after=, :events=, :repeated=, :partial=, :unframed:others=:life=, :load=
-    /// and, where transfers are weighed, :zone=. docs/OPERATIONS.md explains them.
+    /// :first=, :gap=, :after=, :events=, :repeated=, :partial=,
+    /// :unframed:others=:life=:left=:unread=:leaving, :load= and, where transfers are weighed, :zone=. docs/OPERATIONS.md explains them.
     std::string attemptLog{};
 
     /// The end of the time in which an attempt can bring an answer.
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -26,6 +26,7 @@
     std::optional<instant> budgetDeniedAt{}; ///< When the budget allowed no other attempt.
     partial_event partial{}; ///< What the answer has brought since.
     microseconds longestGap{0}; ///< Longest pause between events.
+    microseconds longestUnread{0}; ///< For which the caller kept the answer from being read.
     std::optional<upstream_load> load{}; ///< As reported with the answer.
     std::optional<std::uint64_t> resumedAfter{}; ///< Last event of the attempts before.
     bool needsProbe = false; ///< Of the end of the answer, as far as was known before.
