Reproduce answers that live engines end early

Callers saw answers with status 200 that ended in good order and were not whole. The engines of the soak can now shut down, stop for the deadline that they were handed, and end an answer that was left unread, all between two events and in good order, while they live. Plain answers can end early too.

--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -55,7 +55,9 @@
                     "closes_unframed": options.close_unframed,
                     "framed_until": time.monotonic() + options.framed_for,
                     "copy_share": options.copies, "call_seconds": 0.05,
-                    "copies_are_unnamed": options.unnamed,
+                    "copies_are_unnamed": options.unnamed, "padding": options.padding,
+                    "unread_seconds": options.unread_seconds,
+                    "deadline_share": options.deadline_share,
                     "version": f"v{1 + number % options.versions}"}
             service = "spare" if options.move_streams and number % 3 == 2 else "engines"
             plans.append(dict(more, identity=f"e{number}", service=service))
@@ -198,6 +200,18 @@
                 host.start()
             await changing
 
+    async def shut_down_engines(self, end):
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            process = self.random.choice(self.fleet.processes)
+            if process.is_stopped:
+                continue
+            seconds = (self.random.uniform(0.01, 0.2), self.random.choice(DOWN_SECONDS))
+            self.note(f"engines {sorted(process.entries)} shut down, {seconds}")
+            self.report.counts["shutdowns of engine processes"] += 1
+            await asyncio.to_thread(process.shut_down, *seconds)
+            self.fleet.put_entries(process)
+
     async def kill_engines(self, end):
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
@@ -224,7 +238,8 @@
         callers = [Caller(f"s{self.seed}c{number}", self.fleet.hosts, self.report, self.seed,
                           max(4 * options.target_ms, 8 * options.gap_ms) / 1000,
                           events=options.events, idle_seconds=min(options.idle_ms) / 1000,
-                          names_begun=options.names_begun, once_share=options.once)
+                          names_begun=options.names_begun, once_share=options.once,
+                          stream_seconds=options.deadline_seconds)
                    for number in range(options.streams)]
         tasks = [caller.run(end) for caller in callers]
         tasks.append(self.pause_engines(end))
@@ -236,6 +251,8 @@
             tasks.append(self.restart_all_hosts(end))
         if options.kill_engines or options.flap_engines or options.crash_engines:
             tasks.append(self.kill_engines(end))
+        if options.shut_down_engines:
+            tasks.append(self.shut_down_engines(end))
         await asyncio.gather(*tasks)
 
     def check_runs(self, states):
@@ -270,6 +287,8 @@
             for attempt in attempts:
                 self.count_cut(attempt, broken)
         report.counts["streams that an engine broke off"] = len(broken)
+        report.counts["streams that an engine ended early"] = sum(len(state["ended_early"])
+                                                                  for state in states)
         report.counts["copies of refusals"] = sum(state["copies"] for state in states)
 
     def count_cut(self, attempt, broken):
@@ -377,6 +396,15 @@
     parser.add_argument("--crash-engines", action="store_true",
                         help="instead of the two above: engines end as killed processes do, and"
                              " listen again at the same ports a moment later")
+    parser.add_argument("--shut-down-engines", action="store_true",
+                        help="engines end their streams, answer other calls for a moment, close"
+                             " and listen again")
+    parser.add_argument("--deadline-share", type=float,
+                        help="engines end streams at this share of the deadline they are handed")
+    parser.add_argument("--unread-seconds", type=float,
+                        help="engines end streams that are left unread for this long")
+    parser.add_argument("--padding", type=int, default=0, help="bytes added to each event")
+    parser.add_argument("--deadline-seconds", type=float, default=9.0, help="of the streams")
     parser.add_argument("--once", type=float, default=0.0,
                         help="share of the streams that may not be resumed")
     parser.add_argument("--restart-all-hosts", action="store_true")
--- a/tests/process/support/engine_process.py
+++ b/tests/process/support/engine_process.py
@@ -67,6 +67,10 @@
         """
         self.ask({"crash": down_seconds})
 
+    def shut_down(self, more_seconds, down_seconds):
+        """Shuts the engines down; see PacedEngine.shut_down()."""
+        self.ask({"shut_down": [more_seconds, down_seconds]})
+
     def stop(self):
         self.child.send_signal(signal.SIGSTOP)
         self.is_stopped = True
@@ -116,9 +120,16 @@
         await engine.server.listen(engine.server.port)
 
 
+async def shut_down(engines, *seconds):
+    await asyncio.gather(*(engine.shut_down(*seconds) for engine in engines))
+
+
 def state_of(engine):
-    """The `runs` and `targets` by request, the streams `broken` off, and the `copies` sent."""
+    """The `runs` and `targets` by request, the streams `broken` off or `ended_early`, and the
+    `copies` sent.
+    """
     return {"runs": dict(engine.runs), "broken": engine.broken, "copies": engine.copies_sent,
+            "ended_early": engine.ended_early,
             "targets": {name: head["target"] for name, head in engine.request_heads.items()}}
 
 
@@ -140,6 +151,8 @@
                 thread.call(engine.crash())
         elif "crash" in command:
             thread.call(crash(list(engines.values()), source, command["crash"]))
+        elif "shut_down" in command:
+            thread.call(shut_down(list(engines.values()), *command["shut_down"]))
         elif "state" in command:
             reply = {name: state_of(engine) for name, engine in engines.items()}
         print(json.dumps(reply), flush=True)
--- a/tests/process/support/paced_engine.py
+++ b/tests/process/support/paced_engine.py
@@ -10,9 +10,10 @@
 from support.platform_standin import Engine, answer_bytes
 
 
-def event_bytes(number, service, version, origin):
-    """An event that tells which run of which stream it belongs to."""
-    return f"id: {number}\ndata: {number}-of-{service}-{version}-{origin}\n\n".encode()
+def event_bytes(number, service, version, origin, padding=0):
+    """An event that tells which run of which stream it belongs to, after a comment of `padding`."""
+    comment = b":" + b"x" * padding + b"\n" if padding else b""
+    return comment + f"id: {number}\ndata: {number}-of-{service}-{version}-{origin}\n\n".encode()
 
 
 def reset(writer):
@@ -38,6 +39,10 @@
     that a copy of an earlier refusal on the same connection precedes or follows. Copies carry no
     request id with `copies_are_unnamed`. `unframed_share` of the streams have no length; with
     `closes_unframed`, those of them that break off end between two events, with a close.
+
+    The engine may end a stream early, in good order and between two events, while it lives: one of
+    which bytes were left unread for `unread_seconds`; where the next event would come after
+    `deadline_share` of the deadline that the request names; and all of them at a shut_down().
     """
 
     def __init__(self, loop, identity, service, seed=0):
@@ -51,6 +56,11 @@
         self.unframed_share = 0
         self.closes_unframed = False
         self.framed_until = 0  # Until then all streams have chunks.
+        self.padding = 0  # Bytes of each event beside its lines.
+        self.unread_seconds = None
+        self.deadline_share = None
+        self.is_shutting_down = False
+        self.ended_early = []  # Requests of which the engine ended the stream.
         self.copies_sent = 0
         self.broken = []  # Requests of which the engine broke the stream off.
         self.streaming = set()  # Requests of which the stream has not ended.
@@ -109,20 +119,23 @@
         head += "".join(f"{name}: {value}\r\n" for name, value in headers)
         writer.write(head.encode() + b"\r\n")
         begun, number = time.monotonic(), first
+        ends_at = self.end_by_deadline(fields)
         try:
             while number <= self.events:
+                if self.is_shutting_down or time.monotonic() + self.event_seconds > ends_at:
+                    return self.end_early(request)
                 due = min(self.events, first + int((time.monotonic() - begun) / self.event_seconds))
                 due = due if breaks_at is None else min(due, breaks_at - 1)
-                data = b"".join(event_bytes(one, self.service, self.version, origin)
+                data = b"".join(event_bytes(one, self.service, self.version, origin, self.padding)
                                 for one in range(number, due + 1))
                 await self.keep_silent()
-                if data:
-                    await self.write_bytes(writer, data, is_chunked, is_split)
+                if data and not await self.write_until_read(writer, data, is_chunked, is_split):
+                    return self.end_early(request)
                 number = max(number, due + 1)
                 if number == breaks_at:
                     return await self.break_off(writer, request, origin, number, is_chunked)
                 left = begun + (number - first) * self.event_seconds - time.monotonic()
-                await asyncio.sleep(max(0, left))
+                await self.sleep_until_shut_down(left)
             if is_chunked:
                 writer.write(b"0\r\n\r\n")
                 await writer.drain()
@@ -133,6 +146,44 @@
             self.streaming.discard(request)
         return is_chunked
 
+    async def write_until_read(self, writer, data, is_chunked, is_split):
+        """Sends `data`; returns whether all of it was taken within `unread_seconds`."""
+        if self.unread_seconds is None:
+            await self.write_bytes(writer, data, is_chunked, is_split)
+            return True
+        writer.transport.set_write_buffer_limits(0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        begun = time.monotonic()
+        await self.write_bytes(writer, data, is_chunked, is_split)
+        return time.monotonic() - begun < self.unread_seconds
+
+    def end_by_deadline(self, fields):
+        """When the engine stops for the deadline that it was handed."""
+        if self.deadline_share is None:
+            return float("inf")
+        limit = int(fields["quincefall-deadline-ms"]) / 1000
+        return time.monotonic() + self.deadline_share * limit
+
+    def end_early(self, request):
+        self.ended_early.append(request)
+        return False
+
+    async def sleep_until_shut_down(self, seconds):
+        end = time.monotonic() + seconds
+        while not self.is_shutting_down and (left := end - time.monotonic()) > 0:
+            await asyncio.sleep(min(left, 0.02))
+
+    async def shut_down(self, more_seconds, down_seconds):
+        """Ends all streams, answers other calls for a while, then closes and listens again."""
+        self.is_shutting_down = True
+        await asyncio.sleep(more_seconds)
+        connections = self.server.stop_answering()
+        for writer in connections:
+            writer.transport.abort()
+        await asyncio.sleep(down_seconds)
+        self.is_shutting_down = False
+        await self.server.listen(self.server.port)
+
     async def break_off(self, writer, request, origin, number, is_chunked):
         self.broken.append(request)
         if self.closes_unframed and not is_chunked:
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -310,7 +310,8 @@
     answer), "unframed-cut" (the same, ending inside the third event), "unframed-reset",
     "unframed-early" (ending after the third event), "unframed-empty" (before the first one) and
     "unframed-killed" (a plain answer of which the engine is killed, as seen from outside) and
-    "plain-replaced" (the same, and another process listens at once); or one of
+    "plain-replaced" (the same, and another process listens at once) and "plain-early" (a plain
+    answer that the engine, which lives, ends early); or one of
     ENDLESS, which sends bytes until the caller closes: in the head, in the body, in chunks, as
     interim answers, in an answer to another request, in the body of a rejection, in the extension
     of a chunk or in the trailer; or one of
@@ -521,6 +522,11 @@
                          + b"done:" + request.encode() + body)
             await writer.drain()
             return False
+        elif fault == "plain-early":
+            writer.write(answer_bytes(200, b"", echo + stamp).replace(b"Content-Length: 0\r\n", b"")
+                         + b"done:" + self.identity.encode())
+            await writer.drain()
+            return False
         elif fault == "unframed-killed":
             writer.write(answer_bytes(200, b"", echo + stamp).replace(b"Content-Length: 0\r\n", b"")
                          + b"done:")
--- a/tests/process/support/stream_callers.py
+++ b/tests/process/support/stream_callers.py
@@ -9,7 +9,7 @@
 from support.route_fleet import KEY
 
 NOT_RUN = (408, 421, 429, 503)
-EVENT = re.compile(rb"id: (\d+)\ndata: (\d+)-of-(\w+)-(\w+)-([\w.]+)\n\n")
+EVENT = re.compile(rb"(?::x*\n)?id: (\d+)\ndata: (\d+)-of-(\w+)-(\w+)-([\w.]+)\n\n")
 LEAST_GAP_SECONDS = 2.0  # Without an event, after which callers abandon a stream.
 CONNECT_SECONDS = 1.0
 MOST_ATTEMPTS = 5
