Take an answer for whole only with a proof of its own end

Cause: an answer that only its connection ended counted as whole once the engine's process was shown to have outlived it. An engine that lives may end an answer early, in good order: it shuts down, its deadline comes, or the answer was left unread. A second run that ended at the same event counted too, also where both runs had met the same deadline or the second was ended before it could bring anything; and where no second run could follow, the first end was taken as it was.

policy/answer_proof decides alone now. An answer is whole by its framing; or by agreement, where a second run at another engine sent the last event again (of a plain answer: the same bytes), ended behind it, had time left for one more, and neither died nor was leaving. So a run after an unproven end asks for the last event again. An unproven end is told to the stream's keepers, so that the caller's own next attempt, at any host, can be the second run. All else is passed on without its end: a stream in chunks without the last one, a plain answer of what may run once likewise; one that may run again is 502. What the operator declares (bounds.trust_closed_ends) is the third proof: that engines which live end only whole answers. Off by default.

Tests that required a sound unframed answer of what may run once to be whole run with the declaration, with the same checks; each has a twin without it that requires all events and no end. A plain answer of a killed engine that may run once was required to be 502 and is now required to be 200 without an end: its caller learns that it ran. A stream that was required to have no Transfer-Encoding is now required to be chunked, since its end is proven. isEndProven() is replaced by endsWhereRunEnded() and proofOf(), with its cases in answer_proof_test.

--- /dev/null
+++ b/src/policy/answer_proof.cpp
@@ -0,0 +1,37 @@
+#include "policy/answer_proof.h"
+
+#include <algorithm>
+
+namespace quincefall {
+
+std::string_view toString(answer_proof proof)
+{
+    switch (proof) {
+    case answer_proof::framing:
+        return "framing";
+    case answer_proof::agreement:
+        return "agreement";
+    case answer_proof::declaration:
+        return "declaration";
+    case answer_proof::none:
+        break;
+    }
+    return "none";
+}
+
+answer_proof proofOf(const run_end &end)
+{
+    if (end.isFramed)
+        return answer_proof::framing;
+    if (end.mayBeFramed || !end.hasOutlived)
+        return answer_proof::none;
+    if (end.isDeclared)
+        return answer_proof::declaration;
+    // Two ends are independent only if nothing that both runs share can have caused them: the
+    // deadline, or a fault that ends several upstreams.
+    const bool hasTime = end.timeLeft >= std::max(end.longestWait, end.expectedWait);
+    const bool isIndependent = hasTime && !end.isLeaving;
+    return end.isSamePlace && isIndependent ? answer_proof::agreement : answer_proof::none;
+}
+
+} // namespace quincefall
--- /dev/null
+++ b/src/policy/answer_proof.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "kernel/clock.h"
+
+#include <string_view>
+
+namespace quincefall {
+
+/// What shows that an answer which has ended is whole. That its upstream lives does not by itself:
+/// it may end an answer early, in good order, and go on to run.
+enum class answer_proof {
+    none,
+    framing, ///< The upstream named the end: by a length, a last chunk, or a head without a body.
+    agreement, ///< Two runs at different upstreams ended behind the same last piece.
+    declaration, ///< The operator's, that no upstream which lives ends an answer early.
+};
+
+/// For logs.
+std::string_view toString(answer_proof proof);
+
+/// The end of a run of which all bytes arrived in order. A run that was reset, timed out or ended
+/// before the end that its framing names has failed instead.
+struct run_end
+{
+    bool isFramed = false;
+    /// Other upstreams of the service may frame such answers, so that one of them can prove it.
+    bool mayBeFramed = false;
+    /// An earlier run at another upstream ended behind the same last piece, which this one sent as
+    /// well: the same event or, for a whole answer, the same bytes. A run that brought nothing may
+    /// have been ended before it could.
+    bool isSamePlace = false;
+    bool isDeclared = false; ///< Upstreams that live are declared to end only whole answers.
+    bool hasOutlived = false; ///< The upstream's process answered a call after the end.
+    bool isLeaving = false; ///< The upstream takes no new work, and may have ended its answers.
+    microseconds timeLeft{0}; ///< Of the time that the upstream was given, at the end.
+    microseconds longestWait{0}; ///< For any piece of the answer, in this run or an earlier one.
+    microseconds expectedWait{0}; ///< For a piece of the answer, as the route declares.
+};
+
+/// What proves the answer whole. Without a proof it is incomplete, whoever sent it.
+answer_proof proofOf(const run_end &end);
+
+} // namespace quincefall
--- a/src/policy/event_split.cpp
+++ b/src/policy/event_split.cpp
@@ -121,6 +121,7 @@
         ++splitter.repeated;
         return false;
     }
+    splitter.previousId = splitter.lastId.value_or(0);
     splitter.lastId = lines.id;
     splitter.firstId = splitter.firstId.value_or(*lines.id);
     splitter.hasUnplacedEvent = false;
@@ -201,12 +202,17 @@
     return {};
 }
 
-bool isEndProven(const event_splitter &splitter, const stream_framing_history &history,
-                 bool endsWithConnection, instant now)
+bool endsWhereRunEnded(const event_splitter &splitter)
 {
-    if (!endsWithConnection)
-        return true;
-    return splitter.hasEndedHere && !mayFrameStreams(history, now);
+    return splitter.hasEndedHere && splitter.lastId && splitter.runId == splitter.lastId;
+}
+
+std::optional<std::uint64_t> nextRunPosition(const event_splitter &splitter)
+{
+    if (!splitter.hasEndedHere || !splitter.lastId || *splitter.lastId == 0)
+        return splitter.lastId;
+    const std::uint64_t position = splitter.previousId.value_or(*splitter.lastId - 1);
+    return position == 0 ? std::nullopt : std::optional(position);
 }
 
 void noteUnprovenEnd(event_splitter &splitter)
--- a/src/policy/event_split.h
+++ b/src/policy/event_split.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "policy/stream_framing.h"
-
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +18,7 @@
 {
     std::string pending; ///< Bytes of the event that is not complete yet.
     std::optional<std::uint64_t> lastId; ///< Of the events that were returned.
+    std::optional<std::uint64_t> previousId; ///< Of the one before it; empty if unknown.
     std::optional<std::uint64_t> firstId; ///< Of those that were returned since beginAttempt().
     unsigned repeated = 0; ///< Events dropped since beginAttempt().
     std::uint64_t largestStep = 0; ///< Between consecutive ids of one run; 0 until known.
@@ -59,14 +58,14 @@
 /// answer of one upstream.
 std::string_view faultOfEnd(const event_splitter &splitter, bool mayContinue);
 
-/// Whether the end of an answer that faultOfEnd() takes is that of the stream. If only the end of
-/// the connection told it, which an upstream that is killed sends as well, it needs an answer with
-/// an end of its own. Of services that are known to send none, a second run must have ended at the
-/// same place.
-bool isEndProven(const event_splitter &splitter, const stream_framing_history &history,
-                 bool endsWithConnection, instant now);
+/// Whether a run that ends now ends behind the same event as an earlier one, and sent it as well.
+bool endsWhereRunEnded(const event_splitter &splitter);
+
+/// Id of the event after which a run is to continue; empty for a run from the start. Where an
+/// earlier one ended without a proof, the last event is asked for again.
+std::optional<std::uint64_t> nextRunPosition(const event_splitter &splitter);
 
-/// Records that a run ended at the current place without a proof.
+/// Records that a run ended at the current place, without a proof that the stream does.
 void noteUnprovenEnd(event_splitter &splitter);
 
 /// What the head of an answer says of its body.
--- a/src/policy/stream_origins.cpp
+++ b/src/policy/stream_origins.cpp
@@ -44,6 +44,18 @@
     origins.newer.emplace(stream, std::move(origin));
 }
 
+void recordRunEnd(stream_origins &origins, std::uint64_t stream, stream_run_end end)
+{
+    for (auto *generation : {&origins.newer, &origins.older}) {
+        const auto row = generation->find(stream);
+        if (row == generation->end())
+            continue;
+        row->second.isUntold = false;
+        row->second.runEnd = std::move(end);
+        return;
+    }
+}
+
 const stream_origin *findOrigin(const stream_origins &origins, std::uint64_t stream)
 {
     for (const auto *generation : {&origins.newer, &origins.older}) {
--- a/src/policy/stream_origins.h
+++ b/src/policy/stream_origins.h
@@ -50,6 +50,15 @@
 /// or may miss moves only if another one shares it.
 std::optional<upstream_kind> decideOrigin(const origin_belief &own, const origin_answers &answers);
 
+/// Where a run of a stream ended with its connection alone, which does not prove that the stream
+/// ended there.
+struct stream_run_end
+{
+    std::uint64_t after = 0; ///< Id of the run's last event.
+    std::uint64_t before = 0; ///< Of the event before it; 0 if there is none.
+    std::uint64_t upstream = 0; ///< nameHash() of the id of the run's upstream.
+};
+
 /// Which upstreams may continue a stream.
 struct stream_origin
 {
@@ -57,6 +66,7 @@
     std::string version; ///< Software version of the upstream that sent its first event.
     instant begunAt = instant::min(); ///< When this host learned of it.
     bool isUntold = false; ///< Its keepers do not know it yet.
+    std::optional<stream_run_end> runEnd{}; ///< The last one.
 };
 
 /// The origins of recent streams that this host has begun, continued or keeps for others, by
@@ -74,6 +84,9 @@
 /// Records an origin. One that is known stays: a stream has only one.
 void recordOrigin(stream_origins &origins, std::uint64_t stream, stream_origin origin);
 
+/// Records the end of a run of a stream whose origin is known. Its keepers are to be told.
+void recordRunEnd(stream_origins &origins, std::uint64_t stream, stream_run_end end);
+
 /// The stream's origin; null if it is not known here.
 const stream_origin *findOrigin(const stream_origins &origins, std::uint64_t stream);
 
--- /dev/null
+++ b/src/route/answer_end.cpp
@@ -0,0 +1,103 @@
+#include "route/answer_end.h"
+
+#include "route/request_digest.h"
+#include "route/running_attempt.h"
+
+#include <array>
+#include <string>
+
+namespace quincefall {
+namespace {
+
+namespace asio = boost::asio;
+
+/// Whether the answer may end with its connection alone, as far as is known of the service.
+bool mayLackFraming(const running_attempt &attempt)
+{
+    const service_pool &pool = attempt.context.state.pools[attempt.entry.service];
+    const instant now = attempt.context.clock.now();
+    if (!attempt.job.choice.route->isStream)
+        return quincefall::mayLackFraming(pool.answerFraming, now);
+    // A stream may outlast the ones that show how the service's streams end.
+    return framingKind(pool.framing, now) != stream_framing_kind::framed
+        || hasLackedFraming(pool.answerFraming, now);
+}
+
+run_end endOf(running_attempt &attempt)
+{
+    attempt.noteWait();
+    run_end end;
+    end.isFramed = !attempt.call->endsWithConnection();
+    const routed_upstream *target = attempt.upstream();
+    end.isLeaving = !target || target->listed.isLeaving;
+    end.timeLeft = attempt.job.end() - attempt.context.clock.now();
+    end.longestWait = attempt.job.longestWait;
+    end.expectedWait = attempt.job.choice.route->targetLatency;
+    end.isDeclared = attempt.context.trustsClosedEnds;
+    return end;
+}
+
+/// Whether the upstream's process is known to have outlived the answer.
+asio::awaitable<bool> hasOutlivedAnswer(running_attempt &attempt)
+{
+    if (!attempt.probe) {
+        attempt.sign = life_sign::unconnected;
+        co_return false;
+    }
+    const microseconds left = attempt.job.end() - attempt.context.clock.now();
+    const bool isAlive = co_await attempt.probe->isAlive(left);
+    attempt.sign = isAlive ? life_sign::answered : life_sign::unanswered;
+    co_return isAlive;
+}
+
+asio::awaitable<answer_proof> prove(running_attempt &attempt, run_end end)
+{
+    const bool needsLife = !end.isFramed && (end.isSamePlace || end.isDeclared);
+    end.hasOutlived = needsLife && co_await hasOutlivedAnswer(attempt);
+    attempt.proof = proofOf(end);
+    co_return attempt.proof;
+}
+
+} // namespace
+
+bool needsProbe(const running_attempt &attempt)
+{
+    const proxy_job &job = attempt.job;
+    const bool mayAgree
+        = job.unframedAnswer || (job.choice.route->isResumable && job.events.hasEndedHere);
+    return (mayAgree || attempt.context.trustsClosedEnds) && mayLackFraming(attempt);
+}
+
+asio::awaitable<answer_proof> proveStream(running_attempt &attempt)
+{
+    run_end end = endOf(attempt);
+    if (!end.isFramed) {
+        stream_framing_history &framing
+            = attempt.context.state.pools[attempt.entry.service].framing;
+        const instant now = attempt.context.clock.now();
+        end.mayBeFramed = mayFrameStreams(framing, now);
+        recordFraming(framing, false, now);
+        end.isSamePlace = endsWhereRunEnded(attempt.job.events)
+            && attempt.job.runEndedAt != nameHash(attempt.entry.id);
+    }
+    co_return co_await prove(attempt, end);
+}
+
+asio::awaitable<answer_proof> proveWholeAnswer(running_attempt &attempt, int status,
+                                               std::string_view body)
+{
+    run_end end = endOf(attempt);
+    recordAnswer(attempt.context.state.pools[attempt.entry.service].answerFraming, end.isFramed,
+                 attempt.context.clock.now());
+    if (!end.isFramed) {
+        const std::string number = std::to_string(status);
+        const std::array<std::string_view, 2> parts{number, body};
+        const std::uint64_t digest = digestOf(parts);
+        // Two runs may both be ended before they bring anything.
+        end.isSamePlace = !body.empty() && attempt.job.unframedAnswer == digest;
+        attempt.job.unframedAnswer = digest;
+    }
+    co_return co_await prove(attempt, end);
+}
+
+} // namespace quincefall
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log_setup.h"
 #include "policy/usage_ledger.h"
+#include "route/answer_end.h"
 #include "route/running_attempt.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
 /// Id of the event after which an upstream is to continue; empty for a stream from its start.
 std::optional<std::uint64_t> resumePosition(const proxy_job &job)
 {
-    return job.events.lastId ? job.events.lastId : job.request.resumeAfter;
+    return job.events.lastId ? nextRunPosition(job.events) : job.request.resumeAfter;
 }
 
 upstream_call::message makeMessage(const running_attempt &attempt)
@@ -95,23 +96,12 @@
     return headers;
 }
 
-/// Leaves the end of the answer as open for the caller as it is for this host, unless the service's
-/// upstreams send ends of their own: then this host needs a last chunk to leave out.
-stream_framing framingFor(const running_attempt &attempt)
-{
-    const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
-    const bool isOpen = attempt.call->endsWithConnection() && !attempt.job.choice.route->isResumable
-        && !mayFrameStreams(framing, attempt.context.clock.now());
-    return isOpen ? stream_framing::connection : stream_framing::chunks;
-}
-
 asio::awaitable<bool> beginResponse(running_attempt &attempt, answer_head &head)
 {
     proxy_job &job = attempt.job;
     job.hasStartedResponse = true;
     const auto headers = toAnswerHeaders(head.forwardedFields);
-    const bool isBegun
-        = co_await job.exchange.beginStream(head.status, headers, framingFor(attempt));
+    const bool isBegun = co_await job.exchange.beginStream(head.status, headers);
     co_return isBegun;
 }
 
@@ -127,7 +117,7 @@
     co_return isWritten;
 }
 
-/// Ends an attempt whose answer may have ended too early, though in good order.
+/// Ends an attempt whose answer ended in order, and may have ended too early.
 attempt_end endUnproven(running_attempt &attempt)
 {
     attempt.hasUnprovenEnd = true;
@@ -138,18 +128,6 @@
     return attempt_end::failed;
 }
 
-/// Whether the answer may end with its connection alone, which a killed process ends as well.
-bool mayNeedProbe(const running_attempt &attempt)
-{
-    const service_pool &pool = attempt.context.state.pools[attempt.entry.service];
-    const instant now = attempt.context.clock.now();
-    if (!attempt.job.choice.route->isStream)
-        return mayLackFraming(pool.answerFraming, now);
-    // A stream may outlast the ones that show how the service's streams end.
-    return framingKind(pool.framing, now) != stream_framing_kind::framed
-        || hasLackedFraming(pool.answerFraming, now);
-}
-
 /// Opens the probe and returns the head of the request, which names the time that is left then.
 asio::awaitable<std::string> openProbe(running_attempt &attempt)
 {
@@ -157,41 +135,6 @@
     co_return makeMessage(attempt).head;
 }
 
-/// Whether the process that sent an answer is known to have outlived it, where only the end of the
-/// connection ended it.
-asio::awaitable<bool> hasOutlivedAnswer(running_attempt &attempt)
-{
-    if (!attempt.call->endsWithConnection())
-        co_return true;
-    if (attempt.probe) {
-        const microseconds left = attempt.job.end() - attempt.context.clock.now();
-        const bool isAlive = co_await attempt.probe->isAlive(left);
-        attempt.sign = isAlive ? life_sign::answered : life_sign::unanswered;
-        co_return isAlive;
-    }
-    attempt.sign = life_sign::unconnected;
-    co_return false;
-}
-
-/// The same for a whole answer. Where none of the service has lately lacked an end of its own,
-/// there was no probe: the answer is left to a further attempt or, if none may follow, taken for
-/// whole where the upstream's address accepts connections.
-asio::awaitable<bool> hasOutlivedWholeAnswer(running_attempt &attempt)
-{
-    const bool isUnframed = attempt.call->endsWithConnection();
-    recordAnswer(attempt.context.state.pools[attempt.entry.service].answerFraming, !isUnframed,
-                 attempt.context.clock.now());
-    const bool isStream = attempt.job.choice.route->isStream;
-    if (attempt.needsProbe || isStream || !isUnframed) {
-        const bool hasOutlived = co_await hasOutlivedAnswer(attempt);
-        co_return hasOutlived;
-    }
-    if (reserveFurtherAttempt(attempt.context, attempt.job))
-        co_return false;
-    attempt.sign = co_await attempt.context.paths->checkListening(attempt.entry);
-    co_return attempt.sign == life_sign::listening;
-}
-
 microseconds gapTimeout(const proxy_job &job)
 {
     const auto allowed = std::chrono::duration_cast<microseconds>(job.choice.route->gapTarget
@@ -238,6 +181,7 @@
             co_return tl::unexpected(piece.error());
         if (piece->empty())
             co_return body;
+        attempt.noteWait();
         attempt.job.answerBytes += double(piece->size());
         attempt.held->noteArrival(piece->size());
         body.append(*piece);
@@ -252,23 +196,31 @@
     }
 }
 
-/// Passes on an answer that is not a stream, once it is complete.
+/// Passes on an answer that is not a stream, once all of it has arrived. One that nothing proves
+/// whole is left to a further attempt. A request that may not run again has no other answer, so its
+/// caller gets what there is, without the end.
 asio::awaitable<attempt_end> relayWholeAnswer(running_attempt &attempt, answer_head &head)
 {
     auto body = co_await readWholeBody(attempt);
     if (!body)
         co_return attempt.endWithFailure(body.error());
-    if (!co_await hasOutlivedWholeAnswer(attempt))
-        co_return endUnproven(attempt);
+    const answer_proof proof = co_await proveWholeAnswer(attempt, head.status, *body);
     if (attempt.held->isEvicted())
         co_return attempt.endWithFailure({result_code::upstreamFailed, "the answer was dropped"});
+    const bool isWhole = proof != answer_proof::none;
+    if (!isWhole && attempt.job.isRepeatable())
+        co_return endUnproven(attempt);
+    attempt.isPassingOn = true;
+    attempt.call->finish();
+    attempt.job.exchange.releaseBody();
+    if (!isWhole) {
+        const bool isWritten = co_await writeEvents(attempt, head, *body);
+        co_return isWritten ? endUnproven(attempt) : attempt_end::callerGone;
+    }
     attempt.noteOutcome(head.status < 500, false);
     if (head.status < 500)
         noteAnswered(attempt.context.guard, attempt.job);
     const auto headers = toAnswerHeaders(head.forwardedFields);
-    attempt.isPassingOn = true;
-    attempt.call->finish();
-    attempt.job.exchange.releaseBody();
     co_await attempt.job.exchange.respond(head.status, headers, std::move(*body));
     co_return attempt_end::answered;
 }
@@ -301,19 +253,6 @@
              + " did not send the rest of the stream: " + std::string(fault)});
 }
 
-/// Whether the answer needs a proof of its end that it does not have. Where no upstream of the
-/// service sends an end of its own, that is worth a further attempt, but not the answer.
-bool needsProof(running_attempt &attempt)
-{
-    proxy_job &job = attempt.job;
-    const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
-    const instant now = attempt.context.clock.now();
-    if (isEndProven(job.events, framing, attempt.call->endsWithConnection(), now))
-        return false;
-    return mayFrameStreams(framing, now)
-        || (job.choice.route->isResumable && reserveFurtherAttempt(attempt.context, job));
-}
-
 void noteStreamBegin(running_attempt &attempt)
 {
     if (attempt.call->endsWithConnection())
@@ -323,6 +262,19 @@
                   attempt.context.clock.now());
 }
 
+/// Lets a later run, also of another host, confirm the end of this one.
+void noteRunEnd(running_attempt &attempt)
+{
+    proxy_job &job = attempt.job;
+    noteUnprovenEnd(job.events);
+    job.runEndedAt = nameHash(attempt.entry.id);
+    if (!job.choice.route->isResumable || !attempt.context.streams || !job.events.lastId)
+        return;
+    const std::uint64_t before = nextRunPosition(job.events).value_or(0);
+    attempt.context.streams->recordRunEnd(job.stream, attempt.entry,
+                                          {*job.events.lastId, before, job.runEndedAt});
+}
+
 /// Passes on each event once it is complete.
 asio::awaitable<attempt_end> relayStream(running_attempt &attempt, answer_head &head)
 {
@@ -369,12 +321,8 @@
     const bool isResumable = job.choice.route->isResumable;
     if (const auto fault = faultOfEnd(job.events, isUnframed || isResumable); !fault.empty())
         co_return refuseSeam(attempt, fault);
-    const bool isUnproven = needsProof(attempt);
-    if (isUnframed)
-        recordFraming(attempt.context.state.pools[attempt.entry.service].framing, false,
-                      attempt.context.clock.now());
-    if (isUnproven || !co_await hasOutlivedAnswer(attempt)) {
-        noteUnprovenEnd(job.events);
+    if (co_await proveStream(attempt) == answer_proof::none) {
+        noteRunEnd(attempt);
         co_return endUnproven(attempt);
     }
     attempt.noteOutcome(true, false);
@@ -490,8 +438,7 @@
                 && mayGiveUp(attempt, firstByteTimeout(attempt));
         });
     auto message = makeMessage(attempt);
-    attempt.needsProbe = mayNeedProbe(attempt);
-    if (attempt.needsProbe)
+    if (needsProbe(attempt))
         message.makeHead = [&attempt] { return openProbe(attempt); };
     auto head
         = co_await attempt.call->begin(std::move(message), attempt.context.wire, job.deadline);
@@ -523,6 +470,7 @@
         const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
         const auto others = framingKind(framing, attempt.context.clock.now());
         log += ":unframed:others=" + std::string(toString(others));
+        log += ":proof=" + std::string(toString(attempt.proof));
         log += ":life=" + std::string(toString(attempt.sign));
         log += ":left=" + formatMilliseconds(attempt.job.end() - attempt.context.clock.now());
         log += ":unread=" + formatMilliseconds(attempt.longestUnread);
@@ -593,6 +541,7 @@
     job.answerBytes = 0;
     job.reservedAttempt.reset();
     attempt.resumedAfter = resumePosition(job);
+    attempt.waitingSince = attempt.started;
     service_pool &pool = context.state.pools[attempt.entry.service];
     if (job.isTakenUp() && !job.events.lastId)
         job.events.lastId = job.request.resumeAfter;
--- a/src/route/proxy_attempt.h
+++ b/src/route/proxy_attempt.h
@@ -38,6 +38,7 @@
     shared_silences silences{};
     std::shared_ptr<byte_budget> answerBytes{}; ///< Of answers that are not passed on yet.
     std::shared_ptr<liveness_probes> probes{};
+    bool trustsClosedEnds = false; ///< See run_end::isDeclared.
 };
 
 /// Sends the request to the chosen upstream and relays what it answers.
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -60,6 +60,11 @@
     bool isHeldBack = false; ///< A trait of the request became held while an attempt ran.
     bool hasStartedResponse = false; ///< The answer's head was sent to the caller.
     event_splitter events{}; ///< Position in a stream, kept across attempts.
+    /// Digest of the last whole answer that only its connection ended; empty if there is none.
+    std::optional<std::uint64_t> unframedAnswer{};
+    microseconds longestWait{0}; ///< For a piece of the answer, of all attempts.
+    std::uint64_t runEndedAt
+        = 0; ///< nameHash() of the upstream of the run in `events.hasEndedHere`.
     std::uint64_t stream = 0; ///< Digest of the attempt that brought the stream's first event.
     std::optional<std::string> streamVersion{}; ///< At which alone it goes on; empty until begun.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
@@ -68,7 +73,8 @@
     attempt_refusal noFurtherAttempt = attempt_refusal::none;
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
     /// :first=, :gap=, :after=, :events=, :repeated=, :partial=,
-    /// :unframed:others=:life=:left=:unread=:leaving, :load= and, where transfers are weighed, :zone=. docs/OPERATIONS.md explains them.
+    /// :unframed:others=:proof=:life=:left=:unread=:leaving, :load= and, where transfers are
+    /// weighed, :zone=. docs/OPERATIONS.md explains them.
     std::string attemptLog{};
 
     /// The end of the time in which an attempt can bring an answer.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -96,7 +96,8 @@
                    nullptr,
                    {},
                    settings.held,
-                   liveness_probes::makeLivenessProbes(paths, wire)}
+                   liveness_probes::makeLivenessProbes(paths, wire),
+                   settings.trustsClosedEnds}
     {
     }
 
@@ -391,6 +392,22 @@
         return wait && wait->count() > 0 && waited + *wait <= longest;
     }
 
+    /// Finds out whether a run ended, without a proof, where the caller takes the stream up: then
+    /// the next one may confirm it.
+    asio::awaitable<void> findEarlierRunEnd(proxy_job &job)
+    {
+        const auto &framing = routing.pools[job.service()].framing;
+        if (framingKind(framing, clock.now()) == stream_framing_kind::framed)
+            co_return;
+        const auto end = co_await attempts.streams->findRunEnd(job.stream, job.scope());
+        if (!end || job.request.resumeAfter != end->after)
+            co_return;
+        job.events.lastId = end->after;
+        job.events.previousId = end->before;
+        noteUnprovenEnd(job.events);
+        job.runEndedAt = end->upstream;
+    }
+
     /// Chooses the service and software version that began the stream which the caller takes up.
     asio::awaitable<result<void>> chooseOrigin(proxy_job &job)
     {
@@ -406,6 +423,7 @@
                                     + origin->service + ", which began the stream of request \""
                                     + job.request.resumedId + "\"");
         job.streamVersion = origin->version;
+        co_await findEarlierRunEnd(job);
         co_return result<void>();
     }
 
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -31,6 +31,7 @@
         /// A desired state that was not confirmed as the newest for longer than this may be
         /// outdated, so requests that it does not allow get notReady rather than 401 or 404.
         milliseconds staleAfter{4'000};
+        bool trustsClosedEnds = false; ///< See run_end::isDeclared.
         /// Holds the answers and events that are not passed on yet; null for no bound.
         std::shared_ptr<byte_budget> held{};
     };
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -73,6 +73,7 @@
     options.transfer = values.transfer;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
+    options.trustsClosedEnds = values.trustsClosedEnds;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
     return options;
 }
--- a/src/route/route_settings.cpp
+++ b/src/route/route_settings.cpp
@@ -57,6 +57,7 @@
     bounds.fraction("further_attempt_ratio", values.furtherAttemptRatio, 0, 10);
     bounds.fraction("further_attempt_slack", values.furtherAttemptSlack, 0, 1e6);
     bounds.fraction("further_attempt_window_s", values.furtherAttemptWindowSeconds, 0.1, 3'600);
+    bounds.flag("trust_closed_ends", values.trustsClosedEnds);
     bounds.rejectUnknown();
 }
 
--- a/src/route/route_settings.h
+++ b/src/route/route_settings.h
@@ -57,6 +57,8 @@
     double furtherAttemptRatio = 0.2; ///< Attempts beyond the first, per request.
     double furtherAttemptSlack = 50; ///< Further attempts per window on top.
     double furtherAttemptWindowSeconds = 10;
+    /// Whether upstreams that live end answers without a length or chunks only once they are whole.
+    bool trustsClosedEnds = false;
 
     /// Empty if the settings don't say what transfers between failure domains are worth.
     std::optional<transfer_terms> transfer;
--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -44,9 +44,17 @@
     firstByteAt = now;
 }
 
+void running_attempt::noteWait()
+{
+    const instant now = context.clock.now();
+    job.longestWait = std::max(job.longestWait, now - waitingSince);
+    waitingSince = now;
+}
+
 void running_attempt::noteEvents()
 {
     const instant now = context.clock.now();
+    noteWait();
     const microseconds gap = lastEventsAt == instant{} ? microseconds(0) : now - lastEventsAt;
     if (routed_upstream *target = upstream(); target && lastEventsAt == instant{})
         recordSuccess(target->health);
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/byte_budget.h"
+#include "policy/answer_proof.h"
 #include "policy/partial_event.h"
 #include "route/liveness_probe.h"
 #include "route/proxy_attempt.h"
@@ -23,18 +24,19 @@
     bool hasFirstByte = false;
     instant firstByteAt{};
     instant lastEventsAt{}; ///< When the last whole events arrived.
+    instant waitingSince{}; ///< For the next piece of the answer.
     std::optional<instant> budgetDeniedAt{}; ///< When the budget allowed no other attempt.
     partial_event partial{}; ///< What the answer has brought since.
     microseconds longestGap{0}; ///< Longest pause between events.
     microseconds longestUnread{0}; ///< For which the caller kept the answer from being read.
     std::optional<upstream_load> load{}; ///< As reported with the answer.
     std::optional<std::uint64_t> resumedAfter{}; ///< Last event of the attempts before.
-    bool needsProbe = false; ///< Of the end of the answer, as far as was known before.
     std::shared_ptr<liveness_probe> probe{}; ///< Null if none is needed or none was opened.
+    answer_proof proof = answer_proof::none; ///< Of the answer, once it has ended.
     std::unique_ptr<byte_share> held{}; ///< What of the answer is not passed on yet.
     bool isPassingOn = false; ///< The whole answer is being sent to the caller.
     life_sign sign = life_sign::none; ///< Of the upstream, after such an end.
-    bool hasUnprovenEnd = false; ///< Only the connection's end ended the answer, perhaps too early.
+    bool hasUnprovenEnd = false; ///< The answer ended in order, but nothing proves it whole.
 
     routed_upstream *upstream() const { return findUpstream(context.state, entry); }
 
@@ -47,6 +49,9 @@
     /// upstream whose link was found cut may answer only requests that go through another host.
     bool isUnresponsive(microseconds limit) const;
     void noteFirstByte();
+
+    /// Ends a wait for a piece of the answer or for its end.
+    void noteWait();
     void noteEvents();
 
     /// Whether the answer has begun, but not gone on since.
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -29,6 +29,18 @@
 // Several times the interval at which a host confirms its desired state and upstreams.
 constexpr milliseconds maxConfirmedAge{4'000};
 
+void fillOrigin(wire::StreamOrigin &row, const stream_origin &origin)
+{
+    row.set_service(origin.service);
+    row.set_software_version(origin.version);
+    row.set_names_service(true);
+    if (origin.runEnd) {
+        row.set_run_ended_after(origin.runEnd->after);
+        row.set_run_ended_at(origin.runEnd->upstream);
+        row.set_run_event_before(origin.runEnd->before);
+    }
+}
+
 /// One query for a stream's origin.
 struct stream_lookup
 {
@@ -155,9 +167,7 @@
                 wire::LoadHint &message = messages[keeper];
                 wire::StreamOrigin *row = message.add_stream_origins();
                 row->set_stream(stream);
-                row->set_service(origin->service);
-                row->set_software_version(origin->version);
-                row->set_names_service(true);
+                fillOrigin(*row, *origin);
                 if (std::size_t(message.stream_origins_size()) < maxOriginsPerDatagram)
                     continue;
                 sendTo(keeper, message);
@@ -182,6 +192,10 @@
         if (!row.assumed() && !row.unknown() && isService)
             recordOrigin(routing.streams, row.stream(),
                          {row.service(), row.software_version(), clock.now(), false});
+        if (row.run_ended_at() != 0)
+            quincefall::recordRunEnd(
+                routing.streams, row.stream(),
+                {row.run_ended_after(), row.run_event_before(), row.run_ended_at()});
         for (auto lookup = begin; lookup != end; ++lookup) {
             stream_lookup &found = *lookup->second;
             found.unheard.erase(sender.ip);
@@ -217,9 +231,7 @@
         wire::StreamOrigin *row = reply.add_stream_origins();
         row->set_stream(query.stream());
         if (const stream_origin *origin = quincefall::findOrigin(routing.streams, query.stream())) {
-            row->set_service(origin->service);
-            row->set_software_version(origin->version);
-            row->set_names_service(true);
+            fillOrigin(*row, *origin);
             return;
         }
         const auto belief = beliefFor(query);
@@ -343,6 +355,28 @@
         self.tellKeepers({stream});
 }
 
+void stream_directory::recordRunEnd(std::uint64_t stream, const upstream_entry &upstream,
+                                    const stream_run_end &end)
+{
+    state &self = *m_state;
+    recordOrigin(self.routing.streams, stream,
+                 {upstream.service, upstream.softwareVersion, self.clock.now(), false});
+    quincefall::recordRunEnd(self.routing.streams, stream, end);
+    self.tellKeepers({stream});
+}
+
+asio::awaitable<std::optional<stream_run_end>> stream_directory::findRunEnd(std::uint64_t stream,
+                                                                            stream_scope scope)
+{
+    state &self = *m_state;
+    const stream_origin *origin = quincefall::findOrigin(self.routing.streams, stream);
+    if (!origin || !origin->runEnd) {
+        co_await state::askOthers(m_state, stream, self.widened(std::move(scope)));
+        origin = quincefall::findOrigin(self.routing.streams, stream);
+    }
+    co_return origin ? origin->runEnd : std::nullopt;
+}
+
 void stream_directory::recordEnd(std::uint64_t stream)
 {
     forgetUntold(m_state->routing.streams, stream);
--- a/src/route/stream_directory.h
+++ b/src/route/stream_directory.h
@@ -48,6 +48,15 @@
     void recordBegin(std::uint64_t stream, const upstream_entry &upstream,
                      const stream_scope &scope);
 
+    /// Records that @p upstream ended a run of the stream without a proof that the stream ends
+    /// there, and tells the keepers.
+    void recordRunEnd(std::uint64_t stream, const upstream_entry &upstream,
+                      const stream_run_end &end);
+
+    /// The last such end that this host or a keeper knows of. Takes a tenth of a second at most.
+    boost::asio::awaitable<std::optional<stream_run_end>> findRunEnd(std::uint64_t stream,
+                                                                     stream_scope scope);
+
     /// Records that a stream has reached its end.
     void recordEnd(std::uint64_t stream);
 
--- a/src/serve/http_exchange.cpp
+++ b/src/serve/http_exchange.cpp
@@ -118,8 +118,7 @@
 }
 
 asio::awaitable<bool> http_exchange::beginStream(int status,
-                                                 std::span<const response_header> headers,
-                                                 stream_framing framing)
+                                                 std::span<const response_header> headers)
 {
     if (m_state->endsWithHead(status)) {
         m_state->streamEnd = stream_end::head;
@@ -127,7 +126,7 @@
     }
     http::response<http::empty_body> response;
     m_state->prepareResponse(response, status, headers);
-    const bool isChunked = framing == stream_framing::chunks && m_state->isHttp11();
+    const bool isChunked = m_state->isHttp11();
     response.chunked(isChunked);
     if (!isChunked) {
         m_state->streamEnd = stream_end::connectionEnd;
--- a/src/serve/http_server.h
+++ b/src/serve/http_server.h
@@ -28,12 +28,6 @@
     std::string value;
 };
 
-/// What tells the caller where a streamed response ends.
-enum class stream_framing {
-    chunks, ///< The last chunk; for HTTP/1.0 as `connection`.
-    connection, ///< Only the end of the connection; it is reset if the response breaks off.
-};
-
 /// One HTTP request and its response. Writes return false once the caller has disconnected.
 class http_exchange
 {
@@ -59,9 +53,9 @@
     boost::asio::awaitable<bool> respond(int status, std::span<const response_header> headers,
                                          std::string body);
 
-    /// Starts a response whose length is not known yet; write and endStream follow.
-    boost::asio::awaitable<bool> beginStream(int status, std::span<const response_header> headers,
-                                             stream_framing framing = stream_framing::chunks);
+    /// Starts a response whose length is not known yet; write and endStream follow. Its last chunk
+    /// ends it or, for HTTP/1.0, its connection, which is reset if the response breaks off.
+    boost::asio::awaitable<bool> beginStream(int status, std::span<const response_header> headers);
     boost::asio::awaitable<bool> write(std::string_view piece);
     boost::asio::awaitable<bool> endStream();
 
--- /dev/null
+++ b/tests/policy/answer_proof_test.cpp
@@ -0,0 +1,97 @@
+#include "policy/answer_proof.h"
+#include "policy/stream_framing.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quincefall {
+namespace {
+
+constexpr instant now = instant{} + seconds(100);
+
+/// A second run that ends where an earlier one did, with time for a further event.
+run_end makeAgreement()
+{
+    run_end end;
+    end.isSamePlace = true;
+    end.hasOutlived = true;
+    end.timeLeft = seconds(2);
+    end.longestWait = seconds(1);
+    end.expectedWait = milliseconds(500);
+    return end;
+}
+
+bool isProven(const run_end &end)
+{
+    return proofOf(end) != answer_proof::none;
+}
+
+BOOST_AUTO_TEST_SUITE(answer_proof_tests)
+
+BOOST_AUTO_TEST_CASE(an_end_that_the_upstream_names_needs_no_other_proof)
+{
+    run_end end;
+    end.isFramed = true;
+    end.isLeaving = true;
+    BOOST_TEST((proofOf(end) == answer_proof::framing));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_lives_does_not_prove_its_answer_whole)
+{
+    run_end end = makeAgreement();
+    BOOST_TEST((proofOf(end) == answer_proof::agreement));
+    end.isSamePlace = false;
+    BOOST_TEST(!isProven(end));
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_is_declared_to_end_only_whole_answers_has_to_live)
+{
+    run_end end;
+    end.isDeclared = true;
+    BOOST_TEST(!isProven(end));
+    end.hasOutlived = true;
+    BOOST_TEST((proofOf(end) == answer_proof::declaration));
+    end.mayBeFramed = true;
+    BOOST_TEST(!isProven(end));
+}
+
+BOOST_AUTO_TEST_CASE(a_second_end_that_the_deadline_may_have_caused_agrees_with_none)
+{
+    run_end end = makeAgreement();
+    end.timeLeft = milliseconds(999);
+    BOOST_TEST(!isProven(end));
+    end.timeLeft = seconds(1);
+    BOOST_TEST(isProven(end));
+    end.expectedWait = milliseconds(1001);
+    BOOST_TEST(!isProven(end));
+}
+
+BOOST_AUTO_TEST_CASE(a_second_end_at_an_upstream_that_dies_or_leaves_agrees_with_none)
+{
+    run_end killed = makeAgreement();
+    killed.hasOutlived = false;
+    BOOST_TEST(!isProven(killed));
+    run_end leaving = makeAgreement();
+    leaving.isLeaving = true;
+    BOOST_TEST(!isProven(leaving));
+}
+
+// Two upstreams may be killed at the same event, so where others send an end, that is needed. A
+// host that knows too little of the service may just not have seen one.
+BOOST_AUTO_TEST_CASE(a_second_end_proves_nothing_where_the_service_may_send_ends_of_its_own)
+{
+    const auto isProvenAfter = [](const stream_framing_history &history) {
+        run_end end = makeAgreement();
+        end.mayBeFramed = mayFrameStreams(history, now);
+        return isProven(end);
+    };
+    BOOST_TEST(isProvenAfter({{}, 4}));
+    BOOST_TEST(!isProvenAfter({}));
+    BOOST_TEST(!isProvenAfter({{}, 3}));
+    BOOST_TEST(!isProvenAfter({now - seconds(9), 9}));
+    BOOST_TEST(isProvenAfter({now - seconds(60), 9}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace
+} // namespace quincefall
--- a/tests/process/support/route_fleet.py
+++ b/tests/process/support/route_fleet.py
@@ -85,6 +85,10 @@
     return connection, body.decode()
 
 
+# Engines are declared to end answers without a length or chunks only once they are whole.
+TRUST = ", trust_closed_ends: true"
+
+
 class RouteHost:
     def __init__(self, name, store_port, seeds, exchange_port, ip="127.0.0.1", more_settings="",
                  more_bounds=""):
