--- a/tests/process/support/cut_link.py
+++ b/tests/process/support/cut_link.py
@@ -6,6 +6,7 @@
 
 from support.platform_standin import Store
 from support.ports import free_ports
+from support.resets import reset
 
 
 class CutLink:
@@ -44,7 +45,7 @@
         try:
             target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers |= {writer, target_writer}
         await asyncio.gather(self.pump(reader, target_writer), self.pump(target_reader, writer))
@@ -61,7 +62,7 @@
                 await asyncio.sleep(0.05)
             writer.close()
         except (asyncio.CancelledError, ConnectionError, OSError):
-            writer.transport.abort()
+            reset(writer)
 
     async def stop_accepting(self):
         self.accepting.cancel()
@@ -81,7 +82,7 @@
         self.listener.close()
         if how == "reset":
             for writer in list(self.writers):
-                writer.transport.abort()
+                reset(writer)
 
     async def heal(self):
         self.is_stalled = False
--- a/tests/process/support/paced_engine.py
+++ b/tests/process/support/paced_engine.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 import socket
-import struct
 import time
 import weakref
 
 from support.platform_standin import Engine, answer_bytes
+from support.resets import reset
 
 
 def event_bytes(number, service, version, origin, padding=0):
@@ -16,13 +16,6 @@
     return comment + f"id: {number}\ndata: {number}-of-{service}-{version}-{origin}\n\n".encode()
 
 
-def reset(writer):
-    """Resets the connection; abort() alone would end it with a FIN."""
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                               struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 def split_at_random(source, data, most):
     """Cuts `data` into at most `most` pieces at random positions."""
     cuts = sorted(source.randrange(1, len(data)) for _ in range(source.randrange(most))) \
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -9,13 +9,13 @@
 import base64
 import collections
 import json
-import socket
 import struct
 import threading
 import time
 import urllib.parse
 
 from support.ports import free_ports
+from support.resets import reset
 
 
 def parse_head(data):
@@ -101,9 +101,7 @@
 
     async def serve(self, reader, writer):
         if self.most_connections is not None and len(self.connections) >= self.most_connections:
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                       struct.pack("ii", 1, 0))
-            return writer.transport.abort()
+            return reset(writer)
         self.connections.add(writer)
         process = self.process
         try:
@@ -169,7 +167,7 @@
         if self.era is not None:
             self.era += 1
         for writer in list(self.server.connections):
-            writer.transport.abort()
+            reset(writer)
 
     def records(self, topic):
         return self.topics[topic]
@@ -496,7 +494,7 @@
         if fault == "hang":
             await asyncio.sleep(3600)
         if fault == "reset":
-            writer.transport.abort()
+            reset(writer)
             return False
         if fault == "crossed":
             writer.write(answer_bytes(200, b"not yours", [
@@ -601,7 +599,7 @@
                 await writer.drain()
                 await asyncio.sleep(self.event_seconds)
                 if is_end and fault == "unframed-reset":
-                    writer.transport.abort()
+                    reset(writer)
                 if is_end:
                     return False
                 continue
@@ -610,7 +608,7 @@
                 writer.write(b"%x\r\n%s\r\n" % (len(half), half))
                 await writer.drain()
                 await asyncio.sleep(0.05)
-                writer.transport.abort()
+                reset(writer)
                 return False
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             try:
--- a/tests/process/support/tcp_proxy.py
+++ b/tests/process/support/tcp_proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from support.resets import reset
+
 
 class TcpProxy:
     """Forwards connections to the port `target`.
@@ -24,16 +26,16 @@
 
     async def reset(self):
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def serve(self, reader, writer):
         if self.mode == "refuse":
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers |= {writer, target_writer}
         await asyncio.gather(self.pump(reader, target_writer, "request"),
@@ -53,4 +55,4 @@
         except (asyncio.CancelledError, ConnectionError, OSError):
             pass  # The connection was closed or the test ended.
         finally:
-            writer.transport.abort() if self.mode == "refuse" else writer.close()
+            reset(writer) if self.mode == "refuse" else writer.close()
