Let two runs agree on an end only if nothing else can explain it

- both runs met the caller's deadline, where the caller took the stream up and the wait before the next event was not known any more: the longest wait is told with the end, and the route's longest pause counts beside its target;
- an engine agreed with itself, since a run that brought nothing took the place of the one before: only a run that sent the last event can be agreed with;
- callers that take streams up without naming them shared a record: it is neither kept nor asked for then;
- a record of which the events do not fit made others go missing: ignored;
- ids may count the tokens of events, so a run that is asked for the last event again and cuts it differently brought a part twice: it is refused, and the next one continues behind the event.

Sound streams of routes with one attempt were never whole, since each attempt went to the engine that had ended the one before: it is chosen last now. A single event with id 0 is asked for from the start.

--- a/src/policy/event_split.cpp
+++ b/src/policy/event_split.cpp
@@ -88,6 +88,9 @@
 {
     if (lines.id && splitter.runId && *lines.id <= *splitter.runId)
         return "the ids of its events do not increase";
+    if (splitter.hasEndedHere && lines.id && splitter.lastId && *lines.id > *splitter.lastId
+        && splitter.runId != splitter.lastId)
+        return "it does not send the last event again";
     if (!splitter.continues)
         return {};
     if (lines.hasOtherText)
@@ -176,8 +179,10 @@
         const std::size_t mark = markLength(splitter, event);
         const event_lines lines = readEvent(event.substr(mark));
         splitter.fault = faultOfEvent(splitter, lines);
-        if (!splitter.fault.empty())
+        if (!splitter.fault.empty()) {
+            splitter.hasEndedHere = false;
             break;
+        }
         used += length;
         splitter.searched = used;
         splitter.isAtStart = false;
@@ -209,9 +214,10 @@
 
 std::optional<std::uint64_t> nextRunPosition(const event_splitter &splitter)
 {
-    if (!splitter.hasEndedHere || !splitter.lastId || *splitter.lastId == 0)
+    if (!splitter.hasEndedHere || !splitter.lastId)
         return splitter.lastId;
-    const std::uint64_t position = splitter.previousId.value_or(*splitter.lastId - 1);
+    const std::uint64_t newest = *splitter.lastId;
+    const std::uint64_t position = splitter.previousId.value_or(newest > 0 ? newest - 1 : 0);
     return position == 0 ? std::nullopt : std::optional(position);
 }
 
--- a/src/policy/event_split.h
+++ b/src/policy/event_split.h
@@ -62,7 +62,8 @@
 bool endsWhereRunEnded(const event_splitter &splitter);
 
 /// Id of the event after which a run is to continue; empty for a run from the start. Where an
-/// earlier one ended without a proof, the last event is asked for again.
+/// earlier one ended without a proof, the last event is asked for again. A run that does not send
+/// it is refused, since its events may be cut differently; the next one continues after it.
 std::optional<std::uint64_t> nextRunPosition(const event_splitter &splitter);
 
 /// Records that a run ended at the current place, without a proof that the stream does.
--- a/src/policy/stream_origins.cpp
+++ b/src/policy/stream_origins.cpp
@@ -44,6 +44,11 @@
     origins.newer.emplace(stream, std::move(origin));
 }
 
+bool isPlausible(const stream_run_end &end)
+{
+    return end.upstream != 0 && end.before < end.after;
+}
+
 void recordRunEnd(stream_origins &origins, std::uint64_t stream, stream_run_end end)
 {
     for (auto *generation : {&origins.newer, &origins.older}) {
@@ -51,7 +56,7 @@
         if (row == generation->end())
             continue;
         row->second.isUntold = false;
-        row->second.runEnd = std::move(end);
+        row->second.runEnd = end;
         return;
     }
 }
--- a/src/policy/stream_origins.h
+++ b/src/policy/stream_origins.h
@@ -57,8 +57,12 @@
     std::uint64_t after = 0; ///< Id of the run's last event.
     std::uint64_t before = 0; ///< Of the event before it; 0 if there is none.
     std::uint64_t upstream = 0; ///< nameHash() of the id of the run's upstream.
+    milliseconds longestWait{0}; ///< For an event, in any run so far.
 };
 
+/// Whether the end, which another host told, can be one.
+bool isPlausible(const stream_run_end &end);
+
 /// Which upstreams may continue a stream.
 struct stream_origin
 {
--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -3,7 +3,9 @@
 #include "route/request_digest.h"
 #include "route/running_attempt.h"
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <string>
 
 namespace quincefall {
@@ -32,7 +34,8 @@
     end.isLeaving = !target || target->listed.isLeaving;
     end.timeLeft = attempt.job.end() - attempt.context.clock.now();
     end.longestWait = attempt.job.longestWait;
-    end.expectedWait = attempt.job.choice.route->targetLatency;
+    const route_rule &route = *attempt.job.choice.route;
+    end.expectedWait = std::max(route.targetLatency, route.gapTarget);
     end.isDeclared = attempt.context.trustsClosedEnds;
     return end;
 }
@@ -77,8 +80,9 @@
         const instant now = attempt.context.clock.now();
         end.mayBeFramed = mayFrameStreams(framing, now);
         recordFraming(framing, false, now);
-        end.isSamePlace = endsWhereRunEnded(attempt.job.events)
-            && attempt.job.runEndedAt != nameHash(attempt.entry.id);
+        const std::uint64_t earlier = attempt.job.runEndedAt;
+        end.isSamePlace = endsWhereRunEnded(attempt.job.events) && earlier != 0
+            && earlier != nameHash(attempt.entry.id);
     }
     co_return co_await prove(attempt, end);
 }
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -262,17 +262,21 @@
                   attempt.context.clock.now());
 }
 
-/// Lets a later run, also of another host, confirm the end of this one.
+/// Lets a later run, also of another host, confirm the end of this one. A run that did not send the
+/// last event has seen nothing that could be confirmed.
 void noteRunEnd(running_attempt &attempt)
 {
     proxy_job &job = attempt.job;
     noteUnprovenEnd(job.events);
-    job.runEndedAt = nameHash(attempt.entry.id);
-    if (!job.choice.route->isResumable || !attempt.context.streams || !job.events.lastId)
+    if (!job.events.lastId || job.events.runId != job.events.lastId)
         return;
-    const std::uint64_t before = nextRunPosition(job.events).value_or(0);
-    attempt.context.streams->recordRunEnd(job.stream, attempt.entry,
-                                          {*job.events.lastId, before, job.runEndedAt});
+    job.runEndedAt = nameHash(attempt.entry.id);
+    if (attempt.context.streams && job.hasStreamName()) {
+        const std::uint64_t before = nextRunPosition(job.events).value_or(0);
+        attempt.context.streams->recordRunEnd(job.stream, attempt.entry,
+                                              {*job.events.lastId, before, job.runEndedAt,
+                                               std::chrono::ceil<milliseconds>(job.longestWait)});
+    }
 }
 
 /// Passes on each event once it is complete.
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -63,8 +63,9 @@
     /// Digest of the last whole answer that only its connection ended; empty if there is none.
     std::optional<std::uint64_t> unframedAnswer{};
     microseconds longestWait{0}; ///< For a piece of the answer, of all attempts.
-    std::uint64_t runEndedAt
-        = 0; ///< nameHash() of the upstream of the run in `events.hasEndedHere`.
+    /// nameHash() of the upstream of the last run that sent the last event and ended behind it; 0
+    /// if there is none.
+    std::uint64_t runEndedAt = 0;
     std::uint64_t stream = 0; ///< Digest of the attempt that brought the stream's first event.
     std::optional<std::string> streamVersion{}; ///< At which alone it goes on; empty until begun.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
@@ -91,6 +92,11 @@
     {
         return choice.route->isResumable && request.resumeAfter.value_or(0) > 0;
     }
+    /// Whether `stream` names this stream alone: a caller that takes a stream up may not say which.
+    bool hasStreamName() const
+    {
+        return choice.route->isResumable && (!isTakenUp() || !request.resumedId.empty());
+    }
     const std::string &service() const { return choice.service->name; }
     /// Empty where the route needs no key.
     std::string organisation() const
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -396,8 +396,9 @@
     /// the next one may confirm it.
     asio::awaitable<void> findEarlierRunEnd(proxy_job &job)
     {
-        const auto &framing = routing.pools[job.service()].framing;
-        if (framingKind(framing, clock.now()) == stream_framing_kind::framed)
+        service_pool &pool = routing.pools[job.service()];
+        if (!job.hasStreamName()
+            || framingKind(pool.framing, clock.now()) == stream_framing_kind::framed)
             co_return;
         const auto end = co_await attempts.streams->findRunEnd(job.stream, job.scope());
         if (!end || job.request.resumeAfter != end->after)
@@ -406,6 +407,24 @@
         job.events.previousId = end->before;
         noteUnprovenEnd(job.events);
         job.runEndedAt = end->upstream;
+        job.longestWait = std::max<microseconds>(job.longestWait, end->longestWait);
+        preferOthers(job, end->upstream);
+    }
+
+    /// Keeps the upstream with the hashed id from being chosen, if another one is usable.
+    void preferOthers(proxy_job &job, std::uint64_t upstream)
+    {
+        service_pool &pool = routing.pools[job.service()];
+        for (const auto &[id, one] : pool.upstreams) {
+            if (nameHash(id) != upstream)
+                continue;
+            job.tried.insert(id);
+            const auto others = countFurtherUpstreams(pool, wantedBy(job), settings.site,
+                                                      routing.otherHostsLoad, {}, clock.now());
+            if (others.ofVersion == 0)
+                job.tried.erase(id);
+            return;
+        }
     }
 
     /// Chooses the service and software version that began the stream which the caller takes up.
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -38,6 +38,7 @@
         row.set_run_ended_after(origin.runEnd->after);
         row.set_run_ended_at(origin.runEnd->upstream);
         row.set_run_event_before(origin.runEnd->before);
+        row.set_run_longest_wait_ms(std::uint32_t(origin.runEnd->longestWait.count()));
     }
 }
 
@@ -192,10 +193,10 @@
         if (!row.assumed() && !row.unknown() && isService)
             recordOrigin(routing.streams, row.stream(),
                          {row.service(), row.software_version(), clock.now(), false});
-        if (row.run_ended_at() != 0)
-            quincefall::recordRunEnd(
-                routing.streams, row.stream(),
-                {row.run_ended_after(), row.run_event_before(), row.run_ended_at()});
+        const stream_run_end runEnd{row.run_ended_after(), row.run_event_before(),
+                                    row.run_ended_at(), milliseconds(row.run_longest_wait_ms())};
+        if (isPlausible(runEnd))
+            quincefall::recordRunEnd(routing.streams, row.stream(), runEnd);
         for (auto lookup = begin; lookup != end; ++lookup) {
             stream_lookup &found = *lookup->second;
             found.unheard.erase(sender.ip);
--- a/tests/policy/event_split_test.cpp
+++ b/tests/policy/event_split_test.cpp
@@ -256,6 +256,19 @@
     BOOST_TEST(!endsWhereRunEnded(splitter));
 }
 
+// Its ids may count the tokens of events, which another upstream cuts differently.
+BOOST_AUTO_TEST_CASE(a_run_that_is_asked_for_the_last_event_again_has_to_send_it)
+{
+    event_splitter splitter;
+    extractEvents(splitter, makeEvents(3, 3) + makeEvents(6, 6) + makeEvents(9, 9));
+    noteUnprovenEnd(splitter);
+    BOOST_TEST((nextRunPosition(splitter) == std::optional<std::uint64_t>(6)));
+    beginAttempt(splitter);
+    BOOST_TEST(extractEvents(splitter, makeEvents(8, 8) + makeEvents(10, 10)) == "");
+    BOOST_TEST(splitter.fault == "it does not send the last event again");
+    BOOST_TEST((nextRunPosition(splitter) == std::optional<std::uint64_t>(9)));
+}
+
 BOOST_AUTO_TEST_CASE(the_last_event_is_asked_for_again_where_a_run_ended_without_a_proof)
 {
     event_splitter splitter;
@@ -267,6 +280,10 @@
     extractEvents(splitter, makeEvents(7, 7));
     noteUnprovenEnd(splitter);
     BOOST_TEST((nextRunPosition(splitter) == std::optional<std::uint64_t>(3)));
+    event_splitter single;
+    extractEvents(single, makeEvents(0, 0));
+    noteUnprovenEnd(single);
+    BOOST_TEST((nextRunPosition(single) == std::nullopt));
     event_splitter takenUp;
     takenUp.lastId = 6;
     noteUnprovenEnd(takenUp);
