Take no answer for whole in serve that only its connection ended

Callers of a plain service saw status 200 with a cut body where the service lives and ended its answer early, in good order, without a length or chunks. The cut body was kept for the Idempotency-Key, and every repeat got it as the result of the call, through any host. `quincefall watch` and `timeline` printed what had come and exited with 0.

Cause: http_client took such an answer for whole unless the server's address refused connections just after. That the server lives proves nothing about its answer.

policy/answer_proof decides here too. A call has one run and nothing declared, so framing is the only proof: send() fails with upstream-failed and names the address and the bytes of the body. Answers without a body (HEAD, 204, 304) end with their head. connection_pool::isRefused() had no other user and is gone.

Same rule for the other users of the client: load reports, orders and their reports, the log, the host list, hosts that ask each other, the platform's store and duties, whose stand-ins all send lengths. Their callers take a failure already. What changes there if a server frames nothing, read only: calls of which the status alone counts fail as well, so a 200 to a usage report counts as failed and a 409 to an order or a duty call no longer makes its host yield; a page of the store's records that was cut between two of them passed for a whole one.

an_answer_that_ends_with_its_killed_server_is_not_whole required the unframed answer of a server that lives to be whole. It requires a failure now, and an_answer_that_its_living_server_ended_early_is_not_whole the same for each length of the body, sent and streamed, with the reason; its checks of the killed server and of the framed answer stay.

--- a/src/cli/operator_client.cpp
+++ b/src/cli/operator_client.cpp
@@ -122,8 +122,10 @@
                 outcome = tl::unexpected(chunk.error());
                 break;
             }
-            if (chunk->empty())
+            if (chunk->empty()) {
+                outcome = (*stream)->checkWhole();
                 break;
+            }
             buffer += *chunk;
             if (isAccepted && !deliverLines(buffer, onLine))
                 break;
--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -166,17 +166,6 @@
     co_return std::move(opened);
 }
 
-asio::awaitable<bool> connection_pool::isRefused(host_address address, milliseconds timeout,
-                                                 milliseconds keepAlive)
-{
-    auto [opened, code] = co_await m_state->connect(address, timeout);
-    if (!code) {
-        opened->keepAlive = keepAlive;
-        putIdle(address, std::move(opened));
-    }
-    co_return code == asio::error::connection_refused;
-}
-
 void connection_pool::closeIdle(const host_address &address)
 {
     m_state->idle.erase(address);
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -60,11 +60,6 @@
     boost::asio::awaitable<tl::expected<connection_ptr, boost::system::error_code>>
     connect(host_address address, milliseconds timeout);
 
-    /// Whether @p address refuses connections: its machine answers, but no process listens. Keeps a
-    /// connection that opens, as idle with @p keepAlive.
-    boost::asio::awaitable<bool> isRefused(host_address address, milliseconds timeout,
-                                           milliseconds keepAlive);
-
     /// Closes the idle connections to @p address. Needed when the address now belongs to another
     /// process, or when its connections have failed.
     void closeIdle(const host_address &address);
--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -4,6 +4,7 @@
 #include "clients/connection_pool.h"
 #include "clients/message_framing.h"
 #include "kernel/asio_headers.h"
+#include "policy/answer_proof.h"
 
 #include <array>
 #include <optional>
@@ -87,6 +88,22 @@
     co_return http::error::bad_status;
 }
 
+/// Fails unless the answer that @p parser has read to its end is proven whole. What an external
+/// service may declare, or a second run show, is not known here, so that only framing is a proof.
+template <typename body_type>
+result<void> checkEnd(const http::response_parser<body_type> &parser, const host_address &address,
+                      std::uint64_t bodyBytes)
+{
+    run_end end;
+    end.isFramed = !parser.need_eof();
+    if (proofOf(end) != answer_proof::none)
+        return {};
+    return makeError(result_code::upstreamFailed,
+                     toString(address) + ": only its connection ended the answer after "
+                         + std::to_string(bodyBytes)
+                         + " bytes of the body, which does not prove it whole");
+}
+
 /// Wraps a pooled connection for use by a request; null stays null.
 std::unique_ptr<connection> toTcpStream(connection_ptr taken)
 {
@@ -137,6 +154,7 @@
     beast::flat_buffer buffer{maxUnparsedBytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, readBufferBytes> chunk{};
+    std::uint64_t bodyBytes = 0; ///< Returned by read().
 
     ~state()
     {
@@ -188,12 +206,18 @@
             co_return tl::unexpected(toError(code, self.address));
         parseBuffered(*self.parser, self.buffer);
         const std::size_t filled = self.chunk.size() - body.size;
+        self.bodyBytes += filled;
         if (filled > 0)
             co_return std::string_view(self.chunk.data(), filled);
     }
     co_return std::string_view();
 }
 
+result<void> http_stream::checkWhole() const
+{
+    return checkEnd(*m_state->parser, m_state->address, m_state->bodyBytes);
+}
+
 void http_stream::close()
 {
     if (m_state->stream)
@@ -299,15 +323,10 @@
             co_return tl::unexpected(
                 toError(code, address, parser ? parser->get().body().size() : 0));
         }
-        // A server that is killed closes its connections like one that has answered.
-        const auto left
-            = std::chrono::floor<milliseconds>(deadline - std::chrono::steady_clock::now());
-        const milliseconds checkTime = std::min(connectTimeout, left);
-        if (parser->need_eof() && co_await shared->pool->isRefused(address, checkTime, maxIdleTime))
-            co_return makeError(result_code::upstreamFailed,
-                                toString(address)
-                                    + ": only the connection's end ended the answer, and the "
-                                      "server has ended too");
+        // No failure of a reused connection: the server has run the request, so that it is not sent
+        // again. That the server lives would prove nothing; it may end an answer early.
+        if (const auto whole = checkEnd(*parser, address, parser->get().body().size()); !whole)
+            co_return tl::unexpected(whole.error());
         auto &received = parser->get();
         http_response response;
         response.status = int(received.result_int());
--- a/src/clients/http_client.h
+++ b/src/clients/http_client.h
@@ -48,10 +48,15 @@
     int status() const;
     std::string_view header(std::string_view name) const;
 
-    /// The next chunk of the body; empty at its end. Fails with upstreamFailed when the connection
-    /// breaks before the end and with upstreamTimeout when nothing is received for @p timeout.
+    /// The next chunk of the body; empty at its end, which is proven only if checkWhole() succeeds.
+    /// Fails with upstreamFailed when the connection breaks before the end and with upstreamTimeout
+    /// when nothing is received for @p timeout.
     boost::asio::awaitable<result<std::string_view>> read(milliseconds timeout);
 
+    /// Fails with upstreamFailed if only the connection ended the body, which may then be cut. For
+    /// bodies without an end mark of their own, at the end that read() returned.
+    result<void> checkWhole() const;
+
     /// Closes the connection; a pending read fails.
     void close();
 
@@ -89,7 +94,7 @@
 
     /// Sends @p request and reads the whole response. Fails with upstreamUnreachable when nothing
     /// was sent, and with upstreamFailed or upstreamTimeout when the request may have arrived. A
-    /// response of more than 32 MiB is a failure.
+    /// response of more than 32 MiB is a failure, and one that only its connection ended.
     boost::asio::awaitable<result<http_response>> send(host_address address, http_request request,
                                                        call_timeouts timeouts,
                                                        connection_use use = connection_use::reuse);
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -50,8 +50,10 @@
                 const auto piece = co_await (*opened)->read(timeout);
                 if (!piece)
                     co_return "[" + piece.error().detail + "]";
-                if (piece->empty())
-                    co_return body;
+                if (piece->empty()) {
+                    const auto whole = (*opened)->checkWhole();
+                    co_return whole ? body : "[" + whole.error().detail + "]";
+                }
                 body += *piece;
             }
         });
@@ -243,12 +245,41 @@
     killed.endAfterFirst();
     BOOST_TEST(isFailure(killed.send()));
     answering_server alive(unframed, false);
-    BOOST_TEST(alive.send() == "body");
+    BOOST_TEST(isFailure(alive.send()));
     answering_server framed("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", false);
     framed.endAfterFirst();
     BOOST_TEST(framed.send() == "body");
 }
 
+// That a server lives was taken for a proof that its answer was whole.
+BOOST_AUTO_TEST_CASE(an_answer_that_its_living_server_ended_early_is_not_whole)
+{
+    const std::string body = "body";
+    for (std::size_t size = 0; size <= body.size(); ++size) {
+        const std::string answer = "HTTP/1.1 200 OK\r\n\r\n" + body.substr(0, size);
+        const std::string reason = ": only its connection ended the answer after "
+            + std::to_string(size) + " bytes of the body, which does not prove it whole]";
+        answering_server sent(answer, false);
+        BOOST_TEST(sent.send().ends_with(reason), size);
+        BOOST_TEST(sent.send() == "B");
+        answering_server streamed(answer, false);
+        BOOST_TEST(streamed.stream().ends_with(reason), size);
+    }
+}
+
+// Such an answer has no body, whose end could be missing.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_body_ends_with_its_head)
+{
+    for (const std::string line : {"204 No Content", "304 Not Modified"}) {
+        answering_server server("HTTP/1.1 " + line + "\r\n\r\n", false);
+        BOOST_TEST(server.send().empty(), line);
+    }
+    answering_server server("HTTP/1.1 200 OK\r\n\r\n", false);
+    BOOST_TEST(server.send("HEAD").empty());
+    answering_server streamed("HTTP/1.1 204 No Content\r\n\r\n", false);
+    BOOST_TEST(streamed.stream().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
