Store a window's counts right after its end

Cause: counts of a window were stored with the commits of earlier reports and with renewals, every half of a lease, wherever those fell. A renewal may fall before the window's end and the next one after its report, 2 s after the end; a kill of all hosts in between loses what ran since the former.

The holder now commits once the last counts of a window have arrived: an interval of sending (0.25 s; 0.9 s at 354 hosts) and 0.1 s after its end, at the next look.

The session of usage_reporter_test passes the new member of held_duties; no check of it changed.

--- a/src/policy/duty_tenure.cpp
+++ b/src/policy/duty_tenure.cpp
@@ -10,6 +10,8 @@
 // The event loop of a busy host is late by less.
 constexpr milliseconds maxRunGap{1'000};
 constexpr unsigned epochShift = 32;
+// Of the time that is left to repeat a renewal that failed, this part may pass before it.
+constexpr int renewalDelayShare = 3;
 
 bool wasSuspended(const duty_tenure &tenure, instant now)
 {
@@ -67,6 +69,14 @@
     return settings.lease / 2;
 }
 
+instant renewalDue(const duty_tenure &tenure, instant expected)
+{
+    const microseconds interval = renewalInterval(tenure.settings);
+    const instant due = tenure.confirmedAt + interval;
+    const microseconds longest = (actingTime(tenure.settings) - interval) / renewalDelayShare;
+    return expected > due && expected <= due + longest ? expected : due;
+}
+
 void applyRead(duty_tenure &tenure, const std::optional<tenure_record> &newest, store_position end,
                instant now)
 {
--- a/src/policy/duty_tenure.h
+++ b/src/policy/duty_tenure.h
@@ -57,6 +57,10 @@
 /// Time between two commits of the holder. A failed one can be repeated within the lease.
 microseconds renewalInterval(const tenure_settings &settings);
 
+/// When the holder commits the next time for its tenure alone. A commit for another reason that is
+/// expected by @p expected, shortly after that, takes the place of the renewal.
+instant renewalDue(const duty_tenure &tenure, instant expected);
+
 /// Applies a read that found @p newest, empty if there is no record at all, before @p end. If that
 /// is an open write of this host, it holds the duties from then on; otherwise no longer.
 void applyRead(duty_tenure &tenure, const std::optional<tenure_record> &newest, store_position end,
--- a/src/route/duty_holder.cpp
+++ b/src/route/duty_holder.cpp
@@ -94,6 +94,7 @@
     counts numbers;
     std::shared_ptr<commit_round> nextRound; ///< Not begun yet; null if nobody waits for it.
     bool isWriting = false;
+    instant expectedCommit = instant::min();
     bool mustReadNewest = true; ///< The next read can't continue the last one.
     bool isStoreAnswering = true;
     bool isWatched = false; ///< watch() runs.
@@ -259,7 +260,7 @@
 
     static asio::awaitable<void> holdOnce(std::shared_ptr<state> self)
     {
-        const instant due = self->tenure.confirmedAt + renewalInterval(self->tenure.settings);
+        const instant due = renewalDue(self->tenure, self->expectedCommit);
         const bool isDue = self->tenure.needsCommit || self->now() >= due;
         if (!isDue || self->isWriting) {
             co_await self->pause(holderInterval);
@@ -399,6 +400,11 @@
     co_return done;
 }
 
+void duty_holder::expectCommit(microseconds time)
+{
+    m_state->expectedCommit = m_state->now() + time;
+}
+
 void duty_holder::onTakeover(std::function<void()> listener)
 {
     m_state->takeoverListener = std::move(listener);
--- a/src/route/duty_holder.h
+++ b/src/route/duty_holder.h
@@ -61,6 +61,10 @@
     /// answer; the record may be stored all the same. Concurrent calls are joined.
     boost::asio::awaitable<result<std::uint64_t>> commit();
 
+    /// Announces a commit() by a caller within @p time. A renewal that is due shortly before waits
+    /// for it, which saves a call to the store.
+    void expectCommit(microseconds time);
+
     /// Called when this host begins to hold the duties, with the record that it found.
     void onTakeover(std::function<void()> listener);
 
--- a/src/route/usage_counter.cpp
+++ b/src/route/usage_counter.cpp
@@ -270,6 +270,11 @@
     return m_state->now();
 }
 
+microseconds usage_counter::sendInterval() const
+{
+    return m_state->sendInterval();
+}
+
 std::int64_t usage_counter::firstWindow() const
 {
     const wall_milliseconds time = m_state->timeAt(m_state->startedAt);
--- a/src/route/usage_counter.h
+++ b/src/route/usage_counter.h
@@ -58,6 +58,9 @@
     /// Unix time, also while the time of day of this host is wrong.
     wall_milliseconds now() const;
 
+    /// Time after which counts that changed are sent.
+    microseconds sendInterval() const;
+
     /// Window in which this process started.
     std::int64_t firstWindow() const;
 
--- a/src/route/usage_reporter.cpp
+++ b/src/route/usage_reporter.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds rateLimitPause{1'000};
 constexpr milliseconds failurePause{500};
 constexpr double callShare = 0.2; // Of the calls that the platform takes, at most.
+constexpr milliseconds maxTransit{100}; // Of the last counts of a window, mostly.
 constexpr std::int64_t noWindow = std::numeric_limits<std::int64_t>::min();
 
 usage_obstacle obstacleOf(result_code code)
@@ -63,7 +64,9 @@
 {
     return {[&holder] { return holder.isHolder(); },
             [&holder]() -> wire::DutyRecord & { return holder.record(); },
-            [&holder] { return holder.commit(); }, [&holder] { holder.yield(); },
+            [&holder] { return holder.commit(); },
+            [&holder] { holder.yield(); },
+            [&holder](microseconds time) { holder.expectCommit(time); },
             [&holder] { return holder.storeEpoch(); }};
 }
 
@@ -92,6 +95,8 @@
     /// Newest window whose report is known to be stored. Reports that this tenure did not commit
     /// itself count only after its first commit: the record may have changed since it was read.
     std::int64_t newestCommitted = noWindow;
+    std::int64_t newestCounted = noWindow; ///< Newest window of which the record has all counts.
+    std::int64_t newestStored = noWindow; ///< The same of the record that the store has.
     usage_obstacle obstacle = usage_obstacle::none; ///< Last one; none after a success.
     std::string obstacleDetail;
     std::set<std::int64_t> missed; ///< Windows that were logged as missed.
@@ -114,6 +119,7 @@
     void beginTenure()
     {
         newestCommitted = noWindow;
+        newestStored = noWindow;
         obstacle = usage_obstacle::none;
         obstacleDetail.clear();
         mergeUsage(counter.ledger(), duties.record().open_usage(), counter.oldestWindow());
@@ -132,6 +138,7 @@
             return;
         addKnownReports(record, counter.ledger());
         newestCommitted = noWindow;
+        newestStored = noWindow;
         logInfo("usage reports begin in a new epoch of the store",
                 {{"epoch", std::to_string(record.usage_epoch())},
                  {"first_window", std::to_string(record.first_usage_window())}});
@@ -149,6 +156,23 @@
         for (const std::int64_t window : dropOldReports(record))
             noteMissed(window);
         storeOpenUsage(record, counter.ledger(), firstOpen());
+        newestCounted = windowAt(settings.windows, counter.now() - countingTime().count()) - 1;
+    }
+
+    /// Time after a window's end in which its last counts arrive.
+    milliseconds countingTime() const
+    {
+        return std::chrono::ceil<milliseconds>(counter.sendInterval()) + maxTransit;
+    }
+
+    /// Announces the commit after the current window's end. One look may be late by another.
+    void expectCommit() const
+    {
+        const milliseconds counting = countingTime();
+        const wall_milliseconds now = counter.now();
+        const std::int64_t window = windowAt(settings.windows, now - counting.count());
+        const milliseconds untilEnd(endOf(settings.windows, window) - now);
+        duties.expectCommit(untilEnd + counting + 2 * settings.interval);
     }
 
     /// Windows whose counts were dropped before a host could report them.
@@ -195,6 +219,7 @@
         const std::int64_t newest = newestReported(duties.record()).value_or(noWindow);
         if (newest <= newestCommitted)
             co_return;
+        const std::int64_t counted = newestCounted;
         const auto stored = co_await duties.commit();
         if (!stored) {
             noteObstacle(usage_obstacle::store, stored.error().detail);
@@ -202,9 +227,25 @@
         }
         fence = *stored;
         newestCommitted = newest;
+        newestStored = counted;
         counter.noteStored(duties.record());
     }
 
+    /// Stores the counts of a window once they are complete. Until its report is stored, the
+    /// holder and all of those that have the counts may be killed, and renewals may come before
+    /// the window's end and after its report.
+    asio::awaitable<void> commitCounts()
+    {
+        const std::int64_t counted = newestCounted;
+        if (counted <= newestStored || counted < firstOpen())
+            co_return;
+        const auto stored = co_await duties.commit();
+        if (!stored)
+            co_return; // The next look tries again.
+        fence = *stored;
+        newestStored = counted;
+    }
+
     void noteAnswer(std::int64_t window, const result<void> &answer)
     {
         if (!answer) {
@@ -262,7 +303,9 @@
             co_return;
         updateRecord();
         noteOverdue();
+        expectCommit();
         co_await commitReports();
+        co_await commitCounts();
         co_await sendReports();
     }
 
--- a/src/route/usage_reporter.h
+++ b/src/route/usage_reporter.h
@@ -42,13 +42,15 @@
     std::function<wire::DutyRecord &()> record;
     std::function<boost::asio::awaitable<result<std::uint64_t>>()> commit;
     std::function<void()> yield;
+    std::function<void(microseconds time)> expectCommit;
     std::function<std::uint64_t()> storeEpoch;
 };
 
 /// The duties of @p holder, which must outlive the result.
 held_duties dutiesOf(duty_holder &holder);
 
-/// While this host holds the duties, reports the usage of each window to the platform. A report is
+/// While this host holds the duties, reports the usage of each window to the platform. The counts
+/// of a window are stored as soon as they are complete, so that they outlive all hosts; a report is
 /// stored before it is first sent and repeated exactly until it is acknowledged, by whichever host
 /// holds the duties then.
 class usage_reporter
--- a/tests/policy/duty_tenure_test.cpp
+++ b/tests/policy/duty_tenure_test.cpp
@@ -135,6 +135,20 @@
     BOOST_TEST((timeUntilClaim(held.b.tenure, at(12'000)) == microseconds(0)));
 }
 
+BOOST_AUTO_TEST_CASE(a_renewal_waits_for_a_commit_that_comes_soon_after_it_is_due)
+{
+    held_by_a held;
+    const duty_tenure &tenure = held.a.tenure;
+    BOOST_TEST((renewalDue(tenure, instant::min()) == at(3'000)));
+    BOOST_TEST((renewalDue(tenure, at(2'900)) == at(3'000)));
+    BOOST_TEST((renewalDue(tenure, at(4'000)) == at(4'000)));
+    BOOST_TEST((renewalDue(tenure, at(4'001)) == at(3'000)));
+    // It may act for a shorter time, and less is left to repeat a renewal that failed.
+    held_by_a unchecked(false);
+    BOOST_TEST((renewalDue(unchecked.a.tenure, at(3'300)) == at(3'300)));
+    BOOST_TEST((renewalDue(unchecked.a.tenure, at(3'400)) == at(3'000)));
+}
+
 BOOST_AUTO_TEST_CASE(each_record_raises_the_fencing_token)
 {
     held_by_a held;
--- a/tests/route/usage_reporter_test.cpp
+++ b/tests/route/usage_reporter_test.cpp
@@ -60,7 +60,9 @@
         reporter = usage_reporter::makeUsageReporter(
             context, *counter,
             {[this] { return isHolder; }, [this]() -> wire::DutyRecord & { return record; },
-             [this] { return commit(); }, [this] { ++yields; }, [this] { return platform.epoch; }},
+             [this] { return commit(); }, [this] { ++yields; },
+             [this](microseconds inTime) { expectedCommit = time.now + inTime; },
+             [this] { return platform.epoch; }},
             [this](usage_report report, std::uint64_t fence) {
                 return call(std::move(report), fence);
             },
@@ -78,6 +80,7 @@
     std::vector<std::string> datagrams;
     bool isHolder = false;
     int yields = 0;
+    instant expectedCommit = instant::min();
 
     void takeOver()
     {
@@ -242,6 +245,30 @@
     BOOST_TEST((platform.calls[0].first.counts == usage_counts{{"a", 7}, {"idle", 0}}));
 }
 
+BOOST_AUTO_TEST_CASE(counts_after_the_last_renewal_outlive_a_kill_soon_after_the_windows_end)
+{
+    platform_session platform;
+    host_session other(platform, 2, startOfWindow);
+    {
+        host_session holder(platform, 1, startOfWindow);
+        holder.takeOver();
+        holder.advance(milliseconds(3'100));
+        platform.stored = holder.record; // Stored with a renewal, the last one before the kill.
+        holder.count("a", 3);
+        other.time.advance(milliseconds(4'900));
+        other.count("a", 4);
+        holder.advance(milliseconds(1'900));
+        other.tell(holder); // The last counts of the window arrive after its end.
+        holder.advance(milliseconds(700));
+    }
+    host_session successor(platform, 3, startOfWindow + 12'000);
+    successor.takeOver();
+    successor.advance(milliseconds(100));
+    BOOST_TEST_REQUIRE(!platform.calls.empty());
+    BOOST_TEST(platform.calls[0].first.window == firstWindow);
+    BOOST_TEST((platform.calls[0].first.counts == usage_counts{{"a", 7}, {"idle", 0}}));
+}
+
 BOOST_AUTO_TEST_CASE(a_report_that_the_store_lost_is_not_made_again)
 {
     platform_session platform;
