Count engines that crash and listen again at once

A request that crashes each engine which runs it was never held back where the engines' addresses took connections again at once: its callers' retries ended one engine after the other.

Cause: after a lost connection the crash guard asked whether the engine's address refuses connections, and forgot the loss if it did not.

A loss at an address that does not refuse is remembered now, for as long as a crash may still be refuted (the 60 s that exist). It counts as a crash, from when it was noticed, once the platform's list has a later start of the engine, under its id or at its address; if the list has it already, at once. Bytes of the old process to a request that it had before the loss refute it, as they refute a crash. Thresholds, trials and messages between hosts are as before. A planned restart that cuts requests counts like a crash, as it does where the address refuses. Without `born` in the list nothing changes.

process_route_deadly_relisted_test plays a request every 0.24 s for 9 s at engines that are replaced at once and listed with a new start.

Not tested: a listing that arrives while the host still asks whether the address refuses.

The engine of the tests has a `born` that changes and a callback on a new start; both are off by default and no check changed.

--- a/src/policy/crash_quarantine.cpp
+++ b/src/policy/crash_quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <set>
 #include <string>
 #include <tuple>
@@ -46,6 +47,7 @@
 constexpr std::size_t maxSuspects = 1'024; // About 300 kB.
 constexpr seconds survivalWindow{60}; // After a crash, for requests that were sent before.
 constexpr std::size_t maxToldSuspects = 8; // About 1 kB.
+constexpr std::size_t maxLosses = 256; // About 100 kB.
 constexpr std::size_t maxAnsweredParts = 16'384; // About 600 kB.
 constexpr std::size_t maxAnsweredRequests = 8'192; // In each generation; about 300 kB.
 constexpr seconds answeredLifetime{600};
@@ -323,6 +325,8 @@
 {
     std::erase_if(quarantine.recentCrashes,
                   [now](const auto &row) { return now - row.second > survivalWindow; });
+    std::erase_if(quarantine.losses,
+                  [now](const unexplained_loss &loss) { return now - loss.at > survivalWindow; });
     std::erase_if(quarantine.suspects, [&quarantine, now](const auto &row) {
         const bool isKeptLong = row.second.isHeld || row.second.isWholeRequest;
         const auto lifetime = isKeptLong ? heldLifetime : suspicionLifetime;
@@ -335,6 +339,25 @@
     });
 }
 
+/// Adds a crash that was noticed at @p at.
+void addCrash(crash_quarantine &quarantine, const upstream_crash &crash,
+              std::span<const request_trait> traits, instant at, instant now)
+{
+    quarantine.recentCrashes.emplace(crash.crash, at);
+    const auto waited = std::chrono::ceil<milliseconds>(at - std::min(crash.sent, at));
+    for (const request_trait &trait : traits) {
+        const auto answered = answeredHere(quarantine, trait.id, trait.isWholeRequest);
+        if (answered && at - *answered < soundTime)
+            continue;
+        suspected_trait &suspect = suspectFor(quarantine, trait.id, trait.isWholeRequest, now);
+        suspect.isFirstHand = true;
+        suspect.depth = std::max(suspect.depth, trait.depth);
+        addEvidence(suspect, {crash.crash, at, waited, crash.wasAnswering, false}, now);
+        const bool isForKeepers = trait.isWholeRequest && crashCount(suspect) < 2;
+        (isForKeepers ? quarantine.keeperNews : quarantine.news).insert(trait.id);
+    }
+}
+
 } // namespace
 
 std::uint64_t crashId(const upstream_entry &entry)
@@ -376,23 +399,43 @@
                  std::span<const request_trait> traits, instant now)
 {
     dropExpired(quarantine, now);
-    quarantine.recentCrashes.emplace(crash.crash, now);
-    const auto waited = std::chrono::ceil<milliseconds>(now - std::min(crash.sent, now));
-    for (const request_trait &trait : traits) {
-        const auto answered = answeredHere(quarantine, trait.id, trait.isWholeRequest);
-        if (answered && now - *answered < soundTime)
-            continue;
-        suspected_trait &suspect = suspectFor(quarantine, trait.id, trait.isWholeRequest, now);
-        suspect.isFirstHand = true;
-        suspect.depth = std::max(suspect.depth, trait.depth);
-        addEvidence(suspect, {crash.crash, now, waited, crash.wasAnswering, false}, now);
-        const bool isForKeepers = trait.isWholeRequest && crashCount(suspect) < 2;
-        (isForKeepers ? quarantine.keeperNews : quarantine.news).insert(trait.id);
-    }
+    addCrash(quarantine, crash, traits, now, now);
+}
+
+bool isLaterStart(const upstream_entry &listed, const upstream_entry &earlier)
+{
+    const bool isSamePlace = listed.id == earlier.id || listed.address == earlier.address;
+    return isSamePlace && earlier.started != 0 && listed.started > earlier.started;
+}
+
+void recordLoss(crash_quarantine &quarantine, unexplained_loss loss)
+{
+    dropExpired(quarantine, loss.at);
+    if (quarantine.losses.size() >= maxLosses)
+        quarantine.losses.erase(quarantine.losses.begin());
+    quarantine.losses.push_back(std::move(loss));
+}
+
+std::size_t recordListing(crash_quarantine &quarantine, const upstream_entry &listed, instant now)
+{
+    auto &losses = quarantine.losses;
+    const auto first
+        = std::stable_partition(losses.begin(), losses.end(), [&listed, now](const auto &loss) {
+              return now - loss.at > survivalWindow || !isLaterStart(listed, loss.entry);
+          });
+    const std::vector<unexplained_loss> crashes(std::make_move_iterator(first),
+                                                std::make_move_iterator(losses.end()));
+    losses.erase(first, losses.end());
+    for (const unexplained_loss &loss : crashes)
+        addCrash(quarantine, loss.crash, loss.traits, loss.at, now);
+    return crashes.size();
 }
 
 void recordSurvival(crash_quarantine &quarantine, std::uint64_t crash, instant sent, instant now)
 {
+    std::erase_if(quarantine.losses, [crash, sent, now](const unexplained_loss &loss) {
+        return loss.crash.crash == crash && sent < loss.at && now - loss.at >= survivalTime;
+    });
     const auto recent = quarantine.recentCrashes.find(crash);
     if (recent == quarantine.recentCrashes.end() || sent >= recent->second
         || now - recent->second < survivalTime)
--- a/src/policy/crash_quarantine.h
+++ b/src/policy/crash_quarantine.h
@@ -58,6 +58,24 @@
     std::unordered_map<std::uint64_t, instant> older;
 };
 
+/// The crash of an upstream that had a request.
+struct upstream_crash
+{
+    std::uint64_t crash = 0; ///< crashId() of the upstream.
+    instant sent = instant::min(); ///< When the request was sent there.
+    bool wasAnswering = false; ///< The answer had begun, but not yet gone on.
+};
+
+/// A connection that an upstream closed under a request, while its address did not refuse
+/// connections afterwards. Whether the upstream crashed is not known until it is listed anew.
+struct unexplained_loss
+{
+    upstream_entry entry;
+    upstream_crash crash; ///< If it was one.
+    std::vector<request_trait> traits; ///< Of the request.
+    instant at = instant::min(); ///< When this host noticed it.
+};
+
 /// Traits of requests under which upstreams crashed, as this host and the other hosts saw it.
 ///
 /// Guards against a request that crashes each upstream which runs it, and against a prompt part
@@ -71,6 +89,7 @@
     answered_requests answeredRequests; ///< On this host.
     std::map<std::uint64_t, suspected_trait> suspects; ///< By id of the trait.
     std::map<std::uint64_t, instant> recentCrashes; ///< Not refuted, by crashId().
+    std::vector<unexplained_loss> losses; ///< On this host, in the order of their times.
     std::set<std::uint64_t> news; ///< Suspects of which all other hosts should hear at once.
     std::set<std::uint64_t> holdChanges; ///< Held or released since they were last stored.
     std::set<std::uint64_t> keeperNews; ///< Suspects of which their keepers should hear at once.
@@ -106,14 +125,6 @@
     microseconds retryAfter{0}; ///< Until a host may try it again.
 };
 
-/// The crash of an upstream that had a request.
-struct upstream_crash
-{
-    std::uint64_t crash = 0; ///< crashId() of the upstream.
-    instant sent = instant::min(); ///< When the request was sent there.
-    bool wasAnswering = false; ///< The answer had begun, but not yet gone on.
-};
-
 /// Identifies an upstream's process and so its only crash.
 std::uint64_t crashId(const upstream_entry &entry);
 
@@ -128,6 +139,17 @@
 void recordCrash(crash_quarantine &quarantine, const upstream_crash &crash,
                  std::span<const request_trait> traits, instant now);
 
+/// Whether @p listed is a later process than that of @p earlier, under its id or at its address, so
+/// that the earlier one has ended.
+bool isLaterStart(const upstream_entry &listed, const upstream_entry &earlier);
+
+/// Records a loss that may turn out to be a crash.
+void recordLoss(crash_quarantine &quarantine, unexplained_loss loss);
+
+/// Records that @p listed is in the platform's list. Losses of a process that it replaces count as
+/// crashes from when they were noticed. Returns their number.
+std::size_t recordListing(crash_quarantine &quarantine, const upstream_entry &listed, instant now);
+
 /// Records that the upstream of @p crash answers a request that was sent to it at @p sent. That
 /// refutes a crash noticed after @p sent and some time ago.
 void recordSurvival(crash_quarantine &quarantine, std::uint64_t crash, instant sent, instant now);
--- a/src/route/crash_guard.cpp
+++ b/src/route/crash_guard.cpp
@@ -36,6 +36,16 @@
         guard.newsListener();
 }
 
+/// Whether a later process than that of @p entry is listed.
+bool isReplaced(const crash_guard &guard, const upstream_entry &entry)
+{
+    const auto pool = guard.state.pools.find(entry.service);
+    return pool != guard.state.pools.end()
+        && std::any_of(
+               pool->second.upstreams.begin(), pool->second.upstreams.end(),
+               [&entry](const auto &row) { return isLaterStart(row.second.listed, entry); });
+}
+
 } // namespace
 
 void addAttempt(crash_guard &guard, proxy_job &job, const std::shared_ptr<upstream_call> &call)
@@ -66,7 +76,7 @@
 void noteBytes(crash_guard &guard, const upstream_entry &entry, instant sent)
 {
     crash_quarantine &quarantine = guard.state.quarantine;
-    if (quarantine.recentCrashes.empty())
+    if (quarantine.recentCrashes.empty() && quarantine.losses.empty())
         return;
     recordSurvival(quarantine, crashId(entry), sent, guard.clock.now());
     updateAndTell(guard);
@@ -77,11 +87,14 @@
 {
     const instant lostAt = guard.clock.now();
     const life_sign sign = co_await guard.paths->checkListening(entry);
-    if (sign != life_sign::refused)
-        co_return;
     crash_quarantine &quarantine = guard.state.quarantine;
     const auto traits = lost.hasGoneOn ? traitsOf(job, true) : job.traits;
-    recordCrash(quarantine, {crashId(entry), lost.sent, lost.wasAnswering}, traits, lostAt);
+    const upstream_crash crash{crashId(entry), lost.sent, lost.wasAnswering};
+    if (sign != life_sign::refused && !isReplaced(guard, entry)) {
+        recordLoss(quarantine, {entry, crash, traits, lostAt});
+        co_return;
+    }
+    recordCrash(quarantine, crash, traits, lostAt);
     const std::size_t crashes = crashesOfRequest(quarantine, traits);
     const bool isPartSuspect = lost.wasAnswering && hasUnansweredPart(quarantine, traits);
     job.mayCrashUpstreams = isPartSuspect || crashes > maxCrashesForRepeat;
@@ -101,6 +114,11 @@
     updateAndTell(guard);
 }
 
+void applyCrashNews(crash_guard &guard)
+{
+    updateAndTell(guard);
+}
+
 std::optional<held_trait> findHeldTrait(crash_guard &guard, const proxy_job &job)
 {
     if (!isHeld(guard.state.quarantine, job.traits))
--- a/src/route/crash_guard.h
+++ b/src/route/crash_guard.h
@@ -51,10 +51,13 @@
 void noteBytes(crash_guard &guard, const upstream_entry &entry, instant sent);
 
 /// Finds out whether the upstream has crashed after it closed the connection of the job's attempt,
-/// and records that.
+/// and records that, or that it may have.
 boost::asio::awaitable<void> noteLostConnection(crash_guard &guard, proxy_job &job,
                                                 const upstream_entry &entry, lost_attempt lost);
 
+/// Applies what was recorded elsewhere, such as a crash that a listing shows.
+void applyCrashNews(crash_guard &guard);
+
 /// The held trait for which the job must not be sent; empty if it may be sent.
 std::optional<held_trait> findHeldTrait(crash_guard &guard, const proxy_job &job);
 
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -674,6 +674,11 @@
     m_state->attempts.guard.newsListener = std::move(listener);
 }
 
+void proxy_service::applyCrashNews()
+{
+    quincefall::applyCrashNews(m_state->attempts.guard);
+}
+
 void proxy_service::cancelHeldAttempts()
 {
     quincefall::cancelHeldAttempts(m_state->attempts.guard);
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -56,6 +56,9 @@
     /// Called when other hosts should hear of a suspected trait of requests at once.
     void onSuspectNews(std::function<void()> listener);
 
+    /// Applies crashes of upstreams that the platform's list has shown.
+    void applyCrashNews();
+
     /// Cancels the attempts of requests with a trait that is now held.
     void cancelHeldAttempts();
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -215,8 +215,10 @@
                              feed::optionsFor(roundToMilliseconds(values.leaveMs),
                                               roundToMilliseconds(values.applyMs)),
                              values.peerListen, clock);
-        reader->onChange([this] {
+        auto &proxy = services->find<proxy_service>("route.proxy");
+        reader->onChange([this, &proxy] {
             applyLimits();
+            proxy.applyCrashNews();
             streams->tellUntold();
         });
         reader->onGone([this](const host_address &address) { paths->closeIdle(address); });
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -74,6 +74,9 @@
         || upstream.listed.isLeaving != isLeaving(state.membership.notices, entry);
     upstream.listed = entry;
     copyNotice(state.membership.notices, upstream, now);
+    if (const std::size_t lost = recordListing(state.quarantine, entry, now); lost > 0)
+        logWarning("upstream had crashed",
+                   {{"upstream", entry.id}, {"lost_requests", std::to_string(lost)}});
     if (isChanged)
         logInfo("upstream listed",
                 {{"upstream", entry.id},
--- a/tests/policy/crash_quarantine_test.cpp
+++ b/tests/policy/crash_quarantine_test.cpp
@@ -137,6 +137,82 @@
     BOOST_TEST(!isHeldAt(other, 77, start + seconds(3)));
 }
 
+/// An upstream's process that started at @p started.
+upstream_entry makeProcess(std::int64_t started, const std::string &id = "e1",
+                           const std::string &address = "10.0.1.1")
+{
+    upstream_entry entry;
+    entry.id = id;
+    entry.address = {address, 80};
+    entry.started = started;
+    return entry;
+}
+
+void lose(crash_quarantine &quarantine, const upstream_entry &entry, std::uint64_t request,
+          instant now)
+{
+    recordLoss(quarantine,
+               {entry, {crashId(entry), now - milliseconds(30), false}, {{request, 0, true}}, now});
+}
+
+bool isRequestHeldAt(crash_quarantine &quarantine, std::uint64_t request, instant now)
+{
+    updateHeldTraits(quarantine, now);
+    return isHeld(quarantine, std::vector<request_trait>{{request, 0, true}});
+}
+
+// Each engine listened again before the host asked whether its address refuses connections.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_engines_which_listen_again_at_once_is_held)
+{
+    crash_quarantine quarantine;
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        const instant now = start + seconds(crashes);
+        BOOST_TEST(!isRequestHeldAt(quarantine, 66, now));
+        lose(quarantine, makeProcess(100 + crashes), 66, now);
+        BOOST_TEST(!isRequestHeldAt(quarantine, 66, now));
+        BOOST_TEST(recordListing(quarantine, makeProcess(101 + crashes), now + milliseconds(400))
+                   == 1U);
+    }
+    BOOST_TEST(isRequestHeldAt(quarantine, 66, start + seconds(3)));
+    BOOST_TEST(quarantine.losses.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_new_process_at_the_address_shows_a_crash_and_other_listings_do_not)
+{
+    crash_quarantine quarantine;
+    lose(quarantine, makeProcess(100), 66, start);
+    BOOST_TEST(recordListing(quarantine, makeProcess(100), start) == 0U);
+    BOOST_TEST(recordListing(quarantine, makeProcess(99), start) == 0U);
+    BOOST_TEST(recordListing(quarantine, makeProcess(200, "e2", "10.0.1.2"), start) == 0U);
+    BOOST_TEST(recordListing(quarantine, makeProcess(200, "e2"), start) == 1U);
+    BOOST_TEST(quarantine.suspects.at(66).crashes.size() == 1U);
+    // Without the start of the earlier process nothing shows that the listed one is another.
+    lose(quarantine, makeProcess(0), 67, start);
+    BOOST_TEST(recordListing(quarantine, makeProcess(200), start) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_engine_that_answers_after_a_loss_did_not_crash_then)
+{
+    crash_quarantine quarantine;
+    const upstream_entry engine = makeProcess(100);
+    lose(quarantine, engine, 66, start);
+    recordSurvival(quarantine, crashId(engine), start + seconds(1), start + seconds(2));
+    BOOST_TEST(quarantine.losses.size() == 1U); // The new process may have answered.
+    recordSurvival(quarantine, crashId(engine), start - seconds(1), start + seconds(2));
+    BOOST_TEST(recordListing(quarantine, makeProcess(200), start + seconds(3)) == 0U);
+    lose(quarantine, engine, 66, start);
+    BOOST_TEST(recordListing(quarantine, makeProcess(200), start + seconds(61)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_loss_before_an_answer_to_the_same_request_is_no_crash_under_it)
+{
+    crash_quarantine quarantine;
+    lose(quarantine, makeProcess(100), 66, start);
+    recordAnswered(quarantine, std::vector<request_trait>{{66, 0, true}}, start + seconds(1));
+    recordListing(quarantine, makeProcess(200), start + seconds(2));
+    BOOST_TEST(!quarantine.suspects.contains(66));
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_wait_at_a_crashed_engine_weigh_less)
 {
     crash_quarantine quarantine;
--- a/tests/process/support/deadly_request.py
+++ b/tests/process/support/deadly_request.py
@@ -90,7 +90,18 @@
 
 
 class DeadlyRequestCase(unittest.TestCase):
-    """Plays one kind of request."""
+    """Plays one kind of request. Engines that crash are down for a while or, with `listens_at_once`,
+    are replaced at once by new processes, which the store lists, with `gets_new_id` under new ids.
+    """
+
+    listens_at_once = False
+    gets_new_id = False
+
+    def list_anew(self, fleet, engine):
+        if self.gets_new_id:
+            fleet.store.put("keyed.servers", engine.identity, None)
+            engine.identity += "n"
+        fleet.store.put("keyed.servers", engine.identity, engine.entry())
 
     def play(self, path, service, fields=None, organisation="stable", method="POST",
              after_event=False):
@@ -106,6 +117,9 @@
             prepare(fleet, path, service, organisation, body)
             for engine in fleet.engines.values():
                 engine.deadly_after_event = after_event
+                if self.listens_at_once:
+                    engine.down_seconds = 0
+                    engine.on_start = lambda started: self.list_anew(fleet, started)
             sender = Sender(fleet, "d", 0.24, 9, lambda number: deadly)
             sound = Sender(fleet, "s", 0.08, 9, lambda number: variants[number % len(variants)])
             sender.join()
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -364,6 +364,8 @@
         self.deadly_requests = set()
         self.deadly_after_event = False
         self.down_seconds = 1.0
+        self.born = 1700000000000  # Start of its process, Unix time in milliseconds.
+        self.on_start = None  # Called with the engine when another process takes its place.
         self.deadly_arrivals = []  # Times.
         self.crashes = []  # Times.
         self.tasks = []
@@ -376,10 +378,15 @@
         return (target, fields.get("quincefall-tenant"), body) in self.deadly_requests
 
     async def crash(self):
-        """Ends as a killed process does. Without `down_seconds` another one listens at once."""
+        """Ends as a killed process does. Without `down_seconds` another one listens at once and,
+        with `on_start`, is listed."""
         self.crashes.append(time.monotonic())
         if self.down_seconds == 0:
-            return self.server.close_connections()
+            self.server.close_connections()
+            if self.on_start:
+                self.born = int(time.time() * 1000)
+                self.on_start(self)
+            return
         await self.server.close()
         await asyncio.sleep(self.down_seconds)
         await self.server.listen(self.server.port)
@@ -406,7 +413,7 @@
     def entry(self, state="ready", sequence=1):
         return {"service": self.service, "address": f"127.0.0.1:{self.listed_port}",
                 "zone": "a", "version": self.version, "slots": 8, "state": state,
-                "cold_remaining_ms": 0, "sequence": sequence, "born": 1700000000000}
+                "cold_remaining_ms": 0, "sequence": sequence, "born": self.born}
 
     def next_fault(self):
         if self.fault is None or self.faults_left <= 0:
