Count no sound end without framing as the loss of an engine

With the count of crashes of engines that listen again at once, each answer that only its connection ended would be remembered as a loss, and count as a crash of its request once the engine is replaced within a minute: in a service that frames nothing, sound requests would be held back after each release.

Only an answer that broke off is remembered now. A request that crashes engines which frame nothing, close in order and listen again at once is still not recognised.

--- a/src/route/crash_guard.cpp
+++ b/src/route/crash_guard.cpp
@@ -90,9 +90,14 @@
     crash_quarantine &quarantine = guard.state.quarantine;
     const auto traits = lost.hasGoneOn ? traitsOf(job, true) : job.traits;
     const upstream_crash crash{crashId(entry), lost.sent, lost.wasAnswering};
-    if (sign != life_sign::refused && !isReplaced(guard, entry)) {
-        recordLoss(quarantine, {entry, crash, traits, lostAt});
-        co_return;
+    if (sign != life_sign::refused) {
+        // Sound upstreams that frame nothing end each answer so, and are replaced now and then.
+        if (!lost.hasBrokenOff)
+            co_return;
+        if (!isReplaced(guard, entry)) {
+            recordLoss(quarantine, {entry, crash, traits, lostAt});
+            co_return;
+        }
     }
     recordCrash(quarantine, crash, traits, lostAt);
     const std::size_t crashes = crashesOfRequest(quarantine, traits);
--- a/src/route/crash_guard.h
+++ b/src/route/crash_guard.h
@@ -33,6 +33,7 @@
     instant sent; ///< When it was started.
     bool wasAnswering = false; ///< The answer had just begun.
     bool hasGoneOn = false; ///< The answer had gone on for a while; see noteGoingOn().
+    bool hasBrokenOff = false; ///< The answer was not complete; else only its end is not proven.
 };
 
 /// Record the begin and the end of an attempt. removeAttempt() is true if noteGoingOn() and
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -564,7 +564,8 @@
     if (end == attempt_end::failed && hasLostConnection) {
         noteLostAnswer(attempt);
         co_await noteLostConnection(context.guard, job, attempt.entry,
-                                    {attempt.started, attempt.hasJustBegun(), !isUnanswered});
+                                    {attempt.started, attempt.hasJustBegun(), !isUnanswered,
+                                     attempt.call->hasLostConnection()});
     }
     routed_upstream *target = attempt.upstream();
     if (target && !attempt.hasFirstByte)
