--- a/tests/process/support/resets.py
+++ b/tests/process/support/resets.py
@@ -6,6 +6,7 @@
 
 def reset(writer):
     """Resets the connection. abort() alone mostly ends it in good order, as a killed process does."""
-    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                               struct.pack("ii", 1, 0))
+    connection = writer.get_extra_info("socket")
+    if connection.fileno() >= 0:  # Else it is closed already.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
