Let no killed engine's run agree with another one

Both ended in order at the same event.

Cause: only the second run's process had to outlive its end. The first run's end counted also where its process was killed.

The probe is open for each run of a resumable stream that may lack framing, as it was before. A run has an end to agree with only if its process outlived it, and the earlier process is asked once more behind the later end.

--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -43,20 +43,29 @@
 /// Whether the upstream's process is known to have outlived the answer.
 asio::awaitable<bool> hasOutlivedAnswer(running_attempt &attempt)
 {
-    if (!attempt.probe) {
-        attempt.sign = life_sign::unconnected;
-        co_return false;
-    }
     const microseconds left = attempt.job.end() - attempt.context.clock.now();
     const bool isAlive = co_await attempt.probe->isAlive(left);
     attempt.sign = isAlive ? life_sign::answered : life_sign::unanswered;
     co_return isAlive;
 }
 
+/// Whether the process that ended the earlier run is known to have ended since.
+asio::awaitable<bool> hasEarlierUpstreamEnded(running_attempt &attempt)
+{
+    const auto earlier = attempt.job.earlierProbe;
+    if (!earlier)
+        co_return false;
+    const microseconds left = attempt.job.end() - attempt.context.clock.now();
+    co_return !co_await earlier->isAlive(left);
+}
+
 asio::awaitable<answer_proof> prove(running_attempt &attempt, run_end end)
 {
-    const bool needsLife = !end.isFramed && (end.isSamePlace || end.isDeclared);
-    end.hasOutlived = needsLife && co_await hasOutlivedAnswer(attempt);
+    if (!end.isFramed)
+        attempt.sign = life_sign::unconnected;
+    end.hasOutlived = !end.isFramed && attempt.probe && co_await hasOutlivedAnswer(attempt);
+    if (end.isSamePlace && end.hasOutlived)
+        end.isSamePlace = !co_await hasEarlierUpstreamEnded(attempt);
     attempt.proof = proofOf(end);
     co_return attempt.proof;
 }
@@ -66,8 +75,8 @@
 bool needsProbe(const running_attempt &attempt)
 {
     const proxy_job &job = attempt.job;
-    const bool mayAgree
-        = job.unframedAnswer || (job.choice.route->isResumable && job.events.hasEndedHere);
+    // Only a run that was not killed has an end with which a further one may agree.
+    const bool mayAgree = job.unframedAnswer || job.choice.route->isResumable;
     return (mayAgree || attempt.context.trustsClosedEnds) && mayLackFraming(attempt);
 }
 
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -263,13 +263,15 @@
 }
 
 /// Lets a later run, also of another host, confirm the end of this one. A run that did not send the
-/// last event has seen nothing that could be confirmed.
+/// last event, or may have been killed behind it, has no end that could be confirmed.
 void noteRunEnd(running_attempt &attempt)
 {
     proxy_job &job = attempt.job;
     noteUnprovenEnd(job.events);
-    if (!job.events.lastId || job.events.runId != job.events.lastId)
+    if (!job.events.lastId || job.events.runId != job.events.lastId
+        || attempt.sign != life_sign::answered)
         return;
+    job.earlierProbe = attempt.probe;
     job.runEndedAt = nameHash(attempt.entry.id);
     if (attempt.context.streams && job.hasStreamName()) {
         const std::uint64_t before = nextRunPosition(job.events).value_or(0);
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -21,6 +21,7 @@
 
 namespace quincefall {
 
+class liveness_probe;
 class upstream_call;
 
 /// How one attempt at an upstream ended.
@@ -66,6 +67,7 @@
     /// nameHash() of the upstream of the last run that sent the last event and ended behind it; 0
     /// if there is none.
     std::uint64_t runEndedAt = 0;
+    std::shared_ptr<liveness_probe> earlierProbe{}; ///< Of that upstream; null at another host.
     std::uint64_t stream = 0; ///< Digest of the attempt that brought the stream's first event.
     std::optional<std::string> streamVersion{}; ///< At which alone it goes on; empty until begun.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
