--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -80,10 +80,11 @@
 
     def restart_engines(self, process):
         """Kills a process with engines, which come back at other ports."""
-        process.kill()
-        time.sleep(0.5)
-        process.start()
-        self.register(process)
+        with process.lock:  # Other commands wait for the new process.
+            process.kill()
+            time.sleep(0.5)
+            process.start()
+            self.register(process)
 
     def crash_engines(self, process, down_seconds):
         """Crashes a process with engines, which come back at the same ports."""
