Open no probe for a stream whose end it can't prove

Since each first stream of a host waited for a probe, although no run can agree before the host knows that the service frames nothing.

Probes of runs that nothing precedes are opened only where the service is known to frame nothing.

--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -75,8 +75,13 @@
 bool needsProbe(const running_attempt &attempt)
 {
     const proxy_job &job = attempt.job;
-    // Only a run that was not killed has an end with which a further one may agree.
-    const bool mayAgree = job.unframedAnswer || job.choice.route->isResumable;
+    const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
+    // Runs agree only where the service is known to frame nothing, and only one that was not killed
+    // has an end with which a further one may agree.
+    const bool isUnframed
+        = framingKind(framing, attempt.context.clock.now()) == stream_framing_kind::unframed;
+    const bool mayAgree = job.unframedAnswer
+        || (job.choice.route->isResumable && (job.events.hasEndedHere || isUnframed));
     return (mayAgree || attempt.context.trustsClosedEnds) && mayLackFraming(attempt);
 }
 
