Log how much of a request was sent when its answer ended unframed

A log could not tell an engine that reset the connection during an upload from one that shut it down in order, or either from an end behind the whole request: all read failed or answered, unframed. The attempt now says request=sent, pending or failed; no decision changes.

--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -480,6 +480,7 @@
         log += ":life=" + std::string(toString(attempt.sign));
         log += ":left=" + formatMilliseconds(attempt.job.end() - attempt.context.clock.now());
         log += ":unread=" + formatMilliseconds(attempt.longestUnread);
+        log += ":request=" + std::string(toString(attempt.call->sendProgress()));
         if (const routed_upstream *target = attempt.upstream(); !target || target->listed.isLeaving)
             log += ":leaving";
     }
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -76,8 +76,8 @@
     attempt_refusal noFurtherAttempt = attempt_refusal::none;
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
     /// :first=, :gap=, :after=, :events=, :repeated=, :partial=,
-    /// :unframed:others=:proof=:life=:left=:unread=:leaving, :load= and, where transfers are
-    /// weighed, :zone=. docs/OPERATIONS.md explains them.
+    /// :unframed:others=:proof=:life=:left=:unread=:request=:leaving, :load= and, where transfers
+    /// are weighed, :zone=. docs/OPERATIONS.md explains them.
     std::string attemptLog{};
 
     /// The end of the time in which an attempt can bring an answer.
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -69,6 +69,19 @@
 
 } // namespace
 
+std::string_view toString(send_progress progress)
+{
+    switch (progress) {
+    case send_progress::sent:
+        return "sent";
+    case send_progress::failed:
+        return "failed";
+    case send_progress::pending:
+        break;
+    }
+    return "pending";
+}
+
 struct upstream_call::state
 {
     state(std::shared_ptr<upstream_paths> connections, upstream_entry target)
@@ -92,6 +105,7 @@
     microseconds inactivityTimeout{0};
     std::function<bool()> mayGiveUp;
     bool isWriting = false;
+    boost::system::error_code writeFailure; ///< Why the request was not sent completely.
     bool isReading = false;
     bool hasWaitedForRead = false; ///< Of bytes that were there when the time was up.
     bool isHostLate = false; ///< At the deadline, this host had not read what had arrived.
@@ -218,8 +232,10 @@
                                                       asio::buffer(request.body)};
         asio::async_write(connection->socket, parts,
                           [call](const boost::system::error_code &code, std::size_t) {
-                              if (!code)
-                                  call->m_state->isWriting = false;
+                              if (code == asio::error::operation_aborted)
+                                  return; // This side has closed the connection.
+                              call->m_state->isWriting = code.failed();
+                              call->m_state->writeFailure = code;
                           });
     }
 
@@ -423,9 +439,16 @@
     return m_state->connection != nullptr;
 }
 
+send_progress upstream_call::sendProgress() const
+{
+    if (m_state->writeFailure)
+        return send_progress::failed;
+    return isConnected() && !m_state->isWriting ? send_progress::sent : send_progress::pending;
+}
+
 bool upstream_call::hasSentRequest() const
 {
-    return isConnected() && !m_state->isWriting;
+    return sendProgress() == send_progress::sent;
 }
 
 bool upstream_call::isRelayed() const
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -14,6 +14,12 @@
 
 namespace quincefall {
 
+/// How far a request has been sent.
+enum class send_progress { pending, sent, failed };
+
+/// For logs.
+std::string_view toString(send_progress progress);
+
 /// One request to an upstream and its answer.
 class upstream_call : public std::enable_shared_from_this<upstream_call>
 {
@@ -62,6 +68,8 @@
     /// Whether the request had a connection, of which some bytes may have arrived.
     bool isConnected() const;
 
+    send_progress sendProgress() const;
+
     /// Whether the whole request has been sent.
     bool hasSentRequest() const;
 
