Reproduce answers that are reset during an upload and look whole

Callers got part of an answer as a complete one (MIXED), and streams that ended before their last event (ORDER). Engines of the new test answer an upload of 8 MB with a 200 without a length once they have its head, send some pieces, then reset, close or shut down the connection while the upload is being written.

--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -99,6 +99,10 @@
         self.server.close()
         return list(self.connections)
 
+    async def answers_unread(self, reader, writer, target, fields):
+        """Whether the request was answered without its body; the connection is closed then."""
+        return False
+
     async def serve(self, reader, writer):
         if self.most_connections is not None and len(self.connections) >= self.most_connections:
             return reset(writer)
@@ -108,6 +112,8 @@
             while True:
                 head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), self.idle_seconds)
                 method, target, fields = parse_head(head[:-4])
+                if await self.answers_unread(reader, writer, target, fields):
+                    break
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 if process != self.process:
                     await asyncio.sleep(3600)
