Read a reset during an upload as a reset

Cause: the request is written beside the answer being read, and the error of the write was dropped. Linux reports a reset to whichever operation on the socket comes first; after that, a read returns 0 as it does after a FIN. Any loss of the connection that a write is told of (a time-out, too) read the same way.

The call keeps the error of its writer, and an answer that only its connection ends fails with it: a further attempt, else 502. Answers with a length or chunks are read to their end as before.

The engine of the test says that it closes its connections; without it, a host used one that was closed, which is a case of its own.

--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -339,6 +339,9 @@
             if (filled > 0)
                 co_return std::string_view(piece.data(), filled);
         }
+        // A socket reports a reset once. If the writer was told, the reader sees an orderly end.
+        if (writeFailure && parser->need_eof())
+            co_return failure(writeFailure, result_code::upstreamFailed);
         co_return std::string_view();
     }
 
--- a/tests/process/support/upload_engine.py
+++ b/tests/process/support/upload_engine.py
@@ -57,7 +57,7 @@
         kind = "text/event-stream" if target.startswith(("/stream/", "/once/")) else "text/plain"
         whole = b"".join(self.pieces)
         head = answer_bytes(200, whole, [
-            ("Content-Type", kind), ("Quincefall-Request-Id", request),
+            ("Content-Type", kind), ("Connection", "close"), ("Quincefall-Request-Id", request),
             ("Quincefall-Response-Stamp", f"{self.identity}.{request}")])[:-len(whole)]
         if not self.is_framed:
             head = head.replace(b"Content-Length: %d\r\n" % len(whole), b"")
