Count no end before the whole request was sent as proven

Cause: two runs agree if nothing that both share can have ended them. The deadline and dying engines were asked about; the request, of which neither engine had read the rest, was not. proofOf() now proves no end by agreement or by declaration unless the whole request had been sent, and such a run is none with which a later one may agree. Framing stays a proof, so an engine that refuses a long upload with a length is passed on.

--- a/src/policy/answer_proof.cpp
+++ b/src/policy/answer_proof.cpp
@@ -23,7 +23,7 @@
 {
     if (end.isFramed)
         return answer_proof::framing;
-    if (end.mayBeFramed || !end.hasOutlived)
+    if (!end.hasWholeRequest || end.mayBeFramed || !end.hasOutlived)
         return answer_proof::none;
     if (end.isDeclared)
         return answer_proof::declaration;
--- a/src/policy/answer_proof.h
+++ b/src/policy/answer_proof.h
@@ -23,6 +23,9 @@
 struct run_end
 {
     bool isFramed = false;
+    /// The upstream had been sent the whole request. What ends an answer before may be the part of
+    /// the request that the upstream never read, and that part is the same in any further run.
+    bool hasWholeRequest = false;
     /// Other upstreams of the service may frame such answers, so that one of them can prove it.
     bool mayBeFramed = false;
     /// An earlier run at another upstream ended behind the same last piece, which this one sent as
--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -30,6 +30,7 @@
     attempt.noteWait();
     run_end end;
     end.isFramed = !attempt.call->endsWithConnection();
+    end.hasWholeRequest = attempt.call->hasSentRequest();
     const routed_upstream *target = attempt.upstream();
     end.isLeaving = !target || target->listed.isLeaving;
     end.timeLeft = attempt.job.end() - attempt.context.clock.now();
@@ -113,7 +114,8 @@
         const std::uint64_t digest = digestOf(parts);
         // Two runs may both be ended before they bring anything.
         end.isSamePlace = !body.empty() && attempt.job.unframedAnswer == digest;
-        attempt.job.unframedAnswer = digest;
+        if (end.hasWholeRequest)
+            attempt.job.unframedAnswer = digest;
     }
     co_return co_await prove(attempt, end);
 }
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -263,13 +263,14 @@
 }
 
 /// Lets a later run, also of another host, confirm the end of this one. A run that did not send the
-/// last event, or may have been killed behind it, has no end that could be confirmed.
+/// last event, may have been killed behind it or did not get the whole request has no end that
+/// could be confirmed.
 void noteRunEnd(running_attempt &attempt)
 {
     proxy_job &job = attempt.job;
     noteUnprovenEnd(job.events);
     if (!job.events.lastId || job.events.runId != job.events.lastId
-        || attempt.sign != life_sign::answered)
+        || attempt.sign != life_sign::answered || !attempt.call->hasSentRequest())
         return;
     job.earlierProbe = attempt.probe;
     job.runEndedAt = nameHash(attempt.entry.id);
--- a/tests/policy/answer_proof_test.cpp
+++ b/tests/policy/answer_proof_test.cpp
@@ -12,6 +12,7 @@
 run_end makeAgreement()
 {
     run_end end;
+    end.hasWholeRequest = true;
     end.isSamePlace = true;
     end.hasOutlived = true;
     end.timeLeft = seconds(2);
@@ -46,6 +47,7 @@
 BOOST_AUTO_TEST_CASE(an_upstream_that_is_declared_to_end_only_whole_answers_has_to_live)
 {
     run_end end;
+    end.hasWholeRequest = true;
     end.isDeclared = true;
     BOOST_TEST(!isProven(end));
     end.hasOutlived = true;
@@ -75,6 +77,18 @@
     BOOST_TEST(!isProven(leaving));
 }
 
+// Two upstreams that both ended an answer without reading the rest of a long upload agreed.
+BOOST_AUTO_TEST_CASE(an_end_before_the_whole_request_was_sent_proves_nothing_without_framing)
+{
+    run_end agreed = makeAgreement();
+    agreed.hasWholeRequest = false;
+    BOOST_TEST(!isProven(agreed));
+    agreed.isDeclared = true;
+    BOOST_TEST(!isProven(agreed));
+    agreed.isFramed = true;
+    BOOST_TEST((proofOf(agreed) == answer_proof::framing));
+}
+
 // Two upstreams may be killed at the same event, so where others send an end, that is needed. A
 // host that knows too little of the service may just not have seen one.
 BOOST_AUTO_TEST_CASE(a_second_end_proves_nothing_where_the_service_may_send_ends_of_its_own)
