Take no answer with an invalid status

An engine in trouble sent an answer with the status 000, and the caller got it as an answer (seen by the users on other systems of this kind).

Cause here: the client of serve, the store and other hosts, and the liveness probe, took every status below 200 for an interim answer. One of 000 was dropped, and its body was read as the next head, so that an answer in that body became the answer; statuses from 600 on were passed on. The upstream calls of route had a check of their own.

faultOfHead() (clients/message_framing) states what a head must not say, and all three readers ask it.

--- a/src/clients/http_client.cpp
+++ b/src/clients/http_client.cpp
@@ -76,14 +76,13 @@
             = co_await http::async_read_header(stream, buffer, *parser, asTuple);
         if (code)
             co_return code;
-        const auto &head = parser->get();
-        if (head.result() == http::status::switching_protocols)
-            co_return http::error::bad_status;
-        if (head.result_int() < firstFinalStatus)
-            continue;
-        if (!hasKnownTransferCoding(head, head.version()))
+        const head_fault fault = faultOfHead(parser->get());
+        if (fault == head_fault::transferCoding)
             co_return http::error::bad_transfer_encoding;
-        co_return code;
+        if (fault != head_fault::none)
+            co_return http::error::bad_status;
+        if (parser->get().result_int() >= firstFinalStatus)
+            co_return code;
     }
     co_return http::error::bad_status;
 }
--- a/src/clients/message_framing.cpp
+++ b/src/clients/message_framing.cpp
@@ -9,6 +9,9 @@
 
 // The first version with transfer codings (RFC 9112, 6.1).
 constexpr unsigned transferCodingVersion = 11;
+constexpr unsigned firstStatus = 100;
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastStatus = 599;
 
 bool isDigit(char character)
 {
@@ -36,6 +39,19 @@
         && hasKnownTransferCoding(fields, version);
 }
 
+head_fault faultOfHead(const http::response_header<> &head)
+{
+    const unsigned status = head.result_int();
+    if (status < firstStatus || status > lastStatus)
+        return head_fault::status;
+    if (head.result() == http::status::switching_protocols)
+        return head_fault::protocol;
+    const bool isFinal = status >= firstFinalStatus;
+    if (isFinal && !hasKnownTransferCoding(head, head.version()))
+        return head_fault::transferCoding;
+    return head_fault::none;
+}
+
 bool hasFoldedField(std::string_view lines)
 {
     return lines.find("\r\n ") != std::string_view::npos
--- a/src/route/liveness_probe.cpp
+++ b/src/route/liveness_probe.cpp
@@ -1,5 +1,6 @@
 #include "route/liveness_probe.h"
 
+#include "clients/message_framing.h"
 #include "kernel/asio_headers.h"
 #include "kernel/async_signal.h"
 #include "observe/background_task.h"
@@ -102,7 +103,7 @@
             parser.body_limit(maxAnswerBytes);
             auto [code, size]
                 = co_await http::async_read_header(connection.socket, buffer, parser, asTuple);
-            if (code)
+            if (code || faultOfHead(parser.get()) != head_fault::none)
                 break;
             const int status = int(parser.get().result_int());
             if (status < int(http::status::ok))
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -50,11 +50,6 @@
     return fields;
 }
 
-bool isStatus(int status)
-{
-    return status >= 100 && status <= 599;
-}
-
 bool isInterim(int status)
 {
     return status < 200;
@@ -259,13 +254,17 @@
         noteBytes();
         const auto &read = parser->get();
         const int status = int(read.result_int());
-        if (!isStatus(status))
+        switch (faultOfHead(read)) {
+        case head_fault::status:
             co_return wrongAnswer("answered with the invalid status " + std::to_string(status));
-        if (status == int(http::status::switching_protocols))
+        case head_fault::protocol:
             co_return wrongAnswer("switched to a protocol that the request did not name");
-        if (!isInterim(status) && !hasKnownTransferCoding(read, read.version()))
+        case head_fault::transferCoding:
             co_return wrongAnswer("answered with the unknown transfer coding \""
                                   + std::string(read[http::field::transfer_encoding]) + "\"");
+        case head_fault::none:
+            break;
+        }
         const auto fields = fieldsOf(*parser);
         co_return wire.readAnswer(status, fields);
     }
--- a/tests/clients/http_client_test.cpp
+++ b/tests/clients/http_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/asio_headers.h"
 
+#include "support/field_names.h"
 #include "support/join.h"
 
 #include <boost/test/unit_test.hpp>
@@ -169,6 +170,35 @@
     }
 }
 
+// An answer with the status 000 was dropped as an interim one, and its body read as the answer.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_status_is_a_failure)
+{
+    const std::string inBody = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX";
+    const std::string fields = "Content-Length: " + std::to_string(inBody.size()) + "\r\n\r\n";
+    for (const std::string status :
+         {"000", "001", "099", "600", "999", "1000", "20", "2x0", " 200"}) {
+        const std::string answer = join({"HTTP/1.1 ", status, " X\r\n", fields, inBody});
+        answering_server sent(answer, true);
+        BOOST_TEST(isFailure(sent.send()), status);
+        BOOST_TEST(sent.send() == "B", status);
+        answering_server streamed(answer, true);
+        BOOST_TEST(isFailure(streamed.stream()), status);
+    }
+}
+
+// Guards against a field that is read in one way here and in another one behind.
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_field_name_is_a_failure)
+{
+    for (const std::string &name : invalidFieldNames()) {
+        const std::string answer
+            = join({"HTTP/1.1 200 OK\r\n", name, ": 5\r\nContent-Length: 1\r\n\r\nAAAAA"});
+        answering_server sent(answer, true);
+        BOOST_TEST(isFailure(sent.send()), name);
+        answering_server streamed(answer, true);
+        BOOST_TEST(isFailure(streamed.stream()), name);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_are_not_the_next_one)
 {
     const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX";
--- a/tests/route/upstream_call_test.cpp
+++ b/tests/route/upstream_call_test.cpp
@@ -1,6 +1,9 @@
 #include "route/upstream_call.h"
 
 #include "kernel/asio_headers.h"
+#include "route/liveness_probe.h"
+
+#include "support/field_names.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -32,6 +35,8 @@
         }
         return head;
     };
+    wire.writeLivenessCall
+        = [](const upstream_entry &) { return "GET / HTTP/1.1\r\nId: probe\r\n\r\n"; };
     return wire;
 }
 
@@ -106,6 +111,23 @@
         return got;
     }
 
+    /// Whether a probe takes the upstream for one that answers.
+    bool answersProbe()
+    {
+        const auto probes = liveness_probes::makeLivenessProbes(m_paths, m_wire);
+        bool isAnswered = false;
+        asio::co_spawn(
+            m_context,
+            [&]() -> asio::awaitable<void> {
+                isAnswered = co_await probes->open(m_entry) != nullptr;
+                m_context.stop();
+            },
+            asio::detached);
+        m_context.restart();
+        m_context.run();
+        return isAnswered;
+    }
+
     /// Requests on a connection on which a late answer had been sent before.
     int requestsAfterLateAnswers() const { return m_requestsAfterLateAnswers; }
 
@@ -303,6 +325,7 @@
               "Content-Length: 4\r\n\r\nbody"},
              {"HTTP/1.0 200 OK\r\nId: r\r\nTransfer-Encoding: chunked", chunks},
              {"HTTP/1.1 000 OK\r\nId: r\r\n", "Content-Length: 0\r\n\r\n"},
+             {"HTTP/1.1 099 OK\r\nId: r\r\n", "Content-Length: 0\r\n\r\n"},
              {"HTTP/1.1 600 OK\r\nId: r\r\n", "Content-Length: 0\r\n\r\n"},
          }) {
         const std::string bytes = start + rest;
@@ -313,6 +336,35 @@
     }
 }
 
+// The body of an answer with the status 000 was read as the answer to the call.
+BOOST_AUTO_TEST_CASE(a_probe_is_not_answered_by_an_invalid_head)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string start :
+         {"HTTP/1.1 000 X\r\n", "HTTP/1.1 099 X\r\n", "HTTP/1.1 600 X\r\n", "HTTP/1.1 101 X\r\n",
+          "HTTP/1.1 200 OK\r\nA b: c\r\n", ""}) {
+        const bool isSound = start.empty();
+        const std::string fields = "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n";
+        const std::string bytes = (isSound ? "" : start + fields) + whole;
+        scripted_upstream upstream([&bytes](const std::string &, bool) {
+            return reply{{bytes}, false, false};
+        });
+        BOOST_TEST(upstream.answersProbe() == isSound, start);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_field_name_fails_the_call)
+{
+    for (const std::string &name : invalidFieldNames()) {
+        scripted_upstream upstream([&name](const std::string &request, bool) {
+            const std::string bytes = "HTTP/1.1 200 OK\r\nId: " + request + "\r\n" + name
+                + ": 5\r\nContent-Length: 1\r\n\r\nAAAAA";
+            return reply{{bytes}, true, false};
+        });
+        BOOST_TEST(!upstream.ask("r").head.has_value(), name);
+    }
+}
+
 // The bytes of another protocol, which nobody had asked for, were read as the answer.
 BOOST_AUTO_TEST_CASE(an_upstream_that_switches_protocols_fails_the_call)
 {
