Count a request as received only once it is acknowledged

Callers still got part of an answer without a length as a complete one where the engine shut the connection down during an upload that the kernel of the host had taken whole (1 and 3 MB; was tested with 8 MB alone).

Cause: that all bytes are written says that this host's kernel has them. The engine's kernel need not, and ended answers of two such runs agreed. At an end by the connection the call now asks how many bytes the peer has not acknowledged (SIOCOUTQ), and only a request that was received can have a proven end. What the peer's kernel has and its process never reads is not known to the host.

--- a/src/policy/answer_proof.h
+++ b/src/policy/answer_proof.h
@@ -23,8 +23,8 @@
 struct run_end
 {
     bool isFramed = false;
-    /// The upstream had been sent the whole request. What ends an answer before may be the part of
-    /// the request that the upstream never read, and that part is the same in any further run.
+    /// The upstream's system had received the whole request. What ends an answer before may be the
+    /// part of the request that the upstream never read, which is the same in any further run.
     bool hasWholeRequest = false;
     /// Other upstreams of the service may frame such answers, so that one of them can prove it.
     bool mayBeFramed = false;
--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -30,7 +30,7 @@
     attempt.noteWait();
     run_end end;
     end.isFramed = !attempt.call->endsWithConnection();
-    end.hasWholeRequest = attempt.call->hasSentRequest();
+    end.hasWholeRequest = attempt.call->sendProgress() == send_progress::received;
     const routed_upstream *target = attempt.upstream();
     end.isLeaving = !target || target->listed.isLeaving;
     end.timeLeft = attempt.job.end() - attempt.context.clock.now();
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -270,7 +270,8 @@
     proxy_job &job = attempt.job;
     noteUnprovenEnd(job.events);
     if (!job.events.lastId || job.events.runId != job.events.lastId
-        || attempt.sign != life_sign::answered || !attempt.call->hasSentRequest())
+        || attempt.sign != life_sign::answered
+        || attempt.call->sendProgress() != send_progress::received)
         return;
     job.earlierProbe = attempt.probe;
     job.runEndedAt = nameHash(attempt.entry.id);
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -2,6 +2,7 @@
 
 #include "clients/buffered_body.h"
 #include "clients/message_framing.h"
+#include "clients/send_queue.h"
 #include "kernel/asio_headers.h"
 #include "policy/answer_owner.h"
 
@@ -69,6 +70,8 @@
     switch (progress) {
     case send_progress::sent:
         return "sent";
+    case send_progress::received:
+        return "received";
     case send_progress::failed:
         return "failed";
     case send_progress::pending:
@@ -101,6 +104,7 @@
     std::function<bool()> mayGiveUp;
     bool isWriting = false;
     boost::system::error_code writeFailure; ///< Why the request was not sent completely.
+    bool hasUnacknowledged = false; ///< Bytes of the request, when the connection ended the answer.
     bool isReading = false;
     bool hasWaitedForRead = false; ///< Of bytes that were there when the time was up.
     bool isHostLate = false; ///< At the deadline, this host had not read what had arrived.
@@ -338,6 +342,8 @@
             if (filled > 0)
                 co_return std::string_view(piece.data(), filled);
         }
+        if (parser->need_eof())
+            hasUnacknowledged = unacknowledgedBytes(connection->socket) > 0;
         // A socket reports a reset once. If the writer was told, the reader sees an orderly end.
         if (writeFailure && parser->need_eof())
             co_return failure(writeFailure, result_code::upstreamFailed);
@@ -445,12 +451,14 @@
 {
     if (m_state->writeFailure)
         return send_progress::failed;
-    return isConnected() && !m_state->isWriting ? send_progress::sent : send_progress::pending;
+    if (!hasSentRequest())
+        return send_progress::pending;
+    return m_state->hasUnacknowledged ? send_progress::sent : send_progress::received;
 }
 
 bool upstream_call::hasSentRequest() const
 {
-    return sendProgress() == send_progress::sent;
+    return isConnected() && !m_state->isWriting;
 }
 
 bool upstream_call::isRelayed() const
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -14,8 +14,13 @@
 
 namespace quincefall {
 
-/// How far a request has been sent.
-enum class send_progress { pending, sent, failed };
+/// How far a request had been sent when its answer ended, or has been by now.
+enum class send_progress {
+    pending, ///< Bytes are still to be written.
+    failed, ///< The connection was lost before all were.
+    sent, ///< All are written, and the upstream's system has not acknowledged the last ones.
+    received,
+};
 
 /// For logs.
 std::string_view toString(send_progress progress);
@@ -70,7 +75,7 @@
 
     send_progress sendProgress() const;
 
-    /// Whether the whole request has been sent.
+    /// Whether the whole request has been written.
     bool hasSentRequest() const;
 
     /// Whether the connection passes another host.
--- a/tests/process/route_reset_upload_test.py
+++ b/tests/process/route_reset_upload_test.py
@@ -4,9 +4,10 @@
 import unittest
 
 from support.route_fleet import KEY, TRUST, RouteFleet, ask, desired_state
-from support.upload_engine import UploadEngine
+from support.upload_engine import LONG_UPLOAD, UploadEngine
 
 UPLOAD = b"u" * 8_000_000  # More than the kernel's buffers take.
+SIZES = (LONG_UPLOAD, 3 * LONG_UPLOAD, len(UPLOAD))  # The kernel takes the first ones at once.
 EVENTS = [f"id: {number}\ndata: {number}\n\n".encode() for number in range(1, 5)]
 BUDGET = ", further_attempt_slack: 5000"
 PATHS = ("/read/", "/book/", "/stream/", "/once/")
@@ -15,9 +16,8 @@
 class UploadFleet(RouteFleet):
     engine_type = UploadEngine
 
-    def __init__(self, **more):
-        more["more_bounds"] = more.get("more_bounds", "") + BUDGET
-        super().__init__(**more)
+    def __init__(self, more_bounds="", **more):
+        super().__init__(more_bounds=more_bounds + BUDGET, **more)
         state = desired_state(2)
         state["limits"]["max_body_bytes"] = 2 * len(UPLOAD)
         self.store.put("keyed.op", "config", state)
@@ -29,8 +29,8 @@
             self.engines[name].end = end
 
 
-def upload(fleet, request, path):
-    return ask(fleet.hosts[0].caller, request, path + request, "POST", UPLOAD)
+def upload(fleet, request, path, body=UPLOAD):
+    return ask(fleet.hosts[0].caller, request, path + request, "POST", body)
 
 
 def upload_as_http_1_0(fleet, request, path):
@@ -57,7 +57,7 @@
             for path in PATHS:
                 for number in range(6):
                     request = f"{end}{path.strip('/')}{number}"
-                    answer = upload(fleet, request, path)
+                    answer = upload(fleet, request, path, UPLOAD[:SIZES[number % 3]])
                     self.assertGreater(fleet.runs(request), 0)
                     if answer.status == 200 and answer.is_whole:
                         wrong.append((request, answer.body))
