Reset a relayed connection whose upstream ends before the upload

A caller got part of an answer without a length as a complete one where the connection to the engine passed another host and the engine ended the answer during the upload.

Cause: the relay had taken the upload from the other host, which so counted it as received, and passed the end of the engine's side on as one in order though the engine had not got the rest. The relay now resets the connection to the other host if bytes for the upstream are unsent or unacknowledged when the upstream ends it, or a write to it has failed. An answer with a length that ends so may be lost behind a relay, as it is when the relay is told of the reset first.

--- a/src/route/relay_server.cpp
+++ b/src/route/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "route/relay_server.h"
 
+#include "clients/send_queue.h"
 #include "kernel/asio_headers.h"
 #include "route/relay_client.h"
 
@@ -19,18 +20,21 @@
 constexpr milliseconds connectTimeout{300};
 constexpr std::size_t bufferBytes = 16'384;
 
-/// Passes bytes on until @p from ends. True if it was closed in good order.
-asio::awaitable<bool> passBytes(tcp::socket &from, tcp::socket &to)
+/// Passes bytes on until @p from ends. True if it was closed in good order. @p hasUnsentBytes says
+/// whether bytes were read that @p to has not taken.
+asio::awaitable<bool> passBytes(tcp::socket &from, tcp::socket &to, bool &hasUnsentBytes)
 {
     std::array<char, bufferBytes> bytes{};
     while (true) {
         const auto [code, size] = co_await from.async_read_some(asio::buffer(bytes), asTuple);
         if (code)
             co_return code == asio::error::eof;
+        hasUnsentBytes = true;
         const auto [writeCode, written]
             = co_await asio::async_write(to, asio::buffer(bytes, size), asTuple);
         if (writeCode)
             co_return false;
+        hasUnsentBytes = false;
     }
 }
 
@@ -47,8 +51,13 @@
 asio::awaitable<void> passBothWays(tcp::socket &host, tcp::socket &upstream)
 {
     setResetOnClose(host, true);
-    const auto ended = co_await (passBytes(upstream, host) || passBytes(host, upstream));
-    const bool isAnswerComplete = ended.index() == 0 && std::get<0>(ended);
+    bool hasUnsentAnswer = false;
+    bool hasUnsentRequest = false;
+    const auto ended = co_await (passBytes(upstream, host, hasUnsentAnswer)
+                                 || passBytes(host, upstream, hasUnsentRequest));
+    // The other host does not know that the upstream never got the rest of the request.
+    const bool isAnswerComplete = ended.index() == 0 && std::get<0>(ended) && !hasUnsentRequest
+        && unacknowledgedBytes(upstream) == 0;
     boost::system::error_code ignored;
     if (isAnswerComplete) {
         setResetOnClose(host, false);
--- a/tests/process/route_reset_upload_test.py
+++ b/tests/process/route_reset_upload_test.py
@@ -3,7 +3,8 @@
 import socket
 import unittest
 
-from support.route_fleet import KEY, TRUST, RouteFleet, ask, desired_state
+from support.route_fleet import KEY, TRUST, RouteFleet, ask, desired_state, wait_for
+from support.stranded_fleet import StrandedFleet, has_line, run_callers, settle
 from support.upload_engine import LONG_UPLOAD, UploadEngine
 
 UPLOAD = b"u" * 8_000_000  # More than the kernel's buffers take.
@@ -29,6 +30,23 @@
             self.engines[name].end = end
 
 
+class StrandedUploadFleet(UploadFleet, StrandedFleet):
+    """A host that reaches its engines through the other hosts alone."""
+
+    def __enter__(self):
+        super().__enter__()
+        host = self.hosts[0]
+        settle(self)
+        self.cut("hang")
+
+        def is_isolated():
+            run_callers([host], 0.2)
+            return has_line(host, "host cut off from upstreams")
+
+        wait_for(is_isolated, "the host to notice", 5)
+        return self
+
+
 def upload(fleet, request, path, body=UPLOAD):
     return ask(fleet.hosts[0].caller, request, path + request, "POST", body)
 
@@ -95,6 +113,22 @@
                     body = upload_as_http_1_0(fleet, f"old{path.strip('/')}{number}", path)
                     self.assertTrue(body is None or b" 200 " not in body.split(b"\r\n")[0], body)
 
+    def test_an_end_during_the_upload_is_not_whole_behind_a_relay(self):
+        wrong = []
+        with StrandedUploadFleet() as fleet:
+            for end in ("reset", "close", "shutdown"):
+                fleet.end_with(end)
+                for size in SIZES:
+                    request = f"{end}{size}"
+                    answer = upload(fleet, request, "/read/", UPLOAD[:size])
+                    self.assertGreater(fleet.runs(request), 0)
+                    if answer.status == 200 and answer.is_whole:
+                        wrong.append((request, answer.body))
+            lines = [line for line in fleet.hosts[0].lines() if "request ended" in line]
+        for request, _ in wrong:
+            print(*[line for line in lines if f"request={request} " in line], sep="\n")
+        self.assertEqual(wrong, [])
+
     def test_an_answer_with_a_length_is_whole_though_the_upload_was_not_read(self):
         with UploadFleet() as fleet:
             for engine in fleet.engines.values():
