Reproduce streams that two engines of a release end

route_release_wave_test plays it without luck: each engine ends its first stream behind event 3 and every later one at once.

--- /dev/null
+++ b/tests/process/route_release_wave_test.py
@@ -0,0 +1,54 @@
+"""Engines of a release that end their streams one after the other do not confirm each other."""
+
+import unittest
+
+from support.scripted_fleet import ScriptedFleet, event, ids_in, plain_script, show, take
+
+
+def release_script(last, total=6):
+    """Ends its first stream behind `last`, as an engine that shuts down, and later ones at once."""
+    is_ending = False
+
+    def script(after, left):
+        nonlocal is_ending
+        sent = [] if is_ending else [(0.02, event(one)) for one in range((after or 0) + 1, last + 1)]
+        is_ending = is_ending or bool(sent)
+        return sent
+    return script
+
+
+class ReleaseWaveTest(unittest.TestCase):
+    def check(self, hosts, rounds, **more):
+        wrong = []
+        with ScriptedFleet(hosts=hosts, **more) as fleet:
+            whole = plain_script(range(1, 7))
+            names = ("e1", "e2", "e3")
+            fleet.add_engine("e3", "engines")
+            fleet.play({name: whole for name in names})
+            for host in range(hosts):
+                for number in range(6):
+                    take(fleet, f"teach{host}-{number}", hosts=[host])
+            for number in range(6):
+                fleet.play({name: release_script(3) for name in names})
+                name = f"wave{number}"
+                is_whole, body, _ = take(fleet, name, rounds=rounds, hosts=list(range(hosts)))
+                if is_whole:
+                    wrong.append((name, ids_in(body)))
+                    show(fleet, name)
+            fleet.play({name: whole for name in names})
+            is_whole, body, _ = take(fleet, "after", rounds=6)
+            self.assertEqual((is_whole, ids_in(body)), (True, [1, 2, 3, 4, 5, 6]))
+        self.assertEqual(wrong, [])
+
+    def test_a_stream_is_not_whole_that_two_engines_of_a_release_ended(self):
+        self.check(1, 1)
+
+    def test_a_stream_is_not_whole_that_its_caller_took_up_during_a_release(self):
+        self.check(1, 5)
+
+    def test_a_stream_is_not_whole_that_was_taken_up_at_other_hosts_during_a_release(self):
+        self.check(3, 5, changes={"plans": {"max_attempts": 1}})
+
+
+if __name__ == "__main__":
+    unittest.main()
