Confirm the end of a stream at an engine that serves it again

Callers got streams that ended before their last event and looked whole (ORDER) while engines that frame nothing were replaced one after the other.

Cause: two runs that end behind the same event agree if nothing that both share can have ended them. A release, or a domain that leaves, ends streams at many engines within moments, while each still answers other calls and none is listed as leaving. The liveness of the processes says nothing of that.

An engine that stops does not take the stream up again. So agreement needs three runs behind the same event now, each of which sent it: at two engines, so that no single one is the cause, and one of them a second time, so that it did not end the stream to stop (isConfirmed()). The third run goes to an engine that has ended one; if that brings nothing, its earlier end does not count and another engine goes on. It is at no further engine, so the route's number of attempts allows it.

stream_origins_test holds a list in place of one upstream, with the same cases and more.

--- a/src/policy/answer_proof.cpp
+++ b/src/policy/answer_proof.cpp
@@ -1,6 +1,7 @@
 #include "policy/answer_proof.h"
 
 #include <algorithm>
+#include <set>
 
 namespace quincefall {
 
@@ -19,6 +20,12 @@
     return "none";
 }
 
+bool isConfirmed(std::span<const std::uint64_t> upstreams)
+{
+    const std::set<std::uint64_t> distinct(upstreams.begin(), upstreams.end());
+    return distinct.size() > 1 && distinct.size() < upstreams.size();
+}
+
 answer_proof proofOf(const run_end &end)
 {
     if (end.isFramed)
--- a/src/policy/answer_proof.h
+++ b/src/policy/answer_proof.h
@@ -2,6 +2,9 @@
 
 #include "kernel/clock.h"
 
+#include <cstddef>
+#include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace quincefall {
@@ -11,7 +14,7 @@
 enum class answer_proof {
     none,
     framing, ///< The upstream named the end: by a length, a last chunk, or a head without a body.
-    agreement, ///< Two runs at different upstreams ended behind the same last piece.
+    agreement, ///< Runs that nothing they share can have ended did so behind the same last piece.
     declaration, ///< The operator's, that no upstream which lives ends an answer early.
 };
 
@@ -28,9 +31,10 @@
     bool hasWholeRequest = false;
     /// Other upstreams of the service may frame such answers, so that one of them can prove it.
     bool mayBeFramed = false;
-    /// An earlier run at another upstream ended behind the same last piece, which this one sent as
-    /// well: the same event or, for a whole answer, the same bytes. A run that brought nothing may
-    /// have been ended before it could.
+    /// Earlier runs ended behind the same last piece, which this one sent as well: the same event
+    /// or, for a whole answer, the same bytes. A run that brought nothing may have been ended
+    /// before it could. Of whole answers the earlier run was at another upstream; for streams see
+    /// isConfirmed.
     bool isSamePlace = false;
     bool isDeclared = false; ///< Upstreams that live are declared to end only whole answers.
     bool hasOutlived = false; ///< The upstream's process answered a call after the end.
@@ -40,6 +44,14 @@
     microseconds expectedWait{0}; ///< For a piece of the answer, as the route declares.
 };
 
+/// Runs that are recorded at the most for one place in a stream.
+constexpr std::size_t maxRunEnds = 4;
+
+/// Whether runs that ended behind the same event at @p upstreams, in their order, can have ended so
+/// for no reason of the upstreams: they were at two, and one of these served the stream again after
+/// it had ended it, which one that shuts down does not.
+bool isConfirmed(std::span<const std::uint64_t> upstreams);
+
 /// What proves the answer whole. Without a proof it is incomplete, whoever sent it.
 answer_proof proofOf(const run_end &end);
 
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -484,7 +484,8 @@
     return !upstream.listed.isLeaving && upstream.pausedUntil <= now
         && timeUntilRoom(upstream.limit, now) == microseconds(0)
         && timeUntilRoom(upstream.rejections, ownInFlight(upstream), now).count() == 0
-        && (!request.tried || !request.tried->contains(upstream.listed.id));
+        && (!request.tried || !request.tried->contains(upstream.listed.id))
+        && (!request.only || request.only->contains(upstream.listed.id));
 }
 
 bool hasWantedVersion(const routed_upstream &upstream, const placement_request &request)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -33,6 +33,7 @@
     int urgency = 0;
     bool isGapSensitive = false; ///< See isGapSensitive().
     const std::set<std::string, std::less<>> *tried = nullptr; ///< Ids of upstreams to exclude.
+    const std::set<std::string, std::less<>> *only = nullptr; ///< Ids to choose from; null for all.
     /// Software version that the upstream must have; null for any. Upstreams whose version is not
     /// known have it.
     const std::string *softwareVersion = nullptr;
--- a/src/policy/stream_origins.cpp
+++ b/src/policy/stream_origins.cpp
@@ -1,5 +1,8 @@
 #include "policy/stream_origins.h"
 
+#include "policy/answer_proof.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace quincefall {
@@ -46,7 +49,10 @@
 
 bool isPlausible(const stream_run_end &end)
 {
-    return end.upstream != 0 && end.before < end.after;
+    const auto &upstreams = end.upstreams;
+    return !upstreams.empty() && upstreams.size() <= maxRunEnds
+        && std::find(upstreams.begin(), upstreams.end(), 0) == upstreams.end()
+        && end.before < end.after;
 }
 
 void recordRunEnd(stream_origins &origins, std::uint64_t stream, stream_run_end end)
@@ -56,7 +62,7 @@
         if (row == generation->end())
             continue;
         row->second.isUntold = false;
-        row->second.runEnd = end;
+        row->second.runEnd = std::move(end);
         return;
     }
 }
--- a/src/policy/stream_origins.h
+++ b/src/policy/stream_origins.h
@@ -50,13 +50,13 @@
 /// or may miss moves only if another one shares it.
 std::optional<upstream_kind> decideOrigin(const origin_belief &own, const origin_answers &answers);
 
-/// Where a run of a stream ended with its connection alone, which does not prove that the stream
+/// Where runs of a stream ended with their connections alone, which does not prove that the stream
 /// ended there.
 struct stream_run_end
 {
-    std::uint64_t after = 0; ///< Id of the run's last event.
+    std::uint64_t after = 0; ///< Id of the last event of each run.
     std::uint64_t before = 0; ///< Of the event before it; 0 if there is none.
-    std::uint64_t upstream = 0; ///< nameHash() of the id of the run's upstream.
+    std::vector<std::uint64_t> upstreams; ///< nameHash() of the ids of the runs' upstreams.
     milliseconds longestWait{0}; ///< For an event, in any run so far.
 };
 
--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace quincefall {
 namespace {
@@ -95,9 +96,9 @@
         const instant now = attempt.context.clock.now();
         end.mayBeFramed = mayFrameStreams(framing, now);
         recordFraming(framing, false, now);
-        const std::uint64_t earlier = attempt.job.runEndedAt;
-        end.isSamePlace = endsWhereRunEnded(attempt.job.events) && earlier != 0
-            && earlier != nameHash(attempt.entry.id);
+        std::vector<std::uint64_t> upstreams = attempt.job.runEnds;
+        upstreams.push_back(nameHash(attempt.entry.id));
+        end.isSamePlace = endsWhereRunEnded(attempt.job.events) && isConfirmed(upstreams);
     }
     co_return co_await prove(attempt, end);
 }
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -268,17 +268,20 @@
 void noteRunEnd(running_attempt &attempt)
 {
     proxy_job &job = attempt.job;
+    if (!job.events.hasEndedHere)
+        job.runEnds.clear();
     noteUnprovenEnd(job.events);
     if (!job.events.lastId || job.events.runId != job.events.lastId
         || attempt.sign != life_sign::answered
         || attempt.call->sendProgress() != send_progress::received)
         return;
     job.earlierProbe = attempt.probe;
-    job.runEndedAt = nameHash(attempt.entry.id);
+    if (job.runEnds.size() < maxRunEnds)
+        job.runEnds.push_back(nameHash(attempt.entry.id));
     if (attempt.context.streams && job.hasStreamName()) {
         const std::uint64_t before = nextRunPosition(job.events).value_or(0);
         attempt.context.streams->recordRunEnd(job.stream, attempt.entry,
-                                              {*job.events.lastId, before, job.runEndedAt,
+                                              {*job.events.lastId, before, job.runEnds,
                                                std::chrono::ceil<milliseconds>(job.longestWait)});
     }
 }
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -64,10 +64,13 @@
     /// Digest of the last whole answer that only its connection ended; empty if there is none.
     std::optional<std::uint64_t> unframedAnswer{};
     microseconds longestWait{0}; ///< For a piece of the answer, of all attempts.
-    /// nameHash() of the upstream of the last run that sent the last event and ended behind it; 0
-    /// if there is none.
-    std::uint64_t runEndedAt = 0;
-    std::shared_ptr<liveness_probe> earlierProbe{}; ///< Of that upstream; null at another host.
+    /// nameHash() of the upstreams of the runs that sent the last event and ended behind it, in
+    /// their order.
+    std::vector<std::uint64_t> runEnds{};
+    /// Ids of these upstreams, if one of them is to be asked again; else empty.
+    std::set<std::string, std::less<>> confirming{};
+    /// Of the last of these upstreams; null if its run was at another host.
+    std::shared_ptr<liveness_probe> earlierProbe{};
     std::uint64_t stream = 0; ///< Digest of the attempt that brought the stream's first event.
     std::optional<std::string> streamVersion{}; ///< At which alone it goes on; empty until begun.
     std::optional<milliseconds> retryAfter{}; ///< Retry-After of a refusal.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -124,7 +124,8 @@
             || (request.isRunning && isHeld(routing.quarantine, job.traits));
         request.isRepeatable = job.isRepeatable();
         request.isContinuable = !job.hasStartedResponse || !job.events.hasUnplacedEvent;
-        request.maxRuns = job.choice.route->maxAttempts;
+        // A run that confirms the end of another one is at no further upstream.
+        request.maxRuns = job.choice.route->maxAttempts + (job.confirming.empty() ? 0 : 1);
         request.upstreamsTried = job.tried.size();
         request.timeLeft = job.end() - clock.now();
         const auto upstreams
@@ -292,7 +293,8 @@
         wanted.urgency = job.urgency;
         wanted.isGapSensitive = job.isGapSensitive;
         wanted.softwareVersion = job.streamVersion ? &*job.streamVersion : nullptr;
-        wanted.tried = &job.tried;
+        wanted.tried = job.confirming.empty() ? &job.tried : nullptr;
+        wanted.only = job.confirming.empty() ? nullptr : &job.confirming;
         wanted.turn = std::uint64_t(clock.wall() / rejectionTurn.count());
         return wanted;
     }
@@ -317,6 +319,7 @@
     /// Whether another attempt may follow one that ended with @p end. Reserves it.
     bool mayContinue(proxy_job &job, attempt_end end)
     {
+        chooseConfirming(job);
         further_attempt_request request;
         request.mayHaveRun = end == attempt_end::failed;
         request.runs = job.runs;
@@ -406,25 +409,44 @@
         job.events.lastId = end->after;
         job.events.previousId = end->before;
         noteUnprovenEnd(job.events);
-        job.runEndedAt = end->upstream;
+        job.runEnds = end->upstreams;
         job.longestWait = std::max<microseconds>(job.longestWait, end->longestWait);
-        preferOthers(job, end->upstream);
+        const std::set<std::string, std::less<>> ended = upstreamsOfRunEnds(job);
+        job.tried.insert(ended.begin(), ended.end());
+        if (!hasUsableUpstream(job))
+            job.tried.clear();
+        chooseConfirming(job);
     }
 
-    /// Keeps the upstream with the hashed id from being chosen, if another one is usable.
-    void preferOthers(proxy_job &job, std::uint64_t upstream)
+    std::set<std::string, std::less<>> upstreamsOfRunEnds(const proxy_job &job)
     {
-        service_pool &pool = routing.pools[job.service()];
-        for (const auto &[id, one] : pool.upstreams) {
-            if (nameHash(id) != upstream)
-                continue;
-            job.tried.insert(id);
-            const auto others = countFurtherUpstreams(pool, wantedBy(job), settings.site,
-                                                      routing.otherHostsLoad, {}, clock.now());
-            if (others.ofVersion == 0)
-                job.tried.erase(id);
-            return;
+        std::set<std::string, std::less<>> ids;
+        for (const auto &[id, one] : routing.pools[job.service()].upstreams) {
+            if (std::find(job.runEnds.begin(), job.runEnds.end(), nameHash(id))
+                != job.runEnds.end())
+                ids.insert(id);
         }
+        return ids;
+    }
+
+    bool hasUsableUpstream(const proxy_job &job)
+    {
+        const auto upstreams
+            = countFurtherUpstreams(routing.pools[job.service()], wantedBy(job), settings.site,
+                                    routing.otherHostsLoad, {}, clock.now());
+        return upstreams.ofVersion > 0;
+    }
+
+    /// Lets the next run be at an upstream that has ended the stream at its current place, if two
+    /// have, and one of them is usable.
+    void chooseConfirming(proxy_job &job)
+    {
+        job.confirming.clear();
+        if (!job.events.hasEndedHere)
+            return;
+        job.confirming = upstreamsOfRunEnds(job);
+        if (job.confirming.size() < 2 || !hasUsableUpstream(job))
+            job.confirming.clear();
     }
 
     /// Chooses the service and software version that began the stream which the caller takes up.
@@ -472,8 +494,14 @@
                                             "service " + job.service() + " has no usable upstream"};
                 co_return job.runs > 0 ? attempt_end::failed : end;
             }
-            job.tried.insert(chosen.upstream->listed.id);
+            const std::string id = chosen.upstream->listed.id;
+            const bool isConfirming = job.confirming.erase(id) > 0;
+            const std::size_t runEnds = job.runEnds.size();
+            job.tried.insert(id);
             end = co_await runAccounted(job, chosen);
+            // It may have ended the stream to stop.
+            if (isConfirming && job.runEnds.size() == runEnds)
+                std::erase(job.runEnds, nameHash(id));
             if (end != attempt_end::notRun && end != attempt_end::failed)
                 co_return end;
             if (job.exchange.isCallerDisconnected())
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -36,7 +36,8 @@
     row.set_names_service(true);
     if (origin.runEnd) {
         row.set_run_ended_after(origin.runEnd->after);
-        row.set_run_ended_at(origin.runEnd->upstream);
+        for (const std::uint64_t upstream : origin.runEnd->upstreams)
+            row.add_run_ended_at(upstream);
         row.set_run_event_before(origin.runEnd->before);
         row.set_run_longest_wait_ms(std::uint32_t(origin.runEnd->longestWait.count()));
     }
@@ -193,8 +194,10 @@
         if (!row.assumed() && !row.unknown() && isService)
             recordOrigin(routing.streams, row.stream(),
                          {row.service(), row.software_version(), clock.now(), false});
-        const stream_run_end runEnd{row.run_ended_after(), row.run_event_before(),
-                                    row.run_ended_at(), milliseconds(row.run_longest_wait_ms())};
+        const stream_run_end runEnd{row.run_ended_after(),
+                                    row.run_event_before(),
+                                    {row.run_ended_at().begin(), row.run_ended_at().end()},
+                                    milliseconds(row.run_longest_wait_ms())};
         if (isPlausible(runEnd))
             quincefall::recordRunEnd(routing.streams, row.stream(), runEnd);
         for (auto lookup = begin; lookup != end; ++lookup) {
--- a/tests/policy/answer_proof_test.cpp
+++ b/tests/policy/answer_proof_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <vector>
+
 namespace quincefall {
 namespace {
 
@@ -89,6 +91,20 @@
     BOOST_TEST((proofOf(agreed) == answer_proof::framing));
 }
 
+// Two upstreams that were replaced one after the other ended a stream behind the same event.
+BOOST_AUTO_TEST_CASE(ends_are_confirmed_by_an_upstream_that_served_the_stream_again)
+{
+    const auto isConfirmedAt
+        = [](const std::vector<std::uint64_t> &upstreams) { return isConfirmed(upstreams); };
+    BOOST_TEST(!isConfirmedAt({}));
+    BOOST_TEST(!isConfirmedAt({1, 2}));
+    BOOST_TEST(!isConfirmedAt({1, 2, 3}));
+    BOOST_TEST(!isConfirmedAt({1, 1, 1}));
+    BOOST_TEST(isConfirmedAt({1, 2, 1}));
+    BOOST_TEST(isConfirmedAt({1, 2, 2}));
+    BOOST_TEST(isConfirmedAt({1, 1, 2}));
+}
+
 // Two upstreams may be killed at the same event, so where others send an end, that is needed. A
 // host that knows too little of the service may just not have seen one.
 BOOST_AUTO_TEST_CASE(a_second_end_proves_nothing_where_the_service_may_send_ends_of_its_own)
--- a/tests/policy/stream_origins_test.cpp
+++ b/tests/policy/stream_origins_test.cpp
@@ -90,24 +90,27 @@
 BOOST_AUTO_TEST_CASE(the_end_of_a_run_is_kept_with_the_origin_of_its_stream)
 {
     stream_origins origins;
-    recordRunEnd(origins, 7, {3, 2, 11, milliseconds(400)});
+    recordRunEnd(origins, 7, {3, 2, {11}, milliseconds(400)});
     BOOST_TEST(findOrigin(origins, 7) == nullptr);
     recordOrigin(origins, 7, {"service", "v1", instant{}, true});
-    recordRunEnd(origins, 7, {3, 2, 11, milliseconds(400)});
+    recordRunEnd(origins, 7, {3, 2, {11}, milliseconds(400)});
     const stream_origin *origin = findOrigin(origins, 7);
     BOOST_TEST_REQUIRE((origin && origin->runEnd));
     BOOST_TEST(origin->runEnd->after == 3U);
-    BOOST_TEST(origin->runEnd->upstream == 11U);
+    BOOST_TEST((origin->runEnd->upstreams == std::vector<std::uint64_t>{11}));
     BOOST_TEST(!origin->isUntold);
 }
 
 BOOST_AUTO_TEST_CASE(the_end_of_a_run_whose_last_event_is_not_behind_the_one_before_is_none)
 {
-    BOOST_TEST(isPlausible({3, 2, 11, {}}));
-    BOOST_TEST(!isPlausible({3, 3, 11, {}}));
-    BOOST_TEST(!isPlausible({3, 5, 11, {}}));
-    BOOST_TEST(!isPlausible({0, 0, 11, {}}));
-    BOOST_TEST(!isPlausible({3, 2, 0, {}}));
+    BOOST_TEST(isPlausible({3, 2, {11}, {}}));
+    BOOST_TEST(!isPlausible({3, 3, {11}, {}}));
+    BOOST_TEST(!isPlausible({3, 5, {11}, {}}));
+    BOOST_TEST(!isPlausible({0, 0, {11}, {}}));
+    BOOST_TEST(!isPlausible({3, 2, {0}, {}}));
+    BOOST_TEST(!isPlausible({3, 2, {}, {}}));
+    BOOST_TEST(isPlausible({3, 2, {11, 12, 11, 12}, {}}));
+    BOOST_TEST(!isPlausible({3, 2, {11, 12, 11, 12, 11}, {}}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
