Confirm the end of a plain answer as that of a stream

A caller got a part of a plain answer as a complete one (MIXED) where two services that name no length stopped one after the other and ended it behind the same bytes.

The upstreams of such runs are recorded like those of streams now, a different answer begins anew, and three runs at two engines have to agree. A request that may run once is not concerned: its answer without a length was never whole.

test_a_plain_answer_is_not_whole_that_two_services_of_a_release_ended failed before with the first request, holds now, and asks that a sound answer without a length is whole within one attempt of the caller afterwards. run_end says isConfirmed in place of isSamePlace, confirmEachOther() decides it.

--- a/src/policy/answer_proof.cpp
+++ b/src/policy/answer_proof.cpp
@@ -20,7 +20,7 @@
     return "none";
 }
 
-bool isConfirmed(std::span<const std::uint64_t> upstreams)
+bool confirmEachOther(std::span<const std::uint64_t> upstreams)
 {
     const std::set<std::uint64_t> distinct(upstreams.begin(), upstreams.end());
     return distinct.size() > 1 && distinct.size() < upstreams.size();
@@ -38,7 +38,7 @@
     // deadline, or a fault that ends several upstreams.
     const bool hasTime = end.timeLeft >= std::max(end.longestWait, end.expectedWait);
     const bool isIndependent = hasTime && !end.isLeaving;
-    return end.isSamePlace && isIndependent ? answer_proof::agreement : answer_proof::none;
+    return end.isConfirmed && isIndependent ? answer_proof::agreement : answer_proof::none;
 }
 
 } // namespace quincefall
--- a/src/policy/answer_proof.h
+++ b/src/policy/answer_proof.h
@@ -31,11 +31,10 @@
     bool hasWholeRequest = false;
     /// Other upstreams of the service may frame such answers, so that one of them can prove it.
     bool mayBeFramed = false;
-    /// Earlier runs ended behind the same last piece, which this one sent as well: the same event
-    /// or, for a whole answer, the same bytes. A run that brought nothing may have been ended
-    /// before it could. Of whole answers the earlier run was at another upstream; for streams see
-    /// isConfirmed.
-    bool isSamePlace = false;
+    /// This run and earlier ones confirm each other, which all sent the same last piece and ended
+    /// behind it: the same event or, of a whole answer, the same bytes. A run that brought nothing
+    /// may have been ended before it could.
+    bool isConfirmed = false;
     bool isDeclared = false; ///< Upstreams that live are declared to end only whole answers.
     bool hasOutlived = false; ///< The upstream's process answered a call after the end.
     bool isLeaving = false; ///< The upstream takes no new work, and may have ended its answers.
@@ -44,13 +43,13 @@
     microseconds expectedWait{0}; ///< For a piece of the answer, as the route declares.
 };
 
-/// Runs that are recorded at the most for one place in a stream.
+/// Runs that are recorded at the most for one end.
 constexpr std::size_t maxRunEnds = 4;
 
 /// Whether runs that ended behind the same event at @p upstreams, in their order, can have ended so
 /// for no reason of the upstreams: they were at two, and one of these served the stream again after
 /// it had ended it, which one that shuts down does not.
-bool isConfirmed(std::span<const std::uint64_t> upstreams);
+bool confirmEachOther(std::span<const std::uint64_t> upstreams);
 
 /// What proves the answer whole. Without a proof it is incomplete, whoever sent it.
 answer_proof proofOf(const run_end &end);
--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -42,6 +42,14 @@
     return end;
 }
 
+/// The upstreams of the runs that ended where this one does, if it does so too.
+std::vector<std::uint64_t> runEndsWith(const running_attempt &attempt)
+{
+    std::vector<std::uint64_t> upstreams = attempt.job.runEnds;
+    upstreams.push_back(nameHash(attempt.entry.id));
+    return upstreams;
+}
+
 /// Whether the upstream's process is known to have outlived the answer.
 asio::awaitable<bool> hasOutlivedAnswer(running_attempt &attempt)
 {
@@ -66,8 +74,8 @@
     if (!end.isFramed)
         attempt.sign = life_sign::unconnected;
     end.hasOutlived = !end.isFramed && attempt.probe && co_await hasOutlivedAnswer(attempt);
-    if (end.isSamePlace && end.hasOutlived)
-        end.isSamePlace = !co_await hasEarlierUpstreamEnded(attempt);
+    if (end.isConfirmed && end.hasOutlived)
+        end.isConfirmed = !co_await hasEarlierUpstreamEnded(attempt);
     attempt.proof = proofOf(end);
     co_return attempt.proof;
 }
@@ -96,9 +104,8 @@
         const instant now = attempt.context.clock.now();
         end.mayBeFramed = mayFrameStreams(framing, now);
         recordFraming(framing, false, now);
-        std::vector<std::uint64_t> upstreams = attempt.job.runEnds;
-        upstreams.push_back(nameHash(attempt.entry.id));
-        end.isSamePlace = endsWhereRunEnded(attempt.job.events) && isConfirmed(upstreams);
+        end.isConfirmed
+            = endsWhereRunEnded(attempt.job.events) && confirmEachOther(runEndsWith(attempt));
     }
     co_return co_await prove(attempt, end);
 }
@@ -113,10 +120,17 @@
         const std::string number = std::to_string(status);
         const std::array<std::string_view, 2> parts{number, body};
         const std::uint64_t digest = digestOf(parts);
-        // Two runs may both be ended before they bring anything.
-        end.isSamePlace = !body.empty() && attempt.job.unframedAnswer == digest;
-        if (end.hasWholeRequest)
-            attempt.job.unframedAnswer = digest;
+        proxy_job &job = attempt.job;
+        // Runs may all be ended before they bring anything.
+        const bool canCount = end.hasWholeRequest && !body.empty();
+        if (canCount && job.unframedAnswer != digest) {
+            job.unframedAnswer = digest;
+            job.runEnds.clear();
+        }
+        const auto upstreams = runEndsWith(attempt);
+        end.isConfirmed = canCount && confirmEachOther(upstreams);
+        if (canCount && upstreams.size() <= maxRunEnds)
+            job.runEnds = upstreams;
     }
     co_return co_await prove(attempt, end);
 }
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -64,8 +64,8 @@
     /// Digest of the last whole answer that only its connection ended; empty if there is none.
     std::optional<std::uint64_t> unframedAnswer{};
     microseconds longestWait{0}; ///< For a piece of the answer, of all attempts.
-    /// nameHash() of the upstreams of the runs that sent the last event and ended behind it, in
-    /// their order.
+    /// nameHash() of the upstreams of the runs that ended behind the same last piece and sent it,
+    /// in their order.
     std::vector<std::uint64_t> runEnds{};
     /// Ids of these upstreams, if one of them is to be asked again; else empty.
     std::set<std::string, std::less<>> confirming{};
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -437,12 +437,12 @@
         return upstreams.ofVersion > 0;
     }
 
-    /// Lets the next run be at an upstream that has ended the stream at its current place, if two
+    /// Lets the next run be at an upstream that has ended the answer at its current place, if two
     /// have, and one of them is usable.
     void chooseConfirming(proxy_job &job)
     {
         job.confirming.clear();
-        if (!job.events.hasEndedHere)
+        if (!job.events.hasEndedHere && !job.unframedAnswer)
             return;
         job.confirming = upstreamsOfRunEnds(job);
         if (job.confirming.size() < 2 || !hasUsableUpstream(job))
--- a/tests/policy/answer_proof_test.cpp
+++ b/tests/policy/answer_proof_test.cpp
@@ -15,7 +15,7 @@
 {
     run_end end;
     end.hasWholeRequest = true;
-    end.isSamePlace = true;
+    end.isConfirmed = true;
     end.hasOutlived = true;
     end.timeLeft = seconds(2);
     end.longestWait = seconds(1);
@@ -42,7 +42,7 @@
 {
     run_end end = makeAgreement();
     BOOST_TEST((proofOf(end) == answer_proof::agreement));
-    end.isSamePlace = false;
+    end.isConfirmed = false;
     BOOST_TEST(!isProven(end));
 }
 
@@ -95,7 +95,7 @@
 BOOST_AUTO_TEST_CASE(ends_are_confirmed_by_an_upstream_that_served_the_stream_again)
 {
     const auto isConfirmedAt
-        = [](const std::vector<std::uint64_t> &upstreams) { return isConfirmed(upstreams); };
+        = [](const std::vector<std::uint64_t> &upstreams) { return confirmEachOther(upstreams); };
     BOOST_TEST(!isConfirmedAt({}));
     BOOST_TEST(!isConfirmedAt({1, 2}));
     BOOST_TEST(!isConfirmedAt({1, 2, 3}));
--- a/tests/process/route_release_wave_test.py
+++ b/tests/process/route_release_wave_test.py
@@ -2,7 +2,10 @@
 
 import unittest
 
-from support.scripted_fleet import ScriptedFleet, event, ids_in, plain_script, show, take
+from support.platform_standin import answer_bytes
+from support.route_fleet import ask
+from support.scripted_fleet import (ScriptedEngine, ScriptedFleet, event, ids_in, plain_script, show,
+                                    take)
 
 
 def release_script(last, total=6):
@@ -17,6 +20,32 @@
     return script
 
 
+class StoppingDesk(ScriptedEngine):
+    """Ends its first plain answer after a part, as a service that shuts down, and later ones at
+    once, if it `is_stopping`; else its plain answers are whole and have no length either."""
+
+    is_stopping = False
+    answers = 0
+
+    async def run(self, writer, method, target, fields, body, request, leaving, fault):
+        if self.service != "desk":
+            return await super().run(writer, method, target, fields, body, request, leaving, fault)
+        self.runs[request] += 1
+        whole = b"done:" + request.encode()
+        part = b"done:" if self.answers == 0 else b""
+        self.answers += 1
+        head = answer_bytes(200, b"", [("Quincefall-Request-Id", request),
+                                       ("Quincefall-Response-Stamp", f"{self.identity}.{request}")])
+        writer.write(head.replace(b"Content-Length: 0\r\n", b"")
+                     + (part if self.is_stopping else whole))
+        await writer.drain()
+        return False
+
+
+class DeskFleet(ScriptedFleet):
+    engine_type = StoppingDesk
+
+
 class ReleaseWaveTest(unittest.TestCase):
     def check(self, hosts, rounds, **more):
         wrong = []
@@ -49,6 +78,20 @@
     def test_a_stream_is_not_whole_that_was_taken_up_at_other_hosts_during_a_release(self):
         self.check(3, 5, changes={"plans": {"max_attempts": 1}})
 
+    def test_a_plain_answer_is_not_whole_that_two_services_of_a_release_ended(self):
+        with DeskFleet() as fleet:
+            for number in range(6):
+                for name in ("d1", "d2"):
+                    fleet.engines[name].is_stopping = True
+                    fleet.engines[name].answers = 0
+                answer = ask(fleet.hosts[0].caller, f"p{number}", f"/read/p{number}")
+                self.assertFalse(answer.status == 200 and answer.is_whole, answer.body)
+            for name in ("d1", "d2"):
+                fleet.engines[name].is_stopping = False
+            answer = ask(fleet.hosts[0].caller, "after", "/read/after")
+            self.assertEqual((answer.status, answer.is_whole, answer.body),
+                             (200, True, "done:after"))
+
 
 if __name__ == "__main__":
     unittest.main()
