--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -204,14 +204,18 @@
     async def shut_down_engines(self, end):
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
-            process = self.random.choice(self.fleet.processes)
-            if process.is_stopped:
-                continue
-            seconds = (self.random.uniform(0.01, 0.2), self.random.choice(DOWN_SECONDS))
-            self.note(f"engines {sorted(process.entries)} shut down, {seconds}")
-            self.report.counts["shutdowns of engine processes"] += 1
-            await asyncio.to_thread(process.shut_down, *seconds)
-            self.fleet.put_entries(process)
+            running = [one for one in self.fleet.processes if not one.is_stopped]
+            victims = self.random.sample(running, min(len(running), self.options.wave))
+            await asyncio.gather(*(self.shut_down(process) for process in victims))
+
+    async def shut_down(self, process):
+        if self.options.wave > 1:
+            await asyncio.sleep(self.random.uniform(*self.options.wave_seconds))
+        seconds = (self.random.uniform(0.01, 0.2), self.random.choice(DOWN_SECONDS))
+        self.note(f"engines {sorted(process.entries)} shut down, {seconds}")
+        self.report.counts["shutdowns of engine processes"] += 1
+        await asyncio.to_thread(process.shut_down, *seconds)
+        self.fleet.put_entries(process)
 
     async def kill_engines(self, end):
         while time.monotonic() < end:
@@ -400,6 +404,10 @@
     parser.add_argument("--shut-down-engines", action="store_true",
                         help="engines end their streams, answer other calls for a moment, close"
                              " and listen again")
+    parser.add_argument("--wave", type=int, default=1,
+                        help="engine processes that shut down one after the other, as in a release")
+    parser.add_argument("--wave-seconds", type=parse_range, default=(0, 0.3),
+                        help="from the begin of the wave to a shutdown in it")
     parser.add_argument("--deadline-share", type=float,
                         help="engines end streams at this share of the deadline they are handed")
     parser.add_argument("--unread-seconds", type=float,
--- a/tests/process/route_release_wave_test.py
+++ b/tests/process/route_release_wave_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from route_hushed import Hushed, lines_of, options_from
 from support.platform_standin import answer_bytes
 from support.route_fleet import ask
 from support.scripted_fleet import (ScriptedEngine, ScriptedFleet, event, ids_in, plain_script, show,
@@ -78,6 +79,18 @@
     def test_a_stream_is_not_whole_that_was_taken_up_at_other_hosts_during_a_release(self):
         self.check(3, 5, changes={"plans": {"max_attempts": 1}})
 
+    def test_no_stream_of_a_wave_of_shutdowns_looks_whole_that_is_not(self):
+        options = ("--hosts 3 --engines 12 --processes 6 --unframed 1 --breaks 0 --split 0"
+                   " --events 30 --event-seconds 0.06 --pauses 0.05-0.1 --streams 30 --seconds 10"
+                   " --shut-down-engines --wave 4 --wave-seconds 0-0.2")
+        play = Hushed(options_from(options.split()), 11)
+        logs = play.run()
+        print(dict(sorted(play.report.counts.items())), flush=True)
+        for _, request, _ in play.report.violations[:2]:
+            print(*lines_of(logs, request), sep="\n")
+        self.assertGreater(play.report.counts["streams that an engine ended early"], 0)
+        self.assertEqual([text for _, _, text in play.report.violations], [])
+
     def test_a_plain_answer_is_not_whole_that_two_services_of_a_release_ended(self):
         with DeskFleet() as fleet:
             for number in range(6):
