Join strings of a test as the linter asks

Two concatenations in upstream_call_test made temporary strings (performance-inefficient-string-concatenation).

--- a/tests/route/upstream_call_test.cpp
+++ b/tests/route/upstream_call_test.cpp
@@ -4,6 +4,7 @@
 #include "route/liveness_probe.h"
 
 #include "support/field_names.h"
+#include "support/join.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -345,7 +346,7 @@
           "HTTP/1.1 200 OK\r\nA b: c\r\n", ""}) {
         const bool isSound = start.empty();
         const std::string fields = "Content-Length: " + std::to_string(whole.size()) + "\r\n\r\n";
-        const std::string bytes = (isSound ? "" : start + fields) + whole;
+        const std::string bytes = isSound ? whole : join({start, fields, whole});
         scripted_upstream upstream([&bytes](const std::string &, bool) {
             return reply{{bytes}, false, false};
         });
@@ -357,8 +358,8 @@
 {
     for (const std::string &name : invalidFieldNames()) {
         scripted_upstream upstream([&name](const std::string &request, bool) {
-            const std::string bytes = "HTTP/1.1 200 OK\r\nId: " + request + "\r\n" + name
-                + ": 5\r\nContent-Length: 1\r\n\r\nAAAAA";
+            const std::string bytes = join({"HTTP/1.1 200 OK\r\nId: ", request, "\r\n", name,
+                                            ": 5\r\nContent-Length: 1\r\n\r\nAAAAA"});
             return reply{{bytes}, true, false};
         });
         BOOST_TEST(!upstream.ask("r").head.has_value(), name);
