Say in comments what confirms an end

A newcomer's read of the change: confirmEachOther() speaks of answers, not of streams alone, and each send_progress says what it means. No code changes; the formatter is clean.

--- a/src/policy/answer_proof.h
+++ b/src/policy/answer_proof.h
@@ -46,9 +46,9 @@
 /// Runs that are recorded at the most for one end.
 constexpr std::size_t maxRunEnds = 4;
 
-/// Whether runs that ended behind the same event at @p upstreams, in their order, can have ended so
-/// for no reason of the upstreams: they were at two, and one of these served the stream again after
-/// it had ended it, which one that shuts down does not.
+/// Whether runs that ended behind the same piece at @p upstreams, in their order, rule out that an
+/// upstream ended them early: they were at two upstreams, and at one of these again. An upstream
+/// that ends its answers because it stops does not serve one of them again.
 bool confirmEachOther(std::span<const std::uint64_t> upstreams);
 
 /// What proves the answer whole. Without a proof it is incomplete, whoever sent it.
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -499,7 +499,7 @@
             const std::size_t runEnds = job.runEnds.size();
             job.tried.insert(id);
             end = co_await runAccounted(job, chosen);
-            // It may have ended the stream to stop.
+            // One that does not confirm its own end may have ended the answer to stop.
             if (isConfirming && job.runEnds.size() == runEnds)
                 std::erase(job.runEnds, nameHash(id));
             if (end != attempt_end::notRun && end != attempt_end::failed)
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -19,7 +19,7 @@
     pending, ///< Bytes are still to be written.
     failed, ///< The connection was lost before all were.
     sent, ///< All are written, and the upstream's system has not acknowledged the last ones.
-    received,
+    received, ///< The upstream's system has acknowledged all bytes.
 };
 
 /// For logs.
