Log how old the lists behind a stream's lookup are

The users' record of streams that hold two versions could not tell a host whose own list was old from one that believed another host. The line of a lookup now has the ages of the desired state and of the list of upstreams, and the end of a request names the software version that its stream is bound to. No decision is changed.

--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -184,11 +184,7 @@
                  {"cause", failure.detail},
                  {"run", std::string(toString(failure.run))},
                  {"version", std::to_string(routing.desired ? routing.desired->version : 0)},
-                 {"upstreams_age_ms",
-                  routing.upstreamsConfirmedAt == instant::min()
-                      ? "none"
-                      : std::to_string(std::lround(
-                          toMilliseconds(clock.now() - routing.upstreamsConfirmedAt)))}});
+                 {"upstreams_age_ms", formatAge(routing.upstreamsConfirmedAt, clock.now())}});
     }
 
     /// The error for a request without a route or with an unknown key; empty for all others.
@@ -576,6 +572,7 @@
               job.isTakenUp()
                   ? job.request.resumedId + ":" + std::to_string(*job.request.resumeAfter)
                   : std::string("none")},
+             {"software_version", job.streamVersion.value_or("none")},
              {"no_further_attempt", std::string(toString(job.noFurtherAttempt))},
              {"cause",
               end == attempt_end::answered || !job.lastFailure ? std::string("none")
--- a/src/route/routing_state.cpp
+++ b/src/route/routing_state.cpp
@@ -185,6 +185,12 @@
         recordNotice(state, listing->second.entry, notice, notice_source::otherHost, now);
 }
 
+std::string formatAge(instant since, instant now)
+{
+    return since == instant::min() ? "none"
+                                   : std::to_string(std::lround(toMilliseconds(now - since)));
+}
+
 std::string formatTraitId(std::uint64_t id)
 {
     std::array<char, 20> text{};
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -95,6 +95,9 @@
 /// Applies what an upstream told another host.
 void applyNotice(routing_state &state, const told_notice &notice, instant now);
 
+/// Milliseconds since @p since for log lines; "none" if it never happened.
+std::string formatAge(instant since, instant now);
+
 /// An id of a prompt part or of a crash, for logs.
 std::string formatTraitId(std::uint64_t id);
 
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -311,8 +311,8 @@
         co_return lookup;
     }
 
-    static void logLookup(std::uint64_t stream, const std::optional<upstream_kind> &found,
-                          const stream_lookup &lookup, const origin_belief &own)
+    void logLookup(std::uint64_t stream, const std::optional<upstream_kind> &found,
+                   const stream_lookup &lookup, const origin_belief &own) const
     {
         const std::size_t heard = lookup.asked - lookup.unheard.size();
         logInfo("stream looked up",
@@ -325,7 +325,9 @@
                  {"own", std::to_string(own.kinds.size())},
                  {"several", own.hasSeveral || lookup.answers.hasSeveral ? "yes" : "no"},
                  {"may_miss_moves", own.mayMissMoves ? "yes" : "no"},
-                 {"outdated", own.isOutdated ? "yes" : "no"}});
+                 {"outdated", own.isOutdated ? "yes" : "no"},
+                 {"desired_age_ms", formatAge(routing.desiredConfirmedAt, clock.now())},
+                 {"upstreams_age_ms", formatAge(routing.upstreamsConfirmedAt, clock.now())}});
     }
 };
 
@@ -415,7 +417,7 @@
     // Another host may have been told of a change that this one has not heard of yet.
     const auto lookup = co_await state::askOthers(m_state, stream, std::move(scope));
     const auto found = decideOrigin(own, lookup->answers);
-    state::logLookup(stream, found, *lookup, own);
+    m_state->logLookup(stream, found, *lookup, own);
     co_return found;
 }
 
