Name keepers by announcements while no hints arrive

A host that has just started, was cut off or stood still has no hints of other hosts, so it asked nobody for the origin of a stream and told nobody of one that it began ("stream looked up" with heard=0/0).

--- a/src/policy/keepers.cpp
+++ b/src/policy/keepers.cpp
@@ -22,10 +22,18 @@
 std::vector<host_address> keepersOf(std::uint64_t key, const fleet_load &others,
                                     const host_address &own)
 {
-    std::vector<std::pair<std::uint64_t, const host_address *>> ranked;
-    ranked.reserve(others.hosts.size() + 1);
-    ranked.emplace_back(scoreOf(own, key), &own);
+    std::vector<host_address> hosts{own};
+    hosts.reserve(others.hosts.size() + 1);
     for (const auto &[host, entry] : others.hosts)
+        hosts.push_back(host);
+    return keepersAmong(key, hosts);
+}
+
+std::vector<host_address> keepersAmong(std::uint64_t key, std::span<const host_address> hosts)
+{
+    std::vector<std::pair<std::uint64_t, const host_address *>> ranked;
+    ranked.reserve(hosts.size());
+    for (const host_address &host : hosts)
         ranked.emplace_back(scoreOf(host, key), &host);
     const std::size_t count = std::min(keeperCount, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + std::ptrdiff_t(count), ranked.end(),
--- a/src/policy/keepers.h
+++ b/src/policy/keepers.h
@@ -3,6 +3,7 @@
 #include "policy/fleet_load.h"
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace quincefall {
@@ -18,6 +19,9 @@
 std::vector<host_address> keepersOf(std::uint64_t key, const fleet_load &others,
                                     const host_address &own);
 
+/// The same among @p hosts, which include this one.
+std::vector<host_address> keepersAmong(std::uint64_t key, std::span<const host_address> hosts);
+
 /// The @p count hosts other than this one whose processes started first. What has happened lately
 /// is known to them if it is known to any host.
 std::vector<host_address> oldestHosts(const fleet_load &others, std::size_t count);
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -158,6 +158,21 @@
         return belief;
     }
 
+    /// The stream's keepers other than this host. Before their first hints, or after it stood
+    /// still, other hosts are known by their announcements alone.
+    std::vector<host_address> keepersOfStream(std::uint64_t stream) const
+    {
+        std::vector<host_address> keepers = keepersOf(stream, routing.otherHostsLoad, self);
+        if (routing.otherHostsLoad.hosts.empty()) {
+            std::vector<host_address> announced{self};
+            for (const host_announcement &peer : routing.peers)
+                announced.push_back(peer.peer);
+            keepers = keepersAmong(stream, announced);
+        }
+        std::erase(keepers, self);
+        return keepers;
+    }
+
     void tellKeepers(const std::vector<std::uint64_t> &streams)
     {
         std::map<host_address, wire::LoadHint> messages;
@@ -165,7 +180,7 @@
             const stream_origin *origin = quincefall::findOrigin(routing.streams, stream);
             if (!origin)
                 continue;
-            for (const host_address &keeper : keepersOf(stream, routing.otherHostsLoad, self)) {
+            for (const host_address &keeper : keepersOfStream(stream)) {
                 wire::LoadHint &message = messages[keeper];
                 wire::StreamOrigin *row = message.add_stream_origins();
                 row->set_stream(stream);
@@ -268,13 +283,11 @@
     /// The hosts that may know more of a stream than this one.
     std::vector<host_address> hostsToAsk(std::uint64_t stream, const stream_scope &scope) const
     {
-        std::vector<host_address> hosts = keepersOf(stream, routing.otherHostsLoad, self);
-        std::erase(hosts, self);
+        std::vector<host_address> hosts = keepersOfStream(stream);
         if (!mayMissMoves(scope.longest))
             return hosts;
         for (const host_address &host : oldestHosts(routing.otherHostsLoad, oldestHostsAsked))
             addHost(hosts, host);
-        // Before their first hints, other hosts are known by their announcements alone.
         for (const host_announcement &peer : routing.peers) {
             if (hosts.size() < mostHostsAsked)
                 addHost(hosts, peer.peer);
--- a/tests/policy/keepers_test.cpp
+++ b/tests/policy/keepers_test.cpp
@@ -66,6 +66,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(hosts_that_are_known_by_their_announcements_name_the_same_keepers)
+{
+    const auto hosts = makeHosts(9);
+    for (std::uint64_t key = 1; key <= 50; ++key)
+        BOOST_TEST(
+            (keepersAmong(key, hosts) == keepersOf(key, othersOf(hosts, hosts[0]), hosts[0])));
+}
+
 BOOST_AUTO_TEST_CASE(a_host_without_others_keeps_all_objects)
 {
     const auto hosts = makeHosts(1);
