Remember versions that came and left between two reads

A host that was cut off while a version came and left again had not seen it, and went on at the other version with streams that had begun there. Lists were compared before and after an update only. Now each entry of the store's log counts, also one that is removed in the same page; a whole list in place of changes, and a removal of an entry that was never seen, count as missed changes, after which another host has to confirm what this one believes.

--- a/src/policy/software_versions.cpp
+++ b/src/policy/software_versions.cpp
@@ -28,9 +28,18 @@
         return;
     const bool isFirst = history.listed.empty();
     history.aloneSince = isFirst ? now - youngestAge(upstreams) : now;
+    history.hasSeenOthers = history.hasSeenOthers || !isFirst;
     history.listed = std::move(listed);
 }
 
+void noteListed(version_history &history, const std::string &version, instant now)
+{
+    if (history.listed.empty() || history.listed.contains(version))
+        return;
+    history.aloneSince = now;
+    history.hasSeenOthers = true;
+}
+
 std::optional<std::string> onlyVersion(const version_history &history, microseconds time,
                                        instant now)
 {
@@ -41,7 +50,7 @@
 
 bool hasSeveralVersions(const version_history &history, microseconds time, instant now)
 {
-    return !history.listed.empty() && !onlyVersion(history, time, now);
+    return history.listed.size() > 1 || (history.hasSeenOthers && now - history.aloneSince < time);
 }
 
 } // namespace quincefall
--- a/src/policy/software_versions.h
+++ b/src/policy/software_versions.h
@@ -17,6 +17,7 @@
 {
     std::set<std::string> listed; ///< At present; empty until the first update.
     instant aloneSince = instant::min(); ///< Since when there has been only one.
+    bool hasSeenOthers = false; ///< There was another one before `aloneSince`.
 };
 
 /// A listed upstream's software version and the age of its process.
@@ -33,12 +34,15 @@
 void updateVersions(version_history &history, std::span<const listed_version> upstreams,
                     instant now);
 
+/// Records an entry of @p version that was listed, also if it was removed before the next update.
+void noteListed(version_history &history, const std::string &version, instant now);
+
 /// The version of all streams that were begun during the last @p time; empty if there may be
 /// several.
 std::optional<std::string> onlyVersion(const version_history &history, microseconds time,
                                        instant now);
 
-/// Whether streams that were begun during the last @p time may be of several versions.
+/// Whether this host has seen several versions listed during the last @p time.
 bool hasSeveralVersions(const version_history &history, microseconds time, instant now);
 
 } // namespace quincefall
--- a/src/policy/upstream_changes.cpp
+++ b/src/policy/upstream_changes.cpp
@@ -6,6 +6,16 @@
 namespace quincefall {
 namespace {
 
+/// Whether an upstream was listed and removed since the last update.
+bool hasUnknownRemoval(const upstream_membership &membership, const upstream_changes &changes)
+{
+    return std::any_of(changes.removed.begin(), changes.removed.end(),
+                       [&membership](const upstream_changes::removal &removal) {
+                           return !membership.listings.contains(removal.id)
+                               && !membership.removed.contains(removal.id);
+                       });
+}
+
 bool removeUnlisted(upstream_membership &membership, const upstream_changes &changes)
 {
     std::set<std::string_view> listed;
@@ -56,6 +66,8 @@
     if (changes.epoch < membership.epoch)
         return false;
     enterEpoch(membership, changes.epoch, now);
+    if (changes.isWholeList || hasUnknownRemoval(membership, changes))
+        noteMissedEntries(membership, now);
     bool isChanged = false;
     for (const upstream_membership::listing &listing : changes.listings)
         isChanged
--- a/src/policy/upstream_membership.cpp
+++ b/src/policy/upstream_membership.cpp
@@ -141,6 +141,12 @@
     return true;
 }
 
+void noteMissedEntries(upstream_membership &membership, instant now)
+{
+    if (membership.next > 0 || !membership.listings.empty())
+        membership.missedAt = now;
+}
+
 bool applyRemoval(upstream_membership &membership, std::string_view id, std::uint64_t changed)
 {
     const auto found = membership.listings.find(id);
--- a/src/policy/upstream_membership.h
+++ b/src/policy/upstream_membership.h
@@ -43,6 +43,8 @@
     std::uint64_t epoch = 0; ///< Of the store to which all offsets refer.
     std::uint64_t next = 0; ///< Offset up to which the list is complete.
     instant firstReadAt = instant::min(); ///< First read of the store's whole list.
+    /// Last time when entries may have come and gone between two updates.
+    instant missedAt = instant::min();
     instant lastFailure = instant::min(); ///< Last failed call to the store.
     instant storeRecoveredAt = instant::min(); ///< First answer after `lastFailure`.
 };
@@ -67,6 +69,9 @@
 bool applyMissing(upstream_membership &membership, std::string_view id, std::uint64_t next,
                   instant now);
 
+/// Records that the next update does not have all changes since the last one, if there was one.
+void noteMissedEntries(upstream_membership &membership, instant now);
+
 /// Applies a removal by another host, unless the entry changed later. True when it was applied.
 bool applyRemoval(upstream_membership &membership, std::string_view id, std::uint64_t changed);
 
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -333,9 +333,23 @@
         co_return true;
     }
 
+    /// Versions that were listed and removed within one page leave no other trace.
+    void noteVersions(const upstream_page &page, instant now)
+    {
+        if (page.isSnapshot && target.membership.firstReadAt != instant::min())
+            noteMissedEntries(target.membership, now);
+        for (const upstream_change &change : page.changes) {
+            const auto pool
+                = change.entry ? target.pools.find(change.entry->service) : target.pools.end();
+            if (pool != target.pools.end())
+                noteListed(pool->second.versions, change.entry->softwareVersion, now);
+        }
+    }
+
     void applyPage(const upstream_page &page)
     {
         const instant now = clock.now();
+        noteVersions(page, now);
         target.upstreamsConfirmedAt = now;
         target.storeEpoch = std::max(target.storeEpoch, page.next.epoch);
         const std::uint64_t before = target.membership.epoch;
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -118,13 +118,15 @@
         if (pool == routing.pools.end())
             return;
         const version_history &versions = pool->second.versions;
-        if (const auto only = onlyVersion(versions, longest, clock.now()))
-            belief.kinds.insert({service, *only});
-        // What a host that has just started can't tell apart, an older one may know.
-        const bool isUnseen = routing.moves.firstAt > clock.now() - longest - maxConfirmedAge
-            && versions.listed.size() == 1;
-        if (hasSeveralVersions(versions, longest, clock.now()) && !isUnseen)
+        for (const std::string &version : versions.listed)
+            belief.kinds.insert({service, version});
+        const microseconds window = longest + maxConfirmedAge;
+        if (hasSeveralVersions(versions, window, clock.now()))
             belief.hasSeveral = true;
+        // What a host that has just started can't tell apart, an older one may know.
+        else if (!onlyVersion(versions, window, clock.now())
+                 || routing.membership.missedAt > clock.now() - window)
+            belief.mayMissChanges = true;
     }
 
     /// Whether streams of @p longest may be older than what this host has seen of the fleet, and
@@ -405,7 +407,8 @@
     const auto moved = movedServices(self.routing.moves, from);
     const bool mayMissMoves = self.mayMissMoves(longest);
     for (const auto &[service, pool] : self.routing.pools) {
-        if (pool.versions.listed.size() < 2 && !moved.contains(service) && !mayMissMoves)
+        if (!hasSeveralVersions(pool.versions, longest, now) && !moved.contains(service)
+            && !mayMissMoves)
             continue;
         self.tellKeepers(takeUntold(self.routing.streams, service, from));
     }
--- a/tests/policy/software_versions_test.cpp
+++ b/tests/policy/software_versions_test.cpp
@@ -66,6 +66,32 @@
     BOOST_TEST(onlyVersion(history, longest, start + longest).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_version_that_came_and_left_between_two_updates_is_remembered)
+{
+    version_history history;
+    noteListed(history, "v2", start);
+    updateVersions(history, makeVersions(9, 0), start);
+    noteListed(history, "v1", start + seconds(1));
+    BOOST_TEST(onlyVersion(history, longest, start + seconds(1)).has_value());
+    noteListed(history, "v2", start + seconds(20));
+    updateVersions(history, makeVersions(9, 0), start + seconds(20));
+    BOOST_TEST(!onlyVersion(history, longest, start + seconds(29)));
+    BOOST_TEST(hasSeveralVersions(history, longest, start + seconds(29)));
+    BOOST_TEST(onlyVersion(history, longest, start + seconds(30)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_starts_has_seen_no_other_version_and_rules_none_out)
+{
+    version_history history;
+    updateVersions(history, makeVersions(0, 9), start);
+    BOOST_TEST(!hasSeveralVersions(history, longest, start));
+    BOOST_TEST(!onlyVersion(history, longest, start));
+    updateVersions(history, makeVersions(1, 9), start + seconds(1));
+    updateVersions(history, makeVersions(0, 9), start + seconds(2));
+    BOOST_TEST(hasSeveralVersions(history, longest, start + seconds(11)));
+    BOOST_TEST(!hasSeveralVersions(history, longest, start + seconds(12)));
+}
+
 BOOST_AUTO_TEST_CASE(a_service_without_upstreams_keeps_its_history)
 {
     version_history history;
--- a/tests/policy/upstream_changes_test.cpp
+++ b/tests/policy/upstream_changes_test.cpp
@@ -57,6 +57,33 @@
     BOOST_TEST(!third.listings.contains("a"));
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_came_and_went_between_two_updates_is_a_missed_change)
+{
+    upstream_membership sender = makeReader({"a"}, 10);
+    upstream_membership receiver = sender;
+    applyEntry(sender, makeEntry("b"), 1, 20);
+    advanceOffset(sender, 20);
+    upstream_membership late = receiver;
+    applyChanges(receiver, changesSince(sender, positionOf(receiver)), later);
+    applyMissing(sender, "b", 30, instant{} + seconds(100));
+    advanceOffset(sender, 30);
+    applyChanges(receiver, changesSince(sender, positionOf(receiver)), later);
+    BOOST_TEST((receiver.missedAt == instant::min()));
+    applyChanges(late, changesSince(sender, positionOf(late)), later);
+    BOOST_TEST((late.missedAt == later));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_list_may_hide_changes_unless_it_is_the_first_one)
+{
+    const upstream_membership sender = makeReader({"a"}, 30);
+    upstream_membership started;
+    applyChanges(started, changesSince(sender, positionOf(started)), later);
+    BOOST_TEST((started.missedAt == instant::min()));
+    upstream_membership known = makeReader({"a"}, 10);
+    applyChanges(known, changesSince(sender, positionOf(known)), later);
+    BOOST_TEST((known.missedAt == later));
+}
+
 BOOST_AUTO_TEST_CASE(changes_are_counted_as_they_are_sent)
 {
     upstream_membership sender = makeReader({"a", "b", "c"}, 10);
