Allow for hosts that begin streams where no other host does

Callers got streams of two versions, or services, from a host in touch: it took up a stream that a host which was cut off had begun at a version that had left, or before its route moved, and no keeper had been told.

Cause: a version that has left was remembered for the route's timeout, and a service for four seconds more, though a host that is cut off goes on where it last knew for as long as it is cut off and the upstreams there serve. Both are remembered for the timeout and a minute now.

--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t maxPathBytes = 512; // Longer than the prefix of a route.
 // Several times the interval at which a host confirms its desired state and upstreams.
 constexpr milliseconds maxConfirmedAge{4'000};
+// A host that is cut off begins streams where it last knew, while the upstreams there serve on.
+constexpr seconds maxHostLag{60};
 
 void fillOrigin(wire::StreamOrigin &row, const stream_origin &origin)
 {
@@ -103,7 +105,7 @@
         if (!routing.desired)
             return {};
         return recentServices(routing.moves, *routing.desired, scope.authority, scope.path,
-                              scope.longest + maxConfirmedAge, clock.now());
+                              scope.longest + maxHostLag, clock.now());
     }
 
     std::string onlyServiceOf(const stream_scope &scope) const
@@ -120,7 +122,7 @@
         const version_history &versions = pool->second.versions;
         for (const std::string &version : versions.listed)
             belief.kinds.insert({service, version});
-        const microseconds window = longest + maxConfirmedAge;
+        const microseconds window = longest + maxHostLag;
         if (hasSeveralVersions(versions, window, clock.now()))
             belief.hasSeveral = true;
         // What a host that has just started can't tell apart, an older one may know.
@@ -135,7 +137,7 @@
     {
         // The timeout may have been longer before this host started.
         const microseconds seenFor = std::max<microseconds>(longest, longestWithoutTimeout);
-        return quincefall::mayMissMoves(routing.moves, clock.now() - seenFor - maxConfirmedAge)
+        return quincefall::mayMissMoves(routing.moves, clock.now() - seenFor - maxHostLag)
             && (!routing.desired || possibleStreamServices(*routing.desired).size() > 1);
     }
 
