Send callers of a host without the store to another one at once

A host that can't read the store refuses a stream of no record, with a Retry-After of up to a sixth of the caller's time (0.5 s in the test), as if the whole fleet were full. Another host may go on with the stream at once, and callers return to another one, so the refusal says 0.1 s, and why. route_out_of_step_host_test failed before (0.5 s) and passes.

--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -449,17 +449,22 @@
     asio::awaitable<result<void>> chooseOrigin(proxy_job &job)
     {
         const auto origin = co_await attempts.streams->findOrigin(job.stream, job.scope());
-        if (!origin)
-            co_return makeError(result_code::streamOriginUnknown,
-                                "no host knows at which service and software version the stream of "
-                                "request \""
-                                    + job.request.resumedId + "\" began");
-        if (!setService(*job.desired, job.choice, origin->service))
+        if (origin.isOutdated)
+            job.retryAfter = minRetryAfter;
+        if (!origin.kind)
+            co_return makeError(
+                result_code::streamOriginUnknown,
+                (origin.isOutdated ? "the store did not answer, by which this host could tell"
+                                   : "no host knows")
+                    + std::string(" at which service and software version the stream of request \"")
+                    + job.request.resumedId + "\" began");
+        if (!setService(*job.desired, job.choice, origin.kind->service))
             co_return makeError(result_code::streamServiceMoved,
                                 "route " + job.choice.route->name + " does not lead to service "
-                                    + origin->service + ", which began the stream of request \""
+                                    + origin.kind->service
+                                    + ", which began the stream of request \""
                                     + job.request.resumedId + "\"");
-        job.streamVersion = origin->version;
+        job.streamVersion = origin.kind->version;
         co_await findEarlierRunEnd(job);
         co_return result<void>();
     }
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -416,12 +416,11 @@
     }
 }
 
-asio::awaitable<std::optional<upstream_kind>> stream_directory::findOrigin(std::uint64_t stream,
-                                                                           stream_scope scope)
+asio::awaitable<found_origin> stream_directory::findOrigin(std::uint64_t stream, stream_scope scope)
 {
     state &self = *m_state;
     if (const stream_origin *origin = quincefall::findOrigin(self.routing.streams, stream))
-        co_return upstream_kind{origin->service, origin->version};
+        co_return found_origin{upstream_kind{origin->service, origin->version}};
     scope = self.widened(std::move(scope));
     const auto lookup = co_await state::askOthers(m_state, stream, scope);
     origin_belief own = self.believe(scope);
@@ -434,7 +433,7 @@
     }
     const auto found = decideOrigin(own, lookup->answers);
     self.logLookup(stream, found, *lookup, own);
-    co_return found;
+    co_return found_origin{found, own.isOutdated};
 }
 
 void stream_directory::receive(const wire::LoadHint &message, const host_address &sender)
--- a/src/route/stream_directory.h
+++ b/src/route/stream_directory.h
@@ -27,12 +27,19 @@
     microseconds longest{0};
 };
 
+/// Where a stream goes on.
+struct found_origin
+{
+    std::optional<upstream_kind> kind; ///< Empty if it can't be known.
+    bool isOutdated = false; ///< The store did not answer this host; another one may know.
+};
+
 /// Finds out at which service and software version a stream may go on that another host has begun.
 ///
 /// While a stream's route has several services, or its service has upstreams of several versions,
 /// the host that begins it tells the stream's keepers, which a host that takes it up asks. While
-/// there is only one of each, nothing is sent. Of a stream that no host was told of, a host believes
-/// what the platform's store says then, if that leaves one service and version only.
+/// there is only one of each, nothing is sent. Of a stream that no host was told of, a host
+/// believes what the platform's store says then, if that leaves one service and version only.
 class stream_directory
 {
 public:
@@ -67,10 +74,8 @@
     /// only, if there are several now.
     void tellUntold();
 
-    /// The service and software version at which a stream goes on; empty if they can't be known.
     /// Takes a tenth of a second at most, and half a second more if no other host was told.
-    boost::asio::awaitable<std::optional<upstream_kind>> findOrigin(std::uint64_t stream,
-                                                                    stream_scope scope);
+    boost::asio::awaitable<found_origin> findOrigin(std::uint64_t stream, stream_scope scope);
 
     /// Handles what @p sender sent of streams.
     void receive(const wire::LoadHint &message, const host_address &sender);
--- a/tests/process/route_out_of_step_host_test.py
+++ b/tests/process/route_out_of_step_host_test.py
@@ -21,6 +21,8 @@
             rest = take_up(fleet.hosts[2], request, begun)
             self.check(begun, rest, "engines-v2")
             self.assertEqual(rest.status, 503)
+            self.assertLessEqual(float(rest.fields["Retry-After"]), 0.1)
+            self.assertIn("the store did not answer", rest.body)
 
     def test_a_host_between_two_reads_does_not_join_a_version_that_it_has_not_read_of(self):
         with SplitFleet() as fleet:
