--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -37,6 +37,7 @@
 
     def __init__(self, options, seed):
         self.options = options
+        self.released = "v1"  # With --releases, the only version whose engines are listed.
         self.processes = []
         super().__init__(hosts=options.hosts)
         self.start_engines(seed)
@@ -75,6 +76,8 @@
 
     def put_entries(self, process):
         for name, entry in process.entries.items():
+            if self.options.releases and entry["version"] != self.released:
+                continue
             entry["born"] = int(1000 * time.time())
             self.store.put("keyed.servers", name, entry)
 
@@ -201,6 +204,31 @@
                 host.start()
             await changing
 
+    async def release_versions(self, end):
+        """Lists another version's engines in place of those listed, which serve on, while hosts stand
+        still."""
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.uniform(0.5, 2.0))
+            hosts = self.random.sample(self.fleet.hosts, max(1, round(self.options.late_hosts
+                                                                      * len(self.fleet.hosts))))
+            before, number = self.fleet.released, int(self.fleet.released[1:])
+            self.fleet.released = f"v{number % self.options.versions + 1}"
+            seconds = self.random.uniform(*self.options.host_pauses)
+            self.note(f"{self.fleet.released} is released; {[host.name for host in hosts]} pause"
+                      f" {seconds:.2f} s")
+            for host in hosts:
+                host.send(signal.SIGSTOP)
+            resumed = time.monotonic() + seconds
+            for process in self.fleet.processes:
+                self.fleet.put_entries(process)
+                await asyncio.sleep(self.random.uniform(0, 0.3))
+                for name, entry in process.entries.items():
+                    if entry["version"] == before:
+                        self.fleet.store.put("keyed.servers", name, None)
+            await asyncio.sleep(max(0, resumed - time.monotonic()))
+            for host in hosts:
+                host.send(signal.SIGCONT)
+
     async def shut_down_engines(self, end):
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
@@ -248,7 +276,9 @@
                    for number in range(options.streams)]
         tasks = [caller.run(end) for caller in callers]
         tasks.append(self.pause_engines(end))
-        if options.late_hosts > 0:
+        if options.releases:
+            tasks.append(self.release_versions(end))
+        elif options.late_hosts > 0:
             tasks.append(self.pause_hosts(end))
         if options.kill_hosts:
             tasks.append(self.kill_hosts(end))
@@ -421,6 +451,8 @@
     parser.add_argument("--copies", type=float, default=0.0, help="share of the answers")
     parser.add_argument("--unnamed", action="store_true", help="copies carry no request id")
     parser.add_argument("--late-hosts", type=float, default=0.0, help="share that pauses at once")
+    parser.add_argument("--releases", action="store_true",
+                        help="one version's engines after the other's are listed while hosts pause")
     parser.add_argument("--host-pauses", type=parse_range, default=(0.3, 1.0))
     parser.add_argument("--kill-hosts", action="store_true")
     parser.add_argument("--show", type=int, default=3, help="cases of each kind")
