Tell the keepers of streams while the store is lost

Since a host reads the store before a stream of no record goes on, streams whose host was killed while the store was down for all hosts got 503 until it was back, though one version had served all the time.

A host whose last call to the store failed tells the keepers of the streams that it has begun, and of new ones, so that they have a record.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -109,6 +109,8 @@
             logInfo("store answers again", {});
         else
             logWarning("store lost", {{"cause", failure->detail}});
+        if (!answered && changeListener)
+            changeListener();
     }
 
     void publish()
--- a/src/route/feed.h
+++ b/src/route/feed.h
@@ -42,7 +42,7 @@
                                           const host_address &own, clock_source clock);
     ~feed();
 
-    /// Called after each change of the desired state or the upstreams.
+    /// Called after each change of the desired state or the upstreams, and when the store is lost.
     void onChange(std::function<void()> listener);
 
     /// Called after each change that this host read from the store itself, if it is one of the
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -45,6 +45,12 @@
     }
 }
 
+/// Whether the last call to the store failed.
+bool isStoreLost(const upstream_membership &membership)
+{
+    return membership.storeRecoveredAt < membership.lastFailure;
+}
+
 /// One query for a stream's origin.
 struct stream_lookup
 {
@@ -84,11 +90,12 @@
     std::multimap<std::uint64_t, std::shared_ptr<stream_lookup>> lookups; ///< By stream.
 
     /// Whether the desired state or the list of upstreams was not confirmed for a while, such as
-    /// after the process was stopped.
+    /// after the process was stopped, or can't be at present.
     bool isOutdated() const
     {
         const instant oldest = clock.now() - maxConfirmedAge;
-        return routing.desiredConfirmedAt < oldest || routing.upstreamsConfirmedAt < oldest;
+        return routing.desiredConfirmedAt < oldest || routing.upstreamsConfirmedAt < oldest
+            || isStoreLost(routing.membership);
     }
 
     /// @p scope with the time for which streams may have run, whatever timeouts they began under.
@@ -407,10 +414,11 @@
     const microseconds longest = longestStream(self.routing.moves, *self.routing.desired, now);
     const instant from = now - longest;
     const auto moved = movedServices(self.routing.moves, from);
-    const bool mayMissMoves = self.mayMissMoves(longest);
+    // No host that takes a stream up can read what the store has while it is lost to all.
+    const bool mayMiss = self.mayMissMoves(longest) || isStoreLost(self.routing.membership);
     for (const auto &[service, pool] : self.routing.pools) {
         if (!hasSeveralVersions(pool.versions, longest, now) && !moved.contains(service)
-            && !mayMissMoves)
+            && !mayMiss)
             continue;
         self.tellKeepers(takeUntold(self.routing.streams, service, from));
     }
@@ -428,6 +436,8 @@
     if (!lookup->answers.known && decideOrigin(own, lookup->answers)) {
         // The stream may be younger than all that this host has read.
         const bool isConfirmed = co_await self.confirm();
+        if (const stream_origin *origin = quincefall::findOrigin(self.routing.streams, stream))
+            co_return found_origin{upstream_kind{origin->service, origin->version}};
         own = self.believe(self.widened(std::move(scope)));
         own.isOutdated = !isConfirmed;
     }
--- a/tests/process/route_out_of_step_host_test.py
+++ b/tests/process/route_out_of_step_host_test.py
@@ -5,6 +5,7 @@
 import time
 import unittest
 
+from support.route_fleet import wait_for
 from support.split_fleet import SplitFleet, SplitTestCase, take_up
 
 PAUSE = 2.0  # Of a host that stands still: longer than hints live.
@@ -88,6 +89,24 @@
             connection.close()
             self.check(begun, take_up(fleet.hosts[2], request, begun), "engines-v2")
 
+    def test_streams_go_on_at_other_hosts_while_the_store_answers_none(self):
+        with SplitFleet(apart=0, own_stores=0) as fleet:
+            fleet.settle()
+            for engine in fleet.engines.values():
+                engine.events, engine.event_seconds = 40, 0.08
+            before = fleet.begin_at(fleet.hosts[0], "engines-v1", "before")
+            fleet.store.mode = "refuse"
+            wait_for(lambda: any("store lost" in line for line in fleet.hosts[0].lines()),
+                     "the store to be lost")
+            time.sleep(0.5)
+            during = fleet.begin_at(fleet.hosts[0], "engines-v1", "during")
+            fleet.hosts[0].send(signal.SIGKILL)
+            for connection, request, begun in (before, during):
+                connection.close()
+                rest = take_up(fleet.hosts[2], request, begun)
+                self.assertEqual((rest.status, rest.is_whole), (200, True), rest.body)
+                self.check(begun, rest, "engines-v1")
+
     def test_streams_go_on_at_a_host_in_touch_that_has_not_met_them(self):
         with SplitFleet() as fleet:
             fleet.settle()
--- a/tests/process/support/split_fleet.py
+++ b/tests/process/support/split_fleet.py
@@ -66,16 +66,16 @@
         wait_for(lambda: any("in force version=2 " in line for line in self.hosts[0].lines()),
                  "version 2 to be in force")
 
-    def begin_at(self, host, kind):
+    def begin_at(self, host, kind, name="a"):
         """Begins a stream of `kind`; returns its connection, request and events."""
         others = [engine for engine in self.engines.values() if kind_of(engine) != kind]
         for engine in others:
             engine.fault = "full"
-        connection, begun = begin_stream(host, f"{host.name}-a")
+        connection, begun = begin_stream(host, f"{host.name}-{name}")
         for engine in others:
             engine.fault = None
         assert kinds_of(begun) == {kind}, begun
-        return connection, f"{host.name}-a", begun
+        return connection, f"{host.name}-{name}", begun
 
 
 def kind_of(engine):
