Ask no longer memory of what a host has not seen

At a host counted nothing as the only version until engines and hosts were older than the route's timeout and a minute.

The minute is for hosts that lag behind a change. It holds where this host saw the change; what it has not seen counts for the timeout and four seconds, as before. route_late_begin_test and route_out_of_step_host_test pass.

--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -129,12 +129,12 @@
         const version_history &versions = pool->second.versions;
         for (const std::string &version : versions.listed)
             belief.kinds.insert({service, version});
-        const microseconds window = longest + maxHostLag;
-        if (hasSeveralVersions(versions, window, clock.now()))
+        if (hasSeveralVersions(versions, longest + maxHostLag, clock.now()))
             belief.hasSeveral = true;
         // What a host that has just started can't tell apart, an older one may know.
-        else if (!onlyVersion(versions, window, clock.now())
-                 || routing.membership.missedAt > clock.now() - window)
+        const microseconds unseenFor = longest + maxConfirmedAge;
+        if (!onlyVersion(versions, unseenFor, clock.now())
+            || routing.membership.missedAt > clock.now() - unseenFor)
             belief.mayMissChanges = true;
     }
 
@@ -144,7 +144,7 @@
     {
         // The timeout may have been longer before this host started.
         const microseconds seenFor = std::max<microseconds>(longest, longestWithoutTimeout);
-        return quincefall::mayMissMoves(routing.moves, clock.now() - seenFor - maxHostLag)
+        return quincefall::mayMissMoves(routing.moves, clock.now() - seenFor - maxConfirmedAge)
             && (!routing.desired || possibleStreamServices(*routing.desired).size() > 1);
     }
 
