Count versions of a test as the linter asks

A cast of a sum of two ints was read as a widening that comes too late (bugprone-misplaced-widening-cast, the only finding in 315 files). The test publishes the same versions.

--- a/tests/feed/confirm_test.cpp
+++ b/tests/feed/confirm_test.cpp
@@ -14,8 +14,9 @@
     feed_fleet fleet(context, 3, linkBytesPerSecond);
     fleet.store().publish(1, makeDesiredText(1, 5));
     fleet.runUntilAllHave(1, startLimit);
+    std::uint64_t version = 1;
     for (int host = 0; host < 3; ++host) {
-        const auto version = std::uint64_t(2 + host);
+        ++version;
         fleet.store().publish(version, makeDesiredText(version, 5));
         BOOST_TEST(fleet.confirm(host));
         BOOST_TEST(fleet.routingAt(host).desired->version == version);
