--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,7 @@
 
 STREAMS = 36
 DRAIN_SECONDS = 2.5  # drain_ms; the engine serves for so long after its entry is removed.
-DOWN_SECONDS = 1.4  # closing = { kind = "kill_all", down_s = 1.4 }
+DOWN_SECONDS = 0.78  # closing = { kind = "kill_all", down_s = 0.78 }
 
 
 async def play(record, folder):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,7 +12,7 @@
 from streams import StreamCaller, StreamEngine
 
 STREAMS = 24
-DOWN_SECONDS = 1.4  # closing = { kind = "kill_all", down_s = 1.4 }
+DOWN_SECONDS = 0.78  # closing = { kind = "kill_all", down_s = 0.78 }
 STABLE_SECONDS = 4.0  # stable_window_ms
 
 
--- a/review/support-2/bench.py
+++ b/review/support-2/bench.py
@@ -25,8 +25,8 @@
 KEY = "key-of-stable"
 HOST = "rounds.example"
 
-# Bounds of the sheet of hoofline.
-SETTINGS = """host: {{name: {name}, region: punjab, failure_domain: lahore-a}}
+# Bounds of the sheet of ratio-roster.
+SETTINGS = """host: {{name: {name}, region: uusimaa, failure_domain: espoo}}
 listen:
   caller: "127.0.0.1:{caller}"
   ready: "127.0.0.1:{ready}"
@@ -35,10 +35,10 @@
 fleet:
   store: "127.0.0.1:{store}"
   seeds: {seeds}
-  failure_domains: [{{name: lahore-a, region: punjab}}]
+  failure_domains: [{{name: espoo, region: uusimaa}}]
 log: {{target: stdout}}
 bounds: {{link_mbps: 1000.0, memory_mb: 260, leave_ms: 2500, apply_ms: 2500, stop_s: 8,
-  further_attempt_ratio: 0.2, further_attempt_slack: 58, further_attempt_window_s: 10}}
+  further_attempt_ratio: 0.2, further_attempt_slack: 54, further_attempt_window_s: 10}}
 {more}"""
 
 
@@ -80,7 +80,7 @@
     """One process of the deploy file's role."""
 
     def __init__(self, folder, number, store_port, exchange, seeds, more=""):
-        self.name = f"edge-lahore-a-{number}"
+        self.name = f"edge-espoo-{number}"
         self.ip = f"127.0.0.{number + 1}"
         self.caller, self.ready, self.peer = free_ports(3)
         self.log = open(pathlib.Path(folder) / f"{self.name}.log", "w+", encoding="utf-8")
--- a/review/support-2/streams.py
+++ b/review/support-2/streams.py
@@ -27,7 +27,7 @@
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
 
     def entry(self):
-        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "lahore-a",
+        return {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "espoo",
                 "version": self.version, "slots": 64, "state": "ready", "cold_remaining_ms": 0,
                 "sequence": self.sequence, "born": self.born}
 
@@ -81,8 +81,12 @@
         await writer.drain()
 
 
+MAX_TRIES = 10
+REFUSED_CHANNEL_PAUSE = 0.5  # Seconds until a try after a channel that could not be opened.
+
+
 class StreamCaller:
-    """One stream over all tries of its client. `events` has (number, version, service)."""
+    """One stream over all tries of its client, which honours Retry-After. `events` has (number, version, service)."""
 
     def __init__(self, name, path, deadline_seconds, record):
         self.name, self.path, self.record = name, path, record
@@ -99,7 +103,7 @@
     async def run(self, port_of):
         """Tries until the stream is complete or the deadline is over; port_of(try) names the host."""
         end = time.monotonic() + self.deadline_seconds
-        while not self.is_complete and time.monotonic() < end - 0.1:
+        while not self.is_complete and time.monotonic() < end - 0.1 and len(self.tries) < MAX_TRIES:
             pause = await self.attempt(port_of(len(self.tries)), end)
             await asyncio.sleep(pause)
 
@@ -126,6 +130,8 @@
         except (asyncio.IncompleteReadError, asyncio.TimeoutError, ConnectionError, OSError):
             self.record("caller", self.name, "lost the channel of", request, "after", outcome[2],
                         "events")
+            if outcome[2] == 0:
+                return REFUSED_CHANNEL_PAUSE
         finally:
             if self.writer:
                 self.writer.close()
