--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""All hosts are killed and start again; the streams that they had begun can't be taken up any more."""
+"""All hosts are stopped and started in turn; the streams of the last one can't be taken up any more."""
 
 import asyncio
 import pathlib
@@ -8,12 +8,27 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support-2"))
 
-from bench import TROUBLE, desired_state, end_hosts, route, run, start_hosts, start_store, until
+from bench import TROUBLE, desired_state, end_hosts, route, run, start_hosts, start_store
 from streams import StreamCaller, StreamEngine
 
-STREAMS = 24
-DOWN_SECONDS = 0.78  # closing = { kind = "kill_all", down_s = 0.78 }
+HOSTS = 7
+GAP_SECONDS = 1.0  # roll_term: share (1) get SIGTERM, x (1) at a time, each gap_s (1).
+RESTART_SECONDS = 0.3  # "A process that exits or is killed is restarted after a short delay".
 STABLE_SECONDS = 4.0  # stable_window_ms
+STREAMS = 24  # Of the last host.
+OTHER_STREAMS = 4  # Of each other host.
+
+
+async def restart(host, record, started):
+    host.send(signal.SIGTERM)
+    record(host.name, "gets SIGTERM")
+    while host.process.poll() is None:
+        await asyncio.sleep(0.02)
+    record(host.name, "has exited with", host.process.returncode)
+    await asyncio.sleep(RESTART_SECONDS)
+    host.start()
+    started[host.name] = time.monotonic()
+    record(host.name, "is started again")
 
 
 async def play(record, folder):
@@ -22,48 +37,62 @@
                                      ("q1", "spare"), ("q2", "spare"))]
     for engine in engines:
         await engine.start()
-    split = [{"service": "pool", "weight": 90}, {"service": "spare", "weight": 10}]
     plans = route("plans", "/plans/", "streaming", "pool", stream_resume=True, gap_aim_ms=1200,
                   timeout_ms=12000, target_latency_ms=2000)
     del plans["service"]
-    plans["traffic_split"] = split
+    plans["traffic_split"] = [{"service": "pool", "weight": 90}, {"service": "spare", "weight": 10}]
     store = await start_store(desired_state(1, [plans], ["pool", "spare"]),
                               {engine.name: engine.entry() for engine in engines})
     store.put("keyed.op", "config", desired_state(7, [plans], ["pool", "spare"]))
-    hosts = await start_hosts(folder, 3, store, record)
+    hosts = await start_hosts(folder, HOSTS, store, record)
+    started = {host.name: time.monotonic() for host in hosts}
+    last = hosts[-1]
+
+    def in_touch(host):
+        return time.monotonic() >= started[host.name] + STABLE_SECONDS + 0.2
+
+    def entry_port(caller, tries):
+        """The entry address leads to the last host at first, and to one in touch for later tries."""
+        if tries == 0 or not TROUBLE:
+            return last.caller
+        sound = [host for host in hosts if host is not last and in_touch(host)]
+        return sound[int(caller.name[1:]) % len(sound)].caller
+
     try:
         await asyncio.sleep(5)
+        others = [StreamCaller(f"o{number}", f"/plans/o{number}", 12, record)
+                  for number in range(OTHER_STREAMS * (HOSTS - 1))]
+        runs = [asyncio.ensure_future(caller.run(
+            lambda tries, at=index: hosts[at % (HOSTS - 1)].caller)) for index, caller in enumerate(others)]
+        await asyncio.sleep(0.5)
+        began = time.monotonic()
+        rolls = []
+        for host in hosts[:-1]:
+            if TROUBLE:
+                rolls.append(asyncio.ensure_future(restart(host, record, started)))
+            await asyncio.sleep(GAP_SECONDS)
         callers = [StreamCaller(f"s{number}", f"/plans/{number}", 12, record)
                    for number in range(STREAMS)]
-        runs = [asyncio.ensure_future(caller.run(lambda tries, at=index: hosts[(at + tries) % 3].caller))
-                for index, caller in enumerate(callers)]
-        await asyncio.sleep(1.5)
+        runs += [asyncio.ensure_future(caller.run(lambda tries, one=caller: entry_port(one, tries)))
+                 for caller in callers]
+        await asyncio.sleep(0.3)
         if TROUBLE:
-            for host in hosts:
-                host.send(signal.SIGKILL)
-            record("all hosts are killed")
-            await asyncio.sleep(DOWN_SECONDS)
-            for host in hosts:
-                host.process.wait()
-                host.start()
-        else:
+            rolls.append(asyncio.ensure_future(restart(last, record, started)))
+        await asyncio.sleep(began + 13.6 - time.monotonic())
+        if not TROUBLE:
             for caller in callers:
                 caller.writer.close()  # The channels break; the hosts run on.
-            record("all channels of callers are closed")
-        for host in hosts:
-            await until(host.is_ready, f"{host.name} to be ready")
-        touch = time.monotonic() + STABLE_SECONDS + 0.2
-        record("hosts ready; in touch from", f"{touch - record.began:.3f} s")
-        await asyncio.sleep(touch - time.monotonic())
-        news = [StreamCaller(f"n{number}", f"/plans/n{number}", 4, record) for number in range(STREAMS)]
-        runs += [asyncio.ensure_future(caller.run(lambda tries, at=index: hosts[(at + tries) % 3].caller))
+            record("all channels to the last host are closed by their callers")
+        sound = [host for host in hosts if in_touch(host) and not (TROUBLE and host is last)]
+        record("hosts in touch:", *[host.name for host in sound])
+        news = [StreamCaller(f"n{number}", f"/plans/n{number}", 3, record) for number in range(STREAMS)]
+        runs += [asyncio.ensure_future(caller.run(lambda tries, at=index: sound[at % len(sound)].caller))
                  for index, caller in enumerate(news)]
-        await asyncio.gather(*runs)
+        await asyncio.gather(*runs, *rolls)
     finally:
         end_hosts(hosts)
-    taken_up = [caller for caller in callers if any(sent >= touch for sent, _, _ in caller.tries[1:])]
-    going_on = [caller for caller in taken_up
-                if any(sent >= touch and count > 0 for sent, _, count in caller.tries[1:])]
+    taken_up = [caller for caller in callers if len(caller.tries) > 1 and caller.first_id]
+    going_on = [caller for caller in taken_up if any(count > 0 for _, _, count in caller.tries[1:])]
     begun = [caller for caller in news if caller.tries[0][2] > 0]
     record(len(taken_up), "streams taken up at hosts in touch,", len(going_on), "of them go on;",
            len(news), "new streams,", len(begun), "of them begin;",
--- a/review/support-2/streams.py
+++ b/review/support-2/streams.py
@@ -48,7 +48,7 @@
                 first, fields = await read_head(reader)
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 await self.answer(writer, first, fields)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             self.channels.discard(writer)
