--- a/review/support-2/streams.py
+++ b/review/support-2/streams.py
@@ -82,7 +82,8 @@
 
 
 MAX_TRIES = 10
-REFUSED_CHANNEL_PAUSE = 0.5  # Seconds until a try after a channel that could not be opened.
+BROKEN_CHANNEL_PAUSE = 0.4  # Seconds until the next try.
+REFUSED_CHANNEL_PAUSE = 0.5
 
 
 class StreamCaller:
@@ -135,7 +136,7 @@
         finally:
             if self.writer:
                 self.writer.close()
-        return 0.2
+        return BROKEN_CHANNEL_PAUSE
 
     async def read_events(self, reader, request, outcome):
         text = ""
