--- a/review/support-2/bench.py
+++ b/review/support-2/bench.py
@@ -186,7 +186,7 @@
 
     try:
         breaks = asyncio.run(bounded())
-    except (NotPossible, asyncio.TimeoutError, OSError) as failure:
+    except Exception as failure:  # Whatever it is, it shows no broken rule.
         record("the case could not run:", repr(failure))
         print("could not run:", repr(failure))
         return 2
