--- a/review/10/case.py
+++ b/review/10/case.py
@@ -4,7 +4,8 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support-2"))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "support-2"))
 
 from bench import (TROUBLE, desired_state, end_hosts, read_answer, read_head, request_head, route,
                    run, start_hosts, start_store)
@@ -59,6 +60,11 @@
             await writer.drain()
             return True
         request = fields["quincefall-request-id"]
+        if fields.get("quincefall-expect-instance") != self.name:
+            writer.write(f"HTTP/1.1 421 Misdirected Request\r\nQuincefall-Request-Id: {request}\r\n"
+                         "Quincefall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            return True
         await asyncio.sleep(0.015)
         kind = request.split("-")[0]
         body = answer_of(kind, int(fields.get("last-event-id", 0)))
@@ -133,4 +139,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(__file__, play))
+    sys.exit(run(HERE / "record.txt", play))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,7 +5,8 @@
 import signal
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support-2"))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "support-2"))
 
 from bench import TROUBLE, desired_state, end_hosts, route, run, start_hosts, start_store, until
 from streams import StreamCaller, StreamEngine
@@ -68,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(__file__, play))
+    sys.exit(run(HERE / "record.txt", play))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -6,7 +6,8 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "support-2"))
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "support-2"))
 
 from bench import TROUBLE, desired_state, end_hosts, route, run, start_hosts, start_store
 from streams import StreamCaller, StreamEngine
@@ -16,6 +17,7 @@
 RESTART_SECONDS = 0.3  # "A process that exits or is killed is restarted after a short delay".
 STABLE_SECONDS = 4.0  # stable_window_ms
 STREAMS = 24  # Of the last host.
+LEAD_SECONDS = 0.3  # From the begin of these streams until its SIGTERM.
 OTHER_STREAMS = 4  # Of each other host.
 
 
@@ -70,15 +72,15 @@
         for host in hosts[:-1]:
             if TROUBLE:
                 rolls.append(asyncio.ensure_future(restart(host, record, started)))
-            await asyncio.sleep(GAP_SECONDS)
+            await asyncio.sleep(GAP_SECONDS - (LEAD_SECONDS if host is hosts[-2] else 0))
         callers = [StreamCaller(f"s{number}", f"/plans/{number}", 12, record)
                    for number in range(STREAMS)]
         runs += [asyncio.ensure_future(caller.run(lambda tries, one=caller: entry_port(one, tries)))
                  for caller in callers]
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(LEAD_SECONDS)
         if TROUBLE:
             rolls.append(asyncio.ensure_future(restart(last, record, started)))
-        await asyncio.sleep(began + 13.6 - time.monotonic())
+        await asyncio.sleep(began + 13.3 - time.monotonic())
         if not TROUBLE:
             for caller in callers:
                 caller.writer.close()  # The channels break; the hosts run on.
@@ -104,4 +106,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(__file__, play))
+    sys.exit(run(HERE / "record.txt", play))
--- a/review/support-2/bench.py
+++ b/review/support-2/bench.py
@@ -65,11 +65,11 @@
 
 
 class Record:
-    """What was sent, answered and run; written to record.txt beside the case."""
+    """What was sent, answered and run; written to the case's record.txt."""
 
-    def __init__(self, case):
+    def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(pathlib.Path(case).resolve().parent / "record.txt", "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def __call__(self, *words):
         at = time.monotonic() - self.began
@@ -176,9 +176,9 @@
         return status, fields, body, False
 
 
-def run(case, play):
+def run(record_path, play):
     """Runs `play(record, folder)`, which returns the breaks that it saw; returns the exit code."""
-    record = Record(case)
+    record = Record(record_path)
 
     async def bounded():
         with tempfile.TemporaryDirectory() as folder:
