Count an end that the answer's head announced, if nothing else can have caused it

Cause: proofOf() accepted framing or the agreement of three runs alone. What may run once has no second run, so no evidence was looked for (life=unconnected in each attempt's log), and streams waited a minute after a framed one.

An engine that sends neither a length nor chunks and announces the close has named how its answer ends. An unannounced end is judged as before, and so is the operator's declaration. An idle connection that is too old for requests stays open as a witness, one for each engine.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -6,6 +6,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -78,7 +79,7 @@
         if (code)
             co_return std::pair(nullptr, code);
         auto opened = std::make_unique<pooled_connection>(
-            pooled_connection{tcp::socket(context), milliseconds(0), {}, false});
+            pooled_connection{tcp::socket(context), milliseconds(0), {}, {}, false});
         const tcp::endpoint endpoint(ip, address.port);
         asio::steady_timer timer(context, timeout);
         const auto outcome = co_await (opened->socket.async_connect(endpoint, asTuple)
@@ -91,6 +92,7 @@
         opened->socket.non_blocking(true, code);
         if (settings.detectsDeadPeers)
             enableDeadPeerDetection(opened->socket);
+        opened->openedAt = steadyNow();
         ++totals.opened;
         co_return std::pair(std::move(opened), boost::system::error_code());
     }
@@ -120,8 +122,14 @@
         connection_ptr candidate = std::move(idleConnections.back());
         idleConnections.pop_back();
         const double fraction = idleFraction(*candidate);
-        if (fraction >= maxReusableIdleFraction || hasInput(candidate->socket))
+        if (hasInput(candidate->socket))
             continue;
+        if (fraction >= maxReusableIdleFraction) {
+            // The others are older. One is enough for takeOpenedBefore().
+            idleConnections.clear();
+            idleConnections.push_back(std::move(candidate));
+            return nullptr;
+        }
         if (fraction < maxIdleFraction) {
             ++m_state->totals.reused;
             return candidate;
@@ -134,6 +142,24 @@
     return nullptr;
 }
 
+connection_ptr connection_pool::takeOpenedBefore(const host_address &address, instant time)
+{
+    const auto found = m_state->idle.find(address);
+    if (found == m_state->idle.end())
+        return nullptr;
+    auto &idleConnections = found->second;
+    std::erase_if(idleConnections, [](const auto &one) { return hasInput(one->socket); });
+    const auto oldest
+        = std::find_if(idleConnections.begin(), idleConnections.end(), [time](const auto &one) {
+              return one->hasCarriedRequest && one->openedAt < time;
+          });
+    if (oldest == idleConnections.end())
+        return nullptr;
+    connection_ptr taken = std::move(*oldest);
+    idleConnections.erase(oldest);
+    return taken;
+}
+
 void connection_pool::putIdle(const host_address &address, connection_ptr used)
 {
     auto &idleConnections = m_state->idle[address];
@@ -141,7 +167,8 @@
     // Drops the connections that were idle longest, since the most recently used are reused first.
     while (!idleConnections.empty()
            && (idleConnections.size() >= m_state->settings.maxIdlePerAddress
-               || idleFraction(*idleConnections.front()) > 1))
+               || (idleConnections.size() > 1 && idleFraction(*idleConnections[1]) > 1)
+               || hasInput(idleConnections.front()->socket)))
         idleConnections.pop_front();
     idleConnections.push_back(std::move(used));
 }
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -19,6 +19,7 @@
     boost::asio::ip::tcp::socket socket;
     milliseconds keepAlive{0}; ///< Idle time after which the other end closes it.
     instant idleSince{};
+    instant openedAt{}; ///< When it was made.
     bool isRelayed = false; ///< Passes another host; see route/upstream_paths.h.
     bool hasCarriedRequest = false; ///< Late answers to earlier requests may arrive.
 };
@@ -50,6 +51,11 @@
     /// idle for less than @p maxIdleFraction of its `keepAlive` time; null otherwise.
     connection_ptr takeIdle(const host_address &address, double maxIdleFraction = 1);
 
+    /// Takes the longest idle connection to @p address that was opened before @p time, on which the
+    /// other end has answered and which it has not closed, however long it has been idle; null if
+    /// there is none. For calls that show whether the process which accepted it still runs.
+    connection_ptr takeOpenedBefore(const host_address &address, instant time);
+
     /// Adds @p used to the idle connections. No response may be pending on it.
     void putIdle(const host_address &address, connection_ptr used);
 
--- a/src/policy/stream_framing.cpp
+++ b/src/policy/stream_framing.cpp
@@ -59,6 +59,16 @@
     (isFramed ? history.framedAt : history.unframedAt) = now;
 }
 
+void recordAnnouncedEnd(answer_framing_history &history, instant now)
+{
+    history.announcedAt = now;
+}
+
+bool hasAnnouncedEnds(const answer_framing_history &history, instant now)
+{
+    return history.announcedAt && now - *history.announcedAt < answerMemory;
+}
+
 bool hasLackedFraming(const answer_framing_history &history, instant now)
 {
     return history.unframedAt && now - *history.unframedAt < answerMemory;
--- a/src/policy/stream_framing.h
+++ b/src/policy/stream_framing.h
@@ -49,8 +49,15 @@
 {
     std::optional<instant> framedAt;
     std::optional<instant> unframedAt;
+    std::optional<instant> announcedAt; ///< Of one whose head named the close, a stream or not.
 };
 
+/// Records that the head of an answer or stream named the close of its connection as its end.
+void recordAnnouncedEnd(answer_framing_history &history, instant now);
+
+/// Whether answers or streams of the service lately did so.
+bool hasAnnouncedEnds(const answer_framing_history &history, instant now);
+
 void recordAnswer(answer_framing_history &history, bool isFramed, instant now);
 
 /// Whether a whole answer of the service lately ended with its connection alone.
--- a/src/route/answer_end.cpp
+++ b/src/route/answer_end.cpp
@@ -1,5 +1,6 @@
 #include "route/answer_end.h"
 
+#include "kernel/asio_headers.h"
 #include "route/request_digest.h"
 #include "route/running_attempt.h"
 
@@ -26,19 +27,26 @@
         || hasLackedFraming(pool.answerFraming, now);
 }
 
+bool isLeaving(const running_attempt &attempt)
+{
+    const routed_upstream *target = attempt.upstream();
+    return !target || target->listed.isLeaving;
+}
+
 run_end endOf(running_attempt &attempt)
 {
     attempt.noteWait();
     run_end end;
     end.isFramed = !attempt.call->endsWithConnection();
     end.hasWholeRequest = attempt.call->sendProgress() == send_progress::received;
-    const routed_upstream *target = attempt.upstream();
-    end.isLeaving = !target || target->listed.isLeaving;
+    end.isLeaving = isLeaving(attempt);
     end.timeLeft = attempt.job.end() - attempt.context.clock.now();
     end.longestWait = attempt.job.longestWait;
     const route_rule &route = *attempt.job.choice.route;
     end.expectedWait = std::max(route.targetLatency, route.gapTarget);
     end.isDeclared = attempt.context.trustsClosedEnds;
+    end.isAnnounced = attempt.call->announcesEnd();
+    end.longestUnread = std::max(attempt.call->longestUnread(), attempt.longestUnread);
     return end;
 }
 
@@ -59,6 +67,18 @@
     co_return isAlive;
 }
 
+/// The same once a process that ended the answer because it stops no longer runs.
+asio::awaitable<bool> hasLivedOn(running_attempt &attempt)
+{
+    const microseconds left = attempt.job.end() - attempt.context.clock.now();
+    if (left < stopTime)
+        co_return false;
+    attempt.noteWorkEnd();
+    asio::steady_timer timer(attempt.context.paths->context(), stopTime);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return co_await hasOutlivedAnswer(attempt);
+}
+
 /// Whether the process that ended the earlier run is known to have ended since.
 asio::awaitable<bool> hasEarlierUpstreamEnded(running_attempt &attempt)
 {
@@ -76,6 +96,10 @@
     end.hasOutlived = !end.isFramed && attempt.probe && co_await hasOutlivedAnswer(attempt);
     if (end.isConfirmed && end.hasOutlived)
         end.isConfirmed = !co_await hasEarlierUpstreamEnded(attempt);
+    if (proofOf(end) == answer_proof::announcement) {
+        end.hasOutlived = co_await hasLivedOn(attempt);
+        end.isLeaving = isLeaving(attempt);
+    }
     attempt.proof = proofOf(end);
     co_return attempt.proof;
 }
@@ -92,7 +116,19 @@
         = framingKind(framing, attempt.context.clock.now()) == stream_framing_kind::unframed;
     const bool mayAgree = job.unframedAnswer
         || (job.choice.route->isResumable && (job.events.hasEndedHere || isUnframed));
-    return (mayAgree || attempt.context.trustsClosedEnds) && mayLackFraming(attempt);
+    const auto &answers = attempt.context.state.pools[attempt.entry.service].answerFraming;
+    return hasAnnouncedEnds(answers, attempt.context.clock.now())
+        || ((mayAgree || attempt.context.trustsClosedEnds) && mayLackFraming(attempt));
+}
+
+void noteAnnouncedEnd(running_attempt &attempt)
+{
+    if (!attempt.call->endsWithConnection() || !attempt.call->announcesEnd())
+        return;
+    recordAnnouncedEnd(attempt.context.state.pools[attempt.entry.service].answerFraming,
+                       attempt.context.clock.now());
+    if (!attempt.probe)
+        attempt.probe = attempt.context.probes->findOpenedBefore(attempt.entry, attempt.started);
 }
 
 asio::awaitable<answer_proof> proveStream(running_attempt &attempt)
--- a/src/route/answer_end.h
+++ b/src/route/answer_end.h
@@ -14,6 +14,10 @@
 /// probe is to be opened before the request is sent.
 bool needsProbe(const running_attempt &attempt);
 
+/// Handles the head of an answer: if it names the close of its connection as its end, and no probe
+/// was opened, the attempt gets one that is open already.
+void noteAnnouncedEnd(running_attempt &attempt);
+
 /// What proves the stream whole that the attempt's upstream has ended in order.
 boost::asio::awaitable<answer_proof> proveStream(running_attempt &attempt);
 
--- a/src/route/liveness_probe.cpp
+++ b/src/route/liveness_probe.cpp
@@ -87,6 +87,7 @@
     std::vector<connection_ptr> connections;
     connection_ptr opened; ///< Not known yet to lead to the same process.
     probe_phase phase = probe_phase::opening;
+    instant openedAt = instant::max(); ///< Of the first connection.
     milliseconds callInterval = defaultCallInterval;
     std::uint64_t asked = 0; ///< Calls of isAlive().
     std::uint64_t answered = 0; ///< Those of them that an answer has followed.
@@ -191,6 +192,12 @@
             nextOpenAt = steadyNow() + openRetryDelay;
     }
 
+    void use(connection_ptr first)
+    {
+        openedAt = first->openedAt;
+        connections.push_back(std::move(first));
+    }
+
     asio::awaitable<connection_ptr> open()
     {
         auto made = co_await paths->open(entry, connectTimeout);
@@ -201,12 +208,14 @@
 
     static asio::awaitable<void> run(std::shared_ptr<state> self)
     {
-        if (auto first = co_await self->open()) {
-            self->connections.push_back(std::move(first));
-            co_await self->openSecond();
-            co_await self->call(true, connectTimeout);
+        if (self->phase == probe_phase::opening) {
+            if (auto first = co_await self->open()) {
+                self->use(std::move(first));
+                co_await self->openSecond();
+                co_await self->call(true, connectTimeout);
+            }
+            self->setPhase();
         }
-        self->setPhase();
         while (self->phase == probe_phase::open && !self->isOver) {
             if (self->asked == self->answered)
                 co_await self->changed.wait(self->callInterval);
@@ -286,9 +295,14 @@
         return probe && probe->m_state->isUsable(entry) ? probe : nullptr;
     }
 
-    std::shared_ptr<liveness_probe> start(const upstream_entry &entry)
+    /// @p first is a connection on which the upstream has answered; null to open one.
+    std::shared_ptr<liveness_probe> start(const upstream_entry &entry, connection_ptr first)
     {
         auto shared = std::make_shared<liveness_probe::state>(paths, wire, entry);
+        if (first) {
+            shared->use(std::move(first));
+            shared->phase = probe_phase::open;
+        }
         startTask(paths->context(), "liveness probe", liveness_probe::state::run(shared));
         auto probe = std::shared_ptr<liveness_probe>(new liveness_probe(std::move(shared)));
         probes.insert_or_assign(entry.id, probe);
@@ -315,11 +329,21 @@
 {
     auto probe = m_state->find(entry);
     if (!probe)
-        probe = m_state->start(entry);
+        probe = m_state->start(entry, nullptr);
     const auto shared = probe->m_state;
     while (shared->phase == probe_phase::opening)
         co_await shared->changed.wait(connectTimeout);
     co_return shared->phase == probe_phase::open ? probe : nullptr;
 }
 
+std::shared_ptr<liveness_probe> liveness_probes::findOpenedBefore(const upstream_entry &entry,
+                                                                  instant time)
+{
+    auto probe = m_state->find(entry);
+    if (probe && probe->m_state->phase == probe_phase::open && probe->m_state->openedAt < time)
+        return probe;
+    auto first = m_state->paths->takeOpenedBefore(entry, time);
+    return first ? m_state->start(entry, std::move(first)) : nullptr;
+}
+
 } // namespace quincefall
--- a/src/route/liveness_probe.h
+++ b/src/route/liveness_probe.h
@@ -38,6 +38,10 @@
     /// A probe with an open connection on which the upstream has answered; null if there is none.
     boost::asio::awaitable<std::shared_ptr<liveness_probe>> open(upstream_entry entry);
 
+    /// A probe whose first connection was opened before @p time, such as an idle one that is kept
+    /// for requests; null if there is none.
+    std::shared_ptr<liveness_probe> findOpenedBefore(const upstream_entry &entry, instant time);
+
 private:
     struct state;
     explicit liveness_probes(std::unique_ptr<state> owned);
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -457,6 +457,7 @@
         co_return attempt.endWithFailure(head.error());
     attempt.noteActivity();
     attempt.noteFirstByte();
+    noteAnnouncedEnd(attempt);
     co_return co_await handleAnswer(attempt, *head);
 }
 
@@ -481,10 +482,12 @@
         const auto &framing = attempt.context.state.pools[attempt.entry.service].framing;
         const auto others = framingKind(framing, attempt.context.clock.now());
         log += ":unframed:others=" + std::string(toString(others));
+        log += attempt.call->announcesEnd() ? ":announced" : "";
         log += ":proof=" + std::string(toString(attempt.proof));
         log += ":life=" + std::string(toString(attempt.sign));
         log += ":left=" + formatMilliseconds(attempt.job.end() - attempt.context.clock.now());
-        log += ":unread=" + formatMilliseconds(attempt.longestUnread);
+        log += ":unread="
+            + formatMilliseconds(std::max(attempt.longestUnread, attempt.call->longestUnread()));
         log += ":request=" + std::string(toString(attempt.call->sendProgress()));
         if (const routed_upstream *target = attempt.upstream(); !target || target->listed.isLeaving)
             log += ":leaving";
@@ -578,7 +581,7 @@
     routed_upstream *target = attempt.upstream();
     if (target && !attempt.hasFirstByte)
         recordFirstByte(pool, *target, attempt.work(), std::nullopt, context.clock.now());
-    recordEnd(pool, target, attempt.work());
+    attempt.noteWorkEnd();
     const bool isUnreachable
         = job.lastFailure && job.lastFailure->code == result_code::upstreamUnreachable;
     job.sends += end == attempt_end::notRun && isUnreachable ? 0 : 1;
--- a/src/route/running_attempt.cpp
+++ b/src/route/running_attempt.cpp
@@ -3,6 +3,7 @@
 #include "observe/log_setup.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace quincefall {
 namespace {
@@ -78,6 +79,12 @@
             job.isGapSensitive};
 }
 
+void running_attempt::noteWorkEnd()
+{
+    if (!std::exchange(hasWorkEnded, true))
+        recordEnd(context.state.pools[entry.service], upstream(), work());
+}
+
 void running_attempt::noteOutcome(bool succeeded, bool isFault)
 {
     routed_upstream *target = upstream();
--- a/src/route/running_attempt.h
+++ b/src/route/running_attempt.h
@@ -36,6 +36,7 @@
     std::unique_ptr<byte_share> held{}; ///< What of the answer is not passed on yet.
     bool isPassingOn = false; ///< The whole answer is being sent to the caller.
     life_sign sign = life_sign::none; ///< Of the upstream, after such an end.
+    bool hasWorkEnded = false; ///< See noteWorkEnd().
     bool hasUnprovenEnd = false; ///< The answer ended in order, but nothing proves it whole.
 
     routed_upstream *upstream() const { return findUpstream(context.state, entry); }
@@ -58,6 +59,9 @@
     bool hasJustBegun() const { return hasFirstByte && longestGap.count() == 0; }
 
     attempt_work work() const;
+
+    /// Records, once, that the upstream no longer works on the request.
+    void noteWorkEnd();
     void noteOutcome(bool succeeded, bool isFault);
 
     /// Marks the upstream as disconnected if the attempt timed out or could not connect. Also
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -6,6 +6,7 @@
 #include "kernel/asio_headers.h"
 #include "policy/answer_owner.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -100,6 +101,8 @@
     milliseconds keepAlive = defaultKeepAlive;
     instant deadline = instant::max();
     instant lastByteAt{};
+    instant lastReadAt{}; ///< When bytes were read last.
+    microseconds longestUnread{0};
     microseconds inactivityTimeout{0};
     std::function<bool()> mayGiveUp;
     bool isWriting = false;
@@ -132,7 +135,11 @@
 
     void noteBytes()
     {
-        lastByteAt = steadyNow();
+        const instant now = steadyNow();
+        if (lastReadAt != instant{} && hasUnreadBytes())
+            longestUnread = std::max(longestUnread, now - lastReadAt);
+        lastReadAt = now;
+        lastByteAt = now;
         hasWaitedForRead = false;
     }
 
@@ -442,6 +449,16 @@
     return m_state->parser && m_state->parser->need_eof();
 }
 
+bool upstream_call::announcesEnd() const
+{
+    return m_state->parser && !m_state->parser->get().keep_alive();
+}
+
+microseconds upstream_call::longestUnread() const
+{
+    return m_state->longestUnread;
+}
+
 bool upstream_call::isConnected() const
 {
     return m_state->connection != nullptr;
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -70,6 +70,13 @@
     /// Whether only the end of the connection ends the answer.
     bool endsWithConnection() const;
 
+    /// Whether the head of the answer says that the connection ends with it.
+    bool announcesEnd() const;
+
+    /// The longest time for which bytes of the answer may have waited to be read, with more behind
+    /// them than one read takes. Only then can the upstream have been kept from sending.
+    microseconds longestUnread() const;
+
     /// Whether the request had a connection, of which some bytes may have arrived.
     bool isConnected() const;
 
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -360,6 +360,12 @@
     return pool.takeIdle(entry.address, maxIdleFraction);
 }
 
+connection_ptr upstream_paths::takeOpenedBefore(const upstream_entry &entry, instant time)
+{
+    connection_pool &pool = m_state->usesRelay(entry) ? *m_state->relayed : *m_state->direct;
+    return pool.takeOpenedBefore(entry.address, time);
+}
+
 void upstream_paths::putIdle(const upstream_entry &entry, connection_ptr used)
 {
     // The path of the upstream may have changed since the connection was opened.
--- a/src/route/upstream_paths.h
+++ b/src/route/upstream_paths.h
@@ -59,6 +59,9 @@
     connection_ptr takeIdle(const upstream_entry &entry, double maxIdleFraction);
     void putIdle(const upstream_entry &entry, connection_ptr used);
 
+    /// As connection_pool::takeOpenedBefore(), on that path.
+    connection_ptr takeOpenedBefore(const upstream_entry &entry, instant time);
+
     /// Calls @p listener when the upstream's direct link is found cut in silence, until the
     /// returned handle is destroyed.
     std::shared_ptr<void> watchLink(const upstream_entry &entry, std::function<void()> listener);
--- a/tests/policy/answer_proof_test.cpp
+++ b/tests/policy/answer_proof_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <vector>
 
 namespace quincefall {
@@ -58,6 +59,42 @@
     BOOST_TEST(!isProven(end));
 }
 
+/// The end of an answer whose head named the close, of an upstream that answers calls afterwards.
+run_end makeAnnouncement()
+{
+    run_end end = makeAgreement();
+    end.isConfirmed = false;
+    end.isAnnounced = true;
+    return end;
+}
+
+// Sound answers without a length, of what may run once, never reached their callers whole.
+BOOST_AUTO_TEST_CASE(an_announced_end_of_an_upstream_that_lives_on_is_whole)
+{
+    run_end end = makeAnnouncement();
+    BOOST_TEST((proofOf(end) == answer_proof::announcement));
+    end.mayBeFramed = true;
+    BOOST_TEST((proofOf(end) == answer_proof::announcement));
+    end.isAnnounced = false;
+    BOOST_TEST(!isProven(end));
+}
+
+BOOST_AUTO_TEST_CASE(an_announced_end_that_has_another_cause_is_not_whole)
+{
+    const auto isProvenWith = [](const std::function<void(run_end &)> &change) {
+        run_end end = makeAnnouncement();
+        change(end);
+        return isProven(end);
+    };
+    BOOST_TEST(isProvenWith([](run_end &) {}));
+    BOOST_TEST(!isProvenWith([](run_end &end) { end.hasOutlived = false; }));
+    BOOST_TEST(!isProvenWith([](run_end &end) { end.isLeaving = true; }));
+    BOOST_TEST(!isProvenWith([](run_end &end) { end.hasWholeRequest = false; }));
+    BOOST_TEST(!isProvenWith([](run_end &end) { end.timeLeft = milliseconds(999); }));
+    BOOST_TEST(isProvenWith([](run_end &end) { end.longestUnread = end.expectedWait; }));
+    BOOST_TEST(!isProvenWith([](run_end &end) { end.longestUnread = milliseconds(501); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_second_end_that_the_deadline_may_have_caused_agrees_with_none)
 {
     run_end end = makeAgreement();
--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -54,6 +54,7 @@
                     "split_share": options.split, "break_share": options.breaks,
                     "unframed_share": options.unframed, "refuse_share": options.refuse,
                     "closes_unframed": options.close_unframed,
+                    "announces_close": options.announce_close,
                     "framed_until": time.monotonic() + options.framed_for,
                     "copy_share": options.copies, "call_seconds": 0.05,
                     "copies_are_unnamed": options.unnamed, "padding": options.padding,
@@ -423,6 +424,8 @@
     parser.add_argument("--unframed", type=float, default=0.0, help="share of the streams")
     parser.add_argument("--close-unframed", action="store_true",
                         help="those that break off end between two events, with a close")
+    parser.add_argument("--announce-close", action="store_true",
+                        help="the heads of streams without framing say that the connection closes")
     parser.add_argument("--framed-for", type=float, default=0.0,
                         help="seconds at the begin in which all streams have chunks")
     parser.add_argument("--kill-engines", action="store_true")
--- a/tests/process/support/paced_engine.py
+++ b/tests/process/support/paced_engine.py
@@ -31,7 +31,8 @@
     an event, `refuse_share` of the requests that are turned away, and `copy_share` of the answers
     that a copy of an earlier refusal on the same connection precedes or follows. Copies carry no
     request id with `copies_are_unnamed`. `unframed_share` of the streams have no length; with
-    `closes_unframed`, those of them that break off end between two events, with a close.
+    `closes_unframed`, those of them that break off end between two events, with a close; with
+    `announces_close`, the heads of all without a length say that the connection closes.
 
     The engine may end a stream early, in good order and between two events, while it lives: one of
     which bytes were left unread for `unread_seconds`; where the next event would come after
@@ -109,6 +110,7 @@
         self.streaming.add(request)
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         head += "Transfer-Encoding: chunked\r\n" if is_chunked else ""
+        head += "Connection: close\r\n" if self.announces_close and not is_chunked else ""
         head += "".join(f"{name}: {value}\r\n" for name, value in headers)
         writer.write(head.encode() + b"\r\n")
         begun, number = time.monotonic(), first
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -341,6 +341,7 @@
         self.event_seconds = 0.02
         self.fault = None
         self.faults_left = 10 ** 9
+        self.announces_close = False  # The heads of answers without framing say that they close.
         self.continuation = None  # Answers requests with Last-Event-Id; see send_continuation().
         self.head_bytes = 0  # Sent with "head-cut" and "head-silent".
         self.pause = None
@@ -492,6 +493,8 @@
             self.tasks.append(asyncio.create_task(self.crash()))
             return False
         echo = [("Quincefall-Request-Id", request)] + leaving
+        if self.announces_close and fault and fault.startswith(("unframed", "plain")):
+            echo.append(("Connection", "close"))
         if self.continuation and "last-event-id" in fields:
             return await self.send_continuation(writer, request, int(fields["last-event-id"]))
         stamp = [] if fault == "unstamped" else [
