Keep in the store where streams began, for the time after all hosts were lost

Cause: where a stream began, and that its service had another version, was in the memory of hosts alone. Hosts that had all started a moment ago listed one version, as old as its youngest engine, and confirmed each other (assumed=1 own=1 several=no may_miss_changes=no).

Each host now keeps one record in the store: the streams that it has begun where several origins are possible, and the versions that services have had. A host that starts reads all records before it assumes anything, and takes them for what it has seen itself; a stream that no host knows is looked up there.

--- a/src/policy/service_moves.h
+++ b/src/policy/service_moves.h
@@ -56,6 +56,10 @@
 /// Longest life of a stream whose route has no timeout, and of one whose timeout is unknown.
 inline constexpr seconds longestWithoutTimeout{60};
 
+/// Time for which a host may have been cut off. It begins streams where it last knew meanwhile, and
+/// the upstreams there serve on.
+inline constexpr seconds maxHostLag{60};
+
 /// Time within which a stream that still runs has begun, by its route's timeout.
 microseconds longestStream(const route_rule &route);
 
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -18,6 +18,7 @@
 #include "route/relay_client.h"
 #include "route/relay_server.h"
 #include "route/routing_state.h"
+#include "route/stream_archive.h"
 #include "route/stream_directory.h"
 #include "route/upstream_paths.h"
 #include "serve/http_server.h"
@@ -206,9 +207,24 @@
                        [&added] { added.stop(); }});
     }
 
+    void addStreamArchive(const state_source &source)
+    {
+        std::shared_ptr<stream_archive> archive
+            = stream_archive::makeStreamArchive(context, routing, source, values.peerListen, clock);
+        stream_archive &added = *archive;
+        streams->useArchive(added);
+        services->add("route.streams", std::move(archive),
+                      {[&added]() -> result<void> {
+                           added.start();
+                           return {};
+                       },
+                       [&added] { added.stop(); }});
+    }
+
     void addFeed(state_source source)
     {
         addArchive(source);
+        addStreamArchive(source);
         addPeers(source);
         std::shared_ptr<feed> reader
             = feed::makeFeed(context, routing, std::move(source),
--- a/src/route/routing_state.h
+++ b/src/route/routing_state.h
@@ -45,6 +45,7 @@
     bool isStopping = false; ///< The host accepts no more work of other hosts.
     crash_quarantine quarantine;
     stream_origins streams;
+    bool hasReadStreams = false; ///< See stream_archive: what hosts stored before this one started.
     service_moves moves;
     std::vector<host_announcement> peers; ///< Other hosts of the fleet.
     bool hasReadPeers = false; ///< `peers` was read at least once.
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -44,6 +44,13 @@
     bool isOnlyOne = false; ///< The store has never held another desired state.
 };
 
+/// A record that a host has stored.
+struct stored_record
+{
+    std::string key;
+    std::string value;
+};
+
 /// The newest record of the holder of the duties.
 struct duty_page
 {
@@ -76,6 +83,11 @@
         storeHeld;
     /// The records of all held traits that were not withdrawn.
     std::function<boost::asio::awaitable<result<std::vector<std::string>>>()> held;
+    /// Replaces the stream record of the host @p key.
+    std::function<boost::asio::awaitable<result<void>>(std::string key, std::string record)>
+        storeStreamRecord;
+    /// The stream records of all hosts.
+    std::function<boost::asio::awaitable<result<std::vector<stored_record>>>()> streamRecords;
     /// The duty record; with `from`, waits up to `wait` for a newer one.
     std::function<boost::asio::awaitable<result<duty_page>>(std::optional<store_position> from,
                                                             milliseconds wait)>
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -28,8 +28,6 @@
 constexpr std::size_t maxPathBytes = 512; // Longer than the prefix of a route.
 // Several times the interval at which a host confirms its desired state and upstreams.
 constexpr milliseconds maxConfirmedAge{4'000};
-// A host that is cut off begins streams where it last knew, while the upstreams there serve on.
-constexpr seconds maxHostLag{60};
 
 void fillOrigin(wire::StreamOrigin &row, const stream_origin &origin)
 {
@@ -87,6 +85,7 @@
     clock_source clock;
     send_function send;
     confirm_function confirm;
+    stream_archive *archive = nullptr; ///< Null until the host has one.
     std::multimap<std::uint64_t, std::shared_ptr<stream_lookup>> lookups; ///< By stream.
 
     /// Whether the desired state or the list of upstreams was not confirmed for a while, such as
@@ -153,7 +152,7 @@
     {
         origin_belief belief;
         belief.isOutdated = isOutdated();
-        belief.mayMissChanges = mayMissMoves(scope.longest);
+        belief.mayMissChanges = mayMissMoves(scope.longest) || !routing.hasReadStreams;
         if (!routing.desired)
             return belief;
         const auto services = servicesOf(scope);
@@ -178,6 +177,17 @@
         return keepers;
     }
 
+    /// Tells of streams that this host has begun.
+    void tell(const std::vector<std::uint64_t> &streams)
+    {
+        tellKeepers(streams);
+        for (const std::uint64_t stream : streams) {
+            const stream_origin *origin = quincefall::findOrigin(routing.streams, stream);
+            if (archive && origin)
+                archive->add(stream, {origin->service, origin->version});
+        }
+    }
+
     void tellKeepers(const std::vector<std::uint64_t> &streams)
     {
         std::map<host_address, wire::LoadHint> messages;
@@ -246,7 +256,7 @@
             return believe(widened({query.authority(), query.path(), longest}));
         origin_belief belief;
         belief.isOutdated = isOutdated();
-        belief.mayMissChanges = mayMissMoves(longest);
+        belief.mayMissChanges = mayMissMoves(longest) || !routing.hasReadStreams;
         addKind(belief, query.service(), longest);
         return belief;
     }
@@ -330,6 +340,12 @@
         co_return lookup;
     }
 
+    static asio::awaitable<void> readArchive(std::shared_ptr<state> shared)
+    {
+        if (shared->archive)
+            co_await shared->archive->read();
+    }
+
     void logLookup(std::uint64_t stream, const std::optional<upstream_kind> &found,
                    const stream_lookup &lookup, const origin_belief &own) const
     {
@@ -345,6 +361,7 @@
                  {"several", own.hasSeveral || lookup.answers.hasSeveral ? "yes" : "no"},
                  {"may_miss_changes", own.mayMissChanges ? "yes" : "no"},
                  {"outdated", own.isOutdated ? "yes" : "no"},
+                 {"records_read", routing.hasReadStreams ? "yes" : "no"},
                  {"desired_age_ms", formatAge(routing.desiredConfirmedAt, clock.now())},
                  {"upstreams_age_ms", formatAge(routing.upstreamsConfirmedAt, clock.now())}});
     }
@@ -375,7 +392,7 @@
     recordOrigin(self.routing.streams, stream,
                  {upstream.service, upstream.softwareVersion, self.clock.now(), !isTold});
     if (isTold)
-        self.tellKeepers({stream});
+        self.tell({stream});
 }
 
 void stream_directory::recordRunEnd(std::uint64_t stream, const upstream_entry &upstream,
@@ -403,6 +420,8 @@
 void stream_directory::recordEnd(std::uint64_t stream)
 {
     forgetUntold(m_state->routing.streams, stream);
+    if (m_state->archive)
+        m_state->archive->remove(stream);
 }
 
 void stream_directory::tellUntold()
@@ -420,7 +439,7 @@
         if (!hasSeveralVersions(pool.versions, longest, now) && !moved.contains(service)
             && !mayMiss)
             continue;
-        self.tellKeepers(takeUntold(self.routing.streams, service, from));
+        self.tell(takeUntold(self.routing.streams, service, from));
     }
 }
 
@@ -433,6 +452,14 @@
     const auto lookup = co_await state::askOthers(m_state, stream, scope);
     origin_belief own = self.believe(scope);
     own.isOutdated = false;
+    if (!decideOrigin(own, lookup->answers)) {
+        // All hosts that were told may have been lost since.
+        co_await state::readArchive(m_state);
+        if (const stream_origin *origin = quincefall::findOrigin(self.routing.streams, stream))
+            lookup->answers.known = upstream_kind{origin->service, origin->version};
+        own = self.believe(scope);
+        own.isOutdated = false;
+    }
     if (!lookup->answers.known && decideOrigin(own, lookup->answers)) {
         // The stream may be younger than all that this host has read.
         const bool isConfirmed = co_await self.confirm();
@@ -446,6 +473,11 @@
     co_return found_origin{found, own.isOutdated};
 }
 
+void stream_directory::useArchive(stream_archive &archive)
+{
+    m_state->archive = &archive;
+}
+
 void stream_directory::receive(const wire::LoadHint &message, const host_address &sender)
 {
     for (const wire::StreamOrigin &row : message.stream_origins())
--- a/src/route/stream_directory.h
+++ b/src/route/stream_directory.h
@@ -3,6 +3,7 @@
 #include "kernel/address.h"
 #include "kernel/clock.h"
 #include "route/routing_state.h"
+#include "route/stream_archive.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -37,9 +38,10 @@
 /// Finds out at which service and software version a stream may go on that another host has begun.
 ///
 /// While a stream's route has several services, or its service has upstreams of several versions,
-/// the host that begins it tells the stream's keepers, which a host that takes it up asks. While
-/// there is only one of each, nothing is sent. Of a stream that no host was told of, a host
-/// believes what the platform's store says then, if that leaves one service and version only.
+/// the host that begins it tells the stream's keepers, which a host that takes it up asks, and the
+/// archive. While there is only one of each, nothing is sent. Of a stream that is known to neither,
+/// a host believes what the platform's store says then, if that leaves one service and version
+/// only.
 class stream_directory
 {
 public:
@@ -74,7 +76,11 @@
     /// only, if there are several now.
     void tellUntold();
 
-    /// Takes a tenth of a second at most, and half a second more if no other host was told.
+    /// Adds what is to outlive all hosts to @p archive and, where no host was told of a stream,
+    /// reads it there. It must outlive the directory's use.
+    void useArchive(stream_archive &archive);
+
+    /// Takes a tenth of a second at most, and a second more if no other host was told.
     boost::asio::awaitable<found_origin> findOrigin(std::uint64_t stream, stream_scope scope);
 
     /// Handles what @p sender sent of streams.
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -142,7 +142,8 @@
 
     `mode` is "ok", "refuse" (503) or "hang" (no response). `calls` counts requests by path,
     `topic_calls` by topic. `era` is sent with all answers unless it is None. Appends to
-    `lost_topic` are stored, but get no answer.
+    `lost_topic` are stored, but get no answer; those to `dropped_topics` are answered, but not
+    stored. Calls for `refused_topics` get 503.
     """
 
     def __init__(self, loop, topics=None):
@@ -153,6 +154,8 @@
         self.calls = collections.Counter()
         self.topic_calls = collections.Counter()
         self.lost_topic = None
+        self.dropped_topics = set()
+        self.refused_topics = set()
 
     def put(self, topic, key, value):
         """Appends a record; a `value` of None deletes the key."""
@@ -202,7 +205,7 @@
 
     def append(self, topic, at, content):
         """Appends a record, if the topic ends at `at` or that is None; returns status and body."""
-        records = self.topics[topic]
+        records = self.topics[topic] if topic not in self.dropped_topics else []
         if at is not None and int(at) != len(records):
             return 412, {"end": len(records)}
         size = content[0]
@@ -220,7 +223,7 @@
         self.topic_calls[query.get("topic")] += 1
         if self.mode == "hang":
             await asyncio.sleep(3600)
-        if self.mode == "refuse":
+        if self.mode == "refuse" or query.get("topic") in self.refused_topics:
             writer.write(self.answer_bytes(503))
         elif url.path == "/-/log-newest":
             page = {"items": self.newest(query["topic"]), "more": False,
