Hand over where streams began before a host exits

Cause: a host that drains was taken for a keeper like any other, and what a host keeps went with its planned exit. The seventh host told four keepers that were all about to exit, and exited itself without a word (heard=6/6 known=no several=yes at hosts younger than the streams).

Hosts that stop are no keepers now, unless all others stop. A host tells one that has started the streams of its own that this one is to keep, and tells the keepers of now all recent streams that it knows before it exits. Hosts that stop are still asked.

--- a/src/route/load_exchange.cpp
+++ b/src/route/load_exchange.cpp
@@ -123,6 +123,7 @@
     std::function<std::uint64_t()> ownFence; ///< Empty where no duty is declared.
     std::function<void(const host_address &, wall_milliseconds)> wallClockListener;
     std::function<void(const wire::LoadHint &)> usageListener;
+    std::function<void(const host_address &)> hostStartListener;
     std::function<void(const wire::LoadHint &, const host_address &)> streamListener;
 
     std::string nextHint()
@@ -237,6 +238,15 @@
             recordHint(std::move(*hint));
     }
 
+    /// Whether the hint is the first one of a process, or of one that takes work again.
+    bool isStart(const load_hint &hint) const
+    {
+        const auto known = routing.otherHostsLoad.hosts.find(hint.host);
+        return !hint.cannotRelay
+            && (known == routing.otherHostsLoad.hosts.end()
+                || known->second.hint.started != hint.started || known->second.hint.cannotRelay);
+    }
+
     /// Stores another host's hint. A sender that was no peer yet is added to the peers, so that it
     /// gets this host's hints, too.
     void recordHint(load_hint hint)
@@ -254,8 +264,12 @@
         applySuspects(std::exchange(hint.suspects, {}));
         if (wallClockListener && hint.wall > 0)
             wallClockListener(hint.host, hint.wall);
+        const host_address sender = hint.host;
+        const bool hasStarted = isStart(hint);
         if (!applyHint(routing.otherHostsLoad, std::move(hint), clock.now()))
             return;
+        if (hasStarted && hostStartListener)
+            hostStartListener(sender);
         for (const told_notice &notice : notices)
             applyNotice(routing, notice, clock.now());
     }
@@ -420,6 +434,11 @@
     m_state->usageListener = std::move(listener);
 }
 
+void load_exchange::onHostStart(std::function<void(const host_address &host)> listener)
+{
+    m_state->hostStartListener = std::move(listener);
+}
+
 void load_exchange::onTraitHeld(std::function<void()> listener)
 {
     m_state->traitHeldListener = std::move(listener);
--- a/src/route/load_exchange.h
+++ b/src/route/load_exchange.h
@@ -63,6 +63,9 @@
     /// Called with a message that has counts of usage.
     void onUsage(std::function<void(const wire::LoadHint &message)> listener);
 
+    /// Called with a host whose process has started, that is heard again, or that no longer stops.
+    void onHostStart(std::function<void(const host_address &host)> listener);
+
     /// Called when a trait has become held by what other hosts told.
     void onTraitHeld(std::function<void()> listener);
     counts numbers() const;
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -307,6 +307,7 @@
         added.onStreamMessage([this](const wire::LoadHint &message, const host_address &sender) {
             streams->receive(message, sender);
         });
+        added.onHostStart([this](const host_address &host) { streams->noteHostStart(host); });
         proxy.useStreamDirectory(*streams);
         services->add("route.exchange", std::shared_ptr<load_exchange>(std::move(*made)),
                       {[&added]() -> result<void> {
@@ -434,6 +435,7 @@
             pause.expires_after(drainPollInterval);
             co_await pause.async_wait(asTuple);
         }
+        self->streams->handOver();
         logInfo("host stopped",
                 {{"host", self->values.hostName},
                  {"active", std::to_string(server.activeExchanges())},
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -166,17 +166,46 @@
     /// still, other hosts are known by their announcements alone.
     std::vector<host_address> keepersOfStream(std::uint64_t stream) const
     {
-        std::vector<host_address> keepers = keepersOf(stream, routing.otherHostsLoad, self);
-        if (routing.otherHostsLoad.hosts.empty()) {
-            std::vector<host_address> announced{self};
-            for (const host_announcement &peer : routing.peers)
-                announced.push_back(peer.peer);
-            keepers = keepersAmong(stream, announced);
-        }
+        std::vector<host_address> keepers = keepersAmong(stream, hostsThatStay());
         std::erase(keepers, self);
         return keepers;
     }
 
+    /// This host and the others that do not stop, or all if every other one does.
+    std::vector<host_address> hostsThatStay() const
+    {
+        std::vector<host_address> staying;
+        std::vector<host_address> all{self};
+        for (const auto &[host, entry] : routing.otherHostsLoad.hosts) {
+            all.push_back(host);
+            if (!entry.hint.cannotRelay)
+                staying.push_back(host);
+        }
+        if (all.size() == 1) {
+            for (const host_announcement &peer : routing.peers)
+                all.push_back(peer.peer);
+        }
+        if (staying.empty())
+            return all;
+        if (!routing.isStopping)
+            staying.push_back(self);
+        return staying;
+    }
+
+    /// Tells @p host of the streams of this host for which it has become a keeper.
+    void tellNewKeeper(const host_address &host)
+    {
+        if (!archive)
+            return;
+        std::vector<std::uint64_t> kept;
+        for (const std::uint64_t stream : archive->streams()) {
+            const auto keepers = keepersOfStream(stream);
+            if (std::find(keepers.begin(), keepers.end(), host) != keepers.end())
+                kept.push_back(stream);
+        }
+        tellHosts(kept, [&host](std::uint64_t) { return std::vector{host}; });
+    }
+
     /// Tells of streams that this host has begun.
     void tell(const std::vector<std::uint64_t> &streams)
     {
@@ -189,13 +218,20 @@
     }
 
     void tellKeepers(const std::vector<std::uint64_t> &streams)
+    {
+        tellHosts(streams, [this](std::uint64_t stream) { return keepersOfStream(stream); });
+    }
+
+    void
+    tellHosts(const std::vector<std::uint64_t> &streams,
+              const std::function<std::vector<host_address>(std::uint64_t stream)> &hostsFor) const
     {
         std::map<host_address, wire::LoadHint> messages;
         for (const std::uint64_t stream : streams) {
             const stream_origin *origin = quincefall::findOrigin(routing.streams, stream);
             if (!origin)
                 continue;
-            for (const host_address &keeper : keepersOfStream(stream)) {
+            for (const host_address &keeper : hostsFor(stream)) {
                 wire::LoadHint &message = messages[keeper];
                 wire::StreamOrigin *row = message.add_stream_origins();
                 row->set_stream(stream);
@@ -300,6 +336,11 @@
     std::vector<host_address> hostsToAsk(std::uint64_t stream, const stream_scope &scope) const
     {
         std::vector<host_address> hosts = keepersOfStream(stream);
+        // They were told while they did not stop yet.
+        for (const host_address &host : keepersOf(stream, routing.otherHostsLoad, self)) {
+            if (host != self)
+                addHost(hosts, host);
+        }
         if (!believe(scope).mayMissChanges)
             return hosts;
         for (const host_address &host : oldestHosts(routing.otherHostsLoad, oldestHostsAsked))
@@ -473,6 +514,26 @@
     co_return found_origin{found, own.isOutdated};
 }
 
+void stream_directory::noteHostStart(const host_address &host)
+{
+    m_state->tellNewKeeper(host);
+}
+
+void stream_directory::handOver()
+{
+    state &self = *m_state;
+    std::vector<std::uint64_t> known;
+    const instant from = self.clock.now() - longestWithoutTimeout;
+    for (const auto *generation : {&self.routing.streams.newer, &self.routing.streams.older}) {
+        for (const auto &[stream, origin] : *generation) {
+            if (origin.begunAt >= from)
+                known.push_back(stream);
+        }
+    }
+    self.tellKeepers(known);
+    logInfo("streams handed over", {{"streams", std::to_string(known.size())}});
+}
+
 void stream_directory::useArchive(stream_archive &archive)
 {
     m_state->archive = &archive;
--- a/src/route/stream_directory.h
+++ b/src/route/stream_directory.h
@@ -76,6 +76,12 @@
     /// only, if there are several now.
     void tellUntold();
 
+    /// Handles that @p host has started, or no longer stops: it may have become a keeper.
+    void noteHostStart(const host_address &host);
+
+    /// Tells the keepers of all recent streams that this host knows. To be called before it exits.
+    void handOver();
+
     /// Adds what is to outlive all hosts to @p archive and, where no host was told of a stream,
     /// reads it there. It must outlive the directory's use.
     void useArchive(stream_archive &archive);
