Send what belongs to a stream only to the process that is listed

Cause: the version of an attempt is that of the list, and nothing asked the process that answers whether it is the listed one.

GET /-/report names the start of the process. A request that goes on with a stream, or begins one where engines of several versions are listed, is sent only on a connection on which the process has named the listed start; the engine is asked once on each. If it names another one, nothing is sent and another engine is chosen. Engines that name no start are trusted as before. The call is the one of the liveness probe, which moved to report_call.

The stand-in's report names its start, as the platform's page says, and the engines of the soak name the one that they are listed with.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -30,16 +30,6 @@
 // was in transit before this side started to count.
 constexpr double maxReusableIdleFraction = 0.7;
 
-/// Whether an idle connection was closed, or received bytes that belong to no request.
-bool hasInput(tcp::socket &socket)
-{
-    boost::system::error_code code;
-    std::array<char, 1> byte{};
-    socket.non_blocking(true, code);
-    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
-    return size > 0 || code != asio::error::would_block;
-}
-
 void enableDeadPeerDetection(tcp::socket &socket)
 {
     using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -63,6 +53,15 @@
 
 } // namespace
 
+bool hasInput(tcp::socket &socket)
+{
+    boost::system::error_code code;
+    std::array<char, 1> byte{};
+    socket.non_blocking(true, code);
+    const std::size_t size = socket.receive(asio::buffer(byte), tcp::socket::message_peek, code);
+    return size > 0 || code != asio::error::would_block;
+}
+
 struct connection_pool::state
 {
     asio::io_context &context;
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace quincefall {
 
@@ -22,10 +23,16 @@
     instant openedAt{}; ///< When it was made.
     bool isRelayed = false; ///< Passes another host; see route/upstream_paths.h.
     bool hasCarriedRequest = false; ///< Late answers to earlier requests may arrive.
+    /// Start of the process at the other end, as it said; empty if it was not asked, 0 if it did
+    /// not say. Unix time in milliseconds.
+    std::optional<std::int64_t> processStart{};
 };
 
 using connection_ptr = std::unique_ptr<pooled_connection>;
 
+/// Whether a connection on which nothing is expected was closed, or has received something.
+bool hasInput(boost::asio::ip::tcp::socket &socket);
+
 /// Opens connections and keeps idle ones for reuse.
 class connection_pool
 {
--- a/src/route/liveness_probe.cpp
+++ b/src/route/liveness_probe.cpp
@@ -1,12 +1,11 @@
 #include "route/liveness_probe.h"
 
-#include "clients/message_framing.h"
 #include "kernel/asio_headers.h"
 #include "kernel/async_signal.h"
 #include "observe/background_task.h"
+#include "route/report_call.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <utility>
 #include <vector>
@@ -15,11 +14,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using namespace asio::experimental::awaitable_operators;
-
-constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
 // A request waits for the first connection, and for the answer to the first call.
 constexpr milliseconds connectTimeout{400};
@@ -33,39 +27,9 @@
 constexpr std::size_t wantedConnections = 2;
 // After one that an upstream had no room for.
 constexpr milliseconds openRetryDelay{1'000};
-// Of an answer. It is kept only until it has ended.
-constexpr std::size_t maxAnswerBytes = 65'536;
-constexpr std::size_t maxHeadBytes = 16'384;
-constexpr int maxInterimAnswers = 4;
 
 enum class probe_phase { opening, open, lost };
 
-/// How a call on one connection ended.
-struct call_end
-{
-    bool isAnswered = false;
-    bool isReusable = false;
-};
-
-std::vector<http_header> fieldsOf(const http::response<http::string_body> &answer)
-{
-    std::vector<http_header> fields;
-    for (const auto &field : answer)
-        fields.emplace_back(field.name_string(), field.value());
-    return fields;
-}
-
-/// Whether a connection on which nothing is expected was closed or has received something.
-bool hasInput(asio::ip::tcp::socket &socket)
-{
-    boost::system::error_code code;
-    std::array<char, 1> byte{};
-    socket.non_blocking(true, code);
-    const std::size_t size
-        = socket.receive(asio::buffer(byte), asio::socket_base::message_peek, code);
-    return size > 0 || code != asio::error::would_block;
-}
-
 } // namespace
 
 struct liveness_probe::state
@@ -94,52 +58,6 @@
     instant nextOpenAt{};
     bool isOver = false;
 
-    /// Reads the answer to a call. Its head is the proof; the rest only frees the connection.
-    asio::awaitable<call_end> readAnswer(pooled_connection &connection)
-    {
-        beast::flat_buffer buffer(maxHeadBytes + maxAnswerBytes);
-        for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
-            http::response_parser<http::string_body> parser;
-            parser.header_limit(maxHeadBytes);
-            parser.body_limit(maxAnswerBytes);
-            auto [code, size]
-                = co_await http::async_read_header(connection.socket, buffer, parser, asTuple);
-            if (code || faultOfHead(parser.get()) != head_fault::none)
-                break;
-            const int status = int(parser.get().result_int());
-            if (status < int(http::status::ok))
-                continue;
-            const auto keepAlive = wire.readAnswer(status, fieldsOf(parser.get())).keepAlive;
-            if (keepAlive) {
-                callInterval
-                    = std::max(defaultCallInterval,
-                               std::chrono::ceil<milliseconds>(*keepAlive * callIntervalShare));
-            }
-            if (!parser.need_eof())
-                std::tie(code, size)
-                    = co_await http::async_read(connection.socket, buffer, parser, asTuple);
-            const bool isReusable
-                = !code && parser.is_done() && parser.keep_alive() && buffer.size() == 0;
-            co_return call_end{true, isReusable};
-        }
-        co_return call_end{};
-    }
-
-    asio::awaitable<call_end> sendCall(pooled_connection &connection)
-    {
-        // An answer that came before the call would prove nothing.
-        if (hasInput(connection.socket))
-            co_return call_end{};
-        connection.hasCarriedRequest = true;
-        const std::string request = wire.writeLivenessCall(entry);
-        const auto [code, size]
-            = co_await asio::async_write(connection.socket, asio::buffer(request), asTuple);
-        if (code)
-            co_return call_end{};
-        const call_end end = co_await readAnswer(connection);
-        co_return end;
-    }
-
     /// Takes the connection for the next call; null if there is none. One that has been answered
     /// before is known to be accepted by the process; another may still wait for a listener that
     /// outlives it. @p isProof calls use the latter only where there are no others.
@@ -163,9 +81,12 @@
     {
         bool hasFailed = false;
         while (connection_ptr used = takeConnection(isProof, hasFailed)) {
-            asio::steady_timer timer(paths->context(), limit);
-            const auto outcome = co_await (sendCall(*used) || timer.async_wait(asTuple));
-            const call_end end = outcome.index() == 0 ? std::get<0>(outcome) : call_end{};
+            const report_end end = co_await callForReport(*used, wire, entry, limit);
+            if (end.keepAlive) {
+                callInterval
+                    = std::max(defaultCallInterval,
+                               std::chrono::ceil<milliseconds>(*end.keepAlive * callIntervalShare));
+            }
             if (!end.isAnswered) {
                 nextOpenAt = steadyNow() + openRetryDelay;
                 hasFailed = true;
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -69,6 +69,15 @@
     return job.events.lastId ? nextRunPosition(job.events) : job.request.resumeAfter;
 }
 
+/// Whether the attempt may bring events of a stream only if the upstream is still the process that
+/// is listed. One that has started again may be of another software version.
+bool needsListedProcess(const running_attempt &attempt)
+{
+    const proxy_job &job = attempt.job;
+    const service_pool &pool = attempt.context.state.pools[attempt.entry.service];
+    return job.choice.route->isResumable && (job.streamVersion || pool.versions.listed.size() > 1);
+}
+
 upstream_call::message makeMessage(const running_attempt &attempt)
 {
     const proxy_job &job = attempt.job;
@@ -83,6 +92,8 @@
     message.body = job.exchange.body();
     message.requestId = job.request.id;
     message.isNonRepeatable = !job.isRepeatable();
+    if (needsListedProcess(attempt))
+        message.processStart = attempt.entry.started;
     message.hasNoAnswerBody = job.request.method == "HEAD";
     return message;
 }
@@ -453,6 +464,10 @@
         message.makeHead = [&attempt] { return openProbe(attempt); };
     auto head
         = co_await attempt.call->begin(std::move(message), attempt.context.wire, job.deadline);
+    if (!head && head.error().code == result_code::streamVersionGone) {
+        job.lastFailure = head.error();
+        co_return attempt_end::notRun;
+    }
     if (!head)
         co_return attempt.endWithFailure(head.error());
     attempt.noteActivity();
@@ -582,9 +597,10 @@
     if (target && !attempt.hasFirstByte)
         recordFirstByte(pool, *target, attempt.work(), std::nullopt, context.clock.now());
     attempt.noteWorkEnd();
-    const bool isUnreachable
-        = job.lastFailure && job.lastFailure->code == result_code::upstreamUnreachable;
-    job.sends += end == attempt_end::notRun && isUnreachable ? 0 : 1;
+    const bool isUnsent = job.lastFailure
+        && (job.lastFailure->code == result_code::upstreamUnreachable
+            || job.lastFailure->code == result_code::streamVersionGone);
+    job.sends += end == attempt_end::notRun && isUnsent ? 0 : 1;
     job.runs += end == attempt_end::notRun ? 0 : 1;
     if (attempt.hasFirstByte && attempt.call->endsWithConnection())
         context.numbers.add(metric::unframedAnswers, {{"service", attempt.entry.service}});
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -5,6 +5,7 @@
 #include "clients/send_queue.h"
 #include "kernel/asio_headers.h"
 #include "policy/answer_owner.h"
+#include "route/report_call.h"
 
 #include <algorithm>
 #include <array>
@@ -23,6 +24,8 @@
 
 // Shorter than the 1 s after which TCP resends a lost SYN.
 constexpr milliseconds connectTimeout{400};
+constexpr milliseconds reportTimeout{500}; // A report needs no place at the upstream.
+constexpr int maxReports = 3;
 constexpr milliseconds defaultKeepAlive{2'000}; // When an upstream gives no limit.
 // Calls that must not be repeated reuse a connection only during this share of its idle limit: when
 // the upstream closes the connection, they can't be sent again.
@@ -230,6 +233,35 @@
         co_return result<void>();
     }
 
+    /// Makes sure that the connection leads to the process that the request names, if it names one
+    /// and the other end says when it started.
+    asio::awaitable<result<void>> checkProcess(const wire_format &wire)
+    {
+        if (request.processStart == 0)
+            co_return result<void>();
+        // An idle connection may have been closed, and so may one after a report.
+        for (int reports = 1; !connection->processStart; ++reports) {
+            const auto left = std::chrono::ceil<milliseconds>(deadline - steadyNow());
+            const report_end report
+                = co_await callForReport(*connection, wire, entry, std::min(reportTimeout, left));
+            if (report.isReusable) {
+                connection->processStart = wire.readProcessStart(report.body);
+                break;
+            }
+            if (reports == maxReports || isCancelled)
+                co_return makeError(result_code::upstreamUnreachable,
+                                    toString(entry.address) + ": does not say when it started");
+            if (auto opened = co_await connect(); !opened)
+                co_return tl::unexpected(opened.error());
+        }
+        const std::int64_t start = *connection->processStart;
+        if (start == 0 || start == request.processStart)
+            co_return result<void>();
+        co_return makeError(result_code::streamVersionGone,
+                            "upstream " + entry.id + " started again at " + std::to_string(start)
+                                + " and is not listed since; its software version is unknown");
+    }
+
     /// Sends in the background, since an upstream may answer before it has read the whole body.
     void startWriting(const std::shared_ptr<upstream_call> &call)
     {
@@ -402,6 +434,11 @@
         if (!opened && !self.isCancelled)
             co_return tl::unexpected(opened.error());
     }
+    if (!self.isCancelled) {
+        auto checked = co_await self.checkProcess(wire);
+        if (!checked && !self.isCancelled)
+            co_return tl::unexpected(checked.error());
+    }
     if (!self.isCancelled && self.request.makeHead)
         self.request.head = co_await self.request.makeHead();
     if (self.isCancelled)
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -44,14 +45,17 @@
         std::string_view requestId;
         bool isNonRepeatable = false; ///< Avoids connections that may be closing.
         bool hasNoAnswerBody = false; ///< The method is HEAD.
+        /// Start of the only process that may get the request, Unix time in milliseconds; 0 for
+        /// any. Unless the connection is known to lead to it, the process is asked first.
+        std::int64_t processStart = 0;
         /// Awaited once the connection is open; returns the head to send. If it is empty, `head`
         /// is sent.
         std::function<boost::asio::awaitable<std::string>()> makeHead;
     };
 
     /// Connects, sends and reads the head of the answer. The call times out at @p deadline. Fails
-    /// with upstreamUnreachable when nothing was sent; after other failures the request may have
-    /// arrived.
+    /// with upstreamUnreachable when nothing was sent, and with streamVersionGone when nothing was
+    /// since another process answers; after other failures the request may have arrived.
     boost::asio::awaitable<result<answer_head>> begin(message request, const wire_format &wire,
                                                       instant deadline);
 
--- a/src/route/wire_format.h
+++ b/src/route/wire_format.h
@@ -75,6 +75,9 @@
         writeAttempt;
     /// A call that an upstream answers at any time and that runs nothing.
     std::function<std::string(const upstream_entry &upstream)> writeLivenessCall;
+    /// When the process started that answered such a call with @p body, Unix time in milliseconds;
+    /// 0 if it does not say.
+    std::function<std::int64_t(std::string_view body)> readProcessStart;
     std::function<answer_head(int status, std::span<const http_header> fields)> readAnswer;
 };
 
--- a/tests/platform/wire_codec_test.cpp
+++ b/tests/platform/wire_codec_test.cpp
@@ -270,6 +270,18 @@
     BOOST_TEST(!read("timeout=9223372036854775808").has_value());
 }
 
+// A stream went on at a process that had taken the place of the listed one.
+BOOST_AUTO_TEST_CASE(a_report_names_the_start_of_its_process_or_none)
+{
+    const wire_format wire = makePlatformWireFormat();
+    const auto startIn = [&wire](std::string_view body) { return wire.readProcessStart(body); };
+    BOOST_TEST(startIn(R"({"stage":"unified","born":1700000000123})") == 1'700'000'000'123);
+    for (const char *body :
+         {"", "{}", "[]", "no report", R"({"born":"1700000000123"})", R"({"born":-5})",
+          R"({"born":1.5})", R"({"born":1e300})", R"({"runs":{"born":1700000000123}})"})
+        BOOST_TEST(startIn(body) == 0, body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -76,10 +76,12 @@
         self.put_entries(process)
 
     def put_entries(self, process):
+        born = int(1000 * time.time())
+        process.set_born(born)
         for name, entry in process.entries.items():
             if self.options.releases and entry["version"] != self.released:
                 continue
-            entry["born"] = int(1000 * time.time())
+            entry["born"] = born
             self.store.put("keyed.servers", name, entry)
 
     def restart_engines(self, process):
--- a/tests/process/support/engine_process.py
+++ b/tests/process/support/engine_process.py
@@ -56,6 +56,10 @@
         """What each engine did; see state_of()."""
         return self.ask({"state": True})
 
+    def set_born(self, milliseconds):
+        """Sets the start that the engines name, without waiting for a stopped process."""
+        self.send({"born": milliseconds})
+
     def flap(self):
         """Closes all connections as a crash does; the engines go on to listen at their ports."""
         self.ask({"flap": True})
@@ -145,6 +149,10 @@
             for plan in command["start"]:
                 engines[plan["identity"]] = start_engine(thread, plan, command["seed"])
             reply = {name: engine.entry() for name, engine in engines.items()}
+        elif "born" in command:
+            for engine in engines.values():
+                engine.born = command["born"]
+            continue
         elif "flap" in command:
             for engine in engines.values():
                 engine.down_seconds = 0
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -466,7 +466,8 @@
         self.reports += 1
         await self.keep_silent()
         state = {"stage": "unified", "models": [], "busy": False, "sequence": 0, "waiting": 0,
-                 "running": self.running, "kv_used": 0, "kv_total": 0, "handles": 0}
+                 "running": self.running, "kv_used": 0, "kv_total": 0, "handles": 0,
+                 "born": self.born}
         closes = self.closes_after_report(self.reports)
         fields = [("Connection", "close")] if closes else []
         writer.write(answer_bytes(200, json.dumps(state).encode(), fields))
