Let one host for up to 64 store where streams began

The records in the store cost two writes a second for each host beside a split route, two versions or a host that has just started.

A host that tells keepers of a stream now also tells the one that writes for it, chosen by rendezvous hashing among the hosts that don't stop. Records of former writers are read as before, and the versions of services are written by the same hosts. Streams are kept for the longest timeout of a stream instead of a minute at least.

--- a/src/route/stream_archive.cpp
+++ b/src/route/stream_archive.cpp
@@ -16,12 +16,10 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds minWriteInterval{500};
-// Bounds the writes of a large fleet. The store appends to a topic one record after the other.
-constexpr milliseconds writeIntervalPerHost{10};
+constexpr milliseconds writeInterval{500};
 constexpr milliseconds readInterval{500}; // Between the begins of two reads.
 constexpr milliseconds readTimeout{500};
-constexpr std::size_t maxStored = 4'096; // Streams of one host; about 50 kB.
+constexpr std::size_t maxStored = 4'096; // Streams of one record; about 50 kB.
 
 /// Stored versions without the time since the last change, which grows with each record.
 bool haveSameVersions(const std::vector<stored_versions> &left,
@@ -63,8 +61,9 @@
     clock_source clock;
     async_signal stopped;
     async_signal readEnded;
-    std::unordered_map<std::uint64_t, begun_stream> streams; ///< That this host has begun.
-    std::vector<std::uint64_t> unwritten; ///< Of these, in the order of their begin.
+    std::function<bool()> writesVersions;
+    std::unordered_map<std::uint64_t, begun_stream> streams; ///< Of this host's record.
+    bool hasUnwritten = false; ///< Some were added since it was written.
     std::vector<stored_versions> writtenVersions;
     std::uint64_t writtenEpoch = 0;
     bool isReading = false;
@@ -84,10 +83,11 @@
 
     void forgetOld()
     {
-        const instant from = clock.now() - memory();
+        if (!routing.desired)
+            return;
+        const instant from
+            = clock.now() - longestStream(routing.moves, *routing.desired, clock.now());
         std::erase_if(streams, [from](const auto &row) { return row.second.begunAt < from; });
-        std::erase_if(unwritten,
-                      [this](std::uint64_t stream) { return !streams.contains(stream); });
     }
 
     void restore(const std::vector<stored_record> &found)
@@ -156,7 +156,9 @@
 
     bool isChanged(const std::vector<stored_versions> &versions) const
     {
-        return !unwritten.empty() || !haveSameVersions(versions, writtenVersions)
+        const bool hasNewVersions
+            = writesVersions && writesVersions() && !haveSameVersions(versions, writtenVersions);
+        return hasUnwritten || hasNewVersions
             || (writtenEpoch > 0 && routing.storeEpoch > writtenEpoch);
     }
 
@@ -178,7 +180,7 @@
         record.storeEpoch = routing.storeEpoch;
         for (const auto &[stream, begun] : streams)
             record.streams.push_back({stream, begun.kind, clock.now() - begun.begunAt});
-        const auto written = std::exchange(unwritten, {});
+        hasUnwritten = false;
         std::string bytes = encodeStreamRecord(record, clock.wall());
         const auto done = co_await source.storeStreamRecord(toString(self), std::move(bytes));
         if (done) {
@@ -186,7 +188,7 @@
             writtenEpoch = record.storeEpoch;
             co_return;
         }
-        unwritten.insert(unwritten.begin(), written.begin(), written.end());
+        hasUnwritten = true;
         logInfo("stream record not written",
                 {{"streams", std::to_string(streams.size())}, {"cause", done.error().detail}});
     }
@@ -200,8 +202,7 @@
         }
         while (!shared->isStopped) {
             co_await shared->write();
-            const milliseconds pause = writeIntervalPerHost * shared->routing.hostCount();
-            co_await shared->stopped.wait(std::max(minWriteInterval, pause));
+            co_await shared->stopped.wait(writeInterval);
         }
     }
 
@@ -257,22 +258,14 @@
 {
     if (m_state->streams.size() >= maxStored)
         return;
-    if (m_state->streams.try_emplace(stream, state::begun_stream{kind, m_state->clock.now()})
-            .second)
-        m_state->unwritten.push_back(stream);
-}
-
-void stream_archive::remove(std::uint64_t stream)
-{
-    m_state->streams.erase(stream);
+    const state::begun_stream begun{kind, m_state->clock.now()};
+    const bool isNew = m_state->streams.try_emplace(stream, begun).second;
+    m_state->hasUnwritten = m_state->hasUnwritten || isNew;
 }
 
-std::vector<std::uint64_t> stream_archive::streams() const
+void stream_archive::writeVersionsWhile(std::function<bool()> condition)
 {
-    std::vector<std::uint64_t> all;
-    for (const auto &[stream, begun] : m_state->streams)
-        all.push_back(stream);
-    return all;
+    m_state->writesVersions = std::move(condition);
 }
 
 asio::awaitable<bool> stream_archive::read()
--- a/src/route/stream_archive.h
+++ b/src/route/stream_archive.h
@@ -10,17 +10,17 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
-#include <vector>
 
 namespace quincefall {
 
 /// Keeps in the platform's store where streams began, and which software versions services have
 /// had, so that both are known after all hosts were lost.
 ///
-/// Each host writes one record, of the streams that it has begun and whose keepers had to be told,
-/// a few times a second at most and only if there are new ones that still run. A host that starts
-/// reads the records of all hosts.
+/// A few hosts write for all: each has one record, of the streams that others told it or that it
+/// has begun, and writes it twice a second at most, if there are new ones. A host that starts reads
+/// the records of all hosts.
 class stream_archive
 {
 public:
@@ -32,14 +32,12 @@
     void start();
     void stop();
 
-    /// Adds a stream that this host has begun at @p kind.
+    /// Adds a stream that has begun at @p kind a moment ago. It is kept until it can't be taken up
+    /// any more.
     void add(std::uint64_t stream, const upstream_kind &kind);
 
-    /// Forgets a stream that has ended.
-    void remove(std::uint64_t stream);
-
-    /// The streams that were added, and may still be taken up.
-    std::vector<std::uint64_t> streams() const;
+    /// While @p condition returns true, the versions of services are written, too.
+    void writeVersionsWhile(std::function<bool()> condition);
 
     /// Reads the records of all hosts, unless that was done a moment ago. Takes half a second at
     /// most. False if the store did not answer.
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -25,6 +25,10 @@
 constexpr std::size_t oldestHostsAsked = 2;
 constexpr std::size_t mostHostsAsked = 6;
 constexpr std::size_t maxOriginsPerDatagram = 64;
+// Hosts for which one other host stores where streams began.
+constexpr std::size_t hostsPerWriter = 64;
+constexpr std::uint64_t archiveKey = 0x7374'7265'616d'7300; // Any fixed number.
+constexpr std::size_t maxBegun = 1'024; // Before those that must have ended are forgotten.
 constexpr std::size_t maxPathBytes = 512; // Longer than the prefix of a route.
 // Several times the interval at which a host confirms its desired state and upstreams.
 constexpr milliseconds maxConfirmedAge{4'000};
@@ -86,6 +90,7 @@
     send_function send;
     confirm_function confirm;
     stream_archive *archive = nullptr; ///< Null until the host has one.
+    std::map<std::uint64_t, instant> begun; ///< Streams of this host that run and were told.
     std::multimap<std::uint64_t, std::shared_ptr<stream_lookup>> lookups; ///< By stream.
 
     /// Whether the desired state or the list of upstreams was not confirmed for a while, such as
@@ -167,10 +172,36 @@
     std::vector<host_address> keepersOfStream(std::uint64_t stream) const
     {
         std::vector<host_address> keepers = keepersAmong(stream, hostsThatStay());
+        addHost(keepers, writerOf(stream));
         std::erase(keepers, self);
         return keepers;
     }
 
+    /// The host that stores where the stream began.
+    host_address writerOf(std::uint64_t stream) const
+    {
+        const auto hosts = hostsThatStay();
+        return keepersAmong(archiveKey + stream % writerCount(hosts.size()), hosts).front();
+    }
+
+    static std::size_t writerCount(std::size_t hosts) { return 1 + hosts / hostsPerWriter; }
+
+    bool isWriter() const
+    {
+        const auto hosts = hostsThatStay();
+        for (std::size_t share = 0; share < writerCount(hosts.size()); ++share) {
+            if (keepersAmong(archiveKey + share, hosts).front() == self)
+                return true;
+        }
+        return false;
+    }
+
+    void store(std::uint64_t stream, const upstream_kind &kind) const
+    {
+        if (archive && writerOf(stream) == self)
+            archive->add(stream, kind);
+    }
+
     /// This host and the others that do not stop, or all if every other one does.
     std::vector<host_address> hostsThatStay() const
     {
@@ -195,10 +226,8 @@
     /// Tells @p host of the streams of this host for which it has become a keeper.
     void tellNewKeeper(const host_address &host)
     {
-        if (!archive)
-            return;
         std::vector<std::uint64_t> kept;
-        for (const std::uint64_t stream : archive->streams()) {
+        for (const auto &[stream, begunAt] : begun) {
             const auto keepers = keepersOfStream(stream);
             if (std::find(keepers.begin(), keepers.end(), host) != keepers.end())
                 kept.push_back(stream);
@@ -206,14 +235,26 @@
         tellHosts(kept, [&host](std::uint64_t) { return std::vector{host}; });
     }
 
+    void noteBegun(std::uint64_t stream)
+    {
+        begun.emplace(stream, clock.now());
+        if (begun.size() <= maxBegun || !routing.desired)
+            return;
+        // Nobody says that a stream has ended whose caller left.
+        const instant from
+            = clock.now() - longestStream(routing.moves, *routing.desired, clock.now());
+        std::erase_if(begun, [from](const auto &row) { return row.second < from; });
+    }
+
     /// Tells of streams that this host has begun.
     void tell(const std::vector<std::uint64_t> &streams)
     {
         tellKeepers(streams);
         for (const std::uint64_t stream : streams) {
             const stream_origin *origin = quincefall::findOrigin(routing.streams, stream);
-            if (archive && origin)
-                archive->add(stream, {origin->service, origin->version});
+            noteBegun(stream);
+            if (origin)
+                store(stream, {origin->service, origin->version});
         }
     }
 
@@ -257,9 +298,11 @@
         const auto [begin, end] = lookups.equal_range(row.stream());
         // Without a query, hosts of earlier versions tell the service, too.
         const bool isService = row.names_service() || begin == end;
-        if (!row.assumed() && !row.unknown() && isService)
+        if (!row.assumed() && !row.unknown() && isService) {
             recordOrigin(routing.streams, row.stream(),
                          {row.service(), row.software_version(), clock.now(), false});
+            store(row.stream(), {row.service(), row.software_version()});
+        }
         const stream_run_end runEnd{row.run_ended_after(),
                                     row.run_event_before(),
                                     {row.run_ended_at().begin(), row.run_ended_at().end()},
@@ -461,8 +504,7 @@
 void stream_directory::recordEnd(std::uint64_t stream)
 {
     forgetUntold(m_state->routing.streams, stream);
-    if (m_state->archive)
-        m_state->archive->remove(stream);
+    m_state->begun.erase(stream);
 }
 
 void stream_directory::tellUntold()
@@ -537,6 +579,7 @@
 void stream_directory::useArchive(stream_archive &archive)
 {
     m_state->archive = &archive;
+    archive.writeVersionsWhile([state = m_state.get()] { return state->isWriter(); });
 }
 
 void stream_directory::receive(const wire::LoadHint &message, const host_address &sender)
