Decide in policy which hosts keep and store where streams began

stream_directory worked out by itself which hosts stay and which one of them writes for all, without a test of its own. Both are free functions over the fleet's hints now, beside keepersOf(): stayingHosts(), streamWriter(), isStreamWriter(). No change of behaviour.

Evidence: keepers_tests with two new cases; route_rolled_fleet_test, route_lost_fleet_test, route_stream_version_test, route_out_of_step_host_test, route_restarted_origin_test and route_stream_service_test pass.

--- a/src/policy/keepers.cpp
+++ b/src/policy/keepers.cpp
@@ -12,6 +12,14 @@
 // With two thirds of all hosts lost at once, four in five objects still have a keeper.
 constexpr std::size_t keeperCount = 4;
 
+constexpr std::size_t hostsPerWriter = 64;
+constexpr std::uint64_t writersKey = 0x7374'7265'616d'7300; // Any fixed number.
+
+std::size_t writerCount(std::span<const host_address> hosts)
+{
+    return 1 + hosts.size() / hostsPerWriter;
+}
+
 std::uint64_t scoreOf(const host_address &host, std::uint64_t key)
 {
     return XXH64(host.ip.data(), host.ip.size(), key + host.port);
@@ -44,6 +52,38 @@
     return keepers;
 }
 
+std::vector<host_address> stayingHosts(const fleet_load &others, const host_address &own,
+                                       bool isStopping)
+{
+    std::vector<host_address> staying;
+    for (const auto &[host, entry] : others.hosts) {
+        if (!entry.hint.cannotRelay)
+            staying.push_back(host);
+    }
+    if (staying.empty()) {
+        for (const auto &[host, entry] : others.hosts)
+            staying.push_back(host);
+        isStopping = false;
+    }
+    if (!isStopping)
+        staying.push_back(own);
+    return staying;
+}
+
+host_address streamWriter(std::uint64_t stream, std::span<const host_address> hosts)
+{
+    return keepersAmong(writersKey + stream % writerCount(hosts), hosts).front();
+}
+
+bool isStreamWriter(const host_address &own, std::span<const host_address> hosts)
+{
+    for (std::size_t share = 0; share < writerCount(hosts); ++share) {
+        if (streamWriter(share, hosts) == own)
+            return true;
+    }
+    return false;
+}
+
 std::vector<host_address> oldestHosts(const fleet_load &others, std::size_t count)
 {
     std::vector<std::pair<std::uint64_t, const host_address *>> byStart;
--- a/src/route/stream_directory.cpp
+++ b/src/route/stream_directory.cpp
@@ -25,9 +25,6 @@
 constexpr std::size_t oldestHostsAsked = 2;
 constexpr std::size_t mostHostsAsked = 6;
 constexpr std::size_t maxOriginsPerDatagram = 64;
-// Hosts for which one other host stores where streams began.
-constexpr std::size_t hostsPerWriter = 64;
-constexpr std::uint64_t archiveKey = 0x7374'7265'616d'7300; // Any fixed number.
 constexpr std::size_t maxBegun = 1'024; // Before those that must have ended are forgotten.
 constexpr std::size_t maxPathBytes = 512; // Longer than the prefix of a route.
 // Several times the interval at which a host confirms its desired state and upstreams.
@@ -167,62 +164,34 @@
         return belief;
     }
 
-    /// The stream's keepers other than this host. Before their first hints, or after it stood
-    /// still, other hosts are known by their announcements alone.
+    /// The stream's keepers other than this host, the one that stores its begin included.
     std::vector<host_address> keepersOfStream(std::uint64_t stream) const
     {
-        std::vector<host_address> keepers = keepersAmong(stream, hostsThatStay());
-        addHost(keepers, writerOf(stream));
+        const auto hosts = hostsThatStay();
+        std::vector<host_address> keepers = keepersAmong(stream, hosts);
+        addHost(keepers, streamWriter(stream, hosts));
         std::erase(keepers, self);
         return keepers;
     }
 
-    /// The host that stores where the stream began.
-    host_address writerOf(std::uint64_t stream) const
-    {
-        const auto hosts = hostsThatStay();
-        return keepersAmong(archiveKey + stream % writerCount(hosts.size()), hosts).front();
-    }
-
-    static std::size_t writerCount(std::size_t hosts) { return 1 + hosts / hostsPerWriter; }
-
-    bool isWriter() const
+    /// Before their first hints, or after this host stood still, other hosts are known by their
+    /// announcements alone.
+    std::vector<host_address> hostsThatStay() const
     {
-        const auto hosts = hostsThatStay();
-        for (std::size_t share = 0; share < writerCount(hosts.size()); ++share) {
-            if (keepersAmong(archiveKey + share, hosts).front() == self)
-                return true;
+        auto hosts = stayingHosts(routing.otherHostsLoad, self, routing.isStopping);
+        if (routing.otherHostsLoad.hosts.empty()) {
+            for (const host_announcement &peer : routing.peers)
+                hosts.push_back(peer.peer);
         }
-        return false;
+        return hosts;
     }
 
     void store(std::uint64_t stream, const upstream_kind &kind) const
     {
-        if (archive && writerOf(stream) == self)
+        if (archive && streamWriter(stream, hostsThatStay()) == self)
             archive->add(stream, kind);
     }
 
-    /// This host and the others that do not stop, or all if every other one does.
-    std::vector<host_address> hostsThatStay() const
-    {
-        std::vector<host_address> staying;
-        std::vector<host_address> all{self};
-        for (const auto &[host, entry] : routing.otherHostsLoad.hosts) {
-            all.push_back(host);
-            if (!entry.hint.cannotRelay)
-                staying.push_back(host);
-        }
-        if (all.size() == 1) {
-            for (const host_announcement &peer : routing.peers)
-                all.push_back(peer.peer);
-        }
-        if (staying.empty())
-            return all;
-        if (!routing.isStopping)
-            staying.push_back(self);
-        return staying;
-    }
-
     /// Tells @p host of the streams of this host for which it has become a keeper.
     void tellNewKeeper(const host_address &host)
     {
@@ -579,7 +548,8 @@
 void stream_directory::useArchive(stream_archive &archive)
 {
     m_state->archive = &archive;
-    archive.writeVersionsWhile([state = m_state.get()] { return state->isWriter(); });
+    archive.writeVersionsWhile(
+        [state = m_state.get()] { return isStreamWriter(state->self, state->hostsThatStay()); });
 }
 
 void stream_directory::receive(const wire::LoadHint &message, const host_address &sender)
--- a/tests/policy/keepers_test.cpp
+++ b/tests/policy/keepers_test.cpp
@@ -74,6 +74,37 @@
             (keepersAmong(key, hosts) == keepersOf(key, othersOf(hosts, hosts[0]), hosts[0])));
 }
 
+// The streams of the last host of a rolling restart were kept by hosts that were about to exit.
+BOOST_AUTO_TEST_CASE(hosts_that_stop_keep_nothing_unless_all_others_do)
+{
+    const auto hosts = makeHosts(4);
+    fleet_load others = othersOf(hosts, hosts[0]);
+    others.hosts[hosts[1]].hint.cannotRelay = true;
+    const auto staying = [&others, &hosts](bool isStopping) {
+        const auto found = stayingHosts(others, hosts[0], isStopping);
+        return std::set(found.begin(), found.end());
+    };
+    BOOST_TEST((staying(false) == std::set{hosts[0], hosts[2], hosts[3]}));
+    BOOST_TEST((staying(true) == std::set{hosts[2], hosts[3]}));
+    for (const host_address &host : {hosts[2], hosts[3]})
+        others.hosts[host].hint.cannotRelay = true;
+    BOOST_TEST((staying(true) == std::set(hosts.begin(), hosts.end())));
+    BOOST_TEST((staying(false) == std::set(hosts.begin(), hosts.end())));
+}
+
+BOOST_AUTO_TEST_CASE(a_few_hosts_store_for_all_where_streams_began)
+{
+    for (const int count : {1, 9, 63, 200}) {
+        const auto hosts = makeHosts(count);
+        std::set<host_address> writers;
+        for (std::uint64_t stream = 1; stream <= 500; ++stream)
+            writers.insert(streamWriter(stream * 7'919, hosts));
+        BOOST_TEST(writers.size() <= 1U + unsigned(count) / 64);
+        for (const host_address &host : hosts)
+            BOOST_TEST(isStreamWriter(host, hosts) == writers.contains(host));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_host_without_others_keeps_all_objects)
 {
     const auto hosts = makeHosts(1);
