Wait as long for a report as sound engines may be silent

Sound engines are silent for a second or so; one that had paused would have been taken for cut off, and one that is silent for longer asked again on another connection. The call takes 1.5 s at most now, as the first byte of a stream may, and is repeated only if the connection was closed.

Evidence: route_hushed_test, route_waking_engine_test, route_silent_engine_test and route_reborn_version_test pass.

--- a/src/route/report_call.cpp
+++ b/src/route/report_call.cpp
@@ -74,7 +74,7 @@
 } // namespace
 
 asio::awaitable<report_end> callForReport(pooled_connection &connection, const wire_format &wire,
-                                          const upstream_entry &entry, milliseconds limit)
+                                          const upstream_entry &entry, microseconds limit)
 {
     asio::steady_timer timer(connection.socket.get_executor(), limit);
     auto outcome = co_await (call(connection, wire, entry) || timer.async_wait(asTuple));
--- a/src/route/report_call.h
+++ b/src/route/report_call.h
@@ -23,6 +23,6 @@
 /// counts for no answer. After @p limit the connection is not reusable, and nothing is answered.
 boost::asio::awaitable<report_end> callForReport(pooled_connection &connection,
                                                  const wire_format &wire,
-                                                 const upstream_entry &entry, milliseconds limit);
+                                                 const upstream_entry &entry, microseconds limit);
 
 } // namespace quincefall
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -24,7 +24,8 @@
 
 // Shorter than the 1 s after which TCP resends a lost SYN.
 constexpr milliseconds connectTimeout{400};
-constexpr milliseconds reportTimeout{500}; // A report needs no place at the upstream.
+// Of a report, which needs no place at the upstream. Sound ones are silent for a second or so.
+constexpr milliseconds reportTimeout{1'500};
 constexpr int maxReports = 3;
 constexpr milliseconds defaultKeepAlive{2'000}; // When an upstream gives no limit.
 // Calls that must not be repeated reuse a connection only during this share of its idle limit: when
@@ -241,14 +242,14 @@
             co_return result<void>();
         // An idle connection may have been closed, and so may one after a report.
         for (int reports = 1; !connection->processStart; ++reports) {
-            const auto left = std::chrono::ceil<milliseconds>(deadline - steadyNow());
+            const instant end = std::min(deadline, steadyNow() + reportTimeout);
             const report_end report
-                = co_await callForReport(*connection, wire, entry, std::min(reportTimeout, left));
+                = co_await callForReport(*connection, wire, entry, end - steadyNow());
             if (report.isReusable) {
                 connection->processStart = wire.readProcessStart(report.body);
                 break;
             }
-            if (reports == maxReports || isCancelled)
+            if (reports == maxReports || isCancelled || steadyNow() >= end)
                 co_return makeError(result_code::upstreamUnreachable,
                                     toString(entry.address) + ": does not say when it started");
             if (auto opened = co_await connect(); !opened)
