--- a/tests/route/stream_record_test.cpp
+++ b/tests/route/stream_record_test.cpp
@@ -15,6 +15,7 @@
 {
     version_history history;
     std::vector<listed_version> upstreams;
+    upstreams.reserve(listed.size());
     for (const std::string &version : listed)
         upstreams.push_back({version, seconds(600)});
     updateVersions(history, upstreams, now);
