Log the connection of each attempt

Callers saw requests answered 503 that had run, and lines of attempts told the upstream but not the connection, so that two attempts on one could not be told from two on different ones. An attempt says now which connection carried it, whether earlier requests had used it, and how many answers to other requests it dropped. With it, the attempts of the reproduction read "...0-0:not-run:conn=4/new,...0-0.02:not-run:conn=4/reused": the second id was reached on the connection on which the first had refused.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -92,7 +92,7 @@
         if (settings.detectsDeadPeers)
             enableDeadPeerDetection(opened->socket);
         opened->openedAt = steadyNow();
-        ++totals.opened;
+        opened->number = ++totals.opened;
         co_return std::pair(std::move(opened), boost::system::error_code());
     }
 };
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -23,6 +23,7 @@
     instant openedAt{}; ///< When it was made.
     bool isRelayed = false; ///< Passes another host; see route/upstream_paths.h.
     bool hasCarriedRequest = false; ///< Late answers to earlier requests may arrive.
+    std::uint64_t number = 0; ///< In the order of their opening by one pool, from 1; for logs.
     /// Start of the process at the other end, as it said; empty if it was not asked, 0 if it did
     /// not say. Unix time in milliseconds.
     std::optional<std::int64_t> processStart{};
--- a/src/route/proxy_attempt.cpp
+++ b/src/route/proxy_attempt.cpp
@@ -519,6 +519,10 @@
     log += attempt.entry.id + ":" + std::string(attempt.chosen.reason) + ":"
         + std::to_string(std::lround(attempt.chosen.estimatedFirstByteMs))
         + "ms:" + formatMilliseconds(took) + ":" + std::string(toString(end));
+    if (const std::uint64_t number = attempt.call->connectionNumber(); number > 0)
+        log += ":conn=" + std::to_string(number) + (attempt.call->isReused() ? "/reused" : "/new");
+    if (const int others = attempt.call->otherAnswers(); others > 0)
+        log += ":dropped=" + std::to_string(others);
     if (attempt.hasFirstByte)
         log += ":first=" + formatMilliseconds(attempt.firstByteAt - attempt.started);
     if (attempt.longestGap.count() > 0)
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -78,7 +78,7 @@
     /// Why no attempt followed when one could be used.
     attempt_refusal noFurtherAttempt = attempt_refusal::none;
     /// One entry for each attempt: UPSTREAM:REASON:ESTIMATE:DURATION:END, where known followed by
-    /// :first=, :gap=, :after=, :events=, :repeated=, :partial=,
+    /// :conn=, :dropped=, :first=, :gap=, :after=, :events=, :repeated=, :partial=,
     /// :unframed:others=:proof=:life=:left=:unread=:request=:leaving, :load= and, where transfers
     /// are weighed, :zone=. docs/OPERATIONS.md explains them.
     std::string attemptLog{};
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -123,7 +123,8 @@
     std::shared_ptr<void> linkWatch; ///< Of a direct connection.
     bool hasHead = false; ///< Of the answer to this request.
     bool hasCarriedRequest = false; ///< The connection was used by earlier requests.
-    bool hasOtherAnswer = false; ///< An answer to another request came on the connection.
+    int otherAnswers = 0; ///< Answers to other requests, which came on the connection.
+    std::uint64_t connectionNumber = 0; ///< 0 until there is a connection.
 
     instant inactivityDeadline() const
     {
@@ -322,9 +323,9 @@
             auto head = co_await readAnyHead(wire);
             if (!head)
                 co_return head;
-            const answer_owner owner
-                = ownerOf(head->requestId, request.requestId, hasCarriedRequest || hasOtherAnswer);
-            hasOtherAnswer = hasOtherAnswer || owner == answer_owner::otherRequest;
+            const answer_owner owner = ownerOf(head->requestId, request.requestId,
+                                               hasCarriedRequest || otherAnswers > 0);
+            otherAnswers += owner == answer_owner::otherRequest ? 1 : 0;
             if (!isInterim(head->status)) {
                 // Nothing that it says, such as that the request did not run, can be believed.
                 if (owner == answer_owner::unknown)
@@ -392,9 +393,9 @@
 
     bool isReusable() const
     {
-        return connection && hasHead && !hasOtherAnswer && !isCancelled && !isTimedOut && !isWriting
-            && parser && parser->is_done() && parser->keep_alive() && !parser->need_eof()
-            && buffer.size() == 0 && connection->socket.is_open();
+        return connection && hasHead && otherAnswers == 0 && !isCancelled && !isTimedOut
+            && !isWriting && parser && parser->is_done() && parser->keep_alive()
+            && !parser->need_eof() && buffer.size() == 0 && connection->socket.is_open();
     }
 };
 
@@ -445,6 +446,7 @@
     if (self.isCancelled)
         co_return self.failure({}, result_code::upstreamUnreachable);
     self.isRelayed = self.connection->isRelayed;
+    self.connectionNumber = self.connection->number;
     if (!self.isRelayed)
         self.linkWatch = self.paths->watchLink(self.entry, [weak = weak_from_this()] {
             if (const auto alive = weak.lock())
@@ -516,6 +518,21 @@
     return isConnected() && !m_state->isWriting;
 }
 
+std::uint64_t upstream_call::connectionNumber() const
+{
+    return m_state->connectionNumber;
+}
+
+bool upstream_call::isReused() const
+{
+    return m_state->hasCarriedRequest;
+}
+
+int upstream_call::otherAnswers() const
+{
+    return m_state->otherAnswers;
+}
+
 bool upstream_call::isRelayed() const
 {
     return m_state->isRelayed;
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -89,6 +89,15 @@
     /// Whether the whole request has been written.
     bool hasSentRequest() const;
 
+    /// Number of the connection among those that this host opened; 0 before it is known.
+    std::uint64_t connectionNumber() const;
+
+    /// Whether the connection was used by earlier requests.
+    bool isReused() const;
+
+    /// Number of answers to other requests that came before the one to this request.
+    int otherAnswers() const;
+
     /// Whether the connection passes another host.
     bool isRelayed() const;
 
