Log how old the desired state was that decided a request

The users' record of late changes shows refusals with 404 whose lines tell the age of the list of upstreams only, so a host that knew that it was late, one that took its version for the newest and a late fleet look alike. The lines of refused and ended requests have the age of the desired state now, and those of refusals the newest version that another host has told. No decision changes.

--- a/src/policy/fleet_load.cpp
+++ b/src/policy/fleet_load.cpp
@@ -103,6 +103,14 @@
     return row == load.demands.end() ? service_demand() : row->second;
 }
 
+std::uint64_t newestDesiredVersion(const fleet_load &load)
+{
+    std::uint64_t newest = 0;
+    for (const auto &[address, entry] : load.hosts)
+        newest = std::max(newest, entry.hint.desiredVersion);
+    return newest;
+}
+
 milliseconds hintInterval(unsigned hosts)
 {
     return std::max(minInterval, intervalPerHost * hosts);
--- a/src/policy/fleet_load.h
+++ b/src/policy/fleet_load.h
@@ -102,6 +102,9 @@
 /// Demand of the other hosts' gap-sensitive requests for a service.
 service_demand demandOfOtherHosts(fleet_load &load, std::uint64_t service);
 
+/// Newest version of the desired state that another host uses; 0 if no host tells one.
+std::uint64_t newestDesiredVersion(const fleet_load &load);
+
 /// Interval between two hints of one host. It grows with the number of hosts, which bounds the
 /// message rate in a large fleet.
 milliseconds hintInterval(unsigned hosts);
--- a/src/route/proxy_job.h
+++ b/src/route/proxy_job.h
@@ -44,6 +44,7 @@
     instant deadline;
     instant cutAt = instant::max(); ///< When the host, which is stopping, breaks it off.
     bool isCut = false; ///< The host broke it off.
+    instant desiredConfirmedAt = instant::min(); ///< Of `desired`, before the request came.
     std::weak_ptr<upstream_call> call{}; ///< Of the attempt that runs.
     std::vector<request_trait> traits{}; ///< That may crash upstreams.
     int urgency = 0;
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -184,6 +184,8 @@
                  {"cause", failure.detail},
                  {"run", std::string(toString(failure.run))},
                  {"version", std::to_string(routing.desired ? routing.desired->version : 0)},
+                 {"others_version", std::to_string(newestDesiredVersion(routing.otherHostsLoad))},
+                 {"desired_age_ms", formatAge(routing.desiredConfirmedAt, clock.now())},
                  {"upstreams_age_ms", formatAge(routing.upstreamsConfirmedAt, clock.now())}});
     }
 
@@ -568,6 +570,7 @@
              {"service", job.service()},
              {"organisation", job.organisation()},
              {"version", std::to_string(job.desired->version)},
+             {"desired_age_ms", formatAge(job.desiredConfirmedAt, job.arrived)},
              {"urgency", std::to_string(job.urgency)},
              {"end", std::string(toString(end))},
              {"took_ms", std::to_string(std::lround(tookMs))},
@@ -643,6 +646,7 @@
             co_return;
         }
         proxy_job job{exchange, std::move(*request), routing.desired, {}, arrived, arrived};
+        job.desiredConfirmedAt = routing.desiredConfirmedAt;
         job.choice = chooseRoute(*job.desired, job.request.authority, job.request.path,
                                  job.request.key, id);
         if (const auto refusal = refusalOf(job.choice)) {
