--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -348,6 +348,7 @@
         self.continuation = None  # Answers requests with Last-Event-Id; see send_continuation().
         self.head_bytes = 0  # Sent with "head-cut" and "head-silent".
         self.pause = None
+        self.refusal_status = 503  # With "full".
         self.is_leaving = False
         self.limit = None
         self.brittle = None  # Value of Server-Brittle in all answers unless None.
@@ -355,6 +356,10 @@
         self.capacity = None  # Requests that run at the same time; others are turned away.
         self.running = 0
         self.rejections = []  # Times.
+        self.refusal_copies = 0  # Of each refusal; see refuse().
+        self.copy_seconds = 0  # From the arrival of the next request until the copies are sent.
+        self.due_copies = {}  # Bytes by connection.
+        self.copies_sent = collections.Counter()  # By the id of the request that is under way.
         self.arrivals = 0
         self.arrival_times = []
         self.runs = collections.Counter()
@@ -433,6 +438,7 @@
         if target == "/-/report":
             return await self.report(writer)
         request = fields.get("quincefall-request-id", "")
+        await self.send_due_copies(writer, request)
         self.arrivals += 1
         self.arrival_times.append(time.monotonic())
         leaving = [("Server-Leaving", "1")] if self.is_leaving else []
@@ -440,9 +446,8 @@
         leaving += [] if self.brittle is None else [("Server-Brittle", self.brittle)]
         echo = [("Quincefall-Request-Id", request)]
         if fields.get("quincefall-expect-instance") != self.identity:
-            writer.write(answer_bytes(421, b"", echo + [("Quincefall-Instance-Id", self.identity)]))
-            await writer.drain()
-            return True
+            return await self.refuse(writer, 421,
+                                     echo + [("Quincefall-Instance-Id", self.identity)])
         is_deadly_request = self.is_deadly_request(target, fields, body)
         if is_deadly_request or self.is_deadly(fields):
             self.deadly_arrivals.append(time.monotonic())
@@ -450,10 +455,8 @@
         await self.keep_silent()
         if fault == "full":
             pause = [] if self.pause is None else [("Retry-After", self.pause)]
-            writer.write(answer_bytes(503, b"", echo + [("Quincefall-Not-Run", "1")] + pause
-                                      + leaving))
-            await writer.drain()
-            return True
+            return await self.refuse(writer, self.refusal_status,
+                                     echo + [("Quincefall-Not-Run", "1")] + pause + leaving)
         if self.capacity is not None and self.running >= self.capacity:
             return await self.reject(writer, echo + leaving)
         self.running += 1
@@ -482,10 +485,27 @@
         if self.brittle is not None and len(recent) > self.brittle:
             self.tasks.append(asyncio.create_task(self.crash()))
             return False
-        writer.write(answer_bytes(503, b"", [("Quincefall-Not-Run", "1")] + fields))
+        return await self.refuse(writer, 503, [("Quincefall-Not-Run", "1")] + fields)
+
+    async def refuse(self, writer, status, fields):
+        """Turns a request away. The answer comes again, `refusal_copies` times, where the answer to
+        the next request on the connection is due."""
+        refusal = answer_bytes(status, b"", fields)
+        writer.write(refusal)
+        if self.refusal_copies > 0:
+            self.due_copies[writer] = refusal * self.refusal_copies
         await writer.drain()
         return True
 
+    async def send_due_copies(self, writer, request):
+        copies = self.due_copies.pop(writer, None)
+        if copies is None:
+            return
+        await asyncio.sleep(self.copy_seconds)
+        self.copies_sent[request] += 1
+        writer.write(copies)
+        await writer.drain()
+
     async def run(self, writer, method, target, fields, body, request, leaving, fault):
         self.runs[request] += 1
         self.request_heads[request] = dict(fields, method=method, target=target, body=body)
