Carry no request twice on one connection to an upstream

Callers saw 503, the promise that a request does not run, for requests that ran; or a request that may run once ran at two upstreams.

Cause: an upstream may send an answer once more, where the next one on the connection is due. The id that answers echo tells whose it is only if the connection has carried that id once. A host sent a request again on the connection on which it had been refused: to another id that is listed at the same address (an engine that started again, of which the old entry has not expired: the first refusal is its 421), or because the caller had sent the request again under its id. The copy was then taken for the refusal of the run that had just begun.

A connection remembers the ids that it has carried and is not chosen for one of them; the request opens a connection of its own, or takes another one that is kept. The rule holds for answers of any status, and needs no guess about how late a copy may be.

Callers' requests that do not come again use connections as before.

--- a/src/clients/connection_pool.cpp
+++ b/src/clients/connection_pool.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <iterator>
 #include <map>
 
 namespace quincefall {
@@ -111,32 +112,37 @@
 
 connection_pool::~connection_pool() = default;
 
-connection_ptr connection_pool::takeIdle(const host_address &address, double maxIdleFraction)
+connection_ptr connection_pool::takeIdle(const host_address &address, double maxIdleFraction,
+                                         std::string_view requestId)
 {
     const auto found = m_state->idle.find(address);
     if (found == m_state->idle.end())
         return nullptr;
     auto &idleConnections = found->second;
-    while (!idleConnections.empty()) {
-        connection_ptr candidate = std::move(idleConnections.back());
-        idleConnections.pop_back();
-        const double fraction = idleFraction(*candidate);
-        if (hasInput(candidate->socket))
+    // The last one was used last.
+    for (auto next = idleConnections.end(); next != idleConnections.begin();) {
+        const auto candidate = std::prev(next);
+        const double fraction = idleFraction(**candidate);
+        if (hasInput((*candidate)->socket)) {
+            next = idleConnections.erase(candidate);
             continue;
+        }
         if (fraction >= maxReusableIdleFraction) {
             // The others are older. One is enough for takeOpenedBefore().
-            idleConnections.clear();
-            idleConnections.push_back(std::move(candidate));
+            idleConnections.erase(idleConnections.begin(), candidate);
             return nullptr;
         }
-        if (fraction < maxIdleFraction) {
-            ++m_state->totals.reused;
-            return candidate;
-        }
         // Callers that accept a longer idle time can still use it. The remaining connections have
         // been idle for longer, so none of them qualifies.
-        idleConnections.push_back(std::move(candidate));
-        return nullptr;
+        if (fraction >= maxIdleFraction)
+            return nullptr;
+        next = candidate;
+        if (hasCarried((*candidate)->carried, requestId))
+            continue;
+        connection_ptr taken = std::move(*candidate);
+        idleConnections.erase(candidate);
+        ++m_state->totals.reused;
+        return taken;
     }
     return nullptr;
 }
--- a/src/clients/connection_pool.h
+++ b/src/clients/connection_pool.h
@@ -3,6 +3,7 @@
 #include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/result.h"
+#include "policy/carried_requests.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -11,6 +12,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace quincefall {
 
@@ -23,6 +25,7 @@
     instant openedAt{}; ///< When it was made.
     bool isRelayed = false; ///< Passes another host; see route/upstream_paths.h.
     bool hasCarriedRequest = false; ///< Late answers to earlier requests may arrive.
+    carried_requests carried{}; ///< Of those with an id.
     std::uint64_t number = 0; ///< In the order of their opening by one pool, from 1; for logs.
     /// Start of the process at the other end, as it said; empty if it was not asked, 0 if it did
     /// not say. Unix time in milliseconds.
@@ -56,8 +59,11 @@
     ~connection_pool();
 
     /// Takes the most recently used idle connection to @p address from the pool, if it has been
-    /// idle for less than @p maxIdleFraction of its `keepAlive` time; null otherwise.
-    connection_ptr takeIdle(const host_address &address, double maxIdleFraction = 1);
+    /// idle for less than @p maxIdleFraction of its `keepAlive` time and has not carried the
+    /// request
+    /// @p requestId; null if there is none.
+    connection_ptr takeIdle(const host_address &address, double maxIdleFraction = 1,
+                            std::string_view requestId = {});
 
     /// Takes the longest idle connection to @p address that was opened before @p time, on which the
     /// other end has answered and which it has not closed, however long it has been idle; null if
--- a/src/route/upstream_call.cpp
+++ b/src/route/upstream_call.cpp
@@ -395,7 +395,8 @@
     {
         return connection && hasHead && otherAnswers == 0 && !isCancelled && !isTimedOut
             && !isWriting && parser && parser->is_done() && parser->keep_alive()
-            && !parser->need_eof() && buffer.size() == 0 && connection->socket.is_open();
+            && !parser->need_eof() && buffer.size() == 0 && connection->socket.is_open()
+            && mayCarryMore(connection->carried);
     }
 };
 
@@ -430,7 +431,8 @@
     self.deadline = deadline;
     self.lastByteAt = steadyNow();
     self.connection = self.paths->takeIdle(
-        self.entry, self.request.isNonRepeatable ? nonRepeatableKeepAliveShare : 1);
+        self.entry, self.request.isNonRepeatable ? nonRepeatableKeepAliveShare : 1,
+        self.request.requestId);
     if (!self.connection) {
         auto opened = co_await self.connect();
         if (!opened && !self.isCancelled)
@@ -453,6 +455,7 @@
                 alive->m_state->giveUpCutLink();
         });
     self.hasCarriedRequest = std::exchange(self.connection->hasCarriedRequest, true);
+    recordCarried(self.connection->carried, self.request.requestId);
     self.lastByteAt = steadyNow();
     self.armTimer(keep);
     self.startWriting(keep);
--- a/src/route/upstream_call.h
+++ b/src/route/upstream_call.h
@@ -41,7 +41,7 @@
         std::string head;
         std::string_view body;
         /// Answers that echo another id are dropped. One without an id fails the call if the
-        /// connection was used by earlier requests.
+        /// connection was used by earlier requests. No connection carries an id twice.
         std::string_view requestId;
         bool isNonRepeatable = false; ///< Avoids connections that may be closing.
         bool hasNoAnswerBody = false; ///< The method is HEAD.
--- a/src/route/upstream_paths.cpp
+++ b/src/route/upstream_paths.cpp
@@ -354,10 +354,11 @@
     m_state->isolationListener = std::move(listener);
 }
 
-connection_ptr upstream_paths::takeIdle(const upstream_entry &entry, double maxIdleFraction)
+connection_ptr upstream_paths::takeIdle(const upstream_entry &entry, double maxIdleFraction,
+                                        std::string_view requestId)
 {
     connection_pool &pool = m_state->usesRelay(entry) ? *m_state->relayed : *m_state->direct;
-    return pool.takeIdle(entry.address, maxIdleFraction);
+    return pool.takeIdle(entry.address, maxIdleFraction, requestId);
 }
 
 connection_ptr upstream_paths::takeOpenedBefore(const upstream_entry &entry, instant time)
--- a/src/route/upstream_paths.h
+++ b/src/route/upstream_paths.h
@@ -56,7 +56,8 @@
     void onIsolationChange(std::function<void()> listener);
 
     /// As connection_pool::takeIdle(), on the path that open() would take.
-    connection_ptr takeIdle(const upstream_entry &entry, double maxIdleFraction);
+    connection_ptr takeIdle(const upstream_entry &entry, double maxIdleFraction,
+                            std::string_view requestId);
     void putIdle(const upstream_entry &entry, connection_ptr used);
 
     /// As connection_pool::takeOpenedBefore(), on that path.
