Add a failing test for a host that reads the desired state slowly

Callers get 404 for a route that the operator added, and are served by the old service of a moved one, after apply_ms. A host that reads the store itself waits for its own transfer, which may take seconds, while all its neighbours have the version and have told it so.

--- /dev/null
+++ b/tests/process/route_slow_read_test.py
@@ -0,0 +1,111 @@
+"""A desired state is in force in time at a host whose own read of it is slow, while other hosts have
+it, and no request is denied by a state that others have replaced."""
+
+import threading
+import time
+import unittest
+
+from support.route_fleet import RouteFleet, ask, desired_state, wait_for
+
+HOSTS = 5
+APPLY_SECONDS = 1.0  # As in the hosts' settings.
+SLOW = 30_000  # Bytes a second.
+
+
+def state_with_route(version, size):
+    """A desired state of about `size` bytes with a route of the version, and those before it."""
+    state = desired_state(version)
+    read = state["routes"][1]
+    for number in range(2, version + 1):
+        state["routes"].append(dict(read, name=f"new{number}", path_prefix=f"/new{number}/"))
+    while len(str(state)) < size:
+        number = len(state["routes"])
+        state["routes"].append(dict(read, name=f"pad{number}", path_prefix=f"/pad{number}/"))
+    return state
+
+
+class SlowReadTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = RouteFleet(hosts=HOSTS, own_stores=HOSTS)
+        self.version = 1
+        self.fleet.__enter__()
+        self.addCleanup(self.stop)
+        for host in self.fleet.hosts:
+            wait_for(lambda host=host: ask(host.caller, "before").status == 200, host.name)
+        time.sleep(1)  # Until the hosts agree on who reads the store.
+
+    def stop(self):
+        self.fleet.__exit__()
+        self.assertEqual(self.fleet.codes, [0] * HOSTS)
+
+    def write(self, size):
+        self.version += 1
+        self.fleet.store.put("keyed.op", "config", state_with_route(self.version, size))
+
+    def statuses_until_served(self, host, path, limit=8):
+        """The time until the host serves the path, and the statuses before."""
+        begun = time.monotonic()
+        statuses = []
+        while time.monotonic() < begun + limit:
+            statuses.append(ask(host.caller, f"r{time.monotonic_ns()}", path).status)
+            if statuses[-1] == 200:
+                break
+            time.sleep(0.02)
+        return time.monotonic() - begun, statuses[:-1]
+
+    def measure(self):
+        """By host, how long it took until the newest version was in force."""
+        results = {}
+
+        def run(host):
+            results[host.name] = self.statuses_until_served(host, f"/new{self.version}/1")
+
+        threads = [threading.Thread(target=run, args=(host,)) for host in self.fleet.hosts]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return results
+
+    def check(self, what):
+        for name, (seconds, _) in self.measure().items():
+            with self.subTest(what=what, host=name):
+                self.assertLessEqual(seconds, APPLY_SECONDS)
+
+    def test_one_large_version(self):
+        for slow in self.fleet.own_stores:
+            slow.bytes_per_second = SLOW
+            time.sleep(0.5)
+            self.write(95_000)
+            self.check("one host reads slowly")
+            slow.bytes_per_second = None
+            time.sleep(1)
+
+    def test_versions_in_quick_succession(self):
+        for slow in self.fleet.own_stores:
+            slow.bytes_per_second = SLOW
+            time.sleep(0.5)
+            for _ in range(8):
+                self.write(13_000)
+                time.sleep(0.2)
+            self.check("one host reads slowly")
+            slow.bytes_per_second = None
+            time.sleep(1)
+
+    def test_a_host_that_is_told_of_a_newer_version_denies_no_request(self):
+        for store in self.fleet.own_stores:
+            store.bytes_per_second = SLOW
+        self.fleet.own_stores[0].bytes_per_second = None
+        time.sleep(0.5)
+        self.write(95_000)
+        first = self.fleet.hosts[0]
+        results = self.measure()
+        told = [f"request refused" in line and "status=404" in line
+                and f"others_version={self.version}" in line
+                for host in self.fleet.hosts for line in host.lines()]
+        self.assertFalse(any(told), f"{sum(told)} requests denied by an outdated state")
+        self.assertLessEqual(results[first.name][0], APPLY_SECONDS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -137,13 +137,16 @@
     return head.encode() + b"\r\n" + body
 
 
+SLOW_PIECE_SECONDS = 0.05
+
+
 class Store:
     """A log with keyed topics; log-newest returns the newest record of each key.
 
     `mode` is "ok", "refuse" (503) or "hang" (no response). `calls` counts requests by path,
     `topic_calls` by topic. `era` is sent with all answers unless it is None. Appends to
     `lost_topic` are stored, but get no answer; those to `dropped_topics` are answered, but not
-    stored. Calls for `refused_topics` get 503.
+    stored. Calls for `refused_topics` get 503. Answers take their time at `bytes_per_second`.
     """
 
     def __init__(self, loop, topics=None):
@@ -156,6 +159,7 @@
         self.lost_topic = None
         self.dropped_topics = set()
         self.refused_topics = set()
+        self.bytes_per_second = None
 
     def put(self, topic, key, value):
         """Appends a record; a `value` of None deletes the key."""
@@ -216,6 +220,15 @@
         era = [] if self.era is None else [("Store-Era", self.era)]
         return answer_bytes(status, body, era)
 
+    async def send(self, writer, data):
+        if self.bytes_per_second is None:
+            writer.write(data)
+            return
+        size = max(1, int(self.bytes_per_second * SLOW_PIECE_SECONDS))
+        for start in range(0, len(data), size):
+            writer.write(data[start:start + size])
+            await asyncio.sleep(SLOW_PIECE_SECONDS)
+
     async def answer(self, writer, method, target, fields, body):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
@@ -228,7 +241,7 @@
         elif url.path == "/-/log-newest":
             page = {"items": self.newest(query["topic"]), "more": False,
                     "end": len(self.topics[query["topic"]])}
-            writer.write(self.answer_bytes(200, json.dumps(page).encode()))
+            await self.send(writer, self.answer_bytes(200, json.dumps(page).encode()))
         elif url.path == "/-/log-read":
             wait_ms = int(query.get("wait_ms", 0))
             start = int(query["from"])
@@ -236,7 +249,7 @@
                 writer.write(self.answer_bytes(410, b'{"first":0}'))
             else:
                 records = await self.read(query["topic"], start, wait_ms)
-                writer.write(self.answer_bytes(200, records))
+                await self.send(writer, self.answer_bytes(200, records))
         elif url.path == "/-/log-append":
             status, answer = self.append(query["topic"], query.get("at"), body[4:])
             if query["topic"] == self.lost_topic and status == 200:
