Ask other hosts for a desired state while an own read is under way

Callers got 404 for a route that the operator had added, and the old service for one that had been moved, up to seconds after apply_ms.

Cause: a host that reads the store does one step at a time. A read that makes progress may take 5 s beyond the poll, and a poll that hangs 0.9 s; meanwhile hints of a newer version were not followed, though each host that has it gives it at once.

Other hosts are asked now while a read is under way, once a newer version has been known for an eighth of the interval between reads, so that readers whose own answers are milliseconds apart don't ask each other. Whichever comes first is put into force; the read goes on and moves the position.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -17,6 +17,8 @@
 // The readers and those that replace them when they fail at once.
 constexpr std::size_t candidateCount = 8;
 constexpr int maxMissedCandidateHints = 3;
+// All readers get a new revision at the same time, some milliseconds apart.
+constexpr int soundReadsPerInterval = 8;
 
 std::uint64_t scoreOf(const host_address &host)
 {
@@ -137,6 +139,16 @@
     return std::size_t(std::count_if(higher.begin(), higher.end(), counts)) < readerCount;
 }
 
+std::optional<host_address> hostToAskDuringRead(const feed_view &view, const fleet_load &others,
+                                                const host_address &own, milliseconds newerKnownFor,
+                                                instant now)
+{
+    if (newerKnownFor < view.interval / soundReadsPerInterval)
+        return std::nullopt;
+    const fleet_load::entry *newerHost = mostUpToDateHost(view, others, own, now);
+    return newerHost ? std::optional(newerHost->hint.host) : std::nullopt;
+}
+
 feed_step planFeed(const feed_view &view, const fleet_load &others, const host_address &own,
                    instant now)
 {
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -47,6 +47,13 @@
 feed_step planFeed(const feed_view &view, const fleet_load &others, const host_address &own,
                    instant now);
 
+/// The host to ask for a newer revision while this host's own read of the store is under way, which
+/// may bring it later or never; none until @p newerKnownFor, the time for which a newer revision
+/// has been known, is long enough for a sound read to bring it.
+std::optional<host_address> hostToAskDuringRead(const feed_view &view, const fleet_load &others,
+                                                const host_address &own, milliseconds newerKnownFor,
+                                                instant now);
+
 /// Latest time at which another host with the same revision confirmed that it is the newest;
 /// instant::min() if there is none.
 instant latestConfirmation(const feed_view &view, const fleet_load &others);
--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -87,6 +87,8 @@
     confirming_reads desiredReads;
     confirming_reads upstreamReads;
     bool isConfirmingDesired = false;
+    bool isReadingDesired = false; ///< followDesired() awaits an answer of the store.
+    instant newerDesiredSince = instant::max(); ///< Since when another host has had a newer one.
     std::optional<store_position> desiredFrom; ///< Of the next read of the desired state.
     instant upstreamsReadAt = instant::min();
     std::function<void()> changeListener;
@@ -292,10 +294,13 @@
             const feed_step step = planFeed(self->desiredView(), self->target.otherHostsLoad,
                                             self->own, self->clock.now());
             bool isDone = true;
-            if (step.action == feed_step::kind::readStore)
+            if (step.action == feed_step::kind::readStore) {
+                self->isReadingDesired = true;
                 isDone = co_await self->readDesired(self->settings.desiredWait);
-            else if (step.action == feed_step::kind::askHost)
+                self->isReadingDesired = false;
+            } else if (step.action == feed_step::kind::askHost) {
                 co_await self->fetchDesiredFrom(step.host);
+            }
             wait = isDone ? initialRetryDelay : nextRetryDelay(wait);
             const bool isReading = step.action == feed_step::kind::readStore && isDone;
             if (!isReading)
@@ -303,6 +308,32 @@
         }
     }
 
+    /// Time for which another host has been known to have a newer desired state.
+    milliseconds newerDesiredKnownFor()
+    {
+        const bool isKnown = target.desired
+            && newestDesiredVersion(target.otherHostsLoad) > target.desired->version;
+        newerDesiredSince = isKnown ? std::min(newerDesiredSince, clock.now()) : instant::max();
+        return isKnown ? std::chrono::floor<milliseconds>(clock.now() - newerDesiredSince)
+                       : milliseconds(0);
+    }
+
+    /// Asks other hosts while a read of the store is under way. A read that makes progress may take
+    /// longer than a change may.
+    static asio::awaitable<void> askDuringReads(std::shared_ptr<state> self)
+    {
+        while (!self->isStopped) {
+            co_await self->pause(planInterval);
+            const milliseconds knownFor = self->newerDesiredKnownFor();
+            if (!self->isReadingDesired)
+                continue;
+            const auto host = hostToAskDuringRead(self->desiredView(), self->target.otherHostsLoad,
+                                                  self->own, knownFor, self->clock.now());
+            if (host)
+                co_await self->fetchDesiredFrom(*host);
+        }
+    }
+
     /// A read of its own, since those of followDesired() wait for news.
     static asio::awaitable<void> confirmDesired(std::shared_ptr<state> self)
     {
@@ -537,6 +568,8 @@
 {
     startService(m_state->context, "desired state",
                  [shared = m_state] { return state::followDesired(shared); });
+    startService(m_state->context, "desired state of other hosts",
+                 [shared = m_state] { return state::askDuringReads(shared); });
     startService(m_state->context, "upstreams",
                  [shared = m_state] { return state::followUpstreams(shared); });
 }
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -291,6 +291,31 @@
     BOOST_TEST((planFeed(view, others, hostAt(1), now).action == feed_step::kind::wait));
 }
 
+BOOST_AUTO_TEST_CASE(a_read_that_is_under_way_is_given_an_eighth_of_the_interval)
+{
+    const instant now = instant{} + seconds(100);
+    const fleet_load others = makeOthers({{901, 9, milliseconds(0)}}, now);
+    const feed_view view = makeView(5, milliseconds(0), milliseconds(0));
+    const auto ask = [&](milliseconds knownFor) {
+        return hostToAskDuringRead(view, others, hostAt(1), knownFor, now);
+    };
+    BOOST_TEST(!ask(milliseconds(0)).has_value());
+    BOOST_TEST(!ask(interval / 8 - milliseconds(1)).has_value());
+    BOOST_TEST_REQUIRE(ask(interval / 8).has_value());
+    BOOST_TEST(ask(interval / 8)->port == 901);
+}
+
+BOOST_AUTO_TEST_CASE(no_host_is_asked_during_a_read_that_has_nothing_newer_or_is_busy)
+{
+    const instant now = instant{} + seconds(100);
+    const feed_view view = makeView(5, milliseconds(0), milliseconds(0));
+    fleet_load others = makeOthers({{901, 5, milliseconds(0)}, {902, 4, milliseconds(0)}}, now);
+    BOOST_TEST(!hostToAskDuringRead(view, others, hostAt(1), interval, now).has_value());
+    others = makeOthers({{901, 9, milliseconds(0)}}, now);
+    recordBusyHost(others, hostAt(901), now + milliseconds(50));
+    BOOST_TEST(!hostToAskDuringRead(view, others, hostAt(1), interval, now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
--- a/tests/policy/fleet_load_test.cpp
+++ b/tests/policy/fleet_load_test.cpp
@@ -73,6 +73,20 @@
         BOOST_TEST(hosts * 1000.0 / double(hintInterval(hosts).count()) <= 150);
 }
 
+BOOST_AUTO_TEST_CASE(the_newest_version_of_all_other_hosts_counts)
+{
+    fleet_load load;
+    BOOST_TEST(newestDesiredVersion(load) == 0U);
+    for (const std::uint16_t port : {1, 2, 3}) {
+        load_hint hint;
+        hint.host = {"10.0.0.1", port};
+        hint.sequence = 1;
+        hint.desiredVersion = port == 2 ? 21U : 19U;
+        applyHint(load, hint, instant{});
+    }
+    BOOST_TEST(newestDesiredVersion(load) == 21U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
