Deny no request by a desired state that is known to be outdated

Callers got 401 or 404, after which they don't come again, for routes and keys that the operator had added.

Cause: a host told callers to come again (503) only if its state had not been confirmed for 4 s, whatever apply_ms was, and although another host had told it of a newer version. Until then it denied by the older one.

A host denies nothing now while another host is known to use a newer version, nor once its own was not confirmed for apply_ms. It answers 503, not run, Retry-After 0.1 s, as before after 4 s; requests that the state allows are served as before.

--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -159,9 +159,11 @@
             = makeAttemptBudget(settings.budget, routing.hostCount(), started);
     }
 
+    /// Whether a newer desired state is in force at another host, or may be anywhere.
     bool isDesiredStateStale() const
     {
-        return clock.now() - routing.desiredConfirmedAt > settings.staleAfter;
+        return clock.now() - routing.desiredConfirmedAt > settings.staleAfter
+            || newestDesiredVersion(routing.otherHostsLoad) > routing.desired->version;
     }
 
     asio::awaitable<void> refuse(http_exchange &exchange, std::string requestId, problem failure)
--- a/src/route/proxy_service.h
+++ b/src/route/proxy_service.h
@@ -28,9 +28,10 @@
         placement_site site;
         std::optional<transfer_terms> transfer; ///< Empty: transfers are not weighed.
         attempt_budget_rule budget;
-        /// A desired state that was not confirmed as the newest for longer than this may be
-        /// outdated, so requests that it does not allow get notReady rather than 401 or 404.
-        milliseconds staleAfter{4'000};
+        /// Time in which a change must be in force everywhere. A desired state that was not
+        /// confirmed as the newest for longer may be outdated, so requests that it does not allow
+        /// get notReady rather than 401 or 404.
+        milliseconds staleAfter{2'500};
         bool trustsClosedEnds = false; ///< See run_end::isDeclared.
         /// Holds the answers and events that are not passed on yet; null for no bound.
         std::shared_ptr<byte_budget> held{};
--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -74,6 +74,7 @@
     options.transfer = values.transfer;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
+    options.staleAfter = roundToMilliseconds(values.applyMs);
     options.trustsClosedEnds = values.trustsClosedEnds;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
     return options;
