Replace slow readers while a change can still be in force in time

Callers got 404 for an added route after apply_ms, at all hosts of a fleet.

Cause: the hosts that read the store count as such for three intervals between reads and one between hints after their last confirmation, and three intervals are 1.2 times apply_ms. If all of them are busy with slow transfers, no other host reads the store before the bound is over. The same rule serves the list of upstreams and leave_ms.

Such a host counts for one interval and a quarter now, which sound ones don't exceed: polls end after one interval at the latest. The others read then, and give the readers what they have.

In a calm fleet three hosts read, as before.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -10,9 +10,10 @@
 
 // Two readers may fail at once while the third still reads.
 constexpr std::size_t readerCount = 3;
-// A host whose revision was not confirmed for this many intervals, by the store or through another
-// host, no longer counts as a reader.
-constexpr int maxMissedReads = 3;
+// Intervals between reads for which a revision may be unconfirmed, by the store or
+// through another host, while its host counts as a reader. Two intervals and a half are the time in
+// which a change must be known, so that time is left for another host to read it.
+constexpr double maxAgeInIntervals = 1.25;
 
 // The readers and those that replace them when they fail at once.
 constexpr std::size_t candidateCount = 8;
@@ -42,7 +43,8 @@
 /// Age above which a revision may no longer be the newest.
 milliseconds maxAge(const feed_view &view)
 {
-    return view.interval * maxMissedReads + view.hintInterval;
+    return std::chrono::duration_cast<milliseconds>(view.interval * maxAgeInIntervals)
+        + view.hintInterval;
 }
 
 bool isNewer(const store_position &revision, const store_position &than)
