Fail a read of the store whose answer contradicts it

A host that got an answer of another read counted its records from the position that it had asked for, and never read the records that it took them for: a version of the desired state could be passed over for good. decodeRead() used neither the end nor the first kept offset that each answer states, and took a record that was cut within its length for the end of the answer.

More records than up to the end, or an answer that ends within a record, now fail the call. A position outside of the log that the answer states fails as records that are no longer kept, so that the newest ones are read again instead of waiting beyond the end.

--- a/tests/platform/odd_record_test.cpp
+++ b/tests/platform/odd_record_test.cpp
@@ -207,6 +207,50 @@
     BOOST_TEST(page->next.offset == 2U);
 }
 
+// Records of an answer that contradicts its request were counted, and later ones were never read.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_contradicts_its_request_is_a_failed_read, store_fixture)
+{
+    const std::string record = makeRecord("config", R"({"version":3})");
+    struct odd_answer
+    {
+        std::uint64_t end;
+        std::uint64_t first;
+        int records;
+        result_code code;
+    };
+    for (const odd_answer &odd : {odd_answer{6, 0, 2, result_code::logUnavailable},
+                                  {5, 0, 1, result_code::logUnavailable},
+                                  {9, 10, 0, result_code::logUnavailable},
+                                  {4, 0, 0, result_code::logTruncated},
+                                  {4, 0, 1, result_code::logTruncated},
+                                  {9, 6, 1, result_code::logTruncated}}) {
+        answer = [&](http_exchange &) {
+            std::string body = bigEndian(odd.end, 8) + bigEndian(odd.first, 8);
+            for (int left = odd.records; left > 0; --left)
+                body += record;
+            return body;
+        };
+        const auto page = run(source.desired(store_position{0, 5}, {}));
+        BOOST_TEST_REQUIRE(!page.has_value(), odd.end << ' ' << odd.first << ' ' << odd.records);
+        BOOST_TEST(int(page.error().code) == int(odd.code));
+    }
+    answer = [&](http_exchange &) { return bigEndian(7, 8) + bigEndian(5, 8) + record; };
+    const auto page = run(source.desired(store_position{0, 5}, {}));
+    BOOST_TEST_REQUIRE(page.has_value());
+    BOOST_TEST(page->next.offset == 6U);
+}
+
+// The length of a record that was cut off within its first bytes was taken for the end of the page.
+BOOST_FIXTURE_TEST_CASE(an_answer_that_ends_within_a_record_is_a_failed_read, store_fixture)
+{
+    const std::string whole = bigEndian(7, 8) + bigEndian(0, 8)
+        + makeRecord("config", R"({"version":3})") + makeRecord("config", R"({"version":4})");
+    for (std::size_t cut = 1; cut < makeRecord("config", R"({"version":4})").size(); ++cut) {
+        answer = [&](http_exchange &) { return whole.substr(0, whole.size() - cut); };
+        BOOST_TEST(!run(source.desired(store_position{0, 5}, {})).has_value(), cut);
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(mutated_answers_of_the_store_end_no_reader, store_fixture)
 {
     std::mt19937 random(45);
