Put a version into force except for a route that can't be read

One route with a member that could not be read kept all other routes and keys of its version from coming into force, so that their requests were handled by the version before, for as long as no newer one came.

Such a route now has no service: its requests are refused as not run, whatever their key, and don't reach a route with a shorter prefix. A route whose authority or prefix can't be read, and services or organisations that can't, still lose the version, since it is not known which requests they concern or how they may be served.

Before, the new test failed at its first text.

--- a/tests/platform/odd_state_test.cpp
+++ b/tests/platform/odd_state_test.cpp
@@ -112,6 +112,29 @@
     BOOST_TEST(read->limits.maxBodyBytes == caller_limits().maxBodyBytes);
 }
 
+// One route that could not be read kept all others of its version from coming into force.
+BOOST_AUTO_TEST_CASE(a_route_that_cannot_be_read_has_no_service_and_the_others_are_in_force)
+{
+    for (const std::string &text :
+         {replaced("10000", "\"soon\""), replaced(R"("name":"r1",)", ""),
+          replaced(R"("service":"s1"})", R"("service":7})"),
+          replaced(R"("route_type":"streaming",)", ""),
+          withMember(R"("max_attempts":2)", R"("auth_exempt":"no")"),
+          withMember(R"("max_attempts":2)", R"("traffic_split":[{"service":"s1"},7])"),
+          withMember(R"("max_attempts":2)", R"("traffic_split":[{"service":"s1","weight":"all"}])"),
+          withMember(R"("max_attempts":2)", R"("traffic_split":{"s1":1})")}) {
+        const auto read = decodeDesiredState(text);
+        BOOST_TEST_REQUIRE(read.has_value(), text);
+        BOOST_TEST_REQUIRE(read->routes.size() == 2U);
+        const route_rule &odd = read->routes.at(0);
+        BOOST_TEST(odd.services.empty(), text);
+        BOOST_TEST(!odd.needsKey); // A refusal for its key would be final.
+        BOOST_TEST(odd.authority == "a.example");
+        BOOST_TEST(odd.pathPrefix == "/p/"); // A shorter prefix must not match instead.
+        BOOST_TEST(read->routes.at(1).services.size() == 2U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_route_of_unknown_requests_loses_the_version)
 {
     for (const std::string &text :
