Take no older desired state for the newest when the newest is unreadable

When hosts could not read the newest desired state, or the store's answer ended before it, they took the version in force for the newest and refused with 401 or 404 what the newer version allows, as final answers and without end. applyPage() set the time of the confirmation after each answered read, also after the empty ones that followed the record which it had passed over.

A record that can't be read now keeps the version in force unconfirmed until a later one is read, and so does a page with further records after it; confirm() fails. Beyond the bound, hosts then answer 503 as for any unconfirmed state. Each host that reads logs the version in force, and the record's offset and cause. A state that was never confirmed counts as outdated, where the age would have overflowed.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -90,6 +90,7 @@
     bool isReadingDesired = false; ///< followDesired() awaits an answer of the store.
     instant newerDesiredSince = instant::max(); ///< Since when another host has had a newer one.
     std::optional<store_position> desiredFrom; ///< Of the next read of the desired state.
+    bool isNewestUnreadable = false; ///< Of the desired states in the store up to `desiredFrom`.
     instant upstreamsReadAt = instant::min();
     std::function<void()> changeListener;
     std::function<void()> storeNewsListener;
@@ -138,9 +139,29 @@
         co_await timer.async_wait(asTuple);
     }
 
-    void applyPage(desired_page &page)
+    /// Whether the newest desired state that the store has is known after @p page. Two reads may
+    /// run at once, and the one that began later may end first.
+    bool isNewestKnown(const desired_page &page)
     {
-        target.desiredConfirmedAt = clock.now();
+        const bool isLatest = !desiredFrom || page.next >= *desiredFrom;
+        if (isLatest && (page.newest || page.isNewestUnreadable)) {
+            if (page.isNewestUnreadable && !isNewestUnreadable)
+                logWarning("newest desired state can't be read",
+                           {{"version", std::to_string(desiredVersion())},
+                            {"next", std::to_string(page.next.offset)}});
+            isNewestUnreadable = page.isNewestUnreadable;
+        }
+        return page.isWhole && !isNewestUnreadable;
+    }
+
+    std::uint64_t desiredVersion() const { return target.desired ? target.desired->version : 0; }
+
+    /// Returns whether the state in force is the newest that the store has.
+    bool applyPage(desired_page &page)
+    {
+        const bool isConfirmed = isNewestKnown(page);
+        desiredFrom = std::max(desiredFrom, std::optional(page.next));
+        const instant confirmedAt = isConfirmed ? clock.now() : target.desiredConfirmedAt;
         if (page.newest)
             logInfo("desired state received",
                     {{"source", "store"}, {"bytes", std::to_string(page.text.size())}});
@@ -152,10 +173,12 @@
                              std::move(page.earlier),
                              page.isComplete},
                             clock.now());
+        target.desiredConfirmedAt = confirmedAt;
         if (page.isOnlyOne)
             noteNoEarlierState(target.moves);
         if (isNewer)
             publishStoreNews();
+        return isConfirmed;
     }
 
     /// Makes the next step query another host with the same version or offset, if there is one. A
@@ -215,18 +238,17 @@
     {
         const instant begun = clock.now();
         auto page = co_await source.desired(desiredFrom, wait);
-        desiredReads.record(begun, page.has_value());
         triesStoreForDesired = false;
         const bool isTruncated = !page && page.error().code == result_code::logTruncated;
         target.isDesiredReadAnswered = page.has_value() || isTruncated;
         updateStoreReachability(target.isDesiredReadAnswered, page ? nullptr : &page.error());
         if (isTruncated)
             desiredFrom.reset();
-        if (!page)
+        if (!page) {
+            desiredReads.record(begun, false);
             co_return isTruncated;
-        // Two reads may run at once.
-        desiredFrom = std::max(desiredFrom, std::optional(page->next));
-        applyPage(*page);
+        }
+        desiredReads.record(begun, applyPage(*page));
         // Reads return at once, without a long poll, until there is a first desired state.
         co_return target.desired != nullptr;
     }
--- a/src/route/peer_calls.cpp
+++ b/src/route/peer_calls.cpp
@@ -32,6 +32,7 @@
 constexpr std::size_t maxRecipients = 64; // To which others are sent on.
 constexpr std::size_t maxStateBytes = 64UL * 1024 * 1024; // Decompressed.
 constexpr std::uint64_t maxAgeMs = std::numeric_limits<std::uint32_t>::max();
+constexpr milliseconds neverConfirmedAge{maxAgeMs};
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204; // The answering host has nothing newer.
 constexpr int statusUnavailable = 503;
@@ -47,7 +48,8 @@
 
 milliseconds ageAt(instant confirmedAt, instant now)
 {
-    return std::chrono::ceil<milliseconds>(now - confirmedAt);
+    return confirmedAt == instant::min() ? neverConfirmedAge
+                                         : std::chrono::ceil<milliseconds>(now - confirmedAt);
 }
 
 void writeListing(wire::UpstreamListing &row, const upstream_membership::listing &listing)
--- a/src/route/proxy_service.cpp
+++ b/src/route/proxy_service.cpp
@@ -162,7 +162,7 @@
     /// Whether a newer desired state is in force at another host, or may be anywhere.
     bool isDesiredStateStale() const
     {
-        return clock.now() - routing.desiredConfirmedAt > settings.staleAfter
+        return routing.desiredConfirmedAt < clock.now() - settings.staleAfter
             || newestDesiredVersion(routing.otherHostsLoad) > routing.desired->version;
     }
 
--- a/src/route/state_source.h
+++ b/src/route/state_source.h
@@ -42,6 +42,9 @@
     store_position next; ///< For the next read.
     bool isComplete = false; ///< It has all desired states since `from`.
     bool isOnlyOne = false; ///< The store has never held another desired state.
+    /// The last desired state of the page can't be read, so `newest` is not the newest.
+    bool isNewestUnreadable = false;
+    bool isWhole = true; ///< The store held no further records after the page.
 };
 
 /// A record that a host has stored.
--- a/tests/feed/feed_fleet.h
+++ b/tests/feed/feed_fleet.h
@@ -55,6 +55,12 @@
         m_text = std::move(text);
     }
 
+    /// Publishes a version that no host can read.
+    void publishUnreadable(std::uint64_t version) { publish(version, ""); }
+
+    /// Sets whether the store's answers end before its newest record.
+    void setPartial(bool isPartial) { m_isPartial = isPartial; }
+
     void announceLeaving() { m_isLeaving = true; }
 
     /// Makes calls of a host fail.
@@ -114,7 +120,9 @@
         desired_page page;
         page.next = {1, m_version};
         page.isComplete = from + 1 >= m_version;
-        if (m_version > from) {
+        page.isWhole = !m_isPartial;
+        page.isNewestUnreadable = m_version > from && m_text.empty();
+        if (m_version > from && !m_text.empty()) {
             page.newest = decode(m_text);
             page.text = m_text;
         }
@@ -152,6 +160,7 @@
     boost::asio::io_context &m_context;
     std::uint64_t m_upstreams = 140;
     bool m_isLeaving = false;
+    bool m_isPartial = false;
     std::map<int, std::chrono::steady_clock::time_point> m_readAt; ///< By host.
     std::map<int, bool> m_access; ///< By host; true for those that are missing.
     std::uint64_t m_version = 0;
@@ -186,6 +195,12 @@
 
     fleet_load &hintsAt(int host) { return m_hosts.at(std::size_t(host))->routing.otherHostsLoad; }
 
+    /// Age of the last time that a host's desired state was known to be the newest.
+    milliseconds desiredAgeAt(int host)
+    {
+        return std::chrono::floor<milliseconds>(m_clock.now() - routingAt(host).desiredConfirmedAt);
+    }
+
     const routing_state &routingAt(int host) { return m_hosts.at(std::size_t(host))->routing; }
 
     /// Lets a host confirm what it has; returns whether it could.
--- a/tests/platform/odd_record_test.cpp
+++ b/tests/platform/odd_record_test.cpp
@@ -251,6 +251,33 @@
     }
 }
 
+// A host took its desired state for the newest because it could not read the newest one.
+BOOST_FIXTURE_TEST_CASE(a_page_tells_that_its_newest_desired_state_cannot_be_read, store_fixture)
+{
+    const std::string sound = makeRecord("config", R"({"version":3})");
+    const std::string odd = makeRecord("config", R"({"version":4,"routes":7})");
+    const auto pageOf = [this](const std::string &records, std::uint64_t count) {
+        answer = [&records, count](http_exchange &) {
+            return bigEndian(count, 8) + bigEndian(0, 8) + records;
+        };
+        const auto page = run(source.desired(store_position{0, 0}, {}));
+        BOOST_TEST_REQUIRE(page.has_value());
+        return *page;
+    };
+    const desired_page last = pageOf(sound + odd + makeRecord("other", "x"), 3);
+    BOOST_TEST(last.isNewestUnreadable);
+    BOOST_TEST(last.newest->version == 3U);
+    BOOST_TEST(pageOf(odd, 1).isNewestUnreadable);
+    const desired_page earlier = pageOf(odd + sound, 2);
+    BOOST_TEST(!earlier.isNewestUnreadable);
+    BOOST_TEST(!earlier.isComplete);
+    BOOST_TEST(!pageOf("", 0).isNewestUnreadable);
+    answer = [](http_exchange &) {
+        return makePage({makeItem(R"("config")", R"({"version":4,"routes":7})")});
+    };
+    BOOST_TEST(run(source.desired(std::nullopt, {}))->isNewestUnreadable);
+}
+
 BOOST_FIXTURE_TEST_CASE(mutated_answers_of_the_store_end_no_reader, store_fixture)
 {
     std::mt19937 random(45);
