Take a desired state from another host for as old as it is there

A host that started, or fell behind, while the store was lost took the desired state of another host for confirmed at that moment, however long ago that host had confirmed it. For the whole bound it then refused with 401 or 404 what a newer version may allow. applyDesired() sets the time of the confirmation, and the age in the answer could only raise it.

The time is now that of the answer's age before the query began, since the transfer may take seconds, or that of the state before if it is later.

Before, a host that was started again four seconds after the store was lost to all three had a state of 403 ms; the test demands more than 4000.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -284,6 +284,9 @@
     void applyPeerDesired(const host_address &host, peer_desired answer, instant started)
     {
         ++numbers.answered;
+        // The transfer of the answer may have taken long.
+        const instant confirmedAt
+            = std::max<instant>(target.desiredConfirmedAt, started - answer.age);
         if (answer.text) {
             numbers.receivedBytes += answer.receivedBytes;
             logInfo("desired state received",
@@ -306,7 +309,7 @@
                              clock.now()))
                 publish();
         }
-        target.desiredConfirmedAt = std::max(target.desiredConfirmedAt, clock.now() - answer.age);
+        target.desiredConfirmedAt = confirmedAt;
     }
 
     static asio::awaitable<void> followDesired(std::shared_ptr<state> self)
--- a/tests/feed/feed_fleet.h
+++ b/tests/feed/feed_fleet.h
@@ -201,6 +201,18 @@
         return std::chrono::floor<milliseconds>(m_clock.now() - routingAt(host).desiredConfirmedAt);
     }
 
+    /// Ends a host's process and starts it again.
+    void restart(int host)
+    {
+        feed_host &self = *m_hosts.at(std::size_t(host));
+        self.reader->stop();
+        self.exchange->stop();
+        runFor(applyTime);
+        self.exchange.reset();
+        self.routing = routing_state();
+        startHost(host);
+    }
+
     const routing_state &routingAt(int host) { return m_hosts.at(std::size_t(host))->routing; }
 
     /// Lets a host confirm what it has; returns whether it could.
--- a/tests/feed/unconfirmed_state_test.cpp
+++ b/tests/feed/unconfirmed_state_test.cpp
@@ -54,6 +54,24 @@
     BOOST_TEST(fleet.confirm(0));
 }
 
+// A host that started while the store was lost took the outdated state of another one for
+// confirmed.
+BOOST_AUTO_TEST_CASE(a_state_received_from_another_host_is_as_old_as_it_is_there)
+{
+    boost::asio::io_context context;
+    feed_fleet fleet(context, hostCount, linkBytesPerSecond);
+    startFleet(fleet);
+    for (int host = 0; host < hostCount; ++host)
+        fleet.store().setAccess(host, false);
+    fleet.runFor(applyTime);
+    fleet.restart(2);
+    fleet.runUntilAllHave(1, startLimit);
+    BOOST_TEST_REQUIRE(fleet.hostsWith(1) == fleet.size());
+    fleet.runFor(hintInterval(hostCount) * 2);
+    for (int host = 0; host < hostCount; ++host)
+        BOOST_TEST(fleet.desiredAgeAt(host).count() > applyTime.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
