Ask other hosts while a host that starts reads its first desired state

Callers of a host that had started again got 503 for as long as its own read of the store took, though all its neighbours had the state.

Cause: other hosts are asked during a read only if one has a newer version, and a host without any version was taken for one that knows of no newer one.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -336,8 +336,7 @@
     /// Time for which another host has been known to have a newer desired state.
     milliseconds newerDesiredKnownFor()
     {
-        const bool isKnown = target.desired
-            && newestDesiredVersion(target.otherHostsLoad) > target.desired->version;
+        const bool isKnown = newestDesiredVersion(target.otherHostsLoad) > desiredVersion();
         newerDesiredSince = isKnown ? std::min(newerDesiredSince, clock.now()) : instant::max();
         return isKnown ? std::chrono::floor<milliseconds>(clock.now() - newerDesiredSince)
                        : milliseconds(0);
--- a/tests/process/route_slow_read_test.py
+++ b/tests/process/route_slow_read_test.py
@@ -28,6 +28,18 @@
             slow.bytes_per_second = None
             time.sleep(1)
 
+    def test_a_host_that_starts(self):
+        self.write(95_000)
+        self.check("before the start")
+        for host, slow in list(zip(self.fleet.hosts, self.fleet.own_stores))[:2]:
+            host.stop()
+            slow.bytes_per_second = slow_reads.SLOW
+            host.start()
+            seconds = self.seconds_until_served(host, f"/new{self.version}/1")
+            with self.subTest(host=host.name):
+                self.assertLess(seconds, 95_000 / slow_reads.SLOW)  # Before its own read ends.
+            slow.bytes_per_second = None
+
 
 if __name__ == "__main__":
     unittest.main()
