Count a desired state as confirmed from the begin of its transfer

Callers got 404 for an added route after apply_ms, at all hosts of a fleet: a version that was written while all readers were busy with the slow transfer of the one before was late everywhere.

Cause: the end of a transfer counted as the moment at which what it brought was known to be the newest, though it had been the newest when the store began to answer. The readers told an age of 0 and nobody replaced them.

A page with a desired state confirms it as of the begin of the read now. The next read does not wait, and an empty page confirms it as of then, so a sound reader's age stays below one interval.

--- a/src/route/feed.cpp
+++ b/src/route/feed.cpp
@@ -88,6 +88,7 @@
     confirming_reads upstreamReads;
     bool isConfirmingDesired = false;
     bool isReadingDesired = false; ///< followDesired() awaits an answer of the store.
+    bool hasDesiredNews = false; ///< The last answer of the store had a desired state.
     instant newerDesiredSince = instant::max(); ///< Since when another host has had a newer one.
     std::optional<store_position> desiredFrom; ///< Of the next read of the desired state.
     bool isNewestUnreadable = false; ///< Of the desired states in the store up to `desiredFrom`.
@@ -156,12 +157,15 @@
 
     std::uint64_t desiredVersion() const { return target.desired ? target.desired->version : 0; }
 
-    /// Returns whether the state in force is the newest that the store has.
-    bool applyPage(desired_page &page)
+    /// Of a read that began at @p begun. Returns whether the state in force is the newest that the
+    /// store has. Records date from before their transfer, which may have taken long.
+    bool applyPage(desired_page &page, instant begun)
     {
         const bool isConfirmed = isNewestKnown(page);
         desiredFrom = std::max(desiredFrom, std::optional(page.next));
-        const instant confirmedAt = isConfirmed ? clock.now() : target.desiredConfirmedAt;
+        const instant readAt = page.newest ? begun : clock.now();
+        const instant confirmedAt
+            = isConfirmed ? std::max(target.desiredConfirmedAt, readAt) : target.desiredConfirmedAt;
         if (page.newest)
             logInfo("desired state received",
                     {{"source", "store"}, {"bytes", std::to_string(page.text.size())}});
@@ -248,7 +252,8 @@
             desiredReads.record(begun, false);
             co_return isTruncated;
         }
-        desiredReads.record(begun, applyPage(*page));
+        hasDesiredNews = page->newest.has_value();
+        desiredReads.record(begun, applyPage(*page, begun));
         // Reads return at once, without a long poll, until there is a first desired state.
         co_return target.desired != nullptr;
     }
@@ -321,7 +326,10 @@
             bool isDone = true;
             if (step.action == feed_step::kind::readStore) {
                 self->isReadingDesired = true;
-                isDone = co_await self->readDesired(self->settings.desiredWait);
+                // Confirms at once that what the last read brought is the newest.
+                const bool isConfirming = std::exchange(self->hasDesiredNews, false);
+                isDone = co_await self->readDesired(isConfirming ? milliseconds(0)
+                                                                 : self->settings.desiredWait);
                 self->isReadingDesired = false;
             } else if (step.action == feed_step::kind::askHost) {
                 co_await self->fetchDesiredFrom(step.host);
--- /dev/null
+++ b/tests/process/route_slow_readers_succession_test.py
@@ -0,0 +1,45 @@
+"""A version that is written while each host that reads the store is busy with the slow transfer of the
+one before is in force in time: what a transfer brought was the newest when it began, not when it
+ended."""
+
+import time
+import unittest
+
+from support import slow_reads
+from support.slow_reads import state_with_route
+
+
+class SlowReadersSuccessionTest(slow_reads.SlowReads):
+    def readers(self):
+        """The stores of the hosts that read the desired state."""
+        stores = self.fleet.own_stores
+        before = [store.topic_calls["keyed.op"] for store in stores]
+        time.sleep(1.5)
+        found = [store for store, calls in zip(stores, before)
+                 if store.topic_calls["keyed.op"] > calls + 1]
+        self.assertEqual(len(found), 3)
+        return found
+
+    def test_a_large_version_after_a_small_one(self):
+        for _ in range(5):
+            slow = self.readers()
+            small = state_with_route(self.version + 1, 9_000)
+            large = state_with_route(self.version + 2, 95_000)
+            self.version += 2
+            for store in slow:
+                store.bytes_per_second = slow_reads.SLOW
+            time.sleep(0.5)
+            calls = slow[0].topic_calls["keyed.op"]
+            while slow[0].topic_calls["keyed.op"] == calls:
+                time.sleep(0.001)  # Until a poll begins.
+            self.fleet.store.put("keyed.op", "config", small)
+            time.sleep(0.05)
+            self.fleet.store.put("keyed.op", "config", large)
+            self.check("all readers")
+            for store in slow:
+                store.bytes_per_second = None
+            time.sleep(4)
+
+
+if __name__ == "__main__":
+    unittest.main()
