Let three more hosts read the store while readers are late

The next three hosts by hash help while readers are late. All hosts read, as before, once nothing has been confirmed for three intervals.

--- a/src/policy/feed_plan.cpp
+++ b/src/policy/feed_plan.cpp
@@ -10,10 +10,14 @@
 
 // Two readers may fail at once while the third still reads.
 constexpr std::size_t readerCount = 3;
-// Intervals between reads for which a revision may be unconfirmed, by the store or
-// through another host, while its host counts as a reader. Two intervals and a half are the time in
-// which a change must be known, so that time is left for another host to read it.
-constexpr double maxAgeInIntervals = 1.25;
+// Hosts that read the store while readers are late. All of them would slow a slow store further.
+constexpr std::size_t lateReaderCount = 2 * readerCount;
+// Intervals between reads for which a revision may be unconfirmed, by the store or through another
+// host, before its host is a late reader. Two intervals and a half are the time in which a change
+// must be known, so that time is left for another host to read it.
+constexpr double lateAgeInIntervals = 1.25;
+// After so many intervals without a confirmation a host no longer counts as a reader.
+constexpr double maxAgeInIntervals = 3;
 
 // The readers and those that replace them when they fail at once.
 constexpr std::size_t candidateCount = 8;
@@ -40,11 +44,16 @@
                                : store_position{0, entry.hint.desiredVersion};
 }
 
+/// Age of a revision that was last confirmed @p intervals ago.
+milliseconds ageAfter(const feed_view &view, double intervals)
+{
+    return std::chrono::duration_cast<milliseconds>(view.interval * intervals) + view.hintInterval;
+}
+
 /// Age above which a revision may no longer be the newest.
 milliseconds maxAge(const feed_view &view)
 {
-    return std::chrono::duration_cast<milliseconds>(view.interval * maxAgeInIntervals)
-        + view.hintInterval;
+    return ageAfter(view, maxAgeInIntervals);
 }
 
 bool isNewer(const store_position &revision, const store_position &than)
@@ -132,13 +141,18 @@
             higher.push_back(&entry);
     }
     const bool isCandidate = higher.size() < candidateCount;
-    const auto counts = [&view, isCandidate, now](const fleet_load::entry *entry) {
-        const bool hasRecentRead = ageOf(view, *entry, now) < maxAge(view);
-        const bool isHeard
-            = now - entry->received < candidateHintInterval * maxMissedCandidateHints;
-        return hasRecentRead && (isHeard || !isCandidate);
+    const auto areFewerReaders = [&](milliseconds age) {
+        const auto counts = [&view, isCandidate, now, age](const fleet_load::entry *entry) {
+            const bool hasRecentRead = ageOf(view, *entry, now) < age;
+            const bool isHeard
+                = now - entry->received < candidateHintInterval * maxMissedCandidateHints;
+            return hasRecentRead && (isHeard || !isCandidate);
+        };
+        return std::size_t(std::count_if(higher.begin(), higher.end(), counts)) < readerCount;
     };
-    return std::size_t(std::count_if(higher.begin(), higher.end(), counts)) < readerCount;
+    const bool mayHelp = higher.size() < lateReaderCount;
+    return areFewerReaders(maxAge(view))
+        || (mayHelp && areFewerReaders(ageAfter(view, lateAgeInIntervals)));
 }
 
 std::optional<host_address> hostToAskDuringRead(const feed_view &view, const fleet_load &others,
--- a/src/policy/feed_plan.h
+++ b/src/policy/feed_plan.h
@@ -70,9 +70,9 @@
 std::vector<host_address> readerCandidates(const fleet_load &others, const host_address &own);
 
 /// Whether this host reads the store: the readers are the first few hosts, by a hash of their
-/// addresses, whose revision was recently confirmed to be the newest. The confirmation may have
-/// come through another host. Among reader candidates only those count whose hints arrive. This
-/// host's own age is not tested.
+/// addresses, whose revision was recently confirmed to be the newest, and the next few while these
+/// are late. The confirmation may have come through another host. Among reader candidates only
+/// those count whose hints arrive. This host's own age is not tested.
 bool isReader(const feed_view &view, const fleet_load &others, const host_address &own,
               instant now);
 
--- a/tests/policy/feed_plan_test.cpp
+++ b/tests/policy/feed_plan_test.cpp
@@ -316,6 +316,39 @@
     BOOST_TEST(!hostToAskDuringRead(view, others, hostAt(1), interval, now).has_value());
 }
 
+/// Number of @p count hosts that read the store when the revisions of all were confirmed @p age
+/// ago.
+int countReaders(int count, milliseconds age, instant now)
+{
+    int readers = 0;
+    for (int own = 1; own <= count; ++own) {
+        const feed_view view = makeView(5, age, interval);
+        fleet_load others;
+        for (int port = 1; port <= count; ++port) {
+            load_hint hint;
+            hint.host = hostAt(port);
+            hint.sequence = 1;
+            hint.upstreamsNext = {0, 5};
+            hint.upstreamsAge = age;
+            if (port != own)
+                applyHint(others, hint, now);
+        }
+        readers += planFeed(view, others, hostAt(own), now).action == feed_step::kind::readStore;
+    }
+    return readers;
+}
+
+BOOST_AUTO_TEST_CASE(late_readers_get_help_from_as_many_hosts_before_all_read)
+{
+    const instant now = instant{} + seconds(100);
+    for (const int count : {9, 60, 300}) {
+        BOOST_TEST(countReaders(count, interval, now) == 3);
+        BOOST_TEST(countReaders(count, interval * 5 / 4, now) == 6);
+        BOOST_TEST(countReaders(count, interval * 3 - milliseconds(1), now) == 6);
+        BOOST_TEST(countReaders(count, interval * 3, now) == count);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
