Keep denials final where apply_ms is below a second

A state is outdated after a second at the earliest now. The test of denials by outdated hosts demands that some host was outdated and told so, without which it would pass by seeing nothing.

--- a/src/route/route_process.cpp
+++ b/src/route/route_process.cpp
@@ -33,6 +33,8 @@
 
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
+// Reads and hints have intervals of 0.2 s at least, also where a change may take little longer.
+constexpr milliseconds minStaleTime{1'000};
 constexpr std::size_t maxIdlePerUpstream = 24; // A host has only few requests at one upstream.
 // The load balancer probes once a second and removes a host after two failed probes.
 constexpr milliseconds balancerRemovalTime{2'600};
@@ -74,7 +76,7 @@
     options.transfer = values.transfer;
     options.budget.ratio = values.furtherAttemptRatio;
     options.budget.slack = values.furtherAttemptSlack;
-    options.staleAfter = roundToMilliseconds(values.applyMs);
+    options.staleAfter = std::max(minStaleTime, roundToMilliseconds(values.applyMs));
     options.trustsClosedEnds = values.trustsClosedEnds;
     options.budget.window = roundToMilliseconds(values.furtherAttemptWindowSeconds * 1000);
     return options;
--- a/tests/process/route_outdated_denial_test.py
+++ b/tests/process/route_outdated_denial_test.py
@@ -39,6 +39,7 @@
             wait_for(lambda host=host: self.status(host, "/new1/1") == 200, host.name)
         outdated = [line for host in self.fleet.hosts for line in host.lines()
                     if "request refused" in line and " version=1 others_version=2 " in line]
+        self.assertTrue(outdated)  # Else no host was outdated and told so.
         self.assertEqual([line for line in outdated if "status=404" in line], [])
 
     def test_a_host_that_could_not_confirm_its_state_for_longer_than_a_change_may_take(self):
