Reuse no connection on which an engine refused a chat attempt

Callers of serve could be told that a chat did not run while an engine ran it, or it ran at a second engine without being cancelled at the first. Seen in a test that sends the copy, not from real engines: the engines' protocol names no answers that come twice.

Cause: the status of a refusal was believed without the attempt's id, and an attempt id comes again when a caller repeats its request id. A refusal without a body left its connection in the pool, where a copy is read as the answer to the next call.

The connection is closed after any status but 200. A copy can come on that connection only, so no call reads it. Refusals with a body closed it before, since the body is not read; those without one cost a new connection now.

--- a/src/serve/engine_attempt.cpp
+++ b/src/serve/engine_attempt.cpp
@@ -127,6 +127,8 @@
         outcome.failure = stream.error();
     } else if ((*stream)->status() != statusOk) {
         outcome = outcomeOfStatus((*stream)->status());
+        // The engine may send the refusal once more, where the answer to a later call is due.
+        (*stream)->close();
     } else if ((*stream)->header("X-Attempt-Id") != call.attemptId) {
         outcome.failure
             = error{result_code::streamMismatch, "the response belongs to another attempt"};
--- a/tests/serve/engine_attempt_test.cpp
+++ b/tests/serve/engine_attempt_test.cpp
@@ -37,15 +37,10 @@
     }
 }
 
-/// Runs an attempt at an engine that lives, sends @p body without a length and closes its
-/// connection in good order.
-attempt_end runAttempt(const std::string &body)
+/// Runs an attempt at the engine that @p acceptor accepts connections for.
+attempt_end runAttempt(asio::io_context &context, const tcp::acceptor &acceptor,
+                       http_client &client)
 {
-    const std::string answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n" + body;
-    asio::io_context context;
-    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
-    asio::co_spawn(context, serve(acceptor, answer), asio::detached);
-    const auto client = http_client::makeHttpClient(context);
     engine_call call;
     call.address = {"127.0.0.1", acceptor.local_endpoint().port()};
     call.requestId = "r";
@@ -53,17 +48,59 @@
     const auto stream = std::make_shared<answer_stream>(context.get_executor());
     stream->assembly = makeAnswerAssembly("r", 0);
     attempt_end end;
-    asio::co_spawn(context, runEngineAttempt(*client, makeSystemClock(), call, stream),
+    asio::co_spawn(context, runEngineAttempt(client, makeSystemClock(), call, stream),
                    [&](std::exception_ptr failure, engine_outcome outcome) {
                        BOOST_TEST(!failure);
                        end.outcome = std::move(outcome);
                        context.stop();
                    });
+    context.restart();
     context.run();
     end.isComplete = stream->assembly.isComplete;
     return end;
 }
 
+/// Runs an attempt at an engine that lives, sends @p body without a length and closes its
+/// connection in good order.
+attempt_end runAttempt(const std::string &body)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\n\r\n" + body;
+    asio::io_context context;
+    tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+    asio::co_spawn(context, serve(acceptor, answer), asio::detached);
+    const auto client = http_client::makeHttpClient(context);
+    return runAttempt(context, acceptor, *client);
+}
+
+/// Answers the first request on its connection with @p first, and further ones with copies of it.
+asio::awaitable<void> serveCopies(tcp::socket socket, std::string first)
+{
+    while (true) {
+        std::string received;
+        const auto [code, size] = co_await asio::async_read_until(
+            socket, asio::dynamic_buffer(received), "\r\n\r\n", asTuple);
+        if (code)
+            co_return;
+        co_await asio::async_write(socket, asio::buffer(first), asTuple);
+    }
+}
+
+/// Refuses on the first connection. Answers on the others.
+asio::awaitable<void> serveAfterRefusal(tcp::acceptor &acceptor, std::string refusal)
+{
+    std::string first = std::move(refusal);
+    while (true) {
+        auto [code, socket] = co_await acceptor.async_accept(asTuple);
+        if (code)
+            co_return;
+        asio::co_spawn(acceptor.get_executor(), serveCopies(std::move(socket), std::move(first)),
+                       asio::detached);
+        const std::string body = events + endMark;
+        first = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+}
+
 BOOST_AUTO_TEST_SUITE(engine_attempt_tests)
 
 // Guards against a chat answer that passes for whole, since only its end mark proves it.
@@ -88,6 +125,25 @@
     BOOST_TEST(!end.outcome.usage.failed);
 }
 
+// The copy of a refusal was taken for the promise that a later attempt on the connection did not
+// run.
+BOOST_AUTO_TEST_CASE(a_chat_attempt_is_not_refused_by_the_copy_of_an_earlier_refusal)
+{
+    for (const std::string start : {"HTTP/1.1 503 X", "HTTP/1.1 429 X", "HTTP/1.1 409 X"}) {
+        const std::string refusal = start + "\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n";
+        asio::io_context context;
+        tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+        asio::co_spawn(context, serveAfterRefusal(acceptor, refusal), asio::detached);
+        const auto client = http_client::makeHttpClient(context);
+        const attempt_end first = runAttempt(context, acceptor, *client);
+        BOOST_TEST((first.outcome.isEngineOverloaded || first.outcome.isRequestRejected), start);
+        const attempt_end second = runAttempt(context, acceptor, *client);
+        BOOST_TEST(!second.outcome.isEngineOverloaded, start);
+        BOOST_TEST(!second.outcome.isRequestRejected, start);
+        BOOST_TEST(second.isComplete, start);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace
