Take no answer to a request for the report of an upstream

Callers that took a stream up saw 502 where an upstream had refused a request on the connection that the host kept, and its refusal came once more.

Cause: a call for a report has no id, and took the first final answer as its own. The copy of a refusal, which echoes the id of its request, counted as a sign of life, or as a report that names no start of the process. The host then sent the stream's request without knowing whether the process was the listed one, and the true report stood where the answer to it was due.

An answer that echoes an id is no report now: it is dropped with its body, at most 16 of them within the limits of size and time, and the connection carries nothing further. The process is asked again on a new connection.

A probe that got copies only was alive in 3 of 3 unit cases before, in none now.

--- a/src/route/report_call.cpp
+++ b/src/route/report_call.cpp
@@ -17,7 +17,8 @@
 
 constexpr std::size_t maxAnswerBytes = 65'536;
 constexpr std::size_t maxHeadBytes = 16'384;
-constexpr int maxInterimAnswers = 4;
+// Answers before the report: interim ones, and late ones to earlier requests.
+constexpr int maxDroppedAnswers = 16;
 
 std::vector<http_header> fieldsOf(const http::response<http::string_body> &answer)
 {
@@ -27,10 +28,13 @@
     return fields;
 }
 
+/// Reads answers until the one to the call. The call has no id, so one that echoes an id belongs to
+/// an earlier request on the connection.
 asio::awaitable<report_end> readAnswer(pooled_connection &connection, const wire_format &wire)
 {
     beast::flat_buffer buffer(maxHeadBytes + maxAnswerBytes);
-    for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+    bool hasOtherAnswer = false;
+    for (int dropped = 0; dropped <= maxDroppedAnswers; ++dropped) {
         http::response_parser<http::string_body> parser;
         parser.header_limit(maxHeadBytes);
         parser.body_limit(maxAnswerBytes);
@@ -41,14 +45,21 @@
         const int status = int(parser.get().result_int());
         if (status < int(http::status::ok))
             continue;
-        report_end end;
-        end.isAnswered = true;
-        end.keepAlive = wire.readAnswer(status, fieldsOf(parser.get())).keepAlive;
+        const answer_head head = wire.readAnswer(status, fieldsOf(parser.get()));
         if (!parser.need_eof())
             std::tie(code, size)
                 = co_await http::async_read(connection.socket, buffer, parser, asTuple);
         const bool isWhole = !code && parser.is_done();
-        end.isReusable = isWhole && parser.keep_alive() && buffer.size() == 0;
+        if (!head.requestId.empty()) {
+            if (!isWhole)
+                break;
+            hasOtherAnswer = true;
+            continue;
+        }
+        report_end end;
+        end.isAnswered = true;
+        end.keepAlive = head.keepAlive;
+        end.isReusable = isWhole && parser.keep_alive() && buffer.size() == 0 && !hasOtherAnswer;
         if (isWhole && status == int(http::status::ok))
             end.body = std::move(parser.get().body());
         co_return end;
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -364,6 +364,7 @@
         self.refusal_status = 503  # With "full".
         self.is_leaving = False
         self.limit = None
+        self.keep_alive = None  # Idle time limit that answers name, in whole seconds.
         self.brittle = None  # Value of Server-Brittle in all answers unless None.
         self.call_seconds = 0  # Work of a call that is no stream.
         self.capacity = None  # Requests that run at the same time; others are turned away.
@@ -373,6 +374,8 @@
         self.copy_seconds = 0  # From the arrival of the next request until the copies are sent.
         self.due_copies = {}  # Bytes by connection.
         self.copies_sent = collections.Counter()  # By the id of the request that is under way.
+        self.copies_before_reports = 0  # Times that copies were sent where a report was due.
+        self.report_seconds_after_copies = 0.02
         self.arrivals = 0
         self.arrival_times = []
         self.runs = collections.Counter()
@@ -451,11 +454,13 @@
         if target == "/-/report":
             return await self.report(writer)
         request = fields.get("quincefall-request-id", "")
-        await self.send_due_copies(writer, request)
+        if await self.send_due_copies(writer):
+            self.copies_sent[request] += 1
         self.arrivals += 1
         self.arrival_times.append(time.monotonic())
         leaving = [("Server-Leaving", "1")] if self.is_leaving else []
         leaving += [] if self.limit is None else [("Server-Limit", self.limit)]
+        leaving += [] if self.keep_alive is None else [("Keep-Alive", f"timeout={self.keep_alive}")]
         leaving += [] if self.brittle is None else [("Server-Brittle", self.brittle)]
         echo = [("Quincefall-Request-Id", request)]
         if fields.get("quincefall-expect-instance") != self.identity:
@@ -481,6 +486,10 @@
     async def report(self, writer):
         self.reports += 1
         await self.keep_silent()
+        if await self.send_due_copies(writer):
+            self.copies_before_reports += 1
+            # Read apart from the report, the copies are all that the connection has brought.
+            await asyncio.sleep(self.report_seconds_after_copies)
         state = {"stage": "unified", "models": [], "busy": False, "sequence": 0, "waiting": 0,
                  "running": self.running, "kv_used": 0, "kv_total": 0, "handles": 0,
                  "born": self.born}
@@ -502,7 +511,7 @@
 
     async def refuse(self, writer, status, fields):
         """Turns a request away. The answer comes again, `refusal_copies` times, where the answer to
-        the next request on the connection is due."""
+        the next request or call for a report on the connection is due."""
         refusal = answer_bytes(status, b"", fields)
         writer.write(refusal)
         if self.refusal_copies > 0:
@@ -510,14 +519,15 @@
         await writer.drain()
         return True
 
-    async def send_due_copies(self, writer, request):
+    async def send_due_copies(self, writer):
+        """Whether there were any."""
         copies = self.due_copies.pop(writer, None)
         if copies is None:
-            return
+            return False
         await asyncio.sleep(self.copy_seconds)
-        self.copies_sent[request] += 1
         writer.write(copies)
         await writer.drain()
+        return True
 
     async def run(self, writer, method, target, fields, body, request, leaving, fault):
         self.runs[request] += 1
--- a/tests/route/upstream_call_test.cpp
+++ b/tests/route/upstream_call_test.cpp
@@ -354,6 +354,26 @@
     }
 }
 
+// The copy of a refusal was taken for a sign of life, and for a report that names no start.
+BOOST_AUTO_TEST_CASE(a_probe_is_not_answered_by_the_copy_of_a_refusal)
+{
+    const std::string copy = makeAnswer("earlier", true, true);
+    const std::string copyWithBody
+        = "HTTP/1.1 503 X\r\nId: earlier\r\nContent-Length: 4\r\n\r\nfull";
+    const std::string report = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    for (const std::string &copies : {copy, copyWithBody, copy + copyWithBody}) {
+        for (const bool isReported : {false, true}) {
+            scripted_upstream upstream([&](const std::string &, bool) {
+                reply made{{copies}, false, true};
+                if (isReported)
+                    made.segments.push_back(report);
+                return made;
+            });
+            BOOST_TEST(upstream.answersProbe() == isReported, copies);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_an_invalid_field_name_fails_the_call)
 {
     for (const std::string &name : invalidFieldNames()) {
