Let paced engines answer 421 and copy each refusal

PacedEngine.refuse() hid Engine.refuse() with other arguments since: a paced engine that was asked under another engine's id, or had the fault "full", failed with a TypeError and closed the connection, so that the soaks no longer played these faults.

Copies can come twice, and some time after the next request. A slow store waits for its writes, which fail once the connection is closed.

--- a/tests/process/support/paced_engine.py
+++ b/tests/process/support/paced_engine.py
@@ -29,10 +29,11 @@
     Each is the share of the answers, from 0 to 1: `split_share` of the streams whose events are
     split over segments and chunks at random positions, `break_share` of those that break off inside
     an event, `refuse_share` of the requests that are turned away, and `copy_share` of the answers
-    that a copy of an earlier refusal on the same connection precedes or follows. Copies carry no
-    request id with `copies_are_unnamed`. `unframed_share` of the streams have no length; with
-    `closes_unframed`, those of them that break off end between two events, with a close; with
-    `announces_close`, the heads of all without a length say that the connection closes.
+    that copies of an earlier refusal on the same connection precede or follow: up to `most_copies`,
+    at once or `copy_seconds` later. Copies carry no request id with `copies_are_unnamed`.
+    `unframed_share` of the streams have no length; with `closes_unframed`, those of them that break
+    off end between two events, with a close; with `announces_close`, the heads of all without a
+    length say that the connection closes.
 
     The engine may end a stream early, in good order and between two events, while it lives: one of
     which bytes were left unread for `unread_seconds`; where the next event would come after
@@ -47,6 +48,7 @@
         self.refuse_share = 0
         self.copy_share = 0
         self.copies_are_unnamed = False
+        self.most_copies = 1
         self.unframed_share = 0
         self.closes_unframed = False
         self.framed_until = 0  # Until then all streams have chunks.
@@ -67,26 +69,27 @@
         request = fields.get("quincefall-request-id", "")
         is_expected = fields.get("quincefall-expect-instance") == self.identity
         if is_expected and self.is_hit(self.refuse_share):
-            return await self.refuse(writer, request)
-        self.copy_refusal(writer)
+            named = [] if self.copies_are_unnamed else [("Quincefall-Request-Id", request)]
+            self.arrivals += 1
+            return await self.refuse(writer, 503, [("Quincefall-Not-Run", "1"), *named])
+        await self.copy_refusal(writer)
         is_kept = await super().answer(writer, method, target, fields, body)
         if is_kept:
-            self.copy_refusal(writer)
+            await self.copy_refusal(writer)
         return is_kept
 
-    async def refuse(self, writer, request):
-        self.arrivals += 1
-        named = [] if self.copies_are_unnamed else [("Quincefall-Request-Id", request)]
-        refusal = answer_bytes(503, b"", [("Quincefall-Not-Run", "1"), *named])
-        self.refusals[writer] = refusal
-        writer.write(refusal)
+    async def refuse(self, writer, status, fields):
+        self.refusals[writer] = answer_bytes(status, b"", fields)
+        return await super().refuse(writer, status, fields)
+
+    async def copy_refusal(self, writer):
+        if writer not in self.refusals or not self.is_hit(self.copy_share):
+            return
+        copies = self.random.randint(1, self.most_copies)
+        await asyncio.sleep(self.random.choice((0, self.copy_seconds)))
+        self.copies_sent += copies
+        writer.write(self.refusals[writer] * copies)
         await writer.drain()
-        return True
-
-    def copy_refusal(self, writer):
-        if writer in self.refusals and self.is_hit(self.copy_share):
-            self.copies_sent += 1
-            writer.write(self.refusals[writer])
 
     async def write_bytes(self, writer, data, is_chunked, is_split):
         for segment in split_at_random(self.random, data, 4) if is_split else [data]:
--- a/tests/process/support/platform_standin.py
+++ b/tests/process/support/platform_standin.py
@@ -227,6 +227,7 @@
         size = max(1, int(self.bytes_per_second * SLOW_PIECE_SECONDS))
         for start in range(0, len(data), size):
             writer.write(data[start:start + size])
+            await writer.drain()
             await asyncio.sleep(SLOW_PIECE_SECONDS)
 
     async def answer(self, writer, method, target, fields, body):
