--- a/tests/process/route_hushed.py
+++ b/tests/process/route_hushed.py
@@ -3,12 +3,14 @@
     QUINCEFALL_BIN=... route_hushed.py --seeds 1-20 --hosts 20 --engines 24 --streams 120
 
 Callers take broken streams up at other hosts and check each event over all of their attempts; with
---once, some of the streams may not be resumed and have one attempt. Cuts of streams whose engine
-had only paused are counted, and are no violation.
+--once, some of the streams may not be resumed and have one attempt. With --slow-stores, each host is
+asked all the while for what new versions added, and has to serve it in time and from then on. Cuts
+of streams whose engine had only paused are counted, and are no violation.
 """
 
 import argparse
 import asyncio
+import collections
 import concurrent.futures
 import multiprocessing
 import random
@@ -18,7 +20,9 @@
 
 from support.engine_process import EngineProcess
 from support.route_fleet import RouteFleet, desired_state, wait_for
+from support.slow_reads import add_routes
 from support.stream_callers import NOT_RUN, Caller, Report
+from support.version_probes import VersionProbes
 
 CHANGES = ("idle", "timeout", "route")
 SERVICES = (("engines", "spare"), ("desk", "counter"))  # Each with the one that routes move to.
@@ -39,7 +43,8 @@
         self.options = options
         self.released = "v1"  # With --releases, the only version whose engines are listed.
         self.processes = []
-        super().__init__(hosts=options.hosts)
+        super().__init__(hosts=options.hosts,
+                         own_stores=options.hosts if options.slow_stores else 0)
         self.start_engines(seed)
         self.put_state(1, 0, 0, 0)
 
@@ -57,7 +62,8 @@
                     "announces_close": options.announce_close,
                     "framed_until": time.monotonic() + options.framed_for,
                     "copy_share": options.copies, "call_seconds": 0.05,
-                    "copies_are_unnamed": options.unnamed, "padding": options.padding,
+                    "copies_are_unnamed": options.unnamed, "most_copies": options.most_copies,
+                    "copy_seconds": options.copy_seconds, "padding": options.padding,
                     "unread_seconds": options.unread_seconds,
                     "deadline_share": options.deadline_share,
                     "version": f"v{1 + number % options.versions}"}
@@ -93,12 +99,15 @@
             self.register(process)
 
     def crash_engines(self, process, down_seconds):
-        """Crashes a process with engines, which come back at the same ports."""
-        process.crash(down_seconds)
+        """Crashes a process with engines, which come back at the same ports; returns the ids that
+        are no longer theirs."""
+        before = process.entries
+        process.crash(down_seconds, self.options.new_ids)
         self.put_entries(process)
+        return before.keys() - process.entries.keys()
 
-    def put_state(self, version, idle, timeout, moved):
-        """Writes a desired state; the last arguments choose among the variants."""
+    def put_state(self, version, idle, timeout, moved, size=0):
+        """Writes a desired state; the arguments after the version choose among the variants."""
         state = desired_state(version)
         for route in state["routes"]:
             is_stream = route["route_type"] == "streaming"
@@ -111,6 +120,8 @@
         state["services"] = [{"name": name, "max_connections": 200}
                              for pair in SERVICES for name in pair]
         state["limits"]["idle_timeout_ms"] = self.options.idle_ms[idle]
+        if self.options.slow_stores:
+            add_routes(state, size)
         self.store.put("keyed.op", "config", state)
 
     def __exit__(self, *more):
@@ -135,6 +146,8 @@
         self.variants = {"idle": 0, "timeout": 0, "route": 0}
         self.events = []  # (time, text)
         self.killed = []  # (time, host)
+        self.probes = VersionProbes(self.report, seed)
+        self.unlisting = []  # Tasks.
 
     def note(self, text):
         self.events.append((time.monotonic(), text))
@@ -143,8 +156,10 @@
         kind = self.random.choice(CHANGES)
         self.variants[kind] = 1 - self.variants[kind]
         self.version += self.random.randint(1, 4)
-        self.fleet.put_state(self.version, *(self.variants[name] for name in CHANGES))
-        self.note(f"desired state {self.version}: {kind}")
+        size = int(self.random.uniform(*self.options.sizes)) if self.options.slow_stores else 0
+        self.fleet.put_state(self.version, *(self.variants[name] for name in CHANGES), size)
+        self.probes.note_written(self.version)
+        self.note(f"desired state {self.version}: {kind}, {size} bytes")
 
     async def pause(self, victims, seconds):
         for victim in victims:
@@ -166,6 +181,21 @@
             await changing
             await asyncio.sleep(self.random.uniform(*self.options.calms))
 
+    async def slow_stores(self, end):
+        """Slows or silences the store server of one host after another, with a series of changes
+        each time."""
+        while time.monotonic() < end:
+            host, store = self.random.choice(list(zip(self.fleet.hosts, self.fleet.own_stores)))
+            speed = self.random.choice((0, 10_000, 30_000, 60_000))
+            store.mode, store.bytes_per_second = ("ok", speed) if speed else ("hang", None)
+            self.note(f"the store of {host.name} sends {speed} bytes a second")
+            changed = time.monotonic() + self.random.uniform(1, 4)
+            while time.monotonic() < changed:
+                await asyncio.sleep(self.random.uniform(*self.options.change_gaps))
+                self.change_desired()
+            await asyncio.sleep(self.random.uniform(0, 2))
+            store.mode, store.bytes_per_second = "ok", None
+
     async def change_within(self, seconds):
         await asyncio.sleep(self.random.uniform(0, seconds))
         self.change_desired()
@@ -177,11 +207,13 @@
                                                                       * len(self.fleet.hosts))))
             seconds = self.random.uniform(*self.options.host_pauses)
             self.note(f"{[host.name for host in hosts]} pause {seconds:.2f} s")
+            begun = time.monotonic()
             for host in hosts:
                 host.send(signal.SIGSTOP)
             await asyncio.sleep(seconds)
             for host in hosts:
                 host.send(signal.SIGCONT)
+            self.probes.note_disturbed(hosts, begun)
 
     async def kill_hosts(self, end):
         while time.monotonic() < end:
@@ -190,8 +222,10 @@
             self.note(f"{host.name} is killed")
             self.killed.append((time.monotonic(), host))
             host.send(signal.SIGKILL)
+            begun = time.monotonic()
             await asyncio.to_thread(host.process.wait, 5)
             host.start()
+            self.probes.note_disturbed([host], begun)
 
     async def restart_all_hosts(self, end):
         """Kills all hosts at once, again and again, each time beside a change."""
@@ -199,12 +233,14 @@
             await asyncio.sleep(self.random.uniform(2, 4))
             self.note("all hosts are killed")
             changing = asyncio.create_task(self.change_within(0.5))
+            begun = time.monotonic()
             for host in self.fleet.hosts:
                 self.killed.append((time.monotonic(), host))
                 host.send(signal.SIGKILL)
             for host in self.fleet.hosts:
                 await asyncio.to_thread(host.process.wait, 5)
                 host.start()
+            self.probes.note_disturbed(self.fleet.hosts, begun)
             await changing
 
     async def release_versions(self, end):
@@ -219,9 +255,10 @@
             seconds = self.random.uniform(*self.options.host_pauses)
             self.note(f"{self.fleet.released} is released; {[host.name for host in hosts]} pause"
                       f" {seconds:.2f} s")
+            begun = time.monotonic()
             for host in hosts:
                 host.send(signal.SIGSTOP)
-            resumed = time.monotonic() + seconds
+            resumed = begun + seconds
             for process in self.fleet.processes:
                 self.fleet.put_entries(process)
                 await asyncio.sleep(self.random.uniform(0, 0.3))
@@ -231,6 +268,7 @@
             await asyncio.sleep(max(0, resumed - time.monotonic()))
             for host in hosts:
                 host.send(signal.SIGCONT)
+            self.probes.note_disturbed(hosts, begun)
 
     async def shut_down_engines(self, end):
         while time.monotonic() < end:
@@ -248,6 +286,18 @@
         await asyncio.to_thread(process.shut_down, *seconds)
         self.fleet.put_entries(process)
 
+    async def crash_engines(self, process):
+        down_seconds = self.random.choice(DOWN_SECONDS)
+        self.note(f"engines {sorted(process.entries)} crash, down {down_seconds} s")
+        self.report.counts["crashes of engine processes"] += 1
+        names = await asyncio.to_thread(self.fleet.crash_engines, process, down_seconds)
+        self.unlisting.append(asyncio.create_task(self.unlist(names, self.random.uniform(0.5, 4))))
+
+    async def unlist(self, names, seconds):
+        await asyncio.sleep(seconds)
+        for name in names:
+            self.fleet.store.put("keyed.servers", name, None)
+
     async def kill_engines(self, end):
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.5, 2.0))
@@ -255,10 +305,7 @@
             if process.is_stopped:
                 continue
             if self.options.crash_engines:
-                down_seconds = self.random.choice(DOWN_SECONDS)
-                self.note(f"engines {sorted(process.entries)} crash, down {down_seconds} s")
-                self.report.counts["crashes of engine processes"] += 1
-                await asyncio.to_thread(self.fleet.crash_engines, process, down_seconds)
+                await self.crash_engines(process)
                 continue
             if self.options.flap_engines \
                     and (not self.options.kill_engines or self.random.random() < 0.5):
@@ -271,10 +318,12 @@
     async def play(self):
         options = self.options
         end = time.monotonic() + options.seconds
+        self.probes.note_disturbed(self.fleet.hosts, time.monotonic())  # They have just started.
         callers = [Caller(f"s{self.seed}c{number}", self.fleet.hosts, self.report, self.seed,
                           max(4 * options.target_ms, 8 * options.gap_ms) / 1000,
                           events=options.events, idle_seconds=min(options.idle_ms) / 1000,
                           names_begun=options.names_begun, once_share=options.once,
+                          repeat_share=options.repeats,
                           stream_seconds=options.deadline_seconds)
                    for number in range(options.streams)]
         tasks = [caller.run(end) for caller in callers]
@@ -291,23 +340,41 @@
             tasks.append(self.kill_engines(end))
         if options.shut_down_engines:
             tasks.append(self.shut_down_engines(end))
+        if options.slow_stores:
+            tasks.append(self.slow_stores(end))
+            tasks += [self.probes.run(host, len(self.fleet.hosts), end) for host in self.fleet.hosts]
         await asyncio.gather(*tasks)
+        await asyncio.gather(*self.unlisting)
+
+    def check_once(self, attempts, runs):
+        """TWICE and REFUSED for a request that must not be repeated."""
+        by_name = collections.defaultdict(list)
+        for attempt in attempts:
+            by_name[attempt.request].append(attempt)
+        for request, same in by_name.items():
+            count = runs.get(request, 0)
+            if count > 1:
+                self.report.add("TWICE", request, f"{same}: {count} runs")
+            unpromised = [attempt for attempt in same
+                          if attempt.status not in NOT_RUN and attempt.end != "no-connection"]
+            is_refused = any(attempt.status in NOT_RUN for attempt in same)
+            if is_refused and count > len(unpromised):
+                self.report.add("REFUSED", request, f"{same}: {count} runs")
+            self.report.counts["repeats under the same id"] += len(same) - 1
 
     def check_runs(self, states):
-        """TWICE and REFUSED for calls that must not be repeated, and cuts of sound streams."""
+        """TWICE and REFUSED for requests that must not be repeated, and cuts of sound streams."""
         report = self.report
         runs = {}
         for state in states:
             for request, count in state["runs"].items():
                 runs[request] = runs.get(request, 0) + count
         broken = {request for state in states for request in state["broken"]}
+        for request in report.once:
+            self.check_once(report.streams[request], runs)
         for kind, attempts in report.calls.values():
-            for attempt in attempts if kind == "book" else []:
-                count = runs.get(attempt.request, 0)
-                if count > 1:
-                    report.add("TWICE", attempt.request, f"{attempt}: {count} runs")
-                if count and attempt.status in NOT_RUN:
-                    report.add("REFUSED", attempt.request, f"{attempt}: {count} runs")
+            if kind == "book":
+                self.check_once(attempts, runs)
             for attempt in attempts:
                 if attempt.is_kept and attempt.end == "broken" and runs.get(attempt.request):
                     report.counts["calls on kept connections closed after they ran"] += 1
@@ -350,6 +417,7 @@
             states = [state for process in fleet.processes for state in process.state().values()]
             self.check_runs(states)
             logs = {host.name: host.lines() for host in fleet.hosts}
+            self.probes.check(self.killed, logs)
         self.events = [(at - begun, text) for at, text in self.events]
         if any(code != 0 for code in fleet.codes):
             self.report.add("EXIT", "hosts", f"exit codes {fleet.codes}")
@@ -454,6 +522,20 @@
     parser.add_argument("--restart-all-hosts", action="store_true")
     parser.add_argument("--refuse", type=float, default=0.0, help="share of the requests")
     parser.add_argument("--copies", type=float, default=0.0, help="share of the answers")
+    parser.add_argument("--most-copies", type=int, default=1, help="of a refusal at a time")
+    parser.add_argument("--copy-seconds", type=float, default=0.0, help="by which some come late")
+    parser.add_argument("--repeats", type=float, default=0.0,
+                        help="share of the refused requests that are sent again under their id")
+    parser.add_argument("--new-ids", action="store_true",
+                        help="crashed engines come back under new ids, and the old ones stay listed"
+                             " for some seconds")
+    parser.add_argument("--slow-stores", action="store_true",
+                        help="each host has a store server, which is slow or silent at times while"
+                             " versions come in quick succession")
+    parser.add_argument("--sizes", type=parse_range, default=(10_000, 95_000),
+                        help="bytes of a version, with --slow-stores")
+    parser.add_argument("--change-gaps", type=parse_range, default=(0.05, 0.6),
+                        help="seconds between the versions of a series")
     parser.add_argument("--unnamed", action="store_true", help="copies carry no request id")
     parser.add_argument("--late-hosts", type=float, default=0.0, help="share that pauses at once")
     parser.add_argument("--releases", action="store_true",
--- a/tests/process/route_hushed_test.py
+++ b/tests/process/route_hushed_test.py
@@ -15,6 +15,10 @@
         " --pauses 0.1-0.3"),
     (1, "--seconds 7 --hosts 4 --crash-engines --unframed 1 --once 0.5 --event-seconds 0.08 --streams 60"
         " --engines 9 --processes 3 --pauses 0.1-0.3"),
+    (3, "--seconds 10 --hosts 6 --crash-engines --new-ids --refuse 0.2 --copies 1 --most-copies 2"
+        " --copy-seconds 0.02 --repeats 0.8 --once 0.6 --events 4 --streams 30 --engines 4 --processes 3"
+        " --pauses 0.1-0.3"),
+    (1, "--seconds 12 --hosts 5 --slow-stores --streams 10 --pauses 0.1-0.3"),
 )
 
 if __name__ == "__main__":
--- a/tests/process/support/engine_process.py
+++ b/tests/process/support/engine_process.py
@@ -29,6 +29,7 @@
     def __init__(self, plans, seed=0):
         self.plans = plans
         self.seed = seed
+        self.starts = 0  # Under new ids.
         self.lock = threading.Lock()
         self.start()
 
@@ -64,12 +65,14 @@
         """Closes all connections as a crash does; the engines go on to listen at their ports."""
         self.ask({"flap": True})
 
-    def crash(self, down_seconds):
+    def crash(self, down_seconds, has_new_ids=False):
         """Ends the engines as a crash does; new ones listen at their ports after `down_seconds`.
 
         In contrast to kill(), what the engines did before is still part of the state.
         """
-        self.ask({"crash": down_seconds})
+        self.starts += has_new_ids
+        self.entries = self.ask({"crash": down_seconds,
+                                 "suffix": f"-{self.starts}" if has_new_ids else ""})
 
     def shut_down(self, more_seconds, down_seconds):
         """Shuts the engines down; see PacedEngine.shut_down()."""
@@ -111,16 +114,21 @@
     return engine
 
 
-async def crash(engines, source, down_seconds):
-    """Closes the connections of all engines in random sequence, as the kernel does after a kill."""
-    connections = [writer for engine in engines for writer in engine.server.stop_answering()]
-    for engine in engines:
+async def crash(engines, source, down_seconds, suffix):
+    """Closes the connections of all engines in random sequence, as the kernel does after a kill.
+
+    With a `suffix`, it ends the ids under which they start again.
+    """
+    connections = [writer for engine in engines.values()
+                   for writer in engine.server.stop_answering()]
+    for engine in engines.values():
         engine.broken.extend(engine.streaming)
     source.shuffle(connections)
     for writer in connections:
         writer.transport.abort()
     await asyncio.sleep(down_seconds)
-    for engine in engines:
+    for name, engine in engines.items():
+        engine.identity = name + suffix if suffix else engine.identity
         await engine.server.listen(engine.server.port)
 
 
@@ -158,7 +166,8 @@
                 engine.down_seconds = 0
                 thread.call(engine.crash())
         elif "crash" in command:
-            thread.call(crash(list(engines.values()), source, command["crash"]))
+            thread.call(crash(engines, source, command["crash"], command["suffix"]))
+            reply = {engine.identity: engine.entry() for engine in engines.values()}
         elif "shut_down" in command:
             thread.call(shut_down(list(engines.values()), *command["shut_down"]))
         elif "state" in command:
--- a/tests/process/support/slow_reads.py
+++ b/tests/process/support/slow_reads.py
@@ -11,15 +11,18 @@
 SLOW = 30_000  # Bytes a second.
 
 
-def state_with_route(version, size):
-    """A desired state of about `size` bytes with a route of the version, and those before it."""
-    state = desired_state(version)
+def add_routes(state, size):
+    """Adds a route for the version and each before it, and further ones up to about `size` bytes."""
     read = state["routes"][1]
-    for number in range(2, version + 1):
-        state["routes"].append(dict(read, name=f"new{number}", path_prefix=f"/new{number}/"))
-    while len(str(state)) < size:
-        number = len(state["routes"])
-        state["routes"].append(dict(read, name=f"pad{number}", path_prefix=f"/pad{number}/"))
+
+    def add(name):
+        state["routes"].append(dict(read, name=name, path_prefix=f"/{name}/"))
+
+    for number in range(2, state["version"] + 1):
+        add(f"new{number}")
+    left = size - len(str(state))
+    for number in range(left // len(str(read)) + 1 if left > 0 else 0):
+        add(f"pad{number}")
     return state
 
 
@@ -39,7 +42,7 @@
 
     def write(self, size):
         self.version += 1
-        self.fleet.store.put("keyed.op", "config", state_with_route(self.version, size))
+        self.fleet.store.put("keyed.op", "config", add_routes(desired_state(self.version), size))
 
     def seconds_until_served(self, host, path, limit=8):
         begun = time.monotonic()
--- a/tests/process/support/stream_callers.py
+++ b/tests/process/support/stream_callers.py
@@ -107,6 +107,9 @@
         self.is_kept = False
         self.body = b""
 
+    def was_refused(self):
+        return self.end == "refused" and self.status in NOT_RUN
+
     def __repr__(self):
         return (f"{self.request}@{self.host.name}:{self.status}:{self.end}:"
                 f"{self.first}-{self.last}:{self.took:.2f}s{':kept' if self.is_kept else ''}")
@@ -120,6 +123,7 @@
         self.counts = collections.Counter()
         self.streams = {}  # Attempts by the id of the first one.
         self.calls = {}  # (kind, attempts) by the id of the first one.
+        self.once = set()  # Streams that may not be resumed.
 
     def add(self, kind, request, text):
         self.violations.append((kind, request, text))
@@ -180,7 +184,7 @@
 
     def __init__(self, name, hosts, report, seed, gap_seconds=LEAST_GAP_SECONDS, events=40,
                  stream_seconds=9.0, call_seconds=3.0, idle_seconds=1.0, kept_share=0.6,
-                 names_begun=False, once_share=0):
+                 names_begun=False, once_share=0, repeat_share=0):
         self.name = name
         self.hosts = hosts
         self.report = report
@@ -194,6 +198,7 @@
         # Resumes names the attempt that brought the first event instead of the first attempt.
         self.names_begun = names_begun
         self.once_share = once_share  # Of the streams, on the route that has no stream_resume.
+        self.repeat_share = repeat_share  # Of the refused attempts, sent again under their id.
         self.idle = []
         self.number = 0
 
@@ -265,19 +270,29 @@
         wait = min(float(head.get("retry-after", 0) or 0), left / 3)
         await asyncio.sleep(max(0.05, wait))
 
+    def next_attempt(self, request, attempts):
+        """The next attempt, at any host; after a refusal it may be a repeat under the same id."""
+        last = attempts[-1] if attempts else None
+        name = f"{request}.{len(attempts)}" if last else request
+        host = self.random.choice(self.hosts)
+        if last and last.was_refused() and self.random.random() < self.repeat_share:
+            name, host = last.request, self.random.choice((last.host, host))
+        attempts.append(Attempt(name, host))
+        return attempts[-1]
+
     async def stream(self, request, is_once=False):
         """A stream, taken up at other hosts until it is complete or its deadline has passed.
 
-        One that `is_once` has a single attempt.
+        One that `is_once` has a single attempt, unless that is refused and repeats are allowed.
         """
-        path, most = ("/once/", 1) if is_once else ("/stream/", MOST_ATTEMPTS)
+        path = "/once/" if is_once else "/stream/"
+        if is_once:
+            self.report.once.add(request)
         check = StreamCheck(self.report, request, self.events)
         deadline = time.monotonic() + self.stream_seconds
         attempts = self.report.streams[request] = []
-        while len(attempts) < most and deadline - time.monotonic() > 0.3:
-            name = request if not attempts else f"{request}.{len(attempts)}"
-            attempt = Attempt(name, self.random.choice(self.hosts))
-            attempts.append(attempt)
+        while len(attempts) < MOST_ATTEMPTS and deadline - time.monotonic() > 0.3:
+            attempt = self.next_attempt(request, attempts)
             check.begin_attempt()
 
             async def read(connection, head, attempt=attempt):
@@ -296,13 +311,15 @@
 
             begun = next((one.request for one in attempts if one.first), None)
             origin = begun if self.names_begun else request
-            fields = {"Resumes": origin} if origin and len(attempts) > 1 else {}
+            names_origin = not is_once and origin not in (None, attempt.request)
+            fields = {"Resumes": origin} if names_origin else {}
             if check.last:
                 fields["Last-Event-Id"] = str(check.last)
             head = await self.attempt(attempt, len(attempts) == 1, "GET", path + request,
                                       fields, deadline, read, head_seconds=self.gap_seconds)
-            if is_once or attempt.end == "complete" \
-                    or attempt.status in (400, 401, 404, 413, 431):
+            if attempt.end == "complete" or attempt.status in (400, 401, 404, 413, 431):
+                break
+            if is_once and not (attempt.was_refused() and self.repeat_share > 0):
                 break
             await self.pause_before_retry(head, deadline)
         self.count("once-stream" if is_once else "stream", attempts)
@@ -313,9 +330,7 @@
         attempts = []
         self.report.calls[request] = (kind, attempts)
         while len(attempts) < MOST_ATTEMPTS and deadline - time.monotonic() > 0.1:
-            name = request if not attempts else f"{request}.{len(attempts)}"
-            attempt = Attempt(name, self.random.choice(self.hosts))
-            attempts.append(attempt)
+            attempt = self.next_attempt(request, attempts)
 
             async def read(connection, head, attempt=attempt):
                 async def whole():
@@ -329,7 +344,7 @@
                                       deadline, read, b"x")
             if attempt.end == "complete" or attempt.status in (400, 401, 404, 413, 431):
                 break
-            if kind == "book" and not (attempt.end == "refused" and attempt.status in NOT_RUN):
+            if kind == "book" and not attempt.was_refused():
                 break
             await self.pause_before_retry(head, deadline)
         self.count(kind, attempts)
