Wait until three hosts read the store in tests of slow readers

A host that is late for a moment on a loaded machine gets help from three others, as it is meant to, so readers() waits until three read, five times at most, and fails otherwise.

--- a/tests/process/support/slow_reads.py
+++ b/tests/process/support/slow_reads.py
@@ -40,6 +40,19 @@
         self.fleet.__exit__()
         self.assertEqual(self.fleet.codes, [0] * HOSTS)
 
+    def readers(self):
+        """The stores of the three hosts that read the desired state. More do while one is late, so
+        that it waits until three do."""
+        stores = self.fleet.own_stores
+        for _ in range(5):
+            before = [store.topic_calls["keyed.op"] for store in stores]
+            time.sleep(1.5)
+            found = [store for store, calls in zip(stores, before)
+                     if store.topic_calls["keyed.op"] > calls + 1]
+            if len(found) == 3:
+                return found
+        raise AssertionError(f"{len(found)} hosts read the store")
+
     def write(self, size):
         self.version += 1
         self.fleet.store.put("keyed.op", "config", add_routes(desired_state(self.version), size))
